--- /dev/null
+++ b/internal/admitter/board.go
@@ -0,0 +1,131 @@
+// A request that a deep service will refuse is refused at the entry, before any hop has worked for it. The
+// board holds what answers told of each service's threshold. What it holds grows old: if it did not, a node
+// that refuses everything would get no answer any more and never learn that the service has recovered.
+//
+// Example: "ice" answers with threshold 40000; a call of rank 50000 is refused here for half a second after
+// the last answer, then the threshold rises to the top within a second.
+
+package admitter
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Route is the place of a route among its service's routes in the preset, from 1; 0 stands for all routes.
+type Route uint16
+
+// BoardOptions set a board up; zero fields take the defaults.
+type BoardOptions struct {
+	// Hold is how long a learned threshold counts in full; default 500 ms.
+	Hold clock.Duration
+	// Fade is how long it then takes to open; default 1 s.
+	Fade clock.Duration
+}
+
+const (
+	defaultHold = 500 * clock.Millisecond
+	defaultFade = clock.Second
+	// settleTime is how long answers take to move a threshold most of the way.
+	settleTime = 100 * clock.Millisecond
+	// answerWeight is the least weight of one answer among those of all endpoints.
+	answerWeight = 1.0 / 8
+)
+
+func (o BoardOptions) withDefaults() BoardOptions {
+	if o.Hold <= 0 {
+		o.Hold = defaultHold
+	}
+	if o.Fade <= 0 {
+		o.Fade = defaultFade
+	}
+	return o
+}
+
+// Board holds the learned thresholds of all known services; it is not safe for concurrent use.
+type Board struct {
+	options BoardOptions
+	learned map[boardKey]learned
+}
+
+type boardKey struct {
+	service identifier.Service
+	route   Route
+}
+
+// NewBoard returns a board on which every service is open.
+func NewBoard(o BoardOptions) *Board {
+	return &Board{options: o.withDefaults(), learned: make(map[boardKey]learned)}
+}
+
+// Learn takes over the threshold that an answer of the service carried for all its calls.
+func (b *Board) Learn(service identifier.Service, t identifier.Threshold, now clock.Time) {
+	b.LearnRoute(service, 0, t, now)
+}
+
+// LearnRoute takes over the effective threshold that an answer carried for one route (see Chain).
+func (b *Board) LearnRoute(service identifier.Service, route Route, t identifier.Threshold, now clock.Time) {
+	key := boardKey{service, route}
+	b.learned[key] = b.learned[key].mix(t, now, b.options)
+}
+
+// Admit tells whether a call of the given rank has a chance at the service.
+func (b *Board) Admit(service identifier.Service, r identifier.Rank, now clock.Time) bool {
+	return r <= b.Threshold(service, now)
+}
+
+// AdmitRoute tells whether a call of the given rank and route has a chance at the service and all that it needs.
+func (b *Board) AdmitRoute(service identifier.Service, route Route, r identifier.Rank, now clock.Time) bool {
+	return r <= b.ThresholdRoute(service, route, now)
+}
+
+// Threshold returns what is known of the service now.
+func (b *Board) Threshold(service identifier.Service, now clock.Time) identifier.Threshold {
+	return b.learned[boardKey{service, 0}].at(now, b.options)
+}
+
+// ThresholdRoute returns what is known of one route of the service now.
+func (b *Board) ThresholdRoute(service identifier.Service, route Route, now clock.Time) identifier.Threshold {
+	all := b.Threshold(service, now)
+	if route == 0 {
+		return all
+	}
+	return min(all, b.learned[boardKey{service, route}].at(now, b.options))
+}
+
+// learned is a threshold and when an answer last told of it; the zero value is open.
+type learned struct {
+	threshold float64
+	when      clock.Time
+	known     bool
+}
+
+func (l learned) mix(t identifier.Threshold, now clock.Time, o BoardOptions) learned {
+	before := float64(l.at(now, o))
+	weight := answerWeight
+	if !l.known {
+		weight = 1
+	} else if age := now.Sub(l.when); age > 0 {
+		weight = max(weight, min(1, float64(age)/float64(settleTime)))
+	}
+	return learned{
+		threshold: before + weight*(float64(t)-before),
+		when:      now,
+		known:     true,
+	}
+}
+
+func (l learned) at(now clock.Time, o BoardOptions) identifier.Threshold {
+	if !l.known {
+		return identifier.MaxRank
+	}
+	old := now.Sub(l.when) - o.Hold
+	if old <= 0 {
+		return identifier.Threshold(l.threshold)
+	}
+	if old >= o.Fade {
+		return identifier.MaxRank
+	}
+	room := float64(identifier.MaxRank) - l.threshold
+	return identifier.Threshold(l.threshold + room*float64(old)/float64(o.Fade))
+}
--- /dev/null
+++ b/internal/limiter/queue.go
@@ -0,0 +1,85 @@
+// Queued calls run most important first and are shed least important first, and both orders must agree at
+// every hop, or one hop works on a request that the next one refuses. The keys of the heaps say so in one
+// place.
+//
+// Example: rank 5 offered before rank 3: next() is rank 3, worst() is rank 5, whatever the order of arrival.
+
+package limiter
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	sequenceBits = 48
+	sequenceMask = 1<<sequenceBits - 1
+)
+
+type entry struct {
+	call       Call
+	dispatched clock.Time
+	running    bool
+}
+
+// queue holds the entries of queued calls in three orders; numbers index into the limiter's entries.
+type queue struct {
+	order    Order
+	sequence uint64
+	best     heap[uint64]
+	worst    heap[uint64]
+	soonest  heap[clock.Time]
+	urgent   int
+}
+
+func (q *queue) grow(n int) {
+	q.best.grow(n)
+	q.worst.grow(n)
+	q.soonest.grow(n)
+}
+
+func (q *queue) len() int {
+	return q.best.len()
+}
+
+func (q *queue) push(number int32, c Call) {
+	q.sequence++
+	q.best.push(number, q.dispatchKey(c.Rank))
+	q.worst.push(number, q.shedKey(c.Rank))
+	q.soonest.push(number, c.Deadline)
+	if c.Rank.Priority() == identifier.Urgent {
+		q.urgent++
+	}
+}
+
+func (q *queue) remove(number int32, c Call) {
+	q.best.remove(number)
+	q.worst.remove(number)
+	q.soonest.remove(number)
+	if c.Rank.Priority() == identifier.Urgent {
+		q.urgent--
+	}
+}
+
+func (q *queue) dispatchKey(r identifier.Rank) uint64 {
+	newest := sequenceMask &^ q.sequence
+	switch q.order {
+	case RankNewest:
+		return uint64(r)<<sequenceBits | newest
+	case ClassNewest:
+		return uint64(r.Priority())<<sequenceBits | newest
+	case ClassOldest:
+		return uint64(r.Priority())<<sequenceBits | q.sequence
+	default:
+		return uint64(r)<<sequenceBits | q.sequence
+	}
+}
+
+// shedKey is smallest for the highest rank; among equals the one that would run last goes first.
+func (q *queue) shedKey(r identifier.Rank) uint64 {
+	worst := uint64(identifier.MaxRank-r) << sequenceBits
+	if q.order == RankNewest || q.order == ClassNewest {
+		return worst | q.sequence
+	}
+	return worst | sequenceMask&^q.sequence
+}
--- /dev/null
+++ b/internal/router/group.go
@@ -0,0 +1,41 @@
+// Picking must cost the same for 5 endpoints as for 500. So the endpoints that may be picked stand in plain
+// slices, of which two are drawn at random; an endpoint that leaves is replaced by the last one.
+//
+// Example: slice [a b c], remove a: [c b].
+
+package router
+
+// group is a set of endpoints to draw from.
+type group struct {
+	members []*member
+}
+
+func (g *group) add(m *member) {
+	m.group = g
+	m.place = len(g.members)
+	g.members = append(g.members, m)
+}
+
+func (g *group) remove(m *member) {
+	last := len(g.members) - 1
+	moved := g.members[last]
+	g.members[m.place] = moved
+	moved.place = m.place
+	g.members[last] = nil
+	g.members = g.members[:last]
+	m.group = nil
+}
+
+// service holds the endpoints of one service.
+type service struct {
+	// near and far are the usable endpoints of the own failure domain and of the others.
+	near, far group
+	// ejected endpoints are probed; suspect ones are the last resort; leaving ones are never picked.
+	ejected, suspect, leaving group
+	count                     int
+}
+
+// usable returns how many endpoints take ordinary calls.
+func (s *service) usable() int {
+	return len(s.near.members) + len(s.far.members)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,202 @@
+// Every node picks for itself, from figures that are always a little old. If all took the best endpoint, all
+// would take the same one, and flood it. So a node draws two at random and takes the better of them, in its
+// own failure domain while that has headroom.
+//
+// Example: own domain measured full, the other half used: the call goes to the other.
+
+package router
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Router picks endpoints for one node; it is not safe for concurrent use.
+type Router struct {
+	options  Options
+	members  map[identifier.Endpoint]*member
+	services map[identifier.Service]*service
+}
+
+// New returns a router that knows no endpoint.
+func New(o Options) *Router {
+	return &Router{
+		options:  o.withDefaults(),
+		members:  make(map[identifier.Endpoint]*member),
+		services: make(map[identifier.Service]*service),
+	}
+}
+
+// Put takes an announced endpoint over, new or changed.
+func (r *Router) Put(e Endpoint, now clock.Time) {
+	m, ok := r.members[e.ID]
+	if ok && m.endpoint.Service != e.Service {
+		r.Remove(e.ID)
+		ok = false
+	}
+	if !ok {
+		m = &member{since: now}
+		r.members[e.ID] = m
+		r.service(e.Service).count++
+	}
+	if e.State == Cold && m.endpoint.State != Cold {
+		m.since = now
+	}
+	m.endpoint = e
+	r.place(m)
+}
+
+// Remove forgets an endpoint; calls in flight there may still be reported with Done.
+func (r *Router) Remove(id identifier.Endpoint) {
+	m, ok := r.members[id]
+	if !ok {
+		return
+	}
+	m.group.remove(m)
+	r.services[m.endpoint.Service].count--
+	delete(r.members, id)
+}
+
+// Count returns how many endpoints of the service are known.
+func (r *Router) Count(name identifier.Service) int {
+	s, ok := r.services[name]
+	if !ok {
+		return 0
+	}
+	return s.count
+}
+
+// Pick chooses an endpoint that is not excluded and counts the call as in flight there.
+func (r *Router) Pick(name identifier.Service, now clock.Time, exclude []identifier.Endpoint) (Endpoint, bool) {
+	s, ok := r.services[name]
+	if !ok {
+		return Endpoint{}, false
+	}
+	m := r.choose(s, now, exclude)
+	if m == nil {
+		return Endpoint{}, false
+	}
+	m.inFlight++
+	return m.endpoint, true
+}
+
+// spillScore is the score from which the own failure domain counts as having no headroom.
+const spillScore = 1.0
+
+func (r *Router) choose(s *service, now clock.Time, exclude []identifier.Endpoint) *member {
+	if m := r.probe(s, now, exclude); m != nil {
+		return m
+	}
+	near := r.draw(&s.near, now, exclude)
+	if near != nil && near.score(now, r.options) < spillScore {
+		return near
+	}
+	far := r.draw(&s.far, now, exclude)
+	switch {
+	case near == nil && far == nil:
+		return r.lastResort(s, now, exclude)
+	case near == nil:
+		return far
+	case far == nil:
+		return near
+	case far.score(now, r.options) < near.score(now, r.options):
+		return far
+	default:
+		return near
+	}
+}
+
+func (r *Router) lastResort(s *service, now clock.Time, exclude []identifier.Endpoint) *member {
+	if m := r.draw(&s.ejected, now, exclude); m != nil {
+		return m
+	}
+	return r.draw(&s.suspect, now, exclude)
+}
+
+// draw takes the better of two random members, or any that is allowed.
+func (r *Router) draw(g *group, now clock.Time, exclude []identifier.Endpoint) *member {
+	n := len(g.members)
+	if n == 0 {
+		return nil
+	}
+	first := r.options.Rand.IntN(n)
+	a := r.allowed(g, first, exclude)
+	if a == nil || n == 1 {
+		return a
+	}
+	second := r.options.Rand.IntN(n - 1)
+	if second >= first {
+		second++
+	}
+	b := r.allowed(g, second, exclude)
+	if b.score(now, r.options) < a.score(now, r.options) {
+		return b
+	}
+	return a
+}
+
+// allowed returns the member at the place, or the next one that is neither excluded nor full.
+func (r *Router) allowed(g *group, place int, exclude []identifier.Endpoint) *member {
+	n := len(g.members)
+	for i := range n {
+		m := g.members[(place+i)%n]
+		if !m.full() && !slices.Contains(exclude, m.endpoint.ID) {
+			return m
+		}
+	}
+	return nil
+}
+
+// Done reports how a picked call ended.
+func (r *Router) Done(id identifier.Endpoint, result Result, now clock.Time) {
+	m, ok := r.members[id]
+	if !ok {
+		return
+	}
+	m.inFlight = max(0, m.inFlight-1)
+	if result.Outcome == Succeeded || result.Outcome == Refused {
+		m.headroom = result.Headroom
+		m.measured = now
+		m.known = true
+	}
+	r.judge(m, result.Outcome, now)
+}
+
+func (r *Router) service(name identifier.Service) *service {
+	s, ok := r.services[name]
+	if !ok {
+		s = &service{}
+		r.services[name] = s
+	}
+	return s
+}
+
+// place puts the member into the group that its state and ejection ask for.
+func (r *Router) place(m *member) {
+	s := r.service(m.endpoint.Service)
+	want := r.groupOf(s, m)
+	if m.group == want {
+		return
+	}
+	if m.group != nil {
+		m.group.remove(m)
+	}
+	want.add(m)
+}
+
+func (r *Router) groupOf(s *service, m *member) *group {
+	switch {
+	case m.endpoint.State == Leaving:
+		return &s.leaving
+	case m.endpoint.State == Suspect:
+		return &s.suspect
+	case m.until != 0:
+		return &s.ejected
+	case m.endpoint.Domain == r.options.Domain:
+		return &s.near
+	default:
+		return &s.far
+	}
+}
--- /dev/null
+++ b/internal/router/types.go
@@ -0,0 +1,105 @@
+// What the router knows of a backend server comes from its announcement (slots, connections, state) and from
+// answers (headroom, latency, failures). What was measured counts before what was announced.
+//
+// Example: an endpoint announced Ready with 100 slots whose answers carry headroom 0 gets calls only when no
+// other has room.
+
+package router
+
+import (
+	"math/rand/v2"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// State is what is announced or suspected of an endpoint.
+type State uint8
+
+// The states of an endpoint.
+const (
+	// Cold has just started and is ramped up.
+	Cold State = iota
+	// Ready takes calls.
+	Ready
+	// Leaving takes no new call.
+	Leaving
+	// Suspect may be dead; it is picked only when there is nothing else.
+	Suspect
+)
+
+// Endpoint is one announced backend server.
+type Endpoint struct {
+	ID              identifier.Endpoint
+	Node            identifier.Node
+	Service         identifier.Service
+	Domain          identifier.FailureDomain
+	Slots           int
+	ConnectionLimit int
+	State           State
+}
+
+// Outcome is how a call to an endpoint ended, as the caller's node sees it.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	// Succeeded is an answer of the backend server.
+	Succeeded Outcome = iota
+	// Refused is a refusal by the delivery node, which itself is well.
+	Refused
+	// Failed is an error, a broken stream or no answer in time.
+	Failed
+	// Cancelled says nothing about the endpoint.
+	Cancelled
+)
+
+// Result is what Done reports of a call.
+type Result struct {
+	Outcome  Outcome
+	Latency  clock.Duration
+	Headroom uint8
+}
+
+// Options set a router up; zero fields take the defaults.
+type Options struct {
+	// Domain is this node's own failure domain.
+	Domain identifier.FailureDomain
+	// Rand is the seeded source of choices; required.
+	Rand *rand.Rand
+	// FailuresToEject is how many failures in a row eject an endpoint; default 5.
+	FailuresToEject int
+	// EjectTime is the first ejection's length; it doubles up to EjectMax. Defaults 1 s and 30 s.
+	EjectTime, EjectMax clock.Duration
+	// ColdStart is how long a cold endpoint gets a growing part of the calls; default 10 s.
+	ColdStart clock.Duration
+	// HeadroomAge is how long a measured headroom counts; default 1 s.
+	HeadroomAge clock.Duration
+}
+
+const (
+	defaultFailures    = 5
+	defaultEjectTime   = clock.Second
+	defaultEjectMax    = 30 * clock.Second
+	defaultColdStart   = 10 * clock.Second
+	defaultHeadroomAge = clock.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.FailuresToEject <= 0 {
+		o.FailuresToEject = defaultFailures
+	}
+	if o.EjectTime <= 0 {
+		o.EjectTime = defaultEjectTime
+	}
+	if o.EjectMax <= 0 {
+		o.EjectMax = defaultEjectMax
+	}
+	if o.ColdStart <= 0 {
+		o.ColdStart = defaultColdStart
+	}
+	if o.HeadroomAge <= 0 {
+		o.HeadroomAge = defaultHeadroomAge
+	}
+	return o
+}
