--- /dev/null
+++ b/pkg/appender/wire.go
@@ -0,0 +1,97 @@
+package appender
+
+// These are the JSON forms of the log's protocol, as docs/LOG.md publishes it. The client and the stand-in for
+// tests share them, so that a test against the stand-in is a test of what the page says.
+//
+// Example: {"earliest":1,"next":3,"records":[{"offset":2,"timeMs":1780000000000,"data":"aGk="}]}
+
+import "encoding/json"
+
+// Paths and limits of the protocol.
+const (
+	RecordsPath = "/records"
+	// MaxRecord is the largest record in bytes that the log takes.
+	MaxRecord = 1 << 20
+	// MaxBatchBytes bounds the records in one answer, unless a single one is larger.
+	MaxBatchBytes = 4 << 20
+	// MaxLimit is the most records in one answer, and what a read without a limit gets.
+	MaxLimit = 1000
+)
+
+type appendWire struct {
+	Data []byte `json:"data"`
+}
+
+type offsetWire struct {
+	Offset int64 `json:"offset"`
+}
+
+type recordWire struct {
+	Offset int64  `json:"offset"`
+	TimeMs int64  `json:"timeMs"`
+	Data   []byte `json:"data"`
+}
+
+type batchWire struct {
+	Earliest int64        `json:"earliest"`
+	Next     int64        `json:"next"`
+	Records  []recordWire `json:"records"`
+}
+
+// EncodeAppend returns the body of an append.
+func EncodeAppend(data []byte) ([]byte, error) {
+	return json.Marshal(appendWire{Data: data})
+}
+
+// DecodeAppend returns the record in the body of an append.
+func DecodeAppend(body []byte) ([]byte, error) {
+	var w appendWire
+	err := json.Unmarshal(body, &w)
+	return w.Data, err
+}
+
+// EncodeOffset returns the body of the answer to an append.
+func EncodeOffset(o Offset) ([]byte, error) {
+	return json.Marshal(offsetWire{Offset: int64(o)})
+}
+
+// DecodeOffset returns the offset in the answer to an append.
+func DecodeOffset(body []byte) (Offset, error) {
+	var w offsetWire
+	err := json.Unmarshal(body, &w)
+	return Offset(w.Offset), err
+}
+
+// EncodeBatch returns the body of the answer to a read.
+func EncodeBatch(b Batch) ([]byte, error) {
+	w := batchWire{
+		Earliest: int64(b.Earliest),
+		Next:     int64(b.Next),
+		Records:  make([]recordWire, 0, len(b.Records)),
+	}
+	for _, r := range b.Records {
+		w.Records = append(w.Records, recordWire{
+			Offset: int64(r.Offset),
+			TimeMs: int64(r.Time),
+			Data:   r.Data,
+		})
+	}
+	return json.Marshal(w)
+}
+
+// DecodeBatch returns the batch in the answer to a read.
+func DecodeBatch(body []byte) (Batch, error) {
+	var w batchWire
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Batch{}, err
+	}
+	b := Batch{Earliest: Offset(w.Earliest), Next: Offset(w.Next)}
+	for _, r := range w.Records {
+		b.Records = append(b.Records, Record{
+			Offset: Offset(r.Offset),
+			Time:   Millis(r.TimeMs),
+			Data:   r.Data,
+		})
+	}
+	return b, nil
+}
