--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,176 @@
+// The tail and the fold are one reducer, so that a record is folded exactly when its turn on the log comes,
+// whichever way its bytes arrived. Two positions are kept apart: next, up to where records were delivered
+// to all matters, and through, up to where the configuration is folded; a snapshot moves only the second.
+//
+// Example: c.LogRead(Batch{Next: 3, Records: 0..2}, now, wall) returns Changed and Deliver effects and a
+// Send{Hint} to some peers; c.Resolve(hash) then gives the team.
+
+package configurer
+
+import (
+	"math/rand/v2"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Options are the parameters of a Configurer; the zero value of each number means its default.
+type Options struct {
+	Node identifier.Node
+	Rand *rand.Rand
+	// Decode turns a record's bytes into the value that was encoded.
+	Decode func([]byte) (any, error)
+	// First is the offset of the first record that the log ever had.
+	First identifier.Offset
+	// Retention is how long the log keeps records.
+	Retention clock.Duration
+	// MaxSilence ends serving after that long without news from the log; 0 means never.
+	MaxSilence clock.Duration
+	// Readers is how many nodes per failure domain read the log.
+	Readers int
+	// Fanout is how many peers get a hint of new records.
+	Fanout int
+	// MaxRecords and MaxBytes bound the tail kept for peers.
+	MaxRecords int
+	MaxBytes   int
+}
+
+// Defaults of Options.
+const (
+	DefaultRetention  = 24 * clock.Hour
+	DefaultReaders    = 2
+	DefaultFanout     = 3
+	DefaultMaxRecords = 8192
+	DefaultMaxBytes   = 4 << 20
+)
+
+// Configurer is the reducer of one node.
+type Configurer struct {
+	options Options
+	folder  folder
+	// through is the offset up to which the configuration is folded.
+	through identifier.Offset
+	// needed is the least Through of a snapshot that closes a gap; waiting tells that there is a gap.
+	needed    identifier.Offset
+	waiting   bool
+	held      []heldChange
+	suspended map[identifier.KeyHash]bool
+	tail      tail
+	passer    passer
+	reader    reader
+	contact   contact
+	oldest    oldest
+	// undecodable counts the records that this version can't read.
+	undecodable int64
+}
+
+type heldChange struct {
+	offset identifier.Offset
+	record any
+}
+
+// New returns a Configurer that knows nothing yet.
+func New(o Options) *Configurer {
+	o.Retention = orDefault(o.Retention, DefaultRetention)
+	o.Readers = orDefault(o.Readers, DefaultReaders)
+	o.Fanout = orDefault(o.Fanout, DefaultFanout)
+	o.MaxRecords = orDefault(o.MaxRecords, DefaultMaxRecords)
+	o.MaxBytes = orDefault(o.MaxBytes, DefaultMaxBytes)
+	return &Configurer{
+		options:   o,
+		folder:    newFolder(),
+		through:   o.First - 1,
+		suspended: map[identifier.KeyHash]bool{},
+		tail:      tail{start: o.First, next: o.First},
+		reader:    reader{catchingUp: true},
+	}
+}
+
+func orDefault[T int | clock.Duration](v, d T) T {
+	if v == 0 {
+		return d
+	}
+	return v
+}
+
+// Resolve returns the team of a valid key.
+func (c *Configurer) Resolve(hash identifier.KeyHash) (identifier.Team, bool) {
+	k := c.folder.keys[hash]
+	if k == nil || k.Withdrawn {
+		return "", false
+	}
+	if len(c.suspended) > 0 && c.suspended[hash] {
+		return "", false
+	}
+	return k.Key.Team, true
+}
+
+// InForce returns the preset in force, nil before the first switch, and the version of its last change.
+func (c *Configurer) InForce() (*definer.Preset, identifier.Version) {
+	f := &c.folder
+	return f.inForce, max(f.inForceVersion, f.presets[f.inForceName].Version)
+}
+
+// Version returns how many changes were accepted.
+func (c *Configurer) Version() identifier.Version {
+	return c.folder.version
+}
+
+// Base returns the version that a change of the subject must be made against.
+func (c *Configurer) Base(s Subject) identifier.Version {
+	switch s.Kind {
+	case SubjectPreset:
+		return c.folder.presets[identifier.Preset(s.Name)].Version
+	case SubjectInForce:
+		return c.folder.inForceVersion
+	case SubjectKey:
+		if k := c.folder.keys[identifier.KeyHash(s.Name)]; k != nil {
+			return k.Version
+		}
+	}
+	return 0
+}
+
+// Preset returns a published preset.
+func (c *Configurer) Preset(name identifier.Preset) (VersionedPreset, bool) {
+	p, ok := c.folder.presets[name]
+	return p, ok
+}
+
+// Presets returns all published presets by name.
+func (c *Configurer) Presets() []VersionedPreset {
+	return c.folder.sortedPresets()
+}
+
+// Keys returns all keys that were ever issued, by hash.
+func (c *Configurer) Keys() []VersionedKey {
+	return c.folder.sortedKeys()
+}
+
+// Offset returns the offset of the last record delivered.
+func (c *Configurer) Offset() identifier.Offset {
+	return c.tail.next - 1
+}
+
+// Complete tells whether the configuration is folded without a gap.
+func (c *Configurer) Complete() bool {
+	return !c.waiting
+}
+
+// Undecodable returns how many records this version could not read.
+func (c *Configurer) Undecodable() int64 {
+	return c.undecodable
+}
+
+// OutcomeOf returns the judgement on a change, once its record was read.
+func (c *Configurer) OutcomeOf(id ChangeID) (Outcome, bool) {
+	o, ok := c.folder.outcomeByID[id]
+	return o, ok
+}
+
+// VersionOf returns the version that an accepted change made.
+func (c *Configurer) VersionOf(id ChangeID) (identifier.Version, bool) {
+	o := c.folder.outcomeByID[id]
+	return o.Version, o.Version > 0
+}
--- /dev/null
+++ b/internal/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer folds the log's order into the configuration in force and passes the log's tail on between nodes.
+package configurer
--- /dev/null
+++ b/internal/configurer/folder.go
@@ -0,0 +1,227 @@
+// The fold must give the same state at the same offset on every node, or two domains would run different
+// presets for good and no one would notice before the teams' rates were broken. So it sees nothing but the
+// changes in their order: no clock, no node's name, and a bounded memory of outcomes that travels within
+// snapshots.
+//
+// Example: fold(PublishPreset{Base: 0}) gives version 1; the same record read again finds its own id and
+// changes nothing.
+
+package configurer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// maxOutcomes bounds the memory of judged changes. A repeated change that was forgotten is still refused:
+// its base is older than the version it made itself.
+const maxOutcomes = 512
+
+type folder struct {
+	version        identifier.Version
+	presets        map[identifier.Preset]VersionedPreset
+	inForce        *definer.Preset
+	inForceName    identifier.Preset
+	inForceVersion identifier.Version
+	keys           map[identifier.KeyHash]*VersionedKey
+	outcomes       []Outcome
+	outcomeByID    map[ChangeID]Outcome
+}
+
+func newFolder() folder {
+	return folder{
+		presets:     map[identifier.Preset]VersionedPreset{},
+		keys:        map[identifier.KeyHash]*VersionedKey{},
+		outcomeByID: map[ChangeID]Outcome{},
+	}
+}
+
+// apply judges a change and tells what it changed; a record that is no change gives the zero Changed.
+func (f *folder) apply(record any) (Changed, bool) {
+	switch r := record.(type) {
+	case PublishPreset:
+		return f.judge(r.Change, f.publishConflict(r), func() Changed { return f.publish(r) })
+	case SwitchPreset:
+		return f.judge(r.Change, f.switchConflict(r), func() Changed { return f.switchTo(r) })
+	case IssueKey:
+		return f.judge(r.Change, f.issueConflict(r), func() Changed { return f.issue(r) })
+	case WithdrawKey:
+		return f.judge(r.Change, f.withdrawConflict(r), func() Changed { return f.withdraw(r) })
+	}
+	return Changed{}, false
+}
+
+func (f *folder) judge(c Change, conflict *Conflict, accept func() Changed) (Changed, bool) {
+	// An operator whose append answer got lost appends the same change again; the first judgement stays.
+	if _, judged := f.outcomeByID[c.ID]; judged {
+		return Changed{}, false
+	}
+	if conflict != nil {
+		f.remember(Outcome{ID: c.ID, Conflict: conflict})
+		return Changed{}, false
+	}
+	f.version++
+	f.remember(Outcome{ID: c.ID, Version: f.version})
+	changed := accept()
+	changed.Version = f.version
+	return changed, true
+}
+
+func (f *folder) remember(o Outcome) {
+	if len(f.outcomes) == maxOutcomes {
+		delete(f.outcomeByID, f.outcomes[0].ID)
+		f.outcomes = slices.Delete(f.outcomes, 0, 1)
+	}
+	f.outcomes = append(f.outcomes, o)
+	f.outcomeByID[o.ID] = o
+}
+
+func conflictOf(kind SubjectKind, name string, c Change, current identifier.Version, reason Reason) *Conflict {
+	if c.ID == "" {
+		reason = ReasonInvalid
+	}
+	if reason == 0 && c.Base != current {
+		reason = ReasonChanged
+	}
+	if reason == 0 {
+		return nil
+	}
+	return &Conflict{Subject: Subject{Kind: kind, Name: name}, Reason: reason, Base: c.Base, Current: current}
+}
+
+func (f *folder) publishConflict(r PublishPreset) *Conflict {
+	var reason Reason
+	if r.Preset.Name == "" {
+		reason = ReasonInvalid
+	}
+	return conflictOf(SubjectPreset, string(r.Preset.Name), r.Change, f.presets[r.Preset.Name].Version, reason)
+}
+
+func (f *folder) publish(r PublishPreset) Changed {
+	p := r.Preset
+	f.presets[p.Name] = VersionedPreset{Preset: &p, Version: f.version}
+	if f.inForceName != p.Name {
+		return Changed{}
+	}
+	f.inForce = &p
+	return Changed{InForce: true}
+}
+
+func (f *folder) switchConflict(r SwitchPreset) *Conflict {
+	var reason Reason
+	if _, known := f.presets[r.Preset]; !known {
+		reason = ReasonUnknownPreset
+	}
+	return conflictOf(SubjectInForce, "", r.Change, f.inForceVersion, reason)
+}
+
+func (f *folder) switchTo(r SwitchPreset) Changed {
+	f.inForceName = r.Preset
+	f.inForce = f.presets[r.Preset].Preset
+	f.inForceVersion = f.version
+	return Changed{InForce: true}
+}
+
+func (f *folder) issueConflict(r IssueKey) *Conflict {
+	var reason Reason
+	var current identifier.Version
+	if r.Key.Hash == "" || r.Key.Team == "" {
+		reason = ReasonInvalid
+	}
+	if k := f.keys[r.Key.Hash]; k != nil {
+		current = k.Version
+		if k.Withdrawn {
+			reason = ReasonWithdrawn
+		}
+	}
+	return conflictOf(SubjectKey, string(r.Key.Hash), r.Change, current, reason)
+}
+
+func (f *folder) issue(r IssueKey) Changed {
+	f.keys[r.Key.Hash] = &VersionedKey{Key: r.Key, Version: f.version}
+	return Changed{}
+}
+
+func (f *folder) withdrawConflict(r WithdrawKey) *Conflict {
+	k := f.keys[r.Hash]
+	if k == nil {
+		return conflictOf(SubjectKey, string(r.Hash), r.Change, 0, ReasonUnknownKey)
+	}
+	var reason Reason
+	if k.Withdrawn {
+		reason = ReasonWithdrawn
+	}
+	return conflictOf(SubjectKey, string(r.Hash), r.Change, k.Version, reason)
+}
+
+// withdraw keeps the hash for good: forgotten, it would come back by a repeated IssueKey.
+func (f *folder) withdraw(r WithdrawKey) Changed {
+	k := f.keys[r.Hash]
+	f.keys[r.Hash] = &VersionedKey{Key: k.Key, Version: f.version, Withdrawn: true}
+	return Changed{Withdrawn: []identifier.KeyHash{r.Hash}}
+}
+
+func (f *folder) snapshot(through identifier.Offset) Snapshot {
+	return Snapshot{
+		Through:        through,
+		Version:        f.version,
+		InForce:        f.inForceName,
+		InForceVersion: f.inForceVersion,
+		Presets:        f.sortedPresets(),
+		Keys:           f.sortedKeys(),
+		Outcomes:       slices.Clone(f.outcomes),
+	}
+}
+
+func (f *folder) sortedPresets() []VersionedPreset {
+	presets := make([]VersionedPreset, 0, len(f.presets))
+	for _, p := range f.presets {
+		presets = append(presets, p)
+	}
+	slices.SortFunc(presets, func(a, b VersionedPreset) int { return cmp.Compare(a.Preset.Name, b.Preset.Name) })
+	return presets
+}
+
+func (f *folder) sortedKeys() []VersionedKey {
+	keys := make([]VersionedKey, 0, len(f.keys))
+	for _, k := range f.keys {
+		keys = append(keys, *k)
+	}
+	slices.SortFunc(keys, func(a, b VersionedKey) int { return cmp.Compare(a.Key.Hash, b.Key.Hash) })
+	return keys
+}
+
+// replace takes over the whole state of a snapshot and tells what changed by it.
+func (f *folder) replace(s Snapshot) Changed {
+	old := *f
+	*f = newFolder()
+	f.version = s.Version
+	f.inForceName = s.InForce
+	f.inForceVersion = s.InForceVersion
+	for _, p := range s.Presets {
+		f.presets[p.Preset.Name] = p
+	}
+	f.inForce = f.presets[s.InForce].Preset
+	for _, k := range s.Keys {
+		f.keys[k.Key.Hash] = &k
+	}
+	for _, o := range s.Outcomes {
+		f.remember(o)
+	}
+	return Changed{Version: f.version, InForce: true, Withdrawn: old.endedIn(f)}
+}
+
+func (f *folder) endedIn(later *folder) []identifier.KeyHash {
+	var ended []identifier.KeyHash
+	for hash, k := range f.keys {
+		l := later.keys[hash]
+		if !k.Withdrawn && (l == nil || l.Withdrawn) {
+			ended = append(ended, hash)
+		}
+	}
+	slices.Sort(ended)
+	return ended
+}
--- /dev/null
+++ b/internal/configurer/reader.go
@@ -0,0 +1,148 @@
+// Only a few nodes per failure domain read the log, or thousands of nodes would poll it. A node that is
+// behind what its peers can give reads for itself, and so does one that has had no news for a while; both
+// back off while the log fails, since a log that comes back must not be met by every node at once.
+//
+// Example: of 482 live nodes the two with the highest rendezvous hash read every 200 ms; if both hang, the
+// others have stale news after 3 s and begin to read on their own, each at a random moment.
+
+package configurer
+
+import (
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// The rhythm of reading the log.
+const (
+	readInterval = 200 * clock.Millisecond
+	readTimeout  = 5 * clock.Second
+	staleNews    = 3 * clock.Second
+	// Elected readers look often whether the log is back; the others must not add thousands of reads a second.
+	maxBackoffElected = clock.Second
+	maxBackoff        = 30 * clock.Second
+)
+
+type reader struct {
+	elected    bool
+	catchingUp bool
+	// reading tells that an answer is awaited; sent is when it was asked for.
+	reading bool
+	sent    clock.Time
+	due     clock.Time
+	backoff clock.Duration
+	failed  bool
+	// failedSince is the first failure after the last success.
+	failedSince clock.Time
+	// alarmed tells that the news is stale and the random wait before an own read has begun.
+	alarmed bool
+}
+
+// SetPeers tells which other nodes live in the own failure domain, and some nodes of other domains.
+func (c *Configurer) SetPeers(local, remote []identifier.Node) {
+	c.passer.local = local
+	c.passer.remote = remote
+	own := electionHash(c.options.Node)
+	ahead := 0
+	for _, n := range local {
+		if h := electionHash(n); h > own || (h == own && n > c.options.Node) {
+			ahead++
+		}
+	}
+	c.reader.elected = ahead < c.options.Readers
+}
+
+// Reads tells whether this node is one of its domain's readers of the log.
+func (c *Configurer) Reads() bool {
+	return c.reader.elected
+}
+
+func electionHash(n identifier.Node) uint64 {
+	return xxh3.HashString(string(n))
+}
+
+func (c *Configurer) tickReader(now clock.Time) []Effect {
+	r := &c.reader
+	// An answer that never comes would end reading for good; the configuration would stay as it is.
+	if r.reading && now.Sub(r.sent) > readTimeout {
+		c.readFailed(now)
+	}
+	if r.reading || now < r.due || !c.wantsRead(now) {
+		return nil
+	}
+	r.reading = true
+	r.sent = now
+	return []Effect{ReadLog{From: c.tail.next, Asked: now}}
+}
+
+func (c *Configurer) wantsRead(now clock.Time) bool {
+	r := &c.reader
+	if r.elected || r.catchingUp {
+		return true
+	}
+	if c.Freshness(now) <= staleNews {
+		r.alarmed = false
+		return false
+	}
+	if !r.alarmed {
+		r.alarmed = true
+		r.due = now.Add(c.jitter(maxBackoff / 3))
+		return false
+	}
+	return true
+}
+
+// LogFailed takes in that a read of the log failed.
+func (c *Configurer) LogFailed(now clock.Time) []Effect {
+	c.readFailed(now)
+	return c.pull(now)
+}
+
+func (c *Configurer) readFailed(now clock.Time) {
+	r := &c.reader
+	r.reading = false
+	if !r.failed {
+		r.failed = true
+		r.failedSince = now
+	}
+	limit := maxBackoff
+	if r.elected {
+		limit = maxBackoffElected
+	}
+	r.backoff = min(max(2*r.backoff, readInterval), limit)
+	r.due = now.Add(r.backoff/2 + c.jitter(r.backoff/2))
+}
+
+// LogRead takes in the log's answer to a read.
+func (c *Configurer) LogRead(b Batch, now clock.Time, wall clock.Wall) []Effect {
+	r := &c.reader
+	r.reading = false
+	r.failed = false
+	r.backoff = 0
+	r.due = now.Add(readInterval)
+	if !r.elected {
+		r.due = now.Add(staleNews/2 + c.jitter(staleNews))
+	}
+	var effects []Effect
+	if b.Earliest > c.tail.next {
+		effects = c.skip(b.Earliest)
+	}
+	for _, record := range b.Records {
+		effects = append(effects, c.take(record, now, wall)...)
+	}
+	if c.tail.next >= b.Next {
+		r.catchingUp = false
+		c.touch(b.Asked)
+	} else {
+		r.due = now
+	}
+	return append(effects, c.hintIfNew(now)...)
+}
+
+func (c *Configurer) jitter(span clock.Duration) clock.Duration {
+	if span <= 0 {
+		return 0
+	}
+	return clock.Duration(c.options.Rand.Int64N(int64(span) + 1))
+}
--- /dev/null
+++ b/internal/configurer/snapshotter.go
@@ -0,0 +1,52 @@
+// Records expire. If the first ones went before anyone wrote their sum again, a fleet restarted as a whole
+// would find changes it can't judge and no configuration at all. So a reader appends a snapshot once the
+// oldest record still needed has reached half the retention; readers wait a random time, so that mostly
+// one does it, and a doubled snapshot is ignored by everyone at or past it.
+//
+// Example: retention 24 h, last snapshot 12 h ago: within 45 min one reader appends the next.
+
+package configurer
+
+import "github.com/jackdawtide/jackdawtide/internal/clock"
+
+// oldest tells how old the oldest record is that a new reader would need.
+type oldest struct {
+	known bool
+	wall  clock.Wall
+	read  clock.Time
+	due   clock.Time
+}
+
+// note takes in a record that is not a snapshot.
+func (o *oldest) note(written clock.Wall, now clock.Time, wall clock.Wall) {
+	if o.known {
+		return
+	}
+	*o = oldest{known: true, wall: min(written, wall), read: now}
+}
+
+func (o *oldest) renew(written clock.Wall, now clock.Time, wall clock.Wall) {
+	*o = oldest{known: true, wall: min(written, wall), read: now}
+}
+
+// age takes the larger of two accounts: a writer's clock may be fast, and a node may have read late.
+func (o *oldest) age(now clock.Time, wall clock.Wall) clock.Duration {
+	return max(now.Sub(o.read), wall.Sub(o.wall))
+}
+
+func (c *Configurer) tickSnapshot(now clock.Time, wall clock.Wall) []Effect {
+	o := &c.oldest
+	if !c.reader.elected || c.reader.failed || c.waiting || !o.known || o.age(now, wall) < c.options.Retention/2 {
+		return nil
+	}
+	if o.due == 0 {
+		o.due = now.Add(c.jitter(c.options.Retention / 32))
+	}
+	if now < o.due {
+		return nil
+	}
+	o.due = now.Add(c.options.Retention/32 + c.jitter(c.options.Retention/32))
+	s := c.folder.snapshot(c.through)
+	s.Wall = wall
+	return []Effect{Append{Record: s}}
+}
