Add the transporter: calls and control between nodes over QUIC

Cause: the thin whole path needs nodes that talk to each other. Change: one connection per pair of nodes, used both ways; one stream a call; bodies in frames with an end mark; phases notSent, sent and answered; graceful goodbye; bounded control queues; a cut switch for tests.

--- /dev/null
+++ b/internal/transporter/codec.go
@@ -0,0 +1,208 @@
+// Heads, tails and the greeting travel as CBOR arrays. The domain types carry no tags; these wire types do,
+// and each pair of functions below is the only place that knows both.
+//
+// Example: an AnswerTail takes 6 to 11 bytes.
+
+package transporter
+
+import (
+	"bytes"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+type wireField struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+type wireCall struct {
+	_             struct{} `cbor:",toarray"`
+	Request       string
+	Root          string
+	Team          string
+	KeyHash       string
+	Service       string
+	Endpoint      string
+	Method        string
+	Path          string
+	RawQuery      string
+	Header        []wireField
+	ContentLength int64
+	Rank          uint16
+	Deadline      int64
+	Allowance     uint8
+	Idempotent    bool
+	Depth         uint8
+	Attempt       uint16
+	Idempotency   string
+}
+
+type wireRefusal struct {
+	_          struct{} `cbor:",toarray"`
+	Reason     string
+	NotRun     bool
+	RetryAfter int64
+	DecidedBy  string
+}
+
+type wireAnswer struct {
+	_       struct{} `cbor:",toarray"`
+	Status  int
+	Header  []wireField
+	Refusal *wireRefusal
+}
+
+type wireTail struct {
+	_          struct{} `cbor:",toarray"`
+	Allowance  uint8
+	Threshold  uint16
+	Headroom   uint8
+	RetryRatio uint8
+}
+
+type wireHello struct {
+	_      struct{} `cbor:",toarray"`
+	Node   string
+	Domain string
+	To     string
+}
+
+var (
+	encoderMode = mustEncoderMode()
+	decoderMode = mustDecoderMode()
+)
+
+func mustEncoderMode() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// A head has few fields; bounds this low keep a hostile length from costing memory.
+func mustDecoderMode() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 16, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func encodeTo(b *bytes.Buffer, wire any) error {
+	return encoderMode.MarshalToBuffer(wire, b)
+}
+
+func fieldsToWire(fields []Field) []wireField {
+	if len(fields) == 0 {
+		return nil
+	}
+	out := make([]wireField, len(fields))
+	for i, f := range fields {
+		out[i] = wireField{Name: f.Name, Value: f.Value}
+	}
+	return out
+}
+
+func fieldsFromWire(fields []wireField) []Field {
+	if len(fields) == 0 {
+		return nil
+	}
+	out := make([]Field, len(fields))
+	for i, f := range fields {
+		out[i] = Field{Name: f.Name, Value: f.Value}
+	}
+	return out
+}
+
+func callToWire(h *CallHead) wireCall {
+	return wireCall{
+		Request: string(h.Request), Root: string(h.Root), Team: string(h.Team), Service: string(h.Service),
+		Endpoint: string(h.Endpoint), Method: h.Method, Path: h.Path, RawQuery: h.RawQuery,
+		Header: fieldsToWire(h.Header), ContentLength: h.ContentLength, Rank: uint16(h.Rank),
+		Deadline: int64(h.Deadline), Allowance: h.Allowance, Idempotent: h.Idempotent, Depth: h.Depth,
+		Attempt: h.Attempt, Idempotency: string(h.Idempotency),
+	}
+}
+
+func decodeCall(b []byte) (CallHead, error) {
+	var w wireCall
+	if err := decoderMode.Unmarshal(b, &w); err != nil {
+		return CallHead{}, MalformedError{What: "call head", Err: err}
+	}
+	return CallHead{
+		Request: identifier.Request(w.Request), Root: identifier.Request(w.Root), Team: identifier.Team(w.Team),
+		Service: identifier.Service(w.Service), Endpoint: identifier.Endpoint(w.Endpoint), Method: w.Method,
+		Path: w.Path, RawQuery: w.RawQuery, Header: fieldsFromWire(w.Header), ContentLength: w.ContentLength,
+		Rank: identifier.Rank(w.Rank), Deadline: clock.Duration(w.Deadline), Allowance: w.Allowance,
+		Idempotent: w.Idempotent, Depth: w.Depth, Attempt: w.Attempt,
+		Idempotency: identifier.Idempotency(w.Idempotency),
+	}, nil
+}
+
+func answerToWire(h *AnswerHead) wireAnswer {
+	w := wireAnswer{Status: h.Status, Header: fieldsToWire(h.Header)}
+	if r := h.Refusal; r != nil {
+		w.Refusal = &wireRefusal{
+			Reason: r.Reason, NotRun: r.NotRun, RetryAfter: int64(r.RetryAfter), DecidedBy: string(r.DecidedBy),
+		}
+	}
+	return w
+}
+
+func decodeAnswer(b []byte) (AnswerHead, error) {
+	var w wireAnswer
+	if err := decoderMode.Unmarshal(b, &w); err != nil {
+		return AnswerHead{}, MalformedError{What: "answer head", Err: err}
+	}
+	h := AnswerHead{Status: w.Status, Header: fieldsFromWire(w.Header)}
+	if r := w.Refusal; r != nil {
+		h.Refusal = &Refusal{
+			Reason: r.Reason, NotRun: r.NotRun, RetryAfter: clock.Duration(r.RetryAfter),
+			DecidedBy: identifier.Node(r.DecidedBy),
+		}
+	}
+	return h, nil
+}
+
+func tailToWire(t AnswerTail) wireTail {
+	return wireTail{
+		Allowance: t.Allowance, Threshold: uint16(t.Threshold), Headroom: t.Headroom, RetryRatio: t.RetryRatio,
+	}
+}
+
+func decodeTail(b []byte) (AnswerTail, error) {
+	var w wireTail
+	if err := decoderMode.Unmarshal(b, &w); err != nil {
+		return AnswerTail{}, MalformedError{What: "answer tail", Err: err}
+	}
+	return AnswerTail{
+		Allowance: w.Allowance, Threshold: identifier.Threshold(w.Threshold), Headroom: w.Headroom,
+		RetryRatio: w.RetryRatio,
+	}, nil
+}
+
+type hello struct {
+	node   identifier.Node
+	domain identifier.FailureDomain
+	to     identifier.Node
+}
+
+func helloToWire(h hello) wireHello {
+	return wireHello{Node: string(h.node), Domain: string(h.domain), To: string(h.to)}
+}
+
+func decodeHello(b []byte) (hello, error) {
+	var w wireHello
+	if err := decoderMode.Unmarshal(b, &w); err != nil {
+		return hello{}, MalformedError{What: "hello", Err: err}
+	}
+	return hello{
+		node: identifier.Node(w.Node), domain: identifier.FailureDomain(w.Domain), to: identifier.Node(w.To),
+	}, nil
+}
--- /dev/null
+++ b/internal/transporter/control.go
@@ -0,0 +1,177 @@
+// Control messages are best effort: a reducer that needs one to arrive sends it again. What must not happen is
+// that a slow or dead peer holds up the sender's event loop, or fills its memory. So a message is queued within
+// bounds and the loop goes on; a full queue drops the new message and says so.
+//
+// Example: a peer that is cut off for a minute costs at most MaxQueue messages, and nothing waits for it.
+
+package transporter
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"slices"
+)
+
+// Kinds of frames on a control stream.
+const (
+	frameMessage byte = iota
+	frameGoodbye
+	frameFinished
+)
+
+// SendControl queues a message, whose bytes it then owns, for the peer and returns at once; nil does not mean
+// that it will arrive.
+func (t *Transporter) SendControl(to Peer, message []byte) error {
+	if len(message) > t.options.MaxMessage {
+		return TooLargeError{What: "control message", Size: len(message), Limit: t.options.MaxMessage}
+	}
+	if t.isCut(to.Node) {
+		return CutError{Node: to.Node}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing {
+		return errClosed
+	}
+	p := t.stateLocked(to)
+	if len(p.queue) >= t.options.MaxQueue || p.queueBytes+len(message) > t.options.MaxQueueBytes {
+		return OverflowError{Node: to.Node}
+	}
+	p.queue = append(p.queue, message)
+	p.queueBytes += len(message)
+	if !p.sending {
+		p.sending = true
+		t.wait.Go(func() { t.sendQueue(to, p) })
+	}
+	return nil
+}
+
+// sendQueue sends what waits for a peer, and ends when nothing does.
+func (t *Transporter) sendQueue(to Peer, p *peerState) {
+	for {
+		l, err := t.acquire(context.Background(), to)
+		batch := t.takeQueue(p)
+		if err == nil {
+			err = l.sendBatch(batch)
+			l.done()
+		}
+		if t.queueEnded(to, p, err) {
+			return
+		}
+	}
+}
+
+func (t *Transporter) takeQueue(p *peerState) [][]byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	batch := p.queue
+	p.queue = nil
+	p.queueBytes = 0
+	return batch
+}
+
+// queueEnded tells whether the sender may end: nothing waits, or the peer can't be reached and what waits is lost.
+func (t *Transporter) queueEnded(to Peer, p *peerState, err error) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil && len(p.queue) > 0 {
+		return false
+	}
+	p.queue = nil
+	p.queueBytes = 0
+	p.sending = false
+	return true
+}
+
+// sendBatch writes the messages, several to a write where they are small.
+func (l *link) sendBatch(batch [][]byte) error {
+	l.touch()
+	l.controlMu.Lock()
+	defer l.controlMu.Unlock()
+	b := getBuffer()
+	defer putBuffer(b)
+	for m := range slices.Values(batch) {
+		if b.Len() > 0 && b.Len()+len(m) > maxCoalesced {
+			if err := l.writeControl(b); err != nil {
+				return err
+			}
+		}
+		b.WriteByte(frameMessage)
+		appendChunk(b, m)
+	}
+	return l.writeControl(b)
+}
+
+func (l *link) writeControl(b *bytes.Buffer) error {
+	if b.Len() == 0 {
+		return nil
+	}
+	_, err := l.control.Write(b.Bytes())
+	b.Reset()
+	return err
+}
+
+func (l *link) sendControl(kind byte, body []byte) error {
+	l.controlMu.Lock()
+	defer l.controlMu.Unlock()
+	b := getBuffer()
+	defer putBuffer(b)
+	b.WriteByte(kind)
+	appendChunk(b, body)
+	return l.writeControl(b)
+}
+
+// readControl hands on what the peer sends until the link ends.
+func (l *link) readControl(r *bufio.Reader) {
+	for {
+		kind, body, err := readControlFrame(r, l.t.options.MaxMessage)
+		if err != nil {
+			l.shut(controlEndCode(err))
+			return
+		}
+		switch kind {
+		case frameGoodbye:
+			l.heardGoodbye()
+		case frameFinished:
+			l.heardFinished()
+		default:
+			l.takeMessage(body)
+		}
+	}
+}
+
+func (l *link) takeMessage(body []byte) {
+	l.touch()
+	if l.t.isCut(l.node()) {
+		return
+	}
+	l.t.handler.ServeControl(l.node(), body)
+}
+
+func readControlFrame(r *bufio.Reader, limit int) (byte, []byte, error) {
+	kind, err := r.ReadByte()
+	if err != nil {
+		return 0, nil, noCleanEnd(err)
+	}
+	if kind > frameFinished {
+		return 0, nil, MalformedError{What: "control frame", Err: errLength}
+	}
+	size, err := readLength(r, "control message", limit)
+	if err != nil {
+		return 0, nil, err
+	}
+	body := make([]byte, size)
+	_, err = io.ReadFull(r, body)
+	return kind, body, noCleanEnd(err)
+}
+
+func controlEndCode(err error) (code closeCode) {
+	var malformed MalformedError
+	if errors.As(err, &malformed) {
+		return codeMalformed
+	}
+	return codeGoodbye
+}
--- /dev/null
+++ b/internal/transporter/dialer.go
@@ -0,0 +1,250 @@
+// Ten calls that want the same new peer at once must pay one handshake (about 1 ms), not ten, and a peer that
+// is down must not be dialled by every call. So each peer has one state: its link, a dial under way that all
+// wait for, and the time before which a failed dial is not tried again.
+//
+// Example: the dial to n2 fails at 0 ms; calls until about 50 ms get BackOffError, phase notSent, at once.
+
+package transporter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+type peerState struct {
+	link *link
+	// dialling is closed when the dial under way ends; nil without one.
+	dialling chan struct{}
+	lastErr  error
+	failures int
+	retryAt  time.Time
+
+	queue      [][]byte
+	queueBytes int
+	sending    bool
+}
+
+func (t *Transporter) stateLocked(to Peer) *peerState {
+	if to.Node == "" {
+		return stateIn(t.unnamed, to.Address)
+	}
+	return stateIn(t.peers, to.Node)
+}
+
+func stateIn[K comparable](m map[K]*peerState, key K) *peerState {
+	p := m[key]
+	if p == nil {
+		p = &peerState{}
+		m[key] = p
+	}
+	return p
+}
+
+// maxAcquire bounds the tries for one call, since a peer that takes connections only to end them would otherwise
+// keep its callers dialling without end.
+const maxAcquire = 4
+
+// acquire returns a link to the peer on which a call has been begun.
+func (t *Transporter) acquire(ctx context.Context, to Peer) (*link, error) {
+	for range maxAcquire {
+		l, dialling, err := t.linkOrDial(to)
+		if err != nil {
+			return nil, err
+		}
+		if l != nil && l.begin() {
+			return t.bounded(l)
+		}
+		if l != nil {
+			t.forget(l)
+			continue
+		}
+		select {
+		case <-dialling:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return nil, errUnsteady
+}
+
+func (t *Transporter) bounded(l *link) (*link, error) {
+	if int(l.calls.Load()) > t.options.MaxCalls {
+		l.done()
+		return nil, errTooManyCalls
+	}
+	return l, nil
+}
+
+// linkOrDial returns the peer's link, or a channel that is closed when the dial for it has ended.
+func (t *Transporter) linkOrDial(to Peer) (*link, <-chan struct{}, error) {
+	if t.isCut(to.Node) {
+		return nil, nil, CutError{Node: to.Node}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.stateLocked(to)
+	switch {
+	case t.closing:
+		return nil, nil, errClosed
+	case p.link != nil:
+		return p.link, nil, nil
+	case p.dialling != nil:
+		return nil, p.dialling, nil
+	case time.Now().Before(p.retryAt):
+		return nil, nil, BackOffError{Peer: to, Last: p.lastErr}
+	}
+	p.dialling = make(chan struct{})
+	t.wait.Go(func() { t.dialFor(to, p) })
+	return nil, p.dialling, nil
+}
+
+func (t *Transporter) dialFor(to Peer, p *peerState) {
+	l, run, err := t.dial(to)
+	t.mu.Lock()
+	done := p.dialling
+	p.dialling = nil
+	p.lastErr = err
+	if err == nil {
+		p.failures = 0
+		p.link = l
+		t.links[l] = struct{}{}
+	} else {
+		p.failures++
+		p.retryAt = time.Now().Add(t.backOff(p.failures).Std())
+	}
+	t.mu.Unlock()
+	close(done)
+	if err == nil {
+		run()
+	}
+}
+
+// backOff doubles with each failure, with jitter so that the fleet does not dial a returned peer in step.
+func (t *Transporter) backOff(failures int) clock.Duration {
+	d := t.options.MinBackOff << min(failures-1, 16)
+	d = min(d, t.options.MaxBackOff)
+	return d/2 + clock.Duration(rand.Int64N(int64(d/2)+1))
+}
+
+// dial makes a link; run serves it, and returns when it ends.
+func (t *Transporter) dial(to Peer) (_ *link, run func(), _ error) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.options.DialTimeout.Std())
+	defer cancel()
+	if err := t.makeRoom(); err != nil {
+		return nil, nil, err
+	}
+	address, err := net.ResolveUDPAddr("udp", to.Address)
+	if err != nil {
+		return nil, nil, fmt.Errorf("address of node %s: %w", to.Node, err)
+	}
+	config := t.config.Clone()
+	config.KeepAlivePeriod = t.options.PeerTimeout.Std() / 2
+	conn, err := t.transport.Dial(ctx, address, withProtocol(t.options.ClientTLS), config)
+	if err != nil {
+		return nil, nil, err
+	}
+	l := t.newLink(conn, true)
+	if err := l.greet(ctx, to.Node); err != nil {
+		l.shut(codeGoodbye)
+		return nil, nil, err
+	}
+	r, h, err := l.readHello(ctx)
+	if err != nil {
+		l.shut(codeGoodbye)
+		return nil, nil, err
+	}
+	if to.Node != "" && h.node != to.Node {
+		l.shut(codeGoodbye)
+		return nil, nil, WrongNodeError{Want: to.Node, Got: h.node}
+	}
+	l.peer.Store(&h.node)
+	return l, func() { l.run(conn.Context(), r) }, nil
+}
+
+// makeRoom lets the longest idle dialled link go when there are as many as may be.
+func (t *Transporter) makeRoom() error {
+	now := time.Now()
+	var oldest *link
+	count := 0
+	for _, l := range t.currentLinks() {
+		if !l.dialled {
+			continue
+		}
+		count++
+		idle := l.idleSince(now)
+		if idle > 0 && (oldest == nil || idle > oldest.idleSince(now)) {
+			oldest = l
+		}
+	}
+	if count < t.options.MaxLinks {
+		return nil
+	}
+	if oldest == nil {
+		return errTooManyLinks
+	}
+	oldest.leave()
+	return nil
+}
+
+// adopt makes an accepted link usable in the other direction too.
+func (t *Transporter) adopt(l *link) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing {
+		return false
+	}
+	t.links[l] = struct{}{}
+	p := stateIn(t.peers, l.node())
+	if p.link == nil {
+		p.link = l
+	}
+	return true
+}
+
+// forget takes a link out of use for new calls.
+func (t *Transporter) forget(l *link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	forgetIn(t.peers, l)
+	forgetIn(t.unnamed, l)
+}
+
+func forgetIn[K comparable](m map[K]*peerState, l *link) {
+	for key, p := range m {
+		if p.link != l {
+			continue
+		}
+		p.link = nil
+		if p.disposable() {
+			delete(m, key)
+		}
+	}
+}
+
+// disposable tells that nothing about the peer needs remembering. Without this a fleet that replaces 1,900 VMs a
+// day would leave one entry for each id that it ever had.
+func (p *peerState) disposable() bool {
+	busy := p.link != nil || p.dialling != nil || p.sending || len(p.queue) > 0
+	return !busy && time.Now().After(p.retryAt)
+}
+
+func pruneIn[K comparable](m map[K]*peerState) {
+	for key, p := range m {
+		if p.disposable() {
+			delete(m, key)
+		}
+	}
+}
+
+// drop removes an ended link.
+func (t *Transporter) drop(l *link) {
+	t.forget(l)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.links, l)
+}
--- /dev/null
+++ b/internal/transporter/transporter.go
@@ -0,0 +1,199 @@
+// One UDP socket serves all: calls taken, calls sent, control both ways. A connection is used in both
+// directions, whoever dialled it, so that two nodes share one, and its handshake is paid once.
+//
+// Example: t, _ := New(options, handler); t.Start(ctx); t.Call(ctx, Peer{"n2", "127.0.0.1:7002"}, head, nil).
+
+package transporter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Transporter carries calls and control messages between this node and others.
+type Transporter struct {
+	options   Options
+	handler   Handler
+	config    *quic.Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	// ended is closed when nothing may run any more.
+	ended chan struct{}
+	end   context.CancelFunc
+	wait  sync.WaitGroup
+
+	mu      sync.Mutex
+	closing bool
+	peers   map[identifier.Node]*peerState
+	// unnamed holds peers known only by their address.
+	unnamed map[string]*peerState
+	links   map[*link]struct{}
+}
+
+// New returns a transporter that does nothing until Start.
+func New(o Options, h Handler) *Transporter {
+	o.fillDefaults()
+	return &Transporter{
+		options: o,
+		handler: h,
+		config:  quicConfig(o),
+		ended:   make(chan struct{}),
+		peers:   map[identifier.Node]*peerState{},
+		unnamed: map[string]*peerState{},
+		links:   map[*link]struct{}{},
+	}
+}
+
+func quicConfig(o Options) *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           o.DialTimeout.Std(),
+		MaxIdleTimeout:                 o.PeerTimeout.Std(),
+		InitialStreamReceiveWindow:     o.StreamWindow,
+		MaxStreamReceiveWindow:         o.MaxStreamWindow,
+		InitialConnectionReceiveWindow: o.LinkWindow,
+		MaxConnectionReceiveWindow:     o.MaxLinkWindow,
+		MaxIncomingStreams:             int64(o.MaxCalls),
+		MaxIncomingUniStreams:          1,
+	}
+}
+
+// Start binds the address and begins to take connections.
+func (t *Transporter) Start(_ context.Context) error {
+	address, err := net.ResolveUDPAddr("udp", t.options.Listen)
+	if err != nil {
+		return fmt.Errorf("listen address %q: %w", t.options.Listen, err)
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	t.transport = &quic.Transport{Conn: socket}
+	t.listener, err = t.transport.Listen(withProtocol(t.options.ServerTLS), t.config)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen: %w", err), socket.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.end = cancel
+	t.wait.Go(func() { t.acceptLinks(ctx) })
+	t.wait.Go(func() { t.tend(ctx) })
+	return nil
+}
+
+// Address returns the bound address.
+func (t *Transporter) Address() string {
+	return t.transport.Conn.LocalAddr().String()
+}
+
+func (t *Transporter) acceptLinks(ctx context.Context) {
+	for {
+		conn, err := t.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		t.wait.Go(func() { t.takeLink(ctx, conn) })
+	}
+}
+
+// Close takes nothing new, lets the streams under way finish until ctx ends, and lets the socket go.
+func (t *Transporter) Close(ctx context.Context) error {
+	t.mu.Lock()
+	t.closing = true
+	links := t.linksLocked()
+	t.mu.Unlock()
+	for _, l := range links {
+		l.leave()
+	}
+	err := t.waitLinks(ctx, links)
+	t.end()
+	for _, l := range t.currentLinks() {
+		l.shut(codeGoodbye)
+	}
+	closed := t.transport.Close()
+	if e := t.transport.Conn.Close(); e != nil && !errors.Is(e, net.ErrClosed) {
+		closed = errors.Join(closed, e)
+	}
+	t.wait.Wait()
+	return errors.Join(err, closed)
+}
+
+func (t *Transporter) waitLinks(ctx context.Context, links []*link) error {
+	for _, l := range links {
+		select {
+		case <-l.conn.Context().Done():
+		case <-ctx.Done():
+			return fmt.Errorf("close: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (t *Transporter) linksLocked() []*link {
+	out := make([]*link, 0, len(t.links))
+	for l := range t.links {
+		out = append(out, l)
+	}
+	return out
+}
+
+func (t *Transporter) currentLinks() []*link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.linksLocked()
+}
+
+// Links returns the number of open connections.
+func (t *Transporter) Links() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.links)
+}
+
+func (t *Transporter) isCut(n identifier.Node) bool {
+	return t.options.Cut != nil && t.options.Cut(n)
+}
+
+// tend lets idle connections go and, in tests, kills those that are cut off.
+func (t *Transporter) tend(ctx context.Context) {
+	period := t.options.IdleAfter.Std() / 4
+	if t.options.Cut != nil {
+		period = min(period, 20*time.Millisecond)
+	}
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			t.tendLinks(now)
+		}
+	}
+}
+
+func (t *Transporter) tendLinks(now time.Time) {
+	t.prune()
+	for _, l := range t.currentLinks() {
+		if t.isCut(l.node()) {
+			l.shut(codeCut)
+			continue
+		}
+		if l.dialled && l.idleSince(now) > t.options.IdleAfter.Std() {
+			l.leave()
+		}
+	}
+}
+
+func (t *Transporter) prune() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pruneIn(t.peers)
+	pruneIn(t.unnamed)
+}
