--- /dev/null
+++ b/internal/claimer/candidate.go
@@ -0,0 +1,108 @@
+// Who claims a name that nobody holds. All candidates wait according to their place in a rendezvous order, so that
+// a fleet that starts at once appends one record for each name and not thousands.
+//
+// Example: of members a, b, c the order for "rates/alfa/2" is b, a, c: b claims at once, a after 3 s, c after 6 s,
+// and each only if it has read no record till then.
+
+package claimer
+
+import (
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	rankDelay   = 3 * clock.Second
+	jitterBound = 500 * clock.Millisecond
+	rankBound   = 10
+)
+
+// score is the weight of a node for a name in rendezvous hashing; the highest wins.
+func score(n Name, m identifier.Node) uint64 {
+	return xxh3.HashStringSeed(string(m), xxh3.HashString(string(n)))
+}
+
+// pickWitness returns the best member other than this node, and other than the one to avoid while there is
+// another one.
+func (c *Claimer) pickWitness(l *claim, avoid identifier.Node) identifier.Node {
+	var best, second identifier.Node
+	for _, m := range c.members {
+		switch {
+		case m == c.options.Self:
+		case m == avoid:
+			second = m
+		case best == "" || score(l.name, m) > score(l.name, best):
+			best = m
+		}
+	}
+	if best == "" && avoid != l.holder {
+		return second
+	}
+	return best
+}
+
+func (c *Claimer) pickHeir(l *claim) identifier.Node {
+	if l.witness != "" && slices.Contains(c.members, l.witness) {
+		return l.witness
+	}
+	return c.pickWitness(l, c.options.Self)
+}
+
+// rank counts the members that come before this node; a node that isn't a member comes last.
+func (c *Claimer) rank(n Name) int {
+	own := score(n, c.options.Self)
+	before := 0
+	for _, m := range c.members {
+		if m != c.options.Self && score(n, m) > own {
+			before++
+		}
+	}
+	return min(before, rankBound)
+}
+
+// candidateDelay is drawn once for each name, which keeps the order of draws fixed.
+func (c *Claimer) candidateDelay(l *claim) clock.Duration {
+	if l.other {
+		return c.options.OtherDelay + c.options.OtherDelay*l.jitter/jitterBound
+	}
+	return clock.Duration(c.rank(l.name))*rankDelay + l.jitter
+}
+
+func (c *Claimer) scheduleCandidate(l *claim, now clock.Time) {
+	switch {
+	case l.known || !c.logUp || len(c.members) == 0:
+		l.candidateAt = clock.Never
+	default:
+		l.candidateAt = now.Add(c.candidateDelay(l))
+	}
+}
+
+func (c *Claimer) tickCandidate(l *claim, now clock.Time, effects []Effect) []Effect {
+	if c.leaving || !c.mayAppend(l, now) {
+		return effects
+	}
+	r := Claim{Epoch: l.epoch + 1, Holder: c.options.Self, Witness: c.pickWitness(l, l.holder)}
+	switch {
+	case !l.known && now >= l.candidateAt:
+		r.Kind = Found
+		r.Start = c.logStart
+		// Every forgotten record has an epoch of at most its offset plus one.
+		r.Epoch = identifier.Epoch(c.logStart) + 1
+	case l.known && l.holder != c.options.Self && now >= c.seizeAt(l):
+		r.Kind = Seizure
+		r.After = l.lastOffset
+	default:
+		return effects
+	}
+	return c.appendRecord(l, r, now, effects)
+}
+
+// seizeAt is when even a holder cut off from everybody else has stopped by itself.
+func (c *Claimer) seizeAt(l *claim) clock.Time {
+	quiet := max(l.readAt, c.logUpAt)
+	return quiet.Add(c.options.LongTerm + c.options.Margin + c.candidateDelay(l))
+}
--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,245 @@
+// One Claimer judges all names at its node: as reader of the log, as holder, as witness and as candidate. The
+// four parts are in judge.go, holder.go, witness.go and candidate.go; this file has the state and the events.
+//
+// Example: New at node a, SetLog(true, 0, 0), SetMembers([a b], 0) and some ticks give Append{Claim{Kind: Found}};
+// ReadRecord of that record gives a PromiseRequest to b, and Receive of b's Promise gives Gained.
+
+package claimer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// ask is a promise request under way to one witness.
+type ask struct {
+	witness identifier.Node
+	epoch   identifier.Epoch
+	number  uint64
+	sentAt  clock.Time
+	// answered is the number of the last request that was answered.
+	answered uint64
+	// until is the end of the best promise received.
+	until clock.Time
+}
+
+type attempt struct {
+	number uint64
+	sentAt clock.Time
+}
+
+// claim is all that this node knows of one name.
+type claim struct {
+	name  Name
+	other bool
+
+	// As judged from the log.
+	known      bool
+	sure       bool
+	epoch      identifier.Epoch
+	holder     identifier.Node
+	witness    identifier.Node
+	lastOffset identifier.Offset
+	seenOffset identifier.Offset
+	readAt     clock.Time
+	epochAt    clock.Time
+
+	// As holder.
+	recordUntil clock.Time
+	actFrom     clock.Time
+	renewAt     clock.Time
+	promise     ask
+	// patienceUntil is when a silent witness, or a silent heir, is given up.
+	patienceUntil clock.Time
+	heir          ask
+	gained        identifier.Epoch
+	released      bool
+	// next is the witness named by an own continuation that is not yet read back.
+	next       ask
+	nextSentAt clock.Time
+
+	// As the appender of records.
+	attempts []attempt
+	appendAt clock.Time
+
+	// As witness.
+	promisedUntil clock.Time
+	takeoverEpoch identifier.Epoch
+	noticeEpoch   identifier.Epoch
+	noticeAt      clock.Time
+
+	// As candidate.
+	candidateAt clock.Time
+	jitter      clock.Duration
+}
+
+// Claimer is the state; make one with New.
+type Claimer struct {
+	options     Options
+	claims      []*claim
+	byName      map[Name]*claim
+	members     []identifier.Node
+	logUp       bool
+	logUpAt     clock.Time
+	logStart    identifier.Offset
+	leaving     bool
+	outstanding clock.Duration
+	lastTick    clock.Time
+	attempt     uint64
+	number      uint64
+}
+
+// New returns a Claimer that knows of no record and no member.
+func New(o Options) *Claimer {
+	o.setDefaults()
+	c := &Claimer{options: o, byName: map[Name]*claim{}}
+	for _, n := range o.Names {
+		c.add(n, false)
+	}
+	for _, n := range o.OtherNames {
+		c.add(n, true)
+	}
+	slices.SortFunc(c.claims, func(a, b *claim) int {
+		return strings.Compare(string(a.name), string(b.name))
+	})
+	for _, l := range c.claims {
+		l.jitter = clock.Duration(o.Rand.Int64N(int64(jitterBound)))
+	}
+	return c
+}
+
+func (c *Claimer) add(n Name, other bool) {
+	if c.byName[n] != nil {
+		return
+	}
+	l := &claim{name: n, other: other, lastOffset: -1, seenOffset: -1, candidateAt: clock.Never}
+	c.byName[n] = l
+	c.claims = append(c.claims, l)
+}
+
+// Holds tells whether this node may act for the name at this moment, and under which epoch.
+func (c *Claimer) Holds(n Name, now clock.Time) (identifier.Epoch, bool) {
+	l := c.byName[n]
+	if l == nil || !c.authority(l, now) {
+		return 0, false
+	}
+	return l.epoch, true
+}
+
+// HolderOf returns the holder as the log has it, which need not have authority at this moment.
+func (c *Claimer) HolderOf(n Name) (identifier.Node, identifier.Epoch, bool) {
+	l := c.byName[n]
+	if l == nil || !l.known {
+		return "", 0, false
+	}
+	return l.holder, l.epoch, true
+}
+
+// SetMembers takes the live members of the own domain, sorted and including this node.
+func (c *Claimer) SetMembers(m []identifier.Node, now clock.Time) []Effect {
+	c.members = slices.Clone(m)
+	for _, l := range c.claims {
+		c.scheduleCandidate(l, now)
+	}
+	return nil
+}
+
+// SetLog tells whether the log can be read to its end and appended to, and the first offset it still had when
+// this process began to read it.
+func (c *Claimer) SetLog(up bool, start identifier.Offset, now clock.Time) []Effect {
+	if up == c.logUp {
+		return nil
+	}
+	c.logUp = up
+	c.logUpAt = now
+	c.logStart = start
+	for _, l := range c.claims {
+		c.scheduleCandidate(l, now)
+	}
+	return nil
+}
+
+// SkipRecords tells that the log has forgotten records which this node had not read: what it knows may be
+// outdated, so it acts under none of it, and takes the next renewal for the truth.
+func (c *Claimer) SkipRecords(start identifier.Offset, now clock.Time) []Effect {
+	var effects []Effect
+	c.logStart = start
+	for _, l := range c.claims {
+		l.sure = false
+		l.known = false
+		if l.holder == c.options.Self {
+			effects = c.lose(l, effects)
+		}
+		l.holder = ""
+		l.witness = ""
+		c.scheduleCandidate(l, now)
+	}
+	return effects
+}
+
+// Receive takes a PromiseRequest or a Promise from another node.
+func (c *Claimer) Receive(from identifier.Node, message any, now clock.Time) []Effect {
+	switch m := message.(type) {
+	case PromiseRequest:
+		return c.receiveRequest(from, m, now)
+	case Promise:
+		return c.receivePromise(from, m, now)
+	}
+	return nil
+}
+
+// Tick does what is due; call it several times in each second.
+func (c *Claimer) Tick(now clock.Time) []Effect {
+	c.noticePause(now)
+	var effects []Effect
+	for _, l := range c.claims {
+		switch {
+		case l.known && l.holder == c.options.Self:
+			effects = c.tickHolder(l, now, effects)
+		case l.known && l.witness == c.options.Self:
+			effects = c.tickWitness(l, now, effects)
+		}
+		effects = c.tickCandidate(l, now, effects)
+	}
+	return effects
+}
+
+// A paused process doesn't know what it missed. Its leases are judged by the clock anyway; but where a machine
+// was suspended and its clock stood still a little, the gap between ticks is the only sign, and a promise made
+// before it must not count.
+func (c *Claimer) noticePause(now clock.Time) {
+	gap := now.Sub(c.lastTick)
+	c.lastTick = now
+	if gap <= c.options.PauseBound {
+		return
+	}
+	for _, l := range c.claims {
+		l.promise.until = 0
+		l.promise.number = 0
+		l.next.until = 0
+		l.next.number = 0
+		l.patienceUntil = now.Add(c.options.PromiseTerm / 2)
+	}
+}
+
+// appendRecord gives the record its attempt number and notes when it was sent.
+func (c *Claimer) appendRecord(l *claim, r Claim, now clock.Time, effects []Effect) []Effect {
+	const attemptsKept = 16
+	c.attempt++
+	r.Name = l.name
+	r.By = c.options.Self
+	r.Attempt = c.attempt
+	if len(l.attempts) == attemptsKept {
+		l.attempts = slices.Delete(l.attempts, 0, 1)
+	}
+	l.attempts = append(l.attempts, attempt{number: c.attempt, sentAt: now})
+	l.appendAt = now.Add(c.options.AppendRetry)
+	return append(effects, Append{Record: r})
+}
+
+func (c *Claimer) mayAppend(l *claim, now clock.Time) bool {
+	return c.logUp && now >= l.appendAt
+}
--- /dev/null
+++ b/internal/claimer/holder.go
@@ -0,0 +1,191 @@
+// A holder has authority only while nobody else can have it. Two leases bound it: the witness's promise, renewed
+// every few seconds without the log, and the long term since its last record, renewed every few minutes.
+//
+// Example: a holds epoch 4 with witness b. At 20 s it asks b, which answers; until 27.8 s a may act. If b dies, a
+// appends a Continuation to epoch 5 with witness c at 24 s, and c promises before the record is even read back.
+
+package claimer
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// How the terms are divided up.
+const (
+	promisesPerTerm = 4
+	renewalsPerTerm = 10
+)
+
+func (c *Claimer) renewPeriod() clock.Duration {
+	return c.options.LongTerm / renewalsPerTerm
+}
+
+// authority judges by the moment of use: a paused process that goes on in the middle of something must find its
+// leases ended without having been told.
+func (c *Claimer) authority(l *claim, now clock.Time) bool {
+	switch {
+	case l.holder != c.options.Self || l.released || !l.sure:
+		return false
+	case now < l.actFrom || now >= l.recordUntil:
+		return false
+	case l.witness != "" && now >= l.promise.until:
+		return false
+	}
+	return !l.nextMayHaveTakenOver(c, now)
+}
+
+// While an own continuation is under way its witness may have read it, and have waited out the promise term from
+// then on. It cannot have read it before it was sent; after that only its own promise keeps it still. Without
+// this check a holder that reads the log late would act on the old witness's promises beside its successor.
+func (l *claim) nextMayHaveTakenOver(c *Claimer, now clock.Time) bool {
+	if l.next.witness == "" || now < l.next.until {
+		return false
+	}
+	return now >= l.nextSentAt.Add(c.options.shorten(c.options.PromiseTerm))
+}
+
+func (c *Claimer) tickHolder(l *claim, now clock.Time, effects []Effect) []Effect {
+	if !l.sure {
+		return effects
+	}
+	if c.leaving {
+		return c.tickLeaving(l, now, effects)
+	}
+	effects = c.askPromise(l, &l.promise, false, now, effects)
+	effects = c.continueClaim(l, now, effects)
+	effects = c.askPromise(l, &l.next, false, now, effects)
+	effects = c.renew(l, now, effects)
+	if l.gained != l.epoch && c.authority(l, now) {
+		l.gained = l.epoch
+		effects = append(effects, Gained{Name: l.name, Epoch: l.epoch})
+	}
+	return effects
+}
+
+func (c *Claimer) askPromise(l *claim, a *ask, leaving bool, now clock.Time, effects []Effect) []Effect {
+	if a.witness == "" || a.number != 0 && now < a.sentAt.Add(c.options.PromiseTerm/promisesPerTerm) {
+		return effects
+	}
+	c.number++
+	a.number = c.number
+	a.sentAt = now
+	r := PromiseRequest{Name: l.name, Epoch: a.epoch, Number: a.number, Leaving: leaving}
+	return append(effects, Send{To: a.witness, Message: r})
+}
+
+// A promise counts from the sending of the very request that it answers; an answer to an older request would
+// count from the wrong moment, so it is dropped.
+func (c *Claimer) receivePromise(from identifier.Node, p Promise, now clock.Time) []Effect {
+	l := c.byName[p.Name]
+	if l == nil || l.holder != c.options.Self {
+		return nil
+	}
+	for _, a := range []*ask{&l.promise, &l.next} {
+		if a.witness != from || a.epoch != p.Epoch || a.number != p.Number || a.answered == p.Number {
+			continue
+		}
+		a.answered = p.Number
+		if !p.Given {
+			continue
+		}
+		a.until = a.sentAt.Add(c.options.shorten(c.options.PromiseTerm))
+		if a == &l.promise {
+			l.patienceUntil = a.until.Add(-c.options.PromiseTerm / 2)
+		}
+	}
+	return c.tickHolder(l, now, nil)
+}
+
+// continueClaim names a new witness when the old one has been silent for half of the promise term. It names no
+// third one before the log has shown what became of the second: each witness named may take over.
+func (c *Claimer) continueClaim(l *claim, now clock.Time, effects []Effect) []Effect {
+	if !c.mayAppend(l, now) {
+		return effects
+	}
+	underWay := l.next.epoch == l.epoch+1
+	if !underWay {
+		w := c.pickWitness(l, l.witness)
+		silent := l.witness != "" && now >= l.patienceUntil
+		missing := l.witness == "" && w != ""
+		if !silent && !missing {
+			return effects
+		}
+		l.next = ask{witness: w, epoch: l.epoch + 1}
+		l.nextSentAt = now
+	}
+	r := Claim{Kind: Continuation, Epoch: l.epoch + 1, Holder: c.options.Self, Witness: l.next.witness}
+	return c.appendRecord(l, r, now, effects)
+}
+
+func (c *Claimer) renew(l *claim, now clock.Time, effects []Effect) []Effect {
+	due := now >= l.renewAt || l.recordUntil == 0
+	if !due || !c.mayAppend(l, now) {
+		return effects
+	}
+	r := Claim{Kind: Renew, Epoch: l.epoch, Holder: c.options.Self, Witness: l.witness}
+	return c.appendRecord(l, r, now, effects)
+}
+
+// Leave hands all claims over; outstanding is how long anything granted here can still be used. It ends when
+// Left tells so.
+func (c *Claimer) Leave(outstanding clock.Duration, now clock.Time) []Effect {
+	if c.leaving {
+		return nil
+	}
+	c.leaving = true
+	c.outstanding = outstanding
+	var effects []Effect
+	for _, l := range c.claims {
+		l.candidateAt = clock.Never
+		if l.holder != c.options.Self {
+			continue
+		}
+		l.patienceUntil = now.Add(c.options.AppendRetry)
+		l.heir = ask{witness: c.pickHeir(l), epoch: l.epoch}
+		effects = c.tickLeaving(l, now, effects)
+	}
+	return effects
+}
+
+// Left tells that this node has left and holds nothing, as far as it has read.
+func (c *Claimer) Left() bool {
+	for _, l := range c.claims {
+		if l.known && l.holder == c.options.Self {
+			return false
+		}
+	}
+	return c.leaving
+}
+
+// tickLeaving first lets the heir know, and goes on acting meanwhile. The heir's long term then counts from that
+// notice, which is certainly earlier than the record; an heir without notice must first append a record of its own.
+func (c *Claimer) tickLeaving(l *claim, now clock.Time, effects []Effect) []Effect {
+	if l.heir.witness == "" {
+		l.heir = ask{witness: c.pickHeir(l), epoch: l.epoch}
+	}
+	if l.heir.witness == "" || !c.logUp {
+		return effects
+	}
+	if !l.released {
+		effects = c.askPromise(l, &l.promise, false, now, effects)
+		effects = c.askPromise(l, &l.heir, true, now, effects)
+		if l.heir.answered == 0 && now < l.patienceUntil {
+			return effects
+		}
+		l.released = true
+		l.appendAt = 0
+		if l.gained != 0 {
+			l.gained = 0
+			effects = append(effects, Lost{Name: l.name})
+		}
+	}
+	if !c.mayAppend(l, now) {
+		return effects
+	}
+	r := Claim{
+		Kind: Handover, Epoch: l.epoch + 1, Holder: l.heir.witness,
+		Witness: c.pickWitness(l, l.heir.witness), Outstanding: c.outstanding,
+	}
+	return c.appendRecord(l, r, now, effects)
+}
--- /dev/null
+++ b/internal/claimer/judge.go
@@ -0,0 +1,177 @@
+// Every reader folds the records of a name in the order of the log by the same rules, so all agree on the holder
+// of each epoch without asking one another.
+//
+// Example: after Claim{Epoch: 4, Holder: a, Witness: b} the records Takeover{Epoch: 5, By: b} and then
+// Continuation{Epoch: 5, By: a} make b the holder of epoch 5; a reads that, in this order, and stops.
+
+package claimer
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// judge tells whether the record takes effect after what was read before it.
+func (l *claim) judge(r Claim) bool {
+	if !l.known {
+		return true
+	}
+	if r.Kind == Renew {
+		return l.judgeRenewal(r)
+	}
+	if r.Kind == Found {
+		return l.lastOffset < r.Start && r.Epoch > l.epoch
+	}
+	if r.Epoch != l.epoch+1 {
+		return false
+	}
+	switch r.Kind {
+	case Takeover:
+		return r.By == l.witness
+	case Continuation, Handover:
+		return r.By == l.holder
+	case Seizure:
+		// A renewal that landed before the seizure defeats it, even where the seizing node read it late.
+		return r.After == l.lastOffset
+	}
+	return false
+}
+
+// A reader whose log began in the middle may have taken a losing record for the winner. Only a node that has read
+// its own victory renews, so a renewal of the same or a newer epoch puts such a reader right.
+func (l *claim) judgeRenewal(r Claim) bool {
+	if r.Epoch == l.epoch && r.Holder == l.holder {
+		return true
+	}
+	return r.Epoch > l.epoch || r.Epoch == l.epoch && !l.sure
+}
+
+// ReadRecord takes the next record of the log; records come in the order of their offsets, perhaps repeated.
+func (c *Claimer) ReadRecord(offset identifier.Offset, r Claim, now clock.Time) []Effect {
+	l := c.byName[r.Name]
+	if l == nil || offset <= l.seenOffset {
+		return nil
+	}
+	l.seenOffset = offset
+	if !l.judge(r) {
+		return c.settleLoss(l, r)
+	}
+	return c.apply(l, offset, r, now)
+}
+
+func (c *Claimer) apply(l *claim, offset identifier.Offset, r Claim, now clock.Time) []Effect {
+	var effects []Effect
+	self := c.options.Self
+	was := l.known && l.holder == self
+	changed := !l.known || r.Epoch != l.epoch || r.Holder != l.holder
+	if c.makesSure(l, r) {
+		l.sure = true
+	}
+	l.known = true
+	l.epoch = r.Epoch
+	l.holder = r.Holder
+	l.witness = r.Witness
+	l.lastOffset = offset
+	l.readAt = now
+	l.candidateAt = clock.Never
+	if was && r.Holder != self {
+		effects = c.lose(l, effects)
+	}
+	if changed {
+		l.epochAt = now
+		l.appendAt = 0
+		c.enterEpoch(l, r, was, now)
+	}
+	if r.Holder == self {
+		c.noteOwnRecord(l, r)
+		return c.tickHolder(l, now, effects)
+	}
+	return effects
+}
+
+// A reader is sure of a chain of records that it has read from a safe beginning: a founding before which it would
+// have seen any other record, or a renewal, by which a node confirms its own victory. Without this a node whose
+// reading skipped its rival's record would take its own losing record for the winner.
+func (c *Claimer) makesSure(l *claim, r Claim) bool {
+	if r.Kind == Renew {
+		return true
+	}
+	return r.Kind == Found && (l.known || c.logStart <= r.Start)
+}
+
+// enterEpoch resets what belonged to the epoch before.
+func (c *Claimer) enterEpoch(l *claim, r Claim, was bool, now clock.Time) {
+	if r.Holder != c.options.Self {
+		l.promise = ask{}
+		l.next = ask{}
+		return
+	}
+	l.patienceUntil = now.Add(c.options.PromiseTerm / 2)
+	l.promise = ask{witness: r.Witness, epoch: r.Epoch}
+	if l.next.witness == r.Witness && l.next.epoch == r.Epoch {
+		l.promise = l.next
+	}
+	l.next = ask{}
+	l.heir = ask{}
+	l.released = l.released && c.leaving
+	if !was {
+		l.actFrom = now.Add(c.waitOut(r))
+		l.recordUntil = 0
+	}
+}
+
+func (c *Claimer) waitOut(r Claim) clock.Duration {
+	switch {
+	case r.Kind == Handover:
+		return r.Outstanding
+	case r.Kind == Found && r.Start == 0:
+		return 0 // the log has never forgotten anything, so nobody ever held the name
+	}
+	return c.options.WaitOut + c.options.Margin
+}
+
+// A record counts from its sending, not from its reading: the long term of everybody else starts when they read
+// it, which is later.
+func (c *Claimer) noteOwnRecord(l *claim, r Claim) {
+	sentAt, ok := l.sentAt(r, c.options.Self)
+	if r.Kind == Handover && l.noticeEpoch == r.Epoch-1 {
+		sentAt, ok = l.noticeAt, true
+	}
+	if !ok {
+		return
+	}
+	l.recordUntil = max(l.recordUntil, sentAt.Add(c.options.shorten(c.options.LongTerm)))
+	l.renewAt = max(l.renewAt, sentAt.Add(c.renewPeriod()))
+}
+
+func (l *claim) sentAt(r Claim, self identifier.Node) (clock.Time, bool) {
+	if r.By != self {
+		return 0, false
+	}
+	for _, a := range l.attempts {
+		if a.number == r.Attempt {
+			return a.sentAt, true
+		}
+	}
+	return 0, false
+}
+
+// settleLoss forgets an own continuation that lost against another record of its epoch; that record has been
+// applied before, so there is nothing else to do.
+func (c *Claimer) settleLoss(l *claim, r Claim) []Effect {
+	if r.By == c.options.Self && r.Epoch == l.next.epoch && r.Epoch <= l.epoch {
+		l.next = ask{}
+	}
+	return nil
+}
+
+func (c *Claimer) lose(l *claim, effects []Effect) []Effect {
+	l.promise = ask{}
+	l.next = ask{}
+	l.recordUntil = 0
+	if l.gained == 0 {
+		return effects
+	}
+	l.gained = 0
+	return append(effects, Lost{Name: l.name})
+}
