Let a batch of the log tell the log's end

Cause: a reader must know whether it has everything, which the offset to read on from does not tell. Change: End beside Next, on the wire and in the stand-in.

--- a/internal/logkeeper/keeper.go
+++ b/internal/logkeeper/keeper.go
@@ -156,7 +156,7 @@
 	if from <= 0 {
 		from = k.earliest()
 	}
-	b := appender.Batch{Earliest: k.earliest(), Next: from}
+	b := appender.Batch{Earliest: k.earliest(), Next: from, End: k.next}
 	if from < b.Earliest {
 		b.Next = k.next
 		return b, nil, appender.Expired{From: from, Earliest: b.Earliest}
--- /dev/null
+++ b/pkg/announcer/announcer.go
@@ -0,0 +1,208 @@
+package announcer
+
+// A backend server has to announce itself, beat while it lives, and say when it leaves; this wraps the three
+// calls, so that a forgotten heartbeat is not each author's own fault to find.
+//
+// Example:
+//
+//	a, err := announcer.Announce(ctx, "http://127.0.0.1:7701", announcer.Backend{
+//		Endpoint: "board-1", Service: "board", Address: "127.0.0.1:9000", Slots: 100, ConnectionLimit: 700,
+//	}, func() float64 { return currentLoad() })
+//	…
+//	err = a.Leave(ctx) // returns once no call is left
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+)
+
+// HeartbeatInterval is how often a backend server reports; after three missed reports it counts as gone.
+const HeartbeatInterval = 500 * time.Millisecond
+
+const (
+	requestTimeout = 2 * time.Second
+	leavePoll      = 50 * time.Millisecond
+)
+
+// Backend describes a backend server to its node.
+type Backend struct {
+	// Endpoint is unique among all backend servers.
+	Endpoint string
+	Service  string
+	// Address is where the backend server listens for HTTP, as host:port.
+	Address string
+	// Slots is how many calls it can work on at a time.
+	Slots int
+	// ConnectionLimit is how many connections it accepts.
+	ConnectionLimit int
+	// ColdStart is how long it needs to reach full speed.
+	ColdStart time.Duration
+}
+
+// StatusError reports an answer of the node other than success.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error gives the status and the node's words.
+func (e StatusError) Error() string {
+	return fmt.Sprintf("node answered %d: %s", e.Status, e.Body)
+}
+
+// Announcement is a backend server's standing with its node.
+type Announcement struct {
+	node     string
+	backend  Backend
+	load     func() float64
+	client   *http.Client
+	stop     chan struct{}
+	stopOnce sync.Once
+	stopped  chan struct{}
+}
+
+type announceBody struct {
+	Endpoint        string `json:"endpoint"`
+	Service         string `json:"service"`
+	Address         string `json:"address"`
+	Slots           int    `json:"slots"`
+	ConnectionLimit int    `json:"connectionLimit"`
+	ColdStartMs     int64  `json:"coldStartMs"`
+}
+
+type heartbeatBody struct {
+	Load float64 `json:"load"`
+}
+
+type stateBody struct {
+	State    string `json:"state"`
+	InFlight int    `json:"inFlight"`
+}
+
+// Announce tells the node at nodeURL about b and starts the heartbeats; load gives the part of the slots in use.
+func Announce(ctx context.Context, nodeURL string, b Backend, load func() float64) (*Announcement, error) {
+	a := &Announcement{
+		node:    nodeURL,
+		backend: b,
+		load:    load,
+		client:  &http.Client{Timeout: requestTimeout},
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+	}
+	if err := a.announce(ctx); err != nil {
+		return nil, err
+	}
+	go a.beat()
+	return a, nil
+}
+
+// Leave asks for no new work, waits until every call has ended, and stops the heartbeats.
+func (a *Announcement) Leave(ctx context.Context) error {
+	defer a.Stop()
+	if err := a.request(ctx, http.MethodDelete, a.path(), nil, nil); err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	for {
+		var s stateBody
+		if err := a.request(ctx, http.MethodGet, a.path(), nil, &s); err != nil {
+			return fmt.Errorf("wait for the last calls: %w", err)
+		}
+		if s.InFlight == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(leavePoll):
+		}
+	}
+}
+
+// Stop ends the heartbeats without a word, as a crash would.
+func (a *Announcement) Stop() {
+	a.stopOnce.Do(func() { close(a.stop) })
+	<-a.stopped
+}
+
+func (a *Announcement) announce(ctx context.Context) error {
+	b := a.backend
+	body := announceBody{
+		Endpoint:        b.Endpoint,
+		Service:         b.Service,
+		Address:         b.Address,
+		Slots:           b.Slots,
+		ConnectionLimit: b.ConnectionLimit,
+		ColdStartMs:     b.ColdStart.Milliseconds(),
+	}
+	if err := a.request(ctx, http.MethodPost, "/-/backends", body, nil); err != nil {
+		return fmt.Errorf("announce %s: %w", b.Endpoint, err)
+	}
+	return nil
+}
+
+// A node that was replaced does not know the backend server: it answers a heartbeat with 404, and the backend
+// server would get no work for ever after. So that answer leads to a new announcement.
+func (a *Announcement) beat() {
+	defer close(a.stopped)
+	t := time.NewTicker(HeartbeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-a.stop:
+			return
+		case <-t.C:
+			a.beatOnce()
+		}
+	}
+}
+
+func (a *Announcement) beatOnce() {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	err := a.request(ctx, http.MethodPost, a.path()+"/heartbeat", heartbeatBody{Load: a.load()}, nil)
+	var e StatusError
+	if errors.As(err, &e) && e.Status == http.StatusNotFound {
+		// The next heartbeat tries again if this fails too.
+		_ = a.announce(ctx)
+	}
+}
+
+func (a *Announcement) path() string {
+	return "/-/backends/" + url.PathEscape(a.backend.Endpoint)
+}
+
+func (a *Announcement) request(ctx context.Context, method, path string, body, answer any) error {
+	var r io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		r = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, a.node+path, r)
+	if err != nil {
+		return err
+	}
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		return StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(text))}
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(answer)
+}
--- a/pkg/appender/types.go
+++ b/pkg/appender/types.go
@@ -29,10 +29,12 @@
 type Batch struct {
 	// Records are in the order of their offsets.
 	Records []Record
-	// Earliest is the oldest offset that the log still keeps, or Next when it keeps none.
+	// Earliest is the oldest offset that the log still keeps, or End when it keeps none.
 	Earliest Offset
 	// Next is the offset to read on from.
 	Next Offset
+	// End is the offset that the log will give to its next record; a reader whose Next is End has everything.
+	End Offset
 }
 
 // Log is what the product needs of the platform's log.
--- a/pkg/appender/wire.go
+++ b/pkg/appender/wire.go
@@ -3,7 +3,7 @@
 // These are the JSON forms of the log's protocol, as docs/LOG.md publishes it. The client and the stand-in for
 // tests share them, so that a test against the stand-in is a test of what the page says.
 //
-// Example: {"earliest":1,"next":3,"records":[{"offset":2,"timeMs":1780000000000,"data":"aGk="}]}
+// Example: {"earliest":1,"next":3,"end":3,"records":[{"offset":2,"timeMs":1780000000000,"data":"aGk="}]}
 
 import "encoding/json"
 
@@ -35,6 +35,7 @@
 type batchWire struct {
 	Earliest int64        `json:"earliest"`
 	Next     int64        `json:"next"`
+	End      int64        `json:"end"`
 	Records  []recordWire `json:"records"`
 }
 
@@ -67,6 +68,7 @@
 	w := batchWire{
 		Earliest: int64(b.Earliest),
 		Next:     int64(b.Next),
+		End:      int64(b.End),
 		Records:  make([]recordWire, 0, len(b.Records)),
 	}
 	for _, r := range b.Records {
@@ -85,7 +87,7 @@
 	if err := json.Unmarshal(body, &w); err != nil {
 		return Batch{}, err
 	}
-	b := Batch{Earliest: Offset(w.Earliest), Next: Offset(w.Next)}
+	b := Batch{Earliest: Offset(w.Earliest), Next: Offset(w.Next), End: Offset(w.End)}
 	for _, r := range w.Records {
 		b.Records = append(b.Records, Record{
 			Offset: Offset(r.Offset),
