--- a/internal/transporter/codec.go
+++ b/internal/transporter/codec.go
@@ -122,7 +122,7 @@
 
 func callToWire(h *CallHead) wireCall {
 	return wireCall{
-		Request: string(h.Request), Root: string(h.Root), Team: string(h.Team), Service: string(h.Service),
+		Request: string(h.Request), Root: string(h.Root), Team: string(h.Team), KeyHash: string(h.KeyHash), Service: string(h.Service),
 		Endpoint: string(h.Endpoint), Method: h.Method, Path: h.Path, RawQuery: h.RawQuery,
 		Header: fieldsToWire(h.Header), ContentLength: h.ContentLength, Rank: uint16(h.Rank),
 		Deadline: int64(h.Deadline), Allowance: h.Allowance, Idempotent: h.Idempotent, Depth: h.Depth,
@@ -137,6 +137,7 @@
 	}
 	return CallHead{
 		Request: identifier.Request(w.Request), Root: identifier.Request(w.Root), Team: identifier.Team(w.Team),
+		KeyHash: identifier.KeyHash(w.KeyHash),
 		Service: identifier.Service(w.Service), Endpoint: identifier.Endpoint(w.Endpoint), Method: w.Method,
 		Path: w.Path, RawQuery: w.RawQuery, Header: fieldsFromWire(w.Header), ContentLength: w.ContentLength,
 		Rank: identifier.Rank(w.Rank), Deadline: clock.Duration(w.Deadline), Allowance: w.Allowance,
