--- /dev/null
+++ b/internal/certifier/certifier_test.go
@@ -0,0 +1,141 @@
+package certifier
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const valid = time.Hour
+
+func trustOf(t *testing.T, a Authority, i Identity, now time.Time) Trust {
+	t.Helper()
+	p, err := a.Issue(i, now, valid)
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	f := Files{
+		Authority:   filepath.Join(dir, "ca.pem"),
+		Certificate: filepath.Join(dir, "own.pem"),
+		Key:         filepath.Join(dir, "own.key"),
+	}
+	assert.NilError(t, os.WriteFile(f.Authority, a.Certificate, 0o600))
+	assert.NilError(t, os.WriteFile(f.Certificate, p.Certificate, 0o600))
+	assert.NilError(t, os.WriteFile(f.Key, p.Key, 0o600))
+	trust, err := Load(f)
+	assert.NilError(t, err)
+	return trust
+}
+
+// handshake returns what each side says of the other, after one byte went each way.
+func handshake(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	done := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		defer func() { _ = c.Close() }()
+		done <- exchange(c)
+	}()
+	c, err := tls.DialWithDialer(&net.Dialer{Timeout: 5 * time.Second}, "tcp", l.Addr().String(), client)
+	if err == nil {
+		err = exchange(c)
+		_ = c.Close()
+	}
+	return <-done, err
+}
+
+func exchange(c net.Conn) error {
+	if _, err := c.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := c.Read(make([]byte, 1))
+	return err
+}
+
+// Somebody on the network poses as a node, with no certificate, one of another CA, an expired one, or an
+// operator's. Were it let in, it could grant itself every team's rate, and end users would pay for the calls.
+func TestWhoIsLetIn(t *testing.T) {
+	now := time.Now()
+	a, err := NewAuthority(now, valid)
+	assert.NilError(t, err)
+	foreign, err := NewAuthority(now, valid)
+	assert.NilError(t, err)
+	node := Identity{Role: Node, Name: "portal-1"}
+	operator := Identity{Role: Operator, Name: "eva"}
+	here := trustOf(t, a, node, now)
+
+	cases := map[string]struct {
+		client *tls.Config
+		roles  []Role
+		// serverSays and clientSays are parts of the errors; empty means none.
+		serverSays string
+		clientSays string
+	}{
+		"node":           {client: trustOf(t, a, Identity{Node, "portal-2"}, now).Client(nil), roles: []Role{Node}},
+		"operator":       {client: trustOf(t, a, operator, now).Client(nil), roles: []Role{Node, Operator}},
+		"no certificate": {client: &tls.Config{InsecureSkipVerify: true}, roles: []Role{Node}, serverSays: "certificate", clientSays: "certificate"},
+		"another CA":     {client: trustOf(t, foreign, node, now).Client(nil), roles: []Role{Node}, serverSays: "certificate", clientSays: "unknown authority"},
+		"expired":        {client: trustOf(t, a, node, now.Add(-2*valid)).Client(nil), roles: []Role{Node}, serverSays: "expired", clientSays: "certificate"},
+		"wrong role":     {client: trustOf(t, a, operator, now).Client(nil), roles: []Role{Node}, serverSays: "role operator is not let in", clientSays: "certificate"},
+		"old TLS":        {client: &tls.Config{InsecureSkipVerify: true, MaxVersion: tls.VersionTLS12}, roles: []Role{Node}, serverSays: "unsupported versions", clientSays: "protocol version"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			serverErr, clientErr := handshake(t, here.Server(nil, c.roles...), c.client)
+			check(t, serverErr, c.serverSays)
+			check(t, clientErr, c.clientSays)
+		})
+	}
+	t.Run("operator as server", func(t *testing.T) {
+		poser := trustOf(t, a, operator, now).Server(nil, Node)
+		_, clientErr := handshake(t, poser, here.Client(nil))
+		check(t, clientErr, "incompatible key usage")
+	})
+	assert.Equal(t, here.Identity(), node)
+}
+
+func check(t *testing.T, err error, part string) {
+	t.Helper()
+	if part == "" {
+		assert.NilError(t, err)
+		return
+	}
+	assert.ErrorContains(t, err, part)
+}
+
+func TestBadFiles(t *testing.T) {
+	now := time.Now()
+	a, err := NewAuthority(now, valid)
+	assert.NilError(t, err)
+	p, err := a.Issue(Identity{Node, "x"}, now, valid)
+	assert.NilError(t, err)
+	cases := map[string]struct {
+		authority []byte
+		own       Pair
+		want      string
+	}{
+		"no CA":       {authority: []byte("x"), own: p, want: "no PEM block"},
+		"no key":      {authority: a.Certificate, own: Pair{Certificate: p.Certificate}, want: "own certificate"},
+		"other key":   {authority: a.Certificate, own: Pair{Certificate: p.Certificate, Key: a.Key}, want: "own certificate"},
+		"no identity": {authority: a.Certificate, own: a.Pair, want: "names no node"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := NewTrust(c.authority, c.own)
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+	_, err = LoadAuthority(Pair{Certificate: a.Certificate})
+	assert.ErrorContains(t, err, "no PEM block for the key")
+}
