--- /dev/null
+++ b/internal/gossiper/follower.go
@@ -0,0 +1,185 @@
+// An ordinary node asks two relays of its own domain for the endpoints, in other domains, of the services
+// that it calls. The subscription ends by itself if it isn't renewed, so relays owe nothing to nodes that
+// died, and each renewal carries a hash of what is held, so that lost pushes are made good.
+//
+// Example: AddInterest("ice") leads to Subscribe{["ice"]} at the next tick; the answers bring the remote
+// endpoints of "ice", and pushes keep them current.
+
+package gossiper
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	renewInterval = 3 * clock.Second
+	// firstRetry is the wait before asking again while nothing was answered yet.
+	firstRetry = 300 * clock.Millisecond
+	// confirmTerm is how long a remote member is used that no relay has confirmed.
+	confirmTerm = 15 * clock.Second
+)
+
+type follower struct {
+	interests []identifier.Service
+	next      clock.Time
+	answered  bool
+}
+
+func newFollower() follower {
+	return follower{}
+}
+
+// AddInterest tells that this node calls a service, so that its endpoints elsewhere must be known.
+func (g *Gossiper) AddInterest(s identifier.Service, now clock.Time) []Effect {
+	i, found := slices.BinarySearch(g.follower.interests, s)
+	if found {
+		return nil
+	}
+	g.follower.interests = slices.Insert(g.follower.interests, i, s)
+	g.follower.next = 0
+	g.follower.answered = false
+	return g.seeTables(now)
+}
+
+// seeTables shows the node what it holds as a relay.
+func (g *Gossiper) seeTables(now clock.Time) []Effect {
+	var effects []Effect
+	for _, d := range g.relayer.domains() {
+		t := g.relayer.tables[d]
+		if t == nil {
+			continue
+		}
+		for _, n := range t.up {
+			effects = append(effects, g.seeRemote(t.members[n].Member, now)...)
+		}
+	}
+	return effects
+}
+
+// seeRemote shows a record of another domain to the view, without the services that are of no interest.
+func (g *Gossiper) seeRemote(m Member, now clock.Time) []Effect {
+	filtered, wanted := filter(m, g.follower.interests)
+	s := g.view.members[m.Node]
+	if s == nil && (!wanted || len(filtered.Endpoints) == 0) {
+		return nil
+	}
+	effects := g.view.see(filtered, now)
+	if o := g.relayer.remotes[m.Domain]; o != nil && o.silent {
+		effects = append(effects, g.view.hide(m.Domain, true)...)
+	}
+	return effects
+}
+
+func (g *Gossiper) tickFollow(now clock.Time) []Effect {
+	f := &g.follower
+	if now < f.next {
+		return nil
+	}
+	f.next = now.Add(renewInterval*3/4 + g.jitter(renewInterval/2))
+	if !f.answered {
+		f.next = now.Add(firstRetry)
+	}
+	if g.relayer.active {
+		f.answered = true
+		g.confirmAll(now)
+		return g.seeTables(now)
+	}
+	effects := g.dropUnconfirmed(now)
+	relays := g.relayer.relays
+	first := g.options.Rand.IntN(len(relays))
+	message := Subscribe{Services: f.interests, Hash: g.heldHash()}
+	for i := range min(2, len(relays)) {
+		effects = append(effects, g.send(relays[(first+i)%len(relays)], message))
+	}
+	return effects
+}
+
+// heldHash covers each held remote endpoint's member and version, in any order.
+func (g *Gossiper) heldHash() uint64 {
+	h := uint64(0)
+	for n, s := range g.view.members {
+		if s.Domain != g.self.Domain && s.up() && len(s.Endpoints) > 0 {
+			h ^= heldHash(n, s.Member)
+		}
+	}
+	return h
+}
+
+func heldHash(n identifier.Node, m Member) uint64 {
+	return versionHash(n, m.Incarnation) * uint64(2*len(m.Endpoints)+1)
+}
+
+func (g *Gossiper) confirmAll(now clock.Time) {
+	for _, s := range g.view.members {
+		if s.Domain != g.self.Domain {
+			s.confirmed = now
+		}
+	}
+}
+
+func (g *Gossiper) dropUnconfirmed(now clock.Time) []Effect {
+	var effects []Effect
+	for _, n := range g.view.sorted() {
+		s := g.view.members[n]
+		if s.Domain != g.self.Domain && now.Sub(s.confirmed) > confirmTerm {
+			effects = append(effects, g.view.drop(n)...)
+		}
+	}
+	return effects
+}
+
+func (g *Gossiper) receiveSubscribe(from identifier.Node, m Subscribe, now clock.Time) []Effect {
+	if !g.relayer.active {
+		return nil
+	}
+	g.relayer.subscribers[from] = &subscriber{services: m.Services, until: now.Add(subscribeTerm)}
+	answer := Subscription{Contacts: g.Contacts()}
+	hash := uint64(0)
+	for _, d := range g.relayer.domains() {
+		if g.relayer.remotes[d].silent {
+			answer.Silent = append(answer.Silent, d)
+		}
+		t := g.relayer.tables[d]
+		if t == nil {
+			continue
+		}
+		for _, n := range t.up {
+			record, _ := filter(t.members[n].Member, m.Services)
+			if len(record.Endpoints) > 0 {
+				answer.Members = append(answer.Members, record)
+				hash ^= heldHash(n, record)
+			}
+		}
+	}
+	if hash == m.Hash {
+		answer.Same = true
+		answer.Members = nil
+	}
+	return []Effect{g.send(from, answer)}
+}
+
+func (g *Gossiper) receiveSubscription(m Subscription, now clock.Time) []Effect {
+	effects := g.setContacts(m.Contacts, now)
+	if m.Same {
+		g.confirmAll(now)
+	}
+	for _, record := range m.Members {
+		if record.Domain != g.self.Domain {
+			effects = append(effects, g.seeRemote(record, now)...)
+		}
+	}
+	// A push of changes alone carries no contacts and says nothing about silence.
+	if len(m.Contacts) == 0 {
+		return effects
+	}
+	g.follower.answered = true
+	for _, d := range g.relayer.domains() {
+		silent := slices.Contains(m.Silent, d)
+		g.relayer.remotes[d].silent = silent
+		effects = append(effects, g.view.hide(d, silent)...)
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,312 @@
+// One reducer holds what a node knows of the fleet. Its own domain it knows whole, as any of its members may
+// be asked to take a call or to witness a claim; of other domains it knows a few contacts and the endpoints of
+// the services that it calls, so that its traffic doesn't grow with the fleet.
+//
+// Example: g.Tick(now) every 100 ms returns Send effects; g.Receive("n2", Ping{…}, now) returns Send{Ack}.
+
+package gossiper
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Options are the parameters of a Gossiper; the zero value of each number means its default.
+type Options struct {
+	Self Member
+	// Seeds are addresses of nodes to ask first, so that a node can boot while the log is down.
+	Seeds []string
+	Rand  *rand.Rand
+	// ProbeInterval is the time between two pings that a node sends.
+	ProbeInterval clock.Duration
+	// Suspicion is how long a suspect member may take to refute.
+	Suspicion clock.Duration
+}
+
+// Defaults of Options, and the fixed rhythm of the rest.
+const (
+	DefaultProbeInterval = 500 * clock.Millisecond
+	DefaultSuspicion     = 1500 * clock.Millisecond
+	// TickInterval is how often Tick is meant to be called.
+	TickInterval = 100 * clock.Millisecond
+	// downTerm is how long the record of a dead member is kept, so that a late message can't revive it.
+	downTerm = 10 * clock.Minute
+	// pauseLimit is the gap between two ticks that means that this process itself stood still.
+	pauseLimit = clock.Second
+)
+
+// Gossiper is the reducer of one node.
+type Gossiper struct {
+	options  Options
+	self     Member
+	own      *table
+	view     view
+	news     News
+	lastTick clock.Time
+	ticked   bool
+	spreader spreader
+	prober   prober
+	repairer repairer
+	relayer  relayer
+	joiner   joiner
+	follower follower
+	nextTidy clock.Time
+}
+
+// New returns a Gossiper that knows only itself.
+func New(o Options) *Gossiper {
+	if o.ProbeInterval == 0 {
+		o.ProbeInterval = DefaultProbeInterval
+	}
+	if o.Suspicion == 0 {
+		o.Suspicion = DefaultSuspicion
+	}
+	o.Self.State = Alive
+	o.Self.Incarnation = max(o.Self.Incarnation, 1)
+	g := &Gossiper{
+		options:  o,
+		self:     o.Self,
+		own:      newTable(o.Self.Domain),
+		view:     newView(),
+		relayer:  newRelayer(),
+		follower: newFollower(),
+		joiner:   newJoiner(),
+	}
+	g.own.put(g.self, 0)
+	g.view.see(g.self, 0)
+	g.elect()
+	return g
+}
+
+// SetNews sets what this node's pings tell about its configuration.
+func (g *Gossiper) SetNews(n News) {
+	g.news = n
+}
+
+// NewsOf returns the last news heard from a node of the own domain.
+func (g *Gossiper) NewsOf(n identifier.Node) (HeardNews, bool) {
+	if e := g.own.members[n]; e != nil && e.news.At > 0 {
+		return e.news, true
+	}
+	return HeardNews{}, false
+}
+
+// Self returns this node's own record.
+func (g *Gossiper) Self() Member {
+	return g.self
+}
+
+// Members returns the members of the own domain that are not dead, by name; the caller must not change it.
+func (g *Gossiper) Members() []identifier.Node {
+	return g.own.up
+}
+
+// Member returns the record of a member of the own domain.
+func (g *Gossiper) Member(n identifier.Node) (Member, bool) {
+	if e := g.own.members[n]; e != nil {
+		return e.Member, true
+	}
+	return Member{}, false
+}
+
+// Endpoints returns the endpoints of a service that are known, by id; the caller must not change it.
+func (g *Gossiper) Endpoints(s identifier.Service) []PlacedEndpoint {
+	return g.view.byService[s]
+}
+
+// AddressOf returns the address of a node.
+func (g *Gossiper) AddressOf(n identifier.Node) (string, bool) {
+	if e := g.own.members[n]; e != nil {
+		return e.Address, true
+	}
+	if s := g.view.members[n]; s != nil {
+		return s.Address, true
+	}
+	return g.relayer.addressOf(n)
+}
+
+// Tick does what is due; call it every TickInterval.
+func (g *Gossiper) Tick(now clock.Time) []Effect {
+	g.excusePause(now)
+	if g.self.State == Left {
+		return g.spread(now)
+	}
+	effects := g.tickJoin(now)
+	effects = append(effects, g.tickProbes(now)...)
+	effects = append(effects, g.tickSuspects(now)...)
+	effects = append(effects, g.tickRelay(now)...)
+	effects = append(effects, g.tickFollow(now)...)
+	effects = append(effects, g.spread(now)...)
+	if now >= g.nextTidy {
+		g.nextTidy = now.Add(clock.Minute)
+		g.tidy(now)
+	}
+	return effects
+}
+
+// excusePause keeps a process that stood still from calling others dead: it didn't hear their answers, and a
+// paused node would otherwise tell the whole domain that everyone else is gone.
+func (g *Gossiper) excusePause(now clock.Time) {
+	gap := now.Sub(g.lastTick)
+	if g.ticked && gap > pauseLimit {
+		g.prober.forget()
+		for _, e := range g.own.members {
+			if e.State == Suspect {
+				e.deadline = e.deadline.Add(gap)
+			}
+		}
+		g.relayer.excuse(gap)
+	}
+	g.ticked = true
+	g.lastTick = now
+}
+
+func (g *Gossiper) tidy(now clock.Time) {
+	g.own.forget(now, downTerm)
+	for _, t := range g.relayer.tables {
+		t.forget(now, downTerm)
+	}
+	for n, s := range g.view.members {
+		if !s.up() && now.Sub(s.confirmed) > downTerm {
+			delete(g.view.members, n)
+		}
+	}
+}
+
+// Receive takes in a message from another node.
+func (g *Gossiper) Receive(from identifier.Node, message any, now clock.Time) []Effect {
+	switch m := message.(type) {
+	case Ping:
+		return g.receivePing(from, m, now)
+	case Ack:
+		return g.receiveAck(from, m, now)
+	case PingRequest:
+		return g.receivePingRequest(from, m, now)
+	case IndirectAck:
+		g.prober.answered(m.Sequence, m.Target)
+		return nil
+	case Gossip:
+		return g.learn(m.Updates, now)
+	case Digest:
+		return g.receiveDigest(from, m)
+	case Summary:
+		return g.receiveSummary(from, m)
+	case Members:
+		return g.receiveMembers(from, m, now)
+	case Probe:
+		return g.receiveProbe(from, m, now)
+	case ProbeAnswer:
+		return g.receiveProbeAnswer(m, now)
+	case Join:
+		return g.receiveJoin(m, now)
+	case JoinAnswer:
+		return g.receiveJoinAnswer(m, now)
+	case Subscribe:
+		return g.receiveSubscribe(from, m, now)
+	case Subscription:
+		return g.receiveSubscription(m, now)
+	}
+	return nil
+}
+
+// SetEndpoint announces an endpoint behind this node, or changes it.
+func (g *Gossiper) SetEndpoint(e Endpoint, now clock.Time) []Effect {
+	list := slices.Clone(g.self.Endpoints)
+	i := slices.IndexFunc(list, func(o Endpoint) bool { return o.ID == e.ID })
+	if i >= 0 && list[i] == e {
+		return nil
+	}
+	if i >= 0 {
+		list[i] = e
+	} else {
+		list = append(list, e)
+	}
+	return g.rewrite(list, Alive, now)
+}
+
+// LeaveEndpoint tells that an endpoint takes no new work any more.
+func (g *Gossiper) LeaveEndpoint(id identifier.Endpoint, now clock.Time) []Effect {
+	for _, e := range g.self.Endpoints {
+		if e.ID == id {
+			e.State = Leaving
+			return g.SetEndpoint(e, now)
+		}
+	}
+	return nil
+}
+
+// RemoveEndpoint takes an endpoint away.
+func (g *Gossiper) RemoveEndpoint(id identifier.Endpoint, now clock.Time) []Effect {
+	list := slices.DeleteFunc(slices.Clone(g.self.Endpoints), func(o Endpoint) bool { return o.ID == id })
+	if len(list) == len(g.self.Endpoints) {
+		return nil
+	}
+	return g.rewrite(list, Alive, now)
+}
+
+// Leave tells the fleet that this node goes; keep ticking for a second so that the news spreads.
+func (g *Gossiper) Leave(now clock.Time) []Effect {
+	effects := g.rewrite(nil, Left, now)
+	r := Departed{Node: g.self.Node, Domain: g.self.Domain}
+	return append(effects, Append{Record: r})
+}
+
+func (g *Gossiper) rewrite(endpoints []Endpoint, state MemberState, now clock.Time) []Effect {
+	if g.self.State == Left {
+		return nil
+	}
+	g.self.Endpoints = endpoints
+	g.self.State = state
+	g.self.Incarnation++
+	effects := g.take(g.self, now)
+	return append(effects, g.spread(now)...)
+}
+
+// learn takes in records of the own domain.
+func (g *Gossiper) learn(updates []Member, now clock.Time) []Effect {
+	var effects []Effect
+	for _, m := range updates {
+		if m.Domain != g.self.Domain {
+			continue
+		}
+		if m.Node == g.self.Node {
+			effects = append(effects, g.refute(m, now)...)
+			continue
+		}
+		effects = append(effects, g.take(m, now)...)
+	}
+	return effects
+}
+
+// refute answers a record of this node that it hasn't written. Unanswered, a node that lost a few pings
+// would be taken for dead though it lives.
+func (g *Gossiper) refute(m Member, now clock.Time) []Effect {
+	if !newer(m, g.self) || g.self.State == Left {
+		return nil
+	}
+	g.self.Incarnation = m.Incarnation + 1
+	return g.take(g.self, now)
+}
+
+// take puts a record of the own domain in its table and passes it on if it is news.
+func (g *Gossiper) take(m Member, now clock.Time) []Effect {
+	old, ok := g.own.put(m, now)
+	if !ok {
+		return nil
+	}
+	m = g.own.members[m.Node].Member
+	g.spreader.add(m.Node)
+	g.relayer.changedOwn(m.Node)
+	if m.State == Suspect {
+		g.suspected(m.Node, now)
+	}
+	effects := g.view.see(m, now)
+	if old.up() != m.up() {
+		g.elect()
+		effects = append(effects, MembersChanged{Domain: m.Domain})
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/gossiper/relayer.go
@@ -0,0 +1,397 @@
+// Three nodes of each domain, chosen by the hash of their names so that all agree without a word, keep the
+// member tables of all other domains. They push changes to the relays of other domains at once and compare
+// hashes every second, so that a lost push costs a second and no more. All others stay out of that traffic:
+// a relay's grows with the number of domains, an ordinary node's doesn't.
+//
+// Example: an endpoint in domain east becomes Leaving: gossip brings it to the three relays of east, each
+// tells one relay in every other domain, and those tell their own domain's subscribers.
+
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	relayCount    = 3
+	probeRemote   = clock.Second
+	maxContacts   = 4
+	silenceLimit  = 4 * clock.Second
+	subscribeTerm = 12 * clock.Second
+	// pushCopies is how often a change is pushed to a subscriber, as pushes are not acknowledged.
+	pushCopies = 2
+)
+
+type subscriber struct {
+	services []identifier.Service
+	until    clock.Time
+}
+
+type remote struct {
+	contacts []Contact
+	// heard is when a node of that domain, or a relay of the own one on its behalf, was last heard.
+	heard  clock.Time
+	silent bool
+}
+
+type relayer struct {
+	relays      []identifier.Node
+	active      bool
+	tables      map[identifier.FailureDomain]*table
+	remotes     map[identifier.FailureDomain]*remote
+	subscribers map[identifier.Node]*subscriber
+	// own and pushes are the members changed since the last flush, of the own domain and of others.
+	own       []identifier.Node
+	pushes    []push
+	nextProbe clock.Time
+}
+
+type push struct {
+	domain identifier.FailureDomain
+	node   identifier.Node
+	copies int
+}
+
+func newRelayer() relayer {
+	return relayer{
+		tables:      map[identifier.FailureDomain]*table{},
+		remotes:     map[identifier.FailureDomain]*remote{},
+		subscribers: map[identifier.Node]*subscriber{},
+	}
+}
+
+func (r *relayer) addressOf(n identifier.Node) (string, bool) {
+	for _, t := range r.tables {
+		if e := t.members[n]; e != nil {
+			return e.Address, true
+		}
+	}
+	for _, o := range r.remotes {
+		for _, c := range o.contacts {
+			if c.Node == n {
+				return c.Address, true
+			}
+		}
+	}
+	return "", false
+}
+
+func (r *relayer) excuse(gap clock.Duration) {
+	for _, o := range r.remotes {
+		o.heard = o.heard.Add(gap)
+	}
+}
+
+func (r *relayer) domains() []identifier.FailureDomain {
+	names := make([]identifier.FailureDomain, 0, len(r.remotes))
+	for d := range r.remotes {
+		names = append(names, d)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (r *relayer) changedOwn(n identifier.Node) {
+	if r.active && !slices.Contains(r.own, n) {
+		r.own = append(r.own, n)
+	}
+}
+
+// Contacts returns a few nodes of each other domain, by domain.
+func (g *Gossiper) Contacts() []Contact {
+	var all []Contact
+	for _, d := range g.relayer.domains() {
+		all = append(all, g.relayer.remotes[d].contacts...)
+	}
+	return all
+}
+
+// Relays tells whether this node is a relay of its domain.
+func (g *Gossiper) Relays() bool {
+	return g.relayer.active
+}
+
+// elect chooses the members with the highest hashes of their names.
+func (g *Gossiper) elect() {
+	names := slices.Clone(g.own.up)
+	slices.SortFunc(names, func(a, b identifier.Node) int {
+		return cmp.Or(cmp.Compare(xxh3.HashString(string(b)), xxh3.HashString(string(a))), cmp.Compare(b, a))
+	})
+	g.relayer.relays = names[:min(relayCount, len(names))]
+	active := slices.Contains(g.relayer.relays, g.self.Node)
+	if g.relayer.active && !active {
+		clear(g.relayer.tables)
+		clear(g.relayer.subscribers)
+		g.relayer.own = nil
+		g.relayer.pushes = nil
+	}
+	g.relayer.active = active
+}
+
+func (g *Gossiper) ownRelays() []Contact {
+	contacts := make([]Contact, 0, relayCount)
+	for _, n := range g.relayer.relays {
+		contacts = append(contacts, contactOf(g.own.members[n].Member))
+	}
+	return contacts
+}
+
+func contactOf(m Member) Contact {
+	return Contact{Node: m.Node, Domain: m.Domain, Address: m.Address}
+}
+
+func (g *Gossiper) remoteOf(d identifier.FailureDomain, now clock.Time) *remote {
+	r := g.relayer.remotes[d]
+	if r == nil {
+		r = &remote{heard: now}
+		g.relayer.remotes[d] = r
+	}
+	return r
+}
+
+// setContacts takes what a domain itself says about its relays.
+func (g *Gossiper) setContacts(contacts []Contact, now clock.Time) []Effect {
+	byDomain := map[identifier.FailureDomain][]Contact{}
+	for _, c := range contacts {
+		if c.Domain != g.self.Domain {
+			byDomain[c.Domain] = append(byDomain[c.Domain], c)
+		}
+	}
+	var effects []Effect
+	for d, list := range byDomain {
+		r := g.remoteOf(d, now)
+		list = list[:min(len(list), maxContacts)]
+		if !slices.Equal(r.contacts, list) {
+			r.contacts = list
+			effects = append(effects, MembersChanged{Domain: d})
+		}
+	}
+	slices.SortFunc(effects, func(a, b Effect) int {
+		return cmp.Compare(a.(MembersChanged).Domain, b.(MembersChanged).Domain)
+	})
+	return effects
+}
+
+// addContact remembers a node that was only heard of, behind those that the domain itself named.
+func (g *Gossiper) addContact(c Contact, now clock.Time) []Effect {
+	r := g.remoteOf(c.Domain, now)
+	known := slices.ContainsFunc(r.contacts, func(o Contact) bool { return o.Node == c.Node })
+	if known || len(r.contacts) >= maxContacts {
+		return nil
+	}
+	r.contacts = append(r.contacts, c)
+	return []Effect{MembersChanged{Domain: c.Domain}}
+}
+
+func (g *Gossiper) tickRelay(now clock.Time) []Effect {
+	r := &g.relayer
+	if !r.active {
+		return nil
+	}
+	effects := g.flushOwn()
+	effects = append(effects, g.flushPushes(now)...)
+	if now < r.nextProbe {
+		return effects
+	}
+	r.nextProbe = now.Add(probeRemote*3/4 + g.jitter(probeRemote/2))
+	for _, d := range r.domains() {
+		effects = append(effects, g.probeDomain(d, now)...)
+	}
+	return effects
+}
+
+// probeDomain compares the table of a domain with one of its relays, or now and then with a relay of the own
+// domain, which may have been reached by what this one missed.
+func (g *Gossiper) probeDomain(d identifier.FailureDomain, now clock.Time) []Effect {
+	o := g.relayer.remotes[d]
+	effects := g.noteSilence(d, now)
+	t := g.relayer.tables[d]
+	if t == nil {
+		t = newTable(d)
+		g.relayer.tables[d] = t
+	}
+	message := Probe{Domain: d, Hash: t.hash(), Relays: g.ownRelays()}
+	if g.options.Rand.IntN(4) == 0 {
+		for _, n := range g.relayer.relays {
+			if n != g.self.Node {
+				return append(effects, g.send(n, message))
+			}
+		}
+	}
+	if len(o.contacts) == 0 {
+		return effects
+	}
+	c := o.contacts[g.options.Rand.IntN(len(o.contacts))]
+	return append(effects, Send{To: c.Node, Address: c.Address, Message: message})
+}
+
+// noteSilence takes a domain out of use that hasn't been heard for a while: when it dies whole, no member of
+// it is left to tell that the others are dead.
+func (g *Gossiper) noteSilence(d identifier.FailureDomain, now clock.Time) []Effect {
+	o := g.relayer.remotes[d]
+	silent := now.Sub(o.heard) > silenceLimit
+	if silent == o.silent {
+		return nil
+	}
+	o.silent = silent
+	return g.view.hide(d, silent)
+}
+
+func (g *Gossiper) hearDomain(d identifier.FailureDomain, now clock.Time) []Effect {
+	if d == g.self.Domain {
+		return nil
+	}
+	o := g.remoteOf(d, now)
+	o.heard = max(o.heard, now)
+	if !o.silent {
+		return nil
+	}
+	o.silent = false
+	return g.view.hide(d, false)
+}
+
+func (g *Gossiper) receiveProbe(from identifier.Node, m Probe, now clock.Time) []Effect {
+	effects := g.setContacts(m.Relays, now)
+	if len(m.Relays) > 0 {
+		effects = append(effects, g.hearDomain(m.Relays[0].Domain, now)...)
+	}
+	t := g.tableOf(m.Domain)
+	if t == nil {
+		// This node is no relay, or knows nothing of that domain: an empty answer only tells who is.
+		return append(effects, g.send(from, ProbeAnswer{Domain: g.self.Domain, Relays: g.ownRelays()}))
+	}
+	effects = append(effects, g.send(from, ProbeAnswer{Domain: m.Domain, Relays: g.ownRelays()}))
+	if m.Hash != t.hash() {
+		effects = append(effects, g.send(from, digestOf(t)))
+	}
+	return effects
+}
+
+func (g *Gossiper) receiveProbeAnswer(m ProbeAnswer, now clock.Time) []Effect {
+	effects := g.setContacts(m.Relays, now)
+	for _, c := range m.Relays {
+		if c.Domain != g.self.Domain {
+			return append(effects, g.hearDomain(c.Domain, now)...)
+		}
+	}
+	return effects
+}
+
+func (g *Gossiper) flushOwn() []Effect {
+	if len(g.relayer.own) == 0 {
+		return nil
+	}
+	names := g.relayer.own
+	g.relayer.own = nil
+	var effects []Effect
+	for _, d := range g.relayer.domains() {
+		contacts := g.relayer.remotes[d].contacts
+		if len(contacts) == 0 {
+			continue
+		}
+		c := contacts[g.options.Rand.IntN(len(contacts))]
+		effects = append(effects, g.sendMembers(c.Node, g.own, names, nil)...)
+	}
+	return effects
+}
+
+// learnRemote takes in records of another domain; only a relay keeps them.
+func (g *Gossiper) learnRemote(m Members, now clock.Time) []Effect {
+	if !g.relayer.active {
+		return nil
+	}
+	t := g.relayer.tables[m.Domain]
+	if t == nil {
+		t = newTable(m.Domain)
+		g.relayer.tables[m.Domain] = t
+		g.remoteOf(m.Domain, now)
+	}
+	var effects []Effect
+	var changed []identifier.Node
+	for _, record := range m.Members {
+		if _, ok := t.put(record, now); !ok || record.Domain != m.Domain {
+			continue
+		}
+		changed = append(changed, record.Node)
+		g.relayer.pushes = append(g.relayer.pushes, push{domain: m.Domain, node: record.Node})
+		effects = append(effects, g.seeRemote(t.members[record.Node].Member, now)...)
+	}
+	if len(changed) == 0 || len(changed) > maxMembers/2 {
+		// A whole table is left to the comparison between relays, or each would send it to each.
+		return effects
+	}
+	for _, n := range g.relayer.relays {
+		if n != g.self.Node {
+			effects = append(effects, g.sendMembers(n, t, changed, nil)...)
+		}
+	}
+	return effects
+}
+
+func (g *Gossiper) flushPushes(now clock.Time) []Effect {
+	pushes := g.relayer.pushes
+	if len(pushes) == 0 {
+		return nil
+	}
+	var effects []Effect
+	for _, n := range g.activeSubscribers(now) {
+		var records []Member
+		for _, p := range pushes {
+			e := g.relayer.tables[p.domain].members[p.node]
+			if e == nil {
+				continue
+			}
+			if m, wanted := filter(e.Member, g.relayer.subscribers[n].services); wanted {
+				records = append(records, m)
+			}
+		}
+		if len(records) > 0 {
+			effects = append(effects, g.send(n, Subscription{Members: records}))
+		}
+	}
+	var again []push
+	for _, p := range pushes {
+		p.copies++
+		if p.copies < pushCopies {
+			again = append(again, p)
+		}
+	}
+	g.relayer.pushes = again
+	return effects
+}
+
+func (g *Gossiper) activeSubscribers(now clock.Time) []identifier.Node {
+	var names []identifier.Node
+	for n, s := range g.relayer.subscribers {
+		if now > s.until {
+			delete(g.relayer.subscribers, n)
+			continue
+		}
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// filter keeps the endpoints of some services; a member that is down is always wanted, as it may have had some.
+func filter(m Member, services []identifier.Service) (Member, bool) {
+	if !m.up() {
+		return m, true
+	}
+	var kept []Endpoint
+	for _, e := range m.Endpoints {
+		if slices.Contains(services, e.Service) {
+			kept = append(kept, e)
+		}
+	}
+	all := len(m.Endpoints)
+	m.Endpoints = kept
+	// A member whose endpoints of that service were removed must be told of too, so that they go.
+	return m, len(kept) > 0 || all == 0
+}
--- /dev/null
+++ b/internal/gossiper/repairer.go
@@ -0,0 +1,133 @@
+// Gossip is a matter of chance, so now and then a change misses a member. Every ping therefore carries a hash
+// of the sender's table; where it differs and no gossip is under way, the two compare buckets and exchange
+// only the records that differ. Without that a member could route to a server that left long ago.
+//
+// Example: n1 never heard that n7 left. The next ping from n2 has another hash; Digest, Summary and Members
+// follow, about 1 kB in a domain of 482.
+
+package gossiper
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	// repairInterval is the least time between two comparisons that a node starts.
+	repairInterval = 500 * clock.Millisecond
+	// settleTime is how long a table must be unchanged before a difference counts.
+	settleTime = 300 * clock.Millisecond
+	// maxMembers bounds the records in one Members.
+	maxMembers = 64
+)
+
+type repairer struct {
+	next clock.Time
+}
+
+func (g *Gossiper) compare(with identifier.Node, hash uint64, now clock.Time) []Effect {
+	if hash == g.own.hash() || now < g.repairer.next || now.Sub(g.own.changed) < settleTime {
+		return nil
+	}
+	g.repairer.next = now.Add(repairInterval)
+	return []Effect{g.send(with, digestOf(g.own))}
+}
+
+func digestOf(t *table) Digest {
+	return Digest{Domain: t.domain, Buckets: slices.Clone(t.buckets[:])}
+}
+
+// tableOf returns the table of a domain, nil where this node keeps none.
+func (g *Gossiper) tableOf(d identifier.FailureDomain) *table {
+	if d == g.own.domain {
+		return g.own
+	}
+	return g.relayer.tables[d]
+}
+
+func (g *Gossiper) receiveDigest(from identifier.Node, m Digest) []Effect {
+	t := g.tableOf(m.Domain)
+	if t == nil || len(m.Buckets) != bucketCount {
+		return nil
+	}
+	mask := uint32(0)
+	for i, b := range m.Buckets {
+		if b != t.buckets[i] {
+			mask |= 1 << i
+		}
+	}
+	if mask == 0 {
+		return nil
+	}
+	s := Summary{Domain: m.Domain, Mask: mask}
+	for _, n := range t.sorted(mask) {
+		e := t.members[n]
+		s.Entries = append(s.Entries, Entry{Node: n, Incarnation: e.Incarnation, State: e.State})
+	}
+	return []Effect{g.send(from, s)}
+}
+
+func (g *Gossiper) receiveSummary(from identifier.Node, m Summary) []Effect {
+	t := g.tableOf(m.Domain)
+	if t == nil {
+		return nil
+	}
+	theirs := make(map[identifier.Node]Entry, len(m.Entries))
+	var wanted []identifier.Node
+	for _, e := range m.Entries {
+		theirs[e.Node] = e
+		o := t.members[e.Node]
+		record := Member{Incarnation: e.Incarnation, State: e.State}
+		if (o == nil && record.up()) || (o != nil && newer(record, o.Member)) {
+			wanted = append(wanted, e.Node)
+		}
+	}
+	var newerHere []identifier.Node
+	for _, n := range t.sorted(m.Mask) {
+		own := t.members[n].Member
+		e, known := theirs[n]
+		if (!known && own.up()) || (known && newer(own, Member{Incarnation: e.Incarnation, State: e.State})) {
+			newerHere = append(newerHere, n)
+		}
+	}
+	if len(wanted)+len(newerHere) == 0 {
+		return nil
+	}
+	return g.sendMembers(from, t, newerHere, wanted)
+}
+
+func (g *Gossiper) receiveMembers(from identifier.Node, m Members, now clock.Time) []Effect {
+	var effects []Effect
+	if m.Domain == g.own.domain {
+		effects = g.learn(m.Members, now)
+	} else {
+		effects = g.learnRemote(m, now)
+	}
+	t := g.tableOf(m.Domain)
+	if t == nil || len(m.Wanted) == 0 {
+		return effects
+	}
+	return append(effects, g.sendMembers(from, t, m.Wanted, nil)...)
+}
+
+func (g *Gossiper) sendMembers(to identifier.Node, t *table, names, wanted []identifier.Node) []Effect {
+	var effects []Effect
+	m := Members{Domain: t.domain, Wanted: wanted}
+	for _, n := range names {
+		e := t.members[n]
+		if e == nil {
+			continue
+		}
+		m.Members = append(m.Members, e.Member)
+		if len(m.Members) == maxMembers {
+			effects = append(effects, g.send(to, m))
+			m = Members{Domain: t.domain}
+		}
+	}
+	if len(m.Members)+len(m.Wanted) > 0 {
+		effects = append(effects, g.send(to, m))
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/gossiper/table.go
@@ -0,0 +1,135 @@
+// A table holds the newest record of each member of one domain, and hashes of it that change with each
+// record, so that two nodes find out by a few bytes whether they know the same.
+//
+// Example: two tables that differ in one member differ in one of 16 buckets, and only about a sixteenth of
+// the versions is exchanged. Dead members are in no hash, since nodes forget them at different times.
+
+package gossiper
+
+import (
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const bucketCount = 16
+
+type entry struct {
+	Member
+	// changed is when this record was taken in.
+	changed clock.Time
+	// deadline is when a suspect member counts as dead; zero in tables of other domains.
+	deadline clock.Time
+	// confirming tells that this node pings the suspect member itself, next at nextPing.
+	confirming bool
+	nextPing   clock.Time
+	news       HeardNews
+}
+
+type table struct {
+	domain  identifier.FailureDomain
+	members map[identifier.Node]*entry
+	// up lists the members that are alive or suspect, by name.
+	up      []identifier.Node
+	down    []identifier.Node
+	buckets [bucketCount]uint64
+	changed clock.Time
+}
+
+func newTable(domain identifier.FailureDomain) *table {
+	return &table{domain: domain, members: map[identifier.Node]*entry{}}
+}
+
+func bucketOf(n identifier.Node) int {
+	return int(xxh3.HashString(string(n)) % bucketCount)
+}
+
+// versionHash leaves suspicion out: it passes within seconds and would start exchanges for nothing.
+func versionHash(n identifier.Node, i Incarnation) uint64 {
+	return xxh3.HashStringSeed(string(n), uint64(i)+1)
+}
+
+func (t *table) hash() uint64 {
+	h := uint64(0)
+	for _, b := range t.buckets {
+		h = h*31 + b
+	}
+	return h
+}
+
+// put takes a record in if it is newer, and returns the one it replaces.
+func (t *table) put(m Member, now clock.Time) (old Member, ok bool) {
+	e := t.members[m.Node]
+	if e != nil {
+		old = e.Member
+		if !newer(m, old) {
+			return old, false
+		}
+	} else {
+		e = &entry{}
+		t.members[m.Node] = e
+	}
+	if !m.up() {
+		m.Endpoints = nil
+	}
+	t.recount(old, m)
+	e.Member = m
+	e.changed = now
+	e.deadline = 0
+	e.confirming = false
+	t.changed = now
+	return old, true
+}
+
+func (t *table) recount(old, m Member) {
+	b := bucketOf(m.Node)
+	if old.up() {
+		t.buckets[b] ^= versionHash(old.Node, old.Incarnation)
+	}
+	if m.up() {
+		t.buckets[b] ^= versionHash(m.Node, m.Incarnation)
+	}
+	if old.up() != m.up() {
+		t.up = toggle(t.up, m.Node, m.up())
+	}
+	if (old.State == Dead) != (m.State == Dead) {
+		t.down = toggle(t.down, m.Node, m.State == Dead)
+	}
+}
+
+func toggle(list []identifier.Node, n identifier.Node, present bool) []identifier.Node {
+	i, found := slices.BinarySearch(list, n)
+	// The old list may be in use by the caller of Members, so it isn't changed in place.
+	switch {
+	case present && !found:
+		return slices.Insert(slices.Clone(list), i, n)
+	case !present && found:
+		return slices.Delete(slices.Clone(list), i, i+1)
+	}
+	return list
+}
+
+// forget drops the records of members that are down for longer than the term.
+func (t *table) forget(now clock.Time, term clock.Duration) {
+	for n, e := range t.members {
+		if !e.up() && now.Sub(e.changed) > term {
+			delete(t.members, n)
+			t.down = toggle(t.down, n, false)
+		}
+	}
+}
+
+// sorted returns the names of all members in the buckets of mask.
+func (t *table) sorted(mask uint32) []identifier.Node {
+	var names []identifier.Node
+	for n := range t.members {
+		if mask&(1<<bucketOf(n)) != 0 {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
