Read settings and presets from TOML, checked whole

Cause: an operator told one fault at a time mends a file in ten rounds, and a file taken in part is what nobody wrote.

--- /dev/null
+++ b/internal/checker/table.go
@@ -0,0 +1,170 @@
+package checker
+
+// The TOML library's own strict mode names all unknown keys, but stops at the first value of a wrong type. A
+// Table reads the decoded file field by field instead: what nobody asked for is unknown, what does not fit is
+// a fault, and reading goes on.
+//
+// Example: t, err := Parse(data); n := t.Table("node"); name := n.Name("name"); err = t.Finish()
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Table is one table of a file while it is read.
+type Table struct {
+	path   string
+	values map[string]any
+	known  map[string]bool
+	inner  []*Table
+	faults *Faults
+}
+
+// Parse decodes a file; its error is of the TOML itself, with line and column.
+func Parse(data []byte) (*Table, error) {
+	values := map[string]any{}
+	if err := toml.Unmarshal(data, &values); err != nil {
+		return nil, syntaxFault(err)
+	}
+	return newTable("", values, &Faults{}), nil
+}
+
+func syntaxFault(err error) error {
+	var d *toml.DecodeError
+	if !errors.As(err, &d) {
+		return Faults{{Field: "file", Problem: err.Error()}}
+	}
+	line, column := d.Position()
+	return Faults{{
+		Field:   fmt.Sprintf("line %d, column %d", line, column),
+		Problem: strings.TrimPrefix(d.Error(), "toml: "),
+	}}
+}
+
+func newTable(path string, values map[string]any, faults *Faults) *Table {
+	return &Table{path: path, values: values, known: map[string]bool{}, faults: faults}
+}
+
+// Finish adds the unknown keys and returns all faults of the file, or nil.
+func (t *Table) Finish() error {
+	t.addUnknown()
+	return t.faults.Err()
+}
+
+func (t *Table) addUnknown() {
+	for _, key := range slices.Sorted(maps.Keys(t.values)) {
+		if !t.known[key] {
+			t.Fault(key, "unknown key")
+		}
+	}
+	for _, i := range t.inner {
+		i.addUnknown()
+	}
+}
+
+// Has tells whether the file gives the key.
+func (t *Table) Has(key string) bool {
+	_, ok := t.values[key]
+	return ok
+}
+
+// Fault adds a fault of a field of this table.
+func (t *Table) Fault(key, problem string) {
+	*t.faults = append(*t.faults, Fault{
+		Field:   t.field(key),
+		Value:   literal(t.values[key]),
+		Problem: problem,
+	})
+}
+
+// Faultf adds a fault of a field of this table.
+func (t *Table) Faultf(key, format string, args ...any) {
+	t.Fault(key, fmt.Sprintf(format, args...))
+}
+
+// Table returns the table under the key; one that is missing is empty, so that its required fields are named.
+func (t *Table) Table(key string) *Table {
+	v, given := t.take(key)
+	values, ok := v.(map[string]any)
+	if given && !ok {
+		t.Fault(key, "want a table")
+	}
+	inner := newTable(t.field(key), values, t.faults)
+	t.inner = append(t.inner, inner)
+	return inner
+}
+
+// Tables returns the tables of an array such as [[team]].
+func (t *Table) Tables(key string) []*Table {
+	v, given := t.take(key)
+	if !given {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		t.Faultf(key, "want tables, each headed [[%s]]", key)
+		return nil
+	}
+	tables := make([]*Table, 0, len(list))
+	for i, element := range list {
+		values, ok := element.(map[string]any)
+		if !ok {
+			t.Faultf(key, "want tables, each headed [[%s]]", key)
+			continue
+		}
+		inner := newTable(fmt.Sprintf("%s[%d]", t.field(key), i+1), values, t.faults)
+		tables = append(tables, inner)
+	}
+	t.inner = append(t.inner, tables...)
+	return tables
+}
+
+func (t *Table) take(key string) (any, bool) {
+	t.known[key] = true
+	v, ok := t.values[key]
+	return v, ok
+}
+
+func (t *Table) field(key string) string {
+	if t.path == "" {
+		return key
+	}
+	return t.path + "." + key
+}
+
+// longestLiteral keeps a value that was pasted in the wrong place from flooding the report.
+const longestLiteral = 60
+
+func literal(v any) string {
+	var text string
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		text = strconv.Quote(v)
+	case map[string]any:
+		return "a table"
+	case []any:
+		text = list(v)
+	default:
+		text = fmt.Sprint(v)
+	}
+	if r := []rune(text); len(r) > longestLiteral {
+		return string(r[:longestLiteral]) + "…"
+	}
+	return text
+}
+
+func list(elements []any) string {
+	texts := make([]string, 0, len(elements))
+	for _, e := range elements {
+		texts = append(texts, literal(e))
+	}
+	return "[" + strings.Join(texts, ", ") + "]"
+}
--- /dev/null
+++ b/internal/presetter/parser.go
@@ -0,0 +1,197 @@
+package presetter
+
+// Parse gives a preset or faults, never both, so that nothing of a faulty file can reach the log. Beyond types and
+// units it refuses what can't hold together: shares over the whole, routes of services that the preset lacks,
+// routes that an earlier one hides, a team twice.
+//
+// Example: [[team]] name = "agents" rate = "200/s" burst = 400
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/checker"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Bounds of a preset.
+const (
+	wholeShare        = 1000
+	maxRetryAllowance = 100
+	maxWeight         = 1000
+	minTimeout        = 10 * clock.Millisecond
+	maxTimeout        = 2 * clock.Hour
+	anyMethod         = "*"
+)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions, anyMethod,
+}
+
+// Parse returns the preset in a TOML file, or all of its faults.
+func Parse(data []byte) (definer.Preset, error) {
+	t, err := checker.Parse(data)
+	if err != nil {
+		return definer.Preset{}, err
+	}
+	p := definer.Preset{
+		Name:           identifier.Preset(t.Name("name")),
+		RetryAllowance: uint8(t.Whole("retryAllowance", 0, maxRetryAllowance)),
+		Domains:        readDomains(t),
+		Services:       readServices(t),
+	}
+	readRoutes(t, p.Services)
+	p.Teams = readTeams(t, largestShare(p.Domains))
+	if err := t.Finish(); err != nil {
+		return definer.Preset{}, err
+	}
+	return p, nil
+}
+
+func readDomains(t *checker.Table) []definer.DomainShare {
+	var domains []definer.DomainShare
+	names := names{}
+	sum := 0
+	for _, d := range t.Tables("domain") {
+		one := definer.DomainShare{
+			Domain:   identifier.FailureDomain(names.read(d)),
+			PerMille: readShare(d, "share"),
+		}
+		before := sum
+		sum += one.PerMille
+		if sum > wholeShare && before <= wholeShare {
+			d.Faultf("share", "the shares so far sum to %s, over the whole", formatShare(sum))
+		}
+		domains = append(domains, one)
+	}
+	if len(domains) == 0 && !t.Has("domain") {
+		t.Fault("domain", "required but missing: without a failure domain no team has any rate")
+	}
+	return domains
+}
+
+func largestShare(domains []definer.DomainShare) int {
+	largest := 0
+	for _, d := range domains {
+		largest = max(largest, d.PerMille)
+	}
+	return largest
+}
+
+func readServices(t *checker.Table) []definer.Service {
+	var services []definer.Service
+	names := names{}
+	for _, s := range t.Tables("service") {
+		services = append(services, definer.Service{
+			Name:    identifier.Service(names.read(s)),
+			Timeout: s.Duration("timeout", minTimeout, maxTimeout),
+			MaxBody: s.Size("maxBody", 0, checker.MaxSize),
+		})
+	}
+	if len(services) == 0 && !t.Has("service") {
+		t.Fault("service", "required but missing: a preset without a service refuses every call")
+	}
+	return services
+}
+
+func readRoutes(t *checker.Table, services []definer.Service) {
+	for _, r := range t.Tables("route") {
+		name := identifier.Service(r.Name("service"))
+		route := readRoute(r)
+		i := slices.IndexFunc(services, func(s definer.Service) bool { return s.Name == name })
+		if i < 0 {
+			if name != "" {
+				r.Fault("service", "unknown service: this preset has no [[service]] of that name")
+			}
+			continue
+		}
+		if earlier := hiddenBy(route, services[i].Routes); earlier != nil {
+			r.Faultf("prefix", "never reached: the earlier route %s %s takes all its calls", earlier.Method, earlier.Prefix)
+		}
+		services[i].Routes = append(services[i].Routes, route)
+	}
+}
+
+func readRoute(t *checker.Table) definer.Route {
+	r := definer.Route{Method: t.Text("method"), Prefix: t.Text("prefix")}
+	if r.Method != "" && !slices.Contains(methods, r.Method) {
+		t.Faultf("method", "want one of %s", strings.Join(methods, ", "))
+	}
+	if r.Prefix != "" && (!strings.HasPrefix(r.Prefix, "/") || strings.ContainsAny(r.Prefix, "?# ")) {
+		t.Fault("prefix", `want a path such as "/bulletins"`)
+	}
+	r.Prefix = normalPrefix(r.Prefix)
+	r.Priority = readPriority(t)
+	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
+	r.Idempotent = t.Bool("idempotent", safe)
+	return r
+}
+
+// normalPrefix drops a slash at the end: prefixes match whole segments, so it changes nothing but would hide
+// that two routes are the same.
+func normalPrefix(prefix string) string {
+	if trimmed := strings.TrimRight(prefix, "/"); trimmed != "" || prefix == "" {
+		return trimmed
+	}
+	return "/"
+}
+
+func readPriority(t *checker.Table) identifier.Priority {
+	text := t.Text("priority")
+	if text == "" {
+		return identifier.Low
+	}
+	p, err := identifier.ParsePriority(text)
+	if err != nil {
+		t.Fault("priority", "unknown priority: want urgent, high, normal or low")
+	}
+	return p
+}
+
+// hiddenBy returns the earlier route that takes every call that r would match, as the first match counts.
+func hiddenBy(r definer.Route, earlier []definer.Route) *definer.Route {
+	for i, e := range earlier {
+		sameMethod := e.Method == anyMethod || e.Method == r.Method
+		inside := e.Prefix == "/" || r.Prefix == e.Prefix || strings.HasPrefix(r.Prefix, e.Prefix+"/")
+		if sameMethod && inside {
+			return &earlier[i]
+		}
+	}
+	return nil
+}
+
+func readTeams(t *checker.Table, largest int) []definer.Team {
+	var teams []definer.Team
+	names := names{}
+	for _, d := range t.Tables("team") {
+		team := definer.Team{
+			Name:   identifier.Team(names.read(d)),
+			Rate:   readRate(d, "rate"),
+			Burst:  readBurst(d, "burst"),
+			Weight: int(d.WholeOr("weight", 1, 1, maxWeight)),
+		}
+		// A failure domain whose part of the burst is below one call can never hold the right to one.
+		most := team.Burst * identifier.Tokens(largest) / wholeShare
+		if team.Burst > 0 && largest > 0 && most < identifier.TokensPerCall {
+			d.Faultf("burst", "the largest share of a failure domain, %s, comes to less than one call", formatShare(largest))
+		}
+		teams = append(teams, team)
+	}
+	return teams
+}
+
+// names finds names that are given twice.
+type names map[string]bool
+
+func (n names) read(t *checker.Table) string {
+	name := t.Name("name")
+	if name != "" && n[name] {
+		t.Fault("name", "given twice")
+	}
+	n[name] = true
+	return name
+}
