Add the publisher: operators' changes, settled by reading back

Cause: the log may take a change and lose its answer, and operators race. Change: every change is appended with its own id until its outcome can be read; the same fold as the nodes' judges it; keys of 256 bits are shown once and hide themselves when printed. Conclusion: drawn histories of three operators with lost answers agree with a hand-counted model.

--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,128 @@
+package publisher
+
+// Operators' verbs and the demo make their changes here, so that each is a record with its own id, made against
+// the version that its maker saw.
+//
+// Example: v, err := p.Load(ctx); version, err := p.Switch(ctx, v, "peak", v.Base(InForce)).
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/google/uuid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/pkg/appender"
+)
+
+// InForce is the subject that a switch changes.
+var InForce = configurer.Subject{Kind: configurer.SubjectInForce}
+
+// PresetSubject returns the subject that publishing a preset changes.
+func PresetSubject(name identifier.Preset) configurer.Subject {
+	return configurer.Subject{Kind: configurer.SubjectPreset, Name: string(name)}
+}
+
+// Options configures a Publisher.
+type Options struct {
+	Log appender.Log
+	// Operator is the name that stands in the records.
+	Operator string
+	Wall     func() clock.Wall
+	// Random gives keys and the ids of changes.
+	Random io.Reader
+	// TryTimeout bounds one request to the log, RetryPause is the time between two.
+	TryTimeout clock.Duration
+	RetryPause clock.Duration
+}
+
+// Publisher makes changes of the configuration.
+type Publisher struct {
+	options Options
+}
+
+// New returns a Publisher.
+func New(o Options) *Publisher {
+	return &Publisher{options: o}
+}
+
+// Load reads the whole log.
+func (p *Publisher) Load(ctx context.Context) (*View, error) {
+	v := newView()
+	if err := v.catchUp(ctx, p.options.Log); err != nil {
+		return nil, fmt.Errorf("read the log: %w", err)
+	}
+	return v, nil
+}
+
+// Publish sets the content of a preset, made against the given version of it.
+func (p *Publisher) Publish(ctx context.Context, v *View, preset definer.Preset, base identifier.Version) (identifier.Version, error) {
+	c, err := p.change(base)
+	if err != nil {
+		return 0, err
+	}
+	return p.settle(ctx, v, c.ID, configurer.PublishPreset{Change: c, Preset: preset})
+}
+
+// Switch puts a preset in force, made against the given version of the pointer to it.
+func (p *Publisher) Switch(ctx context.Context, v *View, name identifier.Preset, base identifier.Version) (identifier.Version, error) {
+	c, err := p.change(base)
+	if err != nil {
+		return 0, err
+	}
+	return p.settle(ctx, v, c.ID, configurer.SwitchPreset{Change: c, Preset: name})
+}
+
+// Issued is an accepted key; the secret is nowhere else.
+type Issued struct {
+	Secret  Secret
+	Key     definer.Key
+	Version identifier.Version
+}
+
+// Issue makes a key of a team.
+func (p *Publisher) Issue(ctx context.Context, v *View, team identifier.Team, label string) (Issued, error) {
+	if !v.hasTeam(team) {
+		return Issued{}, UnknownTeamError{Team: team}
+	}
+	secret, err := NewKey(p.options.Random)
+	if err != nil {
+		return Issued{}, err
+	}
+	c, err := p.change(0)
+	if err != nil {
+		return Issued{}, err
+	}
+	key := definer.Key{Hash: secret.Hash(), Team: team, Label: label, Issued: c.Wall}
+	version, err := p.settle(ctx, v, c.ID, configurer.IssueKey{Change: c, Key: key})
+	if err != nil {
+		return Issued{}, fmt.Errorf("key %s: %w", key.Hash, err)
+	}
+	return Issued{Secret: secret, Key: key, Version: version}, nil
+}
+
+// Withdraw ends a key for good.
+func (p *Publisher) Withdraw(ctx context.Context, v *View, k configurer.VersionedKey) (identifier.Version, error) {
+	c, err := p.change(k.Version)
+	if err != nil {
+		return 0, err
+	}
+	return p.settle(ctx, v, c.ID, configurer.WithdrawKey{Change: c, Hash: k.Key.Hash})
+}
+
+func (p *Publisher) change(base identifier.Version) (configurer.Change, error) {
+	id, err := uuid.NewRandomFromReader(p.options.Random)
+	if err != nil {
+		return configurer.Change{}, fmt.Errorf("make id of change: %w", err)
+	}
+	return configurer.Change{
+		ID:       configurer.ChangeID(id.String()),
+		Operator: p.options.Operator,
+		Wall:     p.options.Wall(),
+		Base:     base,
+	}, nil
+}
--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,221 @@
+package publisher
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/logkeeper"
+	"github.com/jackdawtide/jackdawtide/pkg/appender"
+)
+
+func newPublisher(log appender.Log, random io.Reader) *Publisher {
+	return New(Options{
+		Log:        log,
+		Operator:   "eva",
+		Wall:       func() clock.Wall { return 1 },
+		Random:     random,
+		TryTimeout: clock.Second,
+	})
+}
+
+func preset(name identifier.Preset, weight int) definer.Preset {
+	return definer.Preset{Name: name, Teams: []definer.Team{{Name: "agents", Rate: 1000, Burst: 1000, Weight: weight}}}
+}
+
+// model is the oracle: the version of each subject, counted by hand.
+type model struct {
+	version identifier.Version
+	of      map[configurer.Subject]identifier.Version
+}
+
+// judge tells what must become of a change made against base.
+func (m *model) judge(rt *rapid.T, s configurer.Subject, base, got identifier.Version, err error) {
+	var conflict configurer.Conflict
+	if base != m.of[s] {
+		assert.Assert(rt, errors.As(err, &conflict), "%v", err)
+		assert.Equal(rt, conflict.Current, m.of[s])
+		return
+	}
+	assert.NilError(rt, err)
+	m.version++
+	m.of[s] = m.version
+	assert.Equal(rt, got, m.version)
+}
+
+// Several operators work at once with views of different age, and the log loses the answers of appends that took
+// effect. If one change were judged twice, or two made against the same version both told accepted, an operator
+// would believe in a preset that is not in force, and end users would be served by other rules than announced.
+func TestOperatorsRace(t *testing.T) {
+	ctx := context.Background()
+	rapid.Check(t, func(rt *rapid.T) {
+		k := logkeeper.New(logkeeper.Options{})
+		p := newPublisher(k, rand.Reader)
+		m := model{of: map[configurer.Subject]identifier.Version{}}
+		views := make([]*View, 3)
+		for i := range views {
+			v, err := p.Load(ctx)
+			assert.NilError(rt, err)
+			views[i] = v
+		}
+		names := rapid.SampledFrom([]identifier.Preset{"ordinary", "peak"})
+		draw := func(rt *rapid.T) *View {
+			k.Set(logkeeper.Switches{LostAnswers: rapid.IntRange(0, 3).Draw(rt, "lost")})
+			return views[rapid.IntRange(0, len(views)-1).Draw(rt, "operator")]
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"publish": func(rt *rapid.T) {
+				v, name := draw(rt), names.Draw(rt, "name")
+				base := v.Base(PresetSubject(name))
+				got, err := p.Publish(ctx, v, preset(name, int(m.version)+1), base)
+				m.judge(rt, PresetSubject(name), base, got, err)
+			},
+			"switch": func(rt *rapid.T) {
+				v, name := draw(rt), names.Draw(rt, "name")
+				if m.of[PresetSubject(name)] == 0 {
+					rt.Skip("never published")
+				}
+				base := v.Base(InForce)
+				got, err := p.Switch(ctx, v, name, base)
+				m.judge(rt, InForce, base, got, err)
+			},
+			"refresh": func(rt *rapid.T) {
+				assert.NilError(rt, draw(rt).catchUp(ctx, k))
+			},
+			"": func(rt *rapid.T) {
+				fresh, err := p.Load(ctx)
+				assert.NilError(rt, err)
+				assert.Equal(rt, fresh.Version(), m.version)
+				assert.Equal(rt, fresh.Base(InForce), m.of[InForce])
+			},
+		})
+	})
+}
+
+// failing is a log whose appends or reads fail as told.
+type failing struct {
+	appender.Log
+	appendErr, readErr error
+}
+
+func (f *failing) Append(ctx context.Context, data []byte) (appender.Offset, error) {
+	if f.appendErr != nil {
+		return 0, f.appendErr
+	}
+	return f.Log.Append(ctx, data)
+}
+
+func (f *failing) Read(ctx context.Context, from appender.Offset, limit int, wait time.Duration) (appender.Batch, error) {
+	if f.readErr != nil {
+		return appender.Batch{}, f.readErr
+	}
+	return f.Log.Read(ctx, from, limit, wait)
+}
+
+// The log goes away in the middle of a change. The operator must be told whether certainly nothing was changed or
+// nobody can know; a wrong "nothing was changed" makes them publish something else over an accepted change.
+func TestLogGoesAway(t *testing.T) {
+	cause := errors.New("gone")
+	lost := appender.Unavailable{Operation: "append", Cause: cause}
+	cases := map[string]struct {
+		appendErr, readErr error
+		doubt              bool
+	}{
+		"not sent":              {appendErr: appender.Unavailable{NotSent: true, Cause: cause}},
+		"refused":               {appendErr: appender.Refused{Operation: "append", Status: 413}},
+		"answer lost":           {appendErr: lost, doubt: true},
+		"added, not read back":  {readErr: appender.Unavailable{Operation: "read", Cause: cause}, doubt: true},
+		"not sent, reads fail":  {appendErr: appender.Unavailable{NotSent: true, Cause: cause}, readErr: cause},
+		"answer lost, no reads": {appendErr: lost, readErr: cause, doubt: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			log := &failing{Log: logkeeper.New(logkeeper.Options{})}
+			p := newPublisher(log, rand.Reader)
+			v, err := p.Load(context.Background())
+			assert.NilError(t, err)
+			log.appendErr, log.readErr = c.appendErr, c.readErr
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+			defer cancel()
+			_, err = p.Publish(ctx, v, preset("peak", 1), 0)
+			var doubt InDoubtError
+			var not NotAppendedError
+			assert.Equal(t, errors.As(err, &doubt), c.doubt, "%v", err)
+			assert.Equal(t, errors.As(err, &not), !c.doubt, "%v", err)
+		})
+	}
+}
+
+// A log has dropped its first records before any node wrote a snapshot. Judged from the rest alone, a withdrawn key
+// could look valid and an old preset new, so the operator is told that nothing can be judged.
+func TestGapIsNotGuessedOver(t *testing.T) {
+	ctx := context.Background()
+	k := logkeeper.New(logkeeper.Options{})
+	p := newPublisher(k, rand.Reader)
+	v, err := p.Load(ctx)
+	assert.NilError(t, err)
+	_, err = p.Publish(ctx, v, preset("peak", 1), 0)
+	assert.NilError(t, err)
+	_, err = p.Switch(ctx, v, "peak", 0)
+	assert.NilError(t, err)
+	k.Forget(2)
+	_, err = p.Load(ctx)
+	var gap GapError
+	assert.Assert(t, errors.As(err, &gap), "%v", err)
+	assert.Equal(t, gap.Earliest, appender.Offset(2))
+	_, err = p.Switch(ctx, v, "peak", 2)
+	assert.NilError(t, err, "a view from before the gap goes on")
+}
+
+// Keys leak through what prints them. Whoever reads the log, or a value that holds a key, must not learn it.
+func TestKeyIsNowhere(t *testing.T) {
+	ctx := context.Background()
+	k := logkeeper.New(logkeeper.Options{})
+	p := newPublisher(k, rand.Reader)
+	v, err := p.Load(ctx)
+	assert.NilError(t, err)
+	var unknown UnknownTeamError
+	_, err = p.Issue(ctx, v, "agents", "")
+	assert.Assert(t, errors.As(err, &unknown), "%v", err)
+	_, err = p.Publish(ctx, v, preset("peak", 1), 0)
+	assert.NilError(t, err)
+	issued, err := p.Issue(ctx, v, "agents", "by phone")
+	assert.NilError(t, err)
+	key := issued.Secret.Reveal()
+	assert.Equal(t, len(key), len("jt_")+43)
+	team, ok := v.Resolve(issued.Key.Hash)
+	assert.Assert(t, ok && team == "agents")
+
+	b, err := k.Read(ctx, 0, 0, 0)
+	assert.NilError(t, err)
+	for _, r := range b.Records {
+		assert.Assert(t, !strings.Contains(string(r.Data), key))
+	}
+	printed := fmt.Sprintf("%v %+v %#v %s %q", issued, issued, issued, issued.Secret, issued.Secret)
+	assert.Assert(t, !strings.Contains(printed, key[3:]), printed)
+
+	found, err := v.FindKey(string(issued.Key.Hash[:8]))
+	assert.NilError(t, err)
+	_, err = p.Withdraw(ctx, v, found)
+	assert.NilError(t, err)
+	_, ok = v.Resolve(issued.Key.Hash)
+	assert.Assert(t, !ok)
+	_, err = p.Withdraw(ctx, v, found)
+	var conflict configurer.Conflict
+	assert.Assert(t, errors.As(err, &conflict) && conflict.Reason == configurer.ReasonWithdrawn, "%v", err)
+	var none UnknownKeyError
+	_, err = v.FindKey("zz")
+	assert.Assert(t, errors.As(err, &none), "%v", err)
+}
--- /dev/null
+++ b/internal/publisher/settler.go
@@ -0,0 +1,111 @@
+package publisher
+
+// The log may take a record and lose its answer. An operator who then believes in a failure publishes again, is
+// refused by their own first change, and does not know which of the two is in force. So the outcome of a change is
+// only ever read from the log, by the change's id, and the same record may be appended again: readers judge an id
+// once.
+//
+// Example: append → 503; read on → the id is there, accepted as version 9 → 9 is returned.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/encoder"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/pkg/appender"
+)
+
+// attempt is what is known of one record so far.
+type attempt struct {
+	// sent tells that some append may have reached the log; added, that one was answered with an offset.
+	sent  bool
+	added bool
+	cause error
+}
+
+// settle appends a record until its outcome can be read, or ctx ends.
+func (p *Publisher) settle(ctx context.Context, v *View, id configurer.ChangeID, record any) (identifier.Version, error) {
+	data, err := encoder.Encode(record)
+	if err != nil {
+		return 0, NotAppendedError{Cause: err}
+	}
+	var a attempt
+	for {
+		if err := p.tryAppend(ctx, data, &a); err != nil {
+			return 0, err
+		}
+		o, found, err := p.look(ctx, v, id)
+		if found {
+			return result(o)
+		}
+		if err != nil {
+			a.cause = err
+		}
+		if !pause(ctx, p.options.RetryPause.Std()) {
+			return 0, a.unsettled(id, ctx.Err())
+		}
+	}
+}
+
+// tryAppend appends unless an earlier try was answered; it fails only where no further try can help.
+func (p *Publisher) tryAppend(ctx context.Context, data []byte, a *attempt) error {
+	if a.added {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.options.TryTimeout.Std())
+	defer cancel()
+	_, err := p.options.Log.Append(ctx, data)
+	if err == nil {
+		a.sent, a.added = true, true
+		return nil
+	}
+	var u appender.Unavailable
+	if !errors.As(err, &u) && !a.sent {
+		return NotAppendedError{Cause: err}
+	}
+	a.sent = a.sent || !u.NotSent
+	a.cause = err
+	return nil
+}
+
+func (p *Publisher) look(ctx context.Context, v *View, id configurer.ChangeID) (configurer.Outcome, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.TryTimeout.Std())
+	defer cancel()
+	if err := v.catchUp(ctx, p.options.Log); err != nil {
+		return configurer.Outcome{}, false, err
+	}
+	o, found := v.OutcomeOf(id)
+	return o, found, nil
+}
+
+func (a attempt) unsettled(id configurer.ChangeID, end error) error {
+	if a.cause == nil {
+		a.cause = fmt.Errorf("the record can't be read back: %w", end)
+	}
+	if !a.sent {
+		return NotAppendedError{Cause: a.cause}
+	}
+	return InDoubtError{ID: id, Cause: a.cause}
+}
+
+func result(o configurer.Outcome) (identifier.Version, error) {
+	if o.Conflict != nil {
+		return 0, *o.Conflict
+	}
+	return o.Version, nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
