--- /dev/null
+++ b/internal/deduplicator/asker.go
@@ -0,0 +1,200 @@
+// The entry parks a call with an id until the owner has judged it. Nothing is sent before Permit, so a call
+// that gets no verdict in time has not run by this attempt; but an earlier attempt at another node may have
+// run, and only the owner could tell. Such a refusal must not say "not run".
+//
+// Example: Ask(7, …) returns Send{BeginRequest}; Receive(BeginAnswer{Run}) returns Permit{7}; Finish(7, …)
+// sends the outcome to the owner until that has it.
+
+package deduplicator
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// AskerOptions are the parameters of an Asker; the zero value of each number means its default.
+type AskerOptions struct {
+	Node identifier.Node
+	// Patience is how long a call waits for a verdict at most.
+	Patience clock.Duration
+	// ReportTerm is how long a report is repeated.
+	ReportTerm clock.Duration
+	// MaxReportBytes bounds the bodies in reports that are still to be repeated.
+	MaxReportBytes int
+}
+
+// Defaults of AskerOptions, and the rhythm of asking.
+const (
+	DefaultPatience       = 5 * clock.Second
+	DefaultReportTerm     = 10 * clock.Minute
+	DefaultMaxReportBytes = 32 << 20
+
+	askInterval      = 200 * clock.Millisecond
+	inProgressPause  = 500 * clock.Millisecond
+	movedPause       = 50 * clock.Millisecond
+	reportInterval   = 200 * clock.Millisecond
+	maxReportPause   = 5 * clock.Second
+	unreachableRetry = clock.Second
+	fullRetry        = 30 * clock.Second
+)
+
+type parked struct {
+	call    CallID
+	request BeginRequest
+	giveUp  clock.Time
+	next    clock.Time
+	// last is the last verdict that didn't end the wait.
+	last Verdict
+}
+
+// Asker is the reducer of the entry.
+type Asker struct {
+	options AskerOptions
+	number  uint64
+	// waiting holds the parked calls in the order in which they came.
+	waiting []*parked
+	// running holds the calls that have a permit.
+	running map[CallID]BeginRequest
+	reports []*report
+	bytes   int
+}
+
+// NewAsker returns an Asker without calls.
+func NewAsker(o AskerOptions) *Asker {
+	o.Patience = orDefault(o.Patience, DefaultPatience)
+	o.ReportTerm = orDefault(o.ReportTerm, DefaultReportTerm)
+	o.MaxReportBytes = orDefault(o.MaxReportBytes, DefaultMaxReportBytes)
+	return &Asker{options: o, running: map[CallID]BeginRequest{}}
+}
+
+// Ask parks a call until the owner of its id has judged it, or the deadline is near.
+func (a *Asker) Ask(call CallID, team identifier.Team, id ID, f Fingerprint, deadline, now clock.Time) []Effect {
+	a.number++
+	p := &parked{
+		call: call,
+		request: BeginRequest{
+			Claim: ClaimOf(team, id), Team: team, ID: id.Text, Fingerprint: f,
+			Attempt: Attempt{Node: a.options.Node, Number: a.number},
+		},
+		giveUp: min(deadline, now.Add(a.options.Patience)),
+		next:   now.Add(askInterval),
+	}
+	a.waiting = append(a.waiting, p)
+	return []Effect{Send{Claim: p.request.Claim, Message: p.request}}
+}
+
+// Receive takes in an answer of an owner.
+func (a *Asker) Receive(message any, now clock.Time) []Effect {
+	switch m := message.(type) {
+	case BeginAnswer:
+		return a.receiveAnswer(m, now)
+	case ReportAnswer:
+		a.reported(m.Attempt)
+	}
+	return nil
+}
+
+func (a *Asker) receiveAnswer(m BeginAnswer, now clock.Time) []Effect {
+	i := slices.IndexFunc(a.waiting, func(p *parked) bool { return p.request.Attempt == m.Attempt })
+	if i < 0 {
+		// Late: the call has its end. A second permit would send it twice.
+		return nil
+	}
+	p := a.waiting[i]
+	switch m.Verdict {
+	case InProgress:
+		p.last = InProgress
+		p.next = now.Add(inProgressPause)
+		return nil
+	case Moving, NotOwner:
+		p.next = now.Add(movedPause)
+		return nil
+	}
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	switch m.Verdict {
+	case Run:
+		a.running[p.call] = p.request
+		return []Effect{Permit{Call: p.call}}
+	case Done:
+		return []Effect{Replay{Call: p.call, Outcome: m.Outcome}}
+	}
+	return []Effect{refusal(p.call, m.Verdict)}
+}
+
+func refusal(call CallID, v Verdict) Refuse {
+	r := Refuse{Call: call, Verdict: v}
+	switch v {
+	case Full:
+		r.NotRun = true
+		r.RetryAfter = fullRetry
+	case FromFuture, Mismatch:
+		r.NotRun = true
+	case InProgress, 0:
+		r.RetryAfter = unreachableRetry
+	}
+	return r
+}
+
+// Finish reports the outcome of a call that had a permit.
+func (a *Asker) Finish(call CallID, outcome Outcome, now clock.Time) []Effect {
+	q, ok := a.running[call]
+	if !ok {
+		return nil
+	}
+	delete(a.running, call)
+	if len(outcome.Body) > MaxBody {
+		outcome.Body = nil
+		outcome.BodyDropped = true
+	}
+	return a.report(q.Claim, FinishReport{
+		Claim: q.Claim, Team: q.Team, ID: q.ID, Fingerprint: q.Fingerprint, Attempt: q.Attempt, Outcome: outcome,
+	}, now)
+}
+
+// Abandon ends a call of which nothing was sent and nothing will be.
+func (a *Asker) Abandon(call CallID, now clock.Time) []Effect {
+	q, ok := a.running[call]
+	delete(a.running, call)
+	if !ok {
+		i := slices.IndexFunc(a.waiting, func(p *parked) bool { return p.call == call })
+		if i < 0 {
+			return nil
+		}
+		q = a.waiting[i].request
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+	}
+	return a.abandon(q, now)
+}
+
+func (a *Asker) abandon(q BeginRequest, now clock.Time) []Effect {
+	return a.report(q.Claim, AbandonReport{Claim: q.Claim, Team: q.Team, ID: q.ID, Attempt: q.Attempt}, now)
+}
+
+// Tick asks and reports again, and ends the calls that have waited long enough.
+func (a *Asker) Tick(now clock.Time) []Effect {
+	var effects []Effect
+	kept := a.waiting[:0]
+	for _, p := range a.waiting {
+		if now >= p.giveUp {
+			effects = append(effects, refusal(p.call, p.last))
+			effects = append(effects, a.abandon(p.request, now)...)
+			continue
+		}
+		if now >= p.next {
+			p.next = now.Add(askInterval)
+			effects = append(effects, Send{Claim: p.request.Claim, Message: p.request})
+		}
+		kept = append(kept, p)
+	}
+	clear(a.waiting[len(kept):])
+	a.waiting = kept
+	return append(effects, a.tickReports(now)...)
+}
+
+// Waiting and Reports return how many calls wait for a verdict, and how many reports for an answer.
+func (a *Asker) Waiting() int { return len(a.waiting) }
+
+// Reports returns how many reports are not acknowledged yet.
+func (a *Asker) Reports() int { return len(a.reports) }
--- /dev/null
+++ b/internal/deduplicator/handover.go
@@ -0,0 +1,137 @@
+// A planned stop must leave no id unknown, so the holder passes its records to its successor before it gives
+// the claim up. From the first part on it decides nothing more in this epoch, whatever becomes of the
+// handover: had it gone on, the successor could use records that lack the ids allowed since.
+//
+// Example: h := o.Export(hold, now) freezes the claim; the parts are sent until HandoverAnswer comes; then
+// the claim goes to the successor, whose first Begin at the next epoch takes the records over.
+
+package deduplicator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	// handoverBytes is about the size of one part.
+	handoverBytes   = 128 << 10
+	handoverRecords = 1000
+	// stagedTerm is how long parts wait for the claim to arrive.
+	stagedTerm = clock.Minute
+)
+
+type staged struct {
+	epoch   identifier.Epoch
+	parts   map[int]Handover
+	count   int
+	arrived clock.Time
+}
+
+// Export freezes a claim and returns its records in parts; called again it returns the same records.
+func (o *Owner) Export(h Hold, now clock.Time) []Handover {
+	s := o.slotOf(h)
+	s.frozen = true
+	records := make([]*record, 0, len(s.records))
+	for _, r := range s.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.key.team, b.key.team), cmp.Compare(a.key.id, b.key.id))
+	})
+	part := Handover{
+		Claim: s.claim, Epoch: s.epoch,
+		UnknownUpTo: s.unknownUpTo, OpaqueUntil: s.opaqueUntil, High: s.high,
+	}
+	var parts []Handover
+	bytes := 0
+	for _, r := range records {
+		if len(part.Records) == handoverRecords || bytes > handoverBytes {
+			parts = append(parts, part)
+			part.Records = nil
+			bytes = 0
+		}
+		part.Records = append(part.Records, handoverOf(r, now))
+		if r.outcome != nil {
+			bytes += len(r.outcome.Body)
+		}
+	}
+	parts = append(parts, part)
+	for i := range parts {
+		parts[i].Part = i
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
+
+func handoverOf(r *record, now clock.Time) HandoverRecord {
+	return HandoverRecord{
+		Team: r.key.team, ID: r.key.id, Fingerprint: r.fingerprint, Attempt: r.attempt, State: r.state,
+		Age: now.Sub(r.began), Expires: r.expires, Outcome: r.outcome,
+	}
+}
+
+// Import takes in one part and tells whether all have arrived.
+func (o *Owner) Import(m Handover, now clock.Time) (HandoverAnswer, bool) {
+	if m.Part < 0 || m.Part >= m.Parts {
+		return HandoverAnswer{}, false
+	}
+	g := o.staged[m.Claim]
+	if g == nil || g.epoch < m.Epoch {
+		g = &staged{epoch: m.Epoch, parts: map[int]Handover{}, count: m.Parts}
+		o.staged[m.Claim] = g
+	}
+	if g.epoch != m.Epoch || g.count != m.Parts {
+		return HandoverAnswer{}, false
+	}
+	if _, again := g.parts[m.Part]; !again {
+		g.parts[m.Part] = m
+	}
+	g.arrived = now
+	return HandoverAnswer{Claim: m.Claim, Epoch: m.Epoch}, len(g.parts) == g.count
+}
+
+// adoptStaged takes a complete handover of the epoch just before; any other one lacks what happened between.
+func (o *Owner) adoptStaged(s *slot) bool {
+	g := o.staged[s.claim]
+	if g == nil || g.epoch+1 > s.epoch {
+		return false
+	}
+	delete(o.staged, s.claim)
+	if g.epoch+1 != s.epoch || len(g.parts) != g.count {
+		return false
+	}
+	for i := range g.count {
+		part := g.parts[i]
+		s.unknownUpTo = part.UnknownUpTo
+		s.opaqueUntil = part.OpaqueUntil
+		s.high = max(s.high, part.High)
+		for _, r := range part.Records {
+			o.adoptRecord(s, r, g.arrived)
+		}
+	}
+	return true
+}
+
+// adoptRecord takes a record even beyond the bound: without it the id could run again.
+func (o *Owner) adoptRecord(s *slot, h HandoverRecord, arrived clock.Time) {
+	r := &record{
+		key:  recordKey{team: h.Team, id: h.ID},
+		slot: s, fingerprint: h.Fingerprint, attempt: h.Attempt, state: h.State,
+		began: arrived.Add(-h.Age), expires: h.Expires, outcome: h.Outcome,
+	}
+	o.add(r)
+	if r.outcome != nil {
+		o.keepBody(r)
+	}
+}
+
+func (o *Owner) dropStaged(now clock.Time) {
+	for c, g := range o.staged {
+		if now.Sub(g.arrived) > stagedTerm {
+			delete(o.staged, c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/deduplicator/identity.go
@@ -0,0 +1,118 @@
+// Which node owns an id must follow from the id's text alone, or two nodes with different news would ask two
+// owners. An id that carries its time (UUIDv7) lets a new owner tell whether it may have started before it
+// took over. An id may also name its home: bookings made in a domain then need nothing outside it.
+//
+// Example: "north:01936c2e-…" is owned by the holder of claim "ids/north/17", wherever it is sent.
+
+package deduplicator
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	// Slots is how many claims share the ids of one home. It never changes, or an id would change its owner.
+	Slots = 32
+	// MaxIDLength bounds an id's text.
+	MaxIDLength = 128
+
+	uuidLength = 36
+)
+
+// Claim is the name of the claim whose holder owns an id.
+type Claim string
+
+// ID is a parsed idempotency id.
+type ID struct {
+	// Text is the normalized text: a UUID in lower case, all else as it came.
+	Text identifier.Idempotency
+	// Home is the failure domain that the id names, if any.
+	Home identifier.FailureDomain
+	// Time is when the caller made the id; Timed tells that it is known.
+	Time  clock.Wall
+	Timed bool
+}
+
+// IDError reports a text that can't be an id.
+type IDError struct {
+	Reason string
+}
+
+// Error says what is wrong.
+func (e IDError) Error() string {
+	return fmt.Sprintf("idempotency id: %s", e.Reason)
+}
+
+// ParseID takes the id from a caller's header. Only what is followed by a UUIDv7 counts as a home, so that
+// an opaque id with a colon stays what it is.
+func ParseID(text string) (ID, error) {
+	if text == "" {
+		return ID{}, IDError{Reason: "empty"}
+	}
+	if len(text) > MaxIDLength {
+		return ID{}, IDError{Reason: "longer than 128 bytes"}
+	}
+	for _, b := range []byte(text) {
+		if b <= ' ' || b > '~' {
+			return ID{}, IDError{Reason: "holds a space or a character that is not ASCII"}
+		}
+	}
+	home, rest, found := strings.Cut(text, ":")
+	if found && home != "" {
+		if at, ok := timeOf(rest); ok {
+			t := home + ":" + strings.ToLower(rest)
+			return ID{Text: identifier.Idempotency(t), Home: identifier.FailureDomain(home), Time: at, Timed: true}, nil
+		}
+	}
+	// A caller that writes the same UUID in another case on a retry means the same request.
+	if at, ok := timeOf(text); ok {
+		return ID{Text: identifier.Idempotency(strings.ToLower(text)), Time: at, Timed: true}, nil
+	}
+	return ID{Text: identifier.Idempotency(text)}, nil
+}
+
+func timeOf(text string) (clock.Wall, bool) {
+	if len(text) != uuidLength {
+		return 0, false
+	}
+	u, err := uuid.Parse(text)
+	if err != nil || u.Version() != 7 {
+		return 0, false
+	}
+	ms := int64(0)
+	for _, b := range u[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return clock.Wall(ms), true
+}
+
+// ClaimOf returns the claim whose holder owns the team's id.
+func ClaimOf(team identifier.Team, id ID) Claim {
+	h := xxh3.HashString(string(id.Text)) ^ xxh3.HashStringSeed(string(team), 1)
+	slot := strconv.FormatUint(h%Slots, 10)
+	if id.Home != "" {
+		return Claim("ids/" + string(id.Home) + "/" + slot)
+	}
+	return Claim("ids/" + slot)
+}
+
+// Claims returns the names of all claims without a home, or of those of one home.
+func Claims(home identifier.FailureDomain) []Claim {
+	prefix := "ids/"
+	if home != "" {
+		prefix += string(home) + "/"
+	}
+	names := make([]Claim, Slots)
+	for i := range names {
+		names[i] = Claim(prefix + strconv.Itoa(i))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/deduplicator/reporter.go
@@ -0,0 +1,87 @@
+// A report is repeated until the owner has it: a lost one would leave the id unknown to the caller's retry.
+// Bodies give way when many owners are out of reach, so that a long outage doesn't fill the memory.
+//
+// Example: the owner crashed after Run; the report goes to whoever holds the claim next, and the id, unknown
+// there so far, becomes done.
+
+package deduplicator
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+type report struct {
+	attempt Attempt
+	claim   Claim
+	message any
+	until   clock.Time
+	next    clock.Time
+	pause   clock.Duration
+}
+
+func (a *Asker) report(claim Claim, message any, now clock.Time) []Effect {
+	r := &report{claim: claim, message: message, until: now.Add(a.options.ReportTerm), pause: reportInterval}
+	r.next = now.Add(r.pause)
+	switch m := message.(type) {
+	case FinishReport:
+		r.attempt = m.Attempt
+		a.bytes += len(m.Outcome.Body)
+	case AbandonReport:
+		r.attempt = m.Attempt
+	}
+	a.reports = append(a.reports, r)
+	a.dropBodies()
+	return []Effect{Send{Claim: claim, Message: r.message}}
+}
+
+func (a *Asker) dropBodies() {
+	for _, r := range a.reports {
+		if a.bytes <= a.options.MaxReportBytes {
+			return
+		}
+		m, ok := r.message.(FinishReport)
+		if !ok || len(m.Outcome.Body) == 0 {
+			continue
+		}
+		a.bytes -= len(m.Outcome.Body)
+		m.Outcome.Body = nil
+		m.Outcome.BodyDropped = true
+		r.message = m
+	}
+}
+
+func (a *Asker) reported(attempt Attempt) {
+	i := slices.IndexFunc(a.reports, func(r *report) bool { return r.attempt == attempt })
+	if i >= 0 {
+		a.forget(a.reports[i])
+		a.reports = slices.Delete(a.reports, i, i+1)
+	}
+}
+
+func (a *Asker) forget(r *report) {
+	if m, ok := r.message.(FinishReport); ok {
+		a.bytes -= len(m.Outcome.Body)
+	}
+}
+
+func (a *Asker) tickReports(now clock.Time) []Effect {
+	var effects []Effect
+	kept := a.reports[:0]
+	for _, r := range a.reports {
+		if now >= r.until {
+			a.forget(r)
+			continue
+		}
+		if now >= r.next {
+			r.pause = min(2*r.pause, maxReportPause)
+			r.next = now.Add(r.pause)
+			effects = append(effects, Send{Claim: r.claim, Message: r.message})
+		}
+		kept = append(kept, r)
+	}
+	clear(a.reports[len(kept):])
+	a.reports = kept
+	return effects
+}
