--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -175,17 +175,17 @@
 		}
 		l.released = true
 		l.appendAt = 0
-		if l.gained != 0 {
-			l.gained = 0
-			effects = append(effects, Lost{Name: l.name})
-		}
+	}
+	if l.gained != 0 {
+		l.gained = 0
+		effects = append(effects, Lost{Name: l.name})
 	}
 	if !c.mayAppend(l, now) {
 		return effects
 	}
 	r := Claim{
 		Kind: Handover, Epoch: l.epoch + 1, Holder: l.heir.witness,
-		Witness: c.pickWitness(l, l.heir.witness), Outstanding: c.outstanding,
+		Witness: c.pickWitness(l, l.heir.witness), Outstanding: c.outstanding + max(0, l.actFrom.Sub(now)),
 	}
 	return c.appendRecord(l, r, now, effects)
 }
--- /dev/null
+++ b/internal/encoder/grants_test.go
@@ -0,0 +1,65 @@
+// Each message and record must come back from its bytes unchanged, so every field is drawn, also at odd values.
+
+package encoder
+
+import (
+	"reflect"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
+)
+
+// A field that the codec forgets would come back as zero: a promise would never count, or a loan would be lost, and
+// operators would see claims that nobody holds.
+func TestClaimsAndGrantsComeBackUnchanged(t *testing.T) {
+	tables := map[string]*rapid.Generator[any]{
+		"claim":          rapid.Make[claimer.Claim]().AsAny(),
+		"promiseRequest": rapid.Make[claimer.PromiseRequest]().AsAny(),
+		"promise":        rapid.Make[claimer.Promise]().AsAny(),
+		"ask":            rapid.Make[granter.Ask]().AsAny(),
+		"grant":          rapid.Make[granter.Grant]().AsAny(),
+		"loanRequest":    rapid.Make[granter.LoanRequest]().AsAny(),
+		"loan":           rapid.Make[granter.Loan]().AsAny(),
+		"recall":         rapid.Make[granter.Recall]().AsAny(),
+		"sharesQuery":    rapid.Make[granter.SharesQuery]().AsAny(),
+		"sharesConfirm":  rapid.Make[granter.SharesConfirm]().AsAny(),
+	}
+	for name, g := range tables {
+		t.Run(name, func(t *testing.T) {
+			filled := map[int]bool{}
+			for seed := range 50 {
+				v := g.Example(seed)
+				b, err := Encode(v)
+				assert.NilError(t, err)
+				w, err := Decode(b)
+				assert.NilError(t, err)
+				if !reflect.DeepEqual(emptyToNil(v), emptyToNil(w)) {
+					t.Fatalf("sent %+v, received %+v", v, w)
+				}
+				for i := range reflect.TypeOf(v).NumField() {
+					filled[i] = filled[i] || !reflect.ValueOf(v).Field(i).IsZero()
+				}
+			}
+			assert.Equal(t, len(filled), reflect.TypeOf(g.Example(0)).NumField())
+			for i, f := range filled {
+				assert.Check(t, f, "field %d was never drawn", i)
+			}
+		})
+	}
+}
+
+// emptyToNil makes an empty list and none alike, as they are on the wire.
+func emptyToNil(v any) any {
+	p := reflect.New(reflect.TypeOf(v)).Elem()
+	p.Set(reflect.ValueOf(v))
+	for i := range p.NumField() {
+		if f := p.Field(i); f.Kind() == reflect.Slice && f.Len() == 0 {
+			f.SetZero()
+		}
+	}
+	return p.Interface()
+}
--- /dev/null
+++ b/internal/granter/asker.go
@@ -0,0 +1,232 @@
+// How a purse gets its slices: one request at a time, to the bank of its own domain as long as that answers, else to
+// another domain's. A request that stays unanswered is given up for good before the next is sent.
+//
+// Example: the bank of alfa is silent twice for 100 ms; for the next second the purse asks the bank of bravo, so the
+// team goes on with what bravo has, and then tries alfa again.
+
+package granter
+
+import (
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	// silencesBorne is how many unanswered requests it takes to turn to another domain.
+	silencesBorne = 2
+	avoidTerm     = clock.Second
+	// pooledCalls is the burst share, in calls, below which a team's banks pool it in one domain.
+	pooledCalls = 2
+)
+
+// orderDomains fixes whom each purse asks. A team whose burst comes to less than two calls in some domain can't be
+// served from shares, so all nodes ask the same domain's bank first, and that borrows from the others. Otherwise
+// two domains with half a call each would wait for one another for ever.
+func (g *Granter) orderDomains() {
+	for _, p := range g.sorted {
+		p.pooled = g.isPooled(p.burst)
+		p.order = p.order[:0]
+		for _, d := range g.domains {
+			if g.shares.latest(d.name) > 0 || d.name == g.options.Domain {
+				p.order = append(p.order, d)
+			}
+		}
+		slices.SortFunc(p.order, func(a, b *domain) int {
+			if !p.pooled && a.name != b.name {
+				if a.name == g.options.Domain {
+					return -1
+				}
+				if b.name == g.options.Domain {
+					return 1
+				}
+			}
+			return compareScores(p.team, a.name, b.name)
+		})
+	}
+}
+
+func (g *Granter) isPooled(burst identifier.Tokens) bool {
+	for _, d := range g.domains {
+		s := g.shares.latest(d.name)
+		if s > 0 && burst*identifier.Tokens(s)/1000 < pooledCalls*identifier.TokensPerCall {
+			return true
+		}
+	}
+	return false
+}
+
+func compareScores(t identifier.Team, a, b identifier.FailureDomain) int {
+	seed := xxh3.HashString(string(t))
+	x, y := xxh3.HashStringSeed(string(a), seed), xxh3.HashStringSeed(string(b), seed)
+	switch {
+	case x > y:
+		return -1
+	case x < y:
+		return 1
+	}
+	return 0
+}
+
+// chooseBank returns the first domain whose holder is known and not silent of late.
+func (p *purse) chooseBank(now clock.Time) *domain {
+	var fallback *domain
+	for _, d := range p.order {
+		h := &d.holders[p.slot]
+		if h.node == "" {
+			continue
+		}
+		if now >= h.avoidUntil {
+			return d
+		}
+		if fallback == nil {
+			fallback = d
+		}
+	}
+	return fallback
+}
+
+// ask sends a request when there is something to get or to give back.
+func (g *Granter) ask(p *purse, now clock.Time) {
+	if p.pending && now < p.askedAt.Add(g.options.AnswerBound) {
+		return
+	}
+	g.giveUpRequest(p, now)
+	p.dropStale(now)
+	want := p.want(now, g.options.Lookahead)
+	if now < p.nextAsk {
+		want = 0
+	}
+	if want > 0 && len(p.slices) < maxSlices {
+		if d := p.chooseBank(now); d != nil {
+			g.sendAsk(p, d, want, now)
+			p.pending = true
+			p.asked = d
+			p.askedOf = d.holders[p.slot].node
+			p.number = g.number
+			p.askedAt = now
+		}
+	}
+	for len(p.ended) > 0 {
+		d := g.domain(p.ended[0].domain)
+		g.sendAsk(p, d, 0, now)
+	}
+	if !p.pending && p.reported > 0 && p.idle(now) {
+		g.sendAsk(p, p.asked, 0, now)
+	}
+}
+
+// giveUpRequest notes the silence, and that an answer which still comes will not be used.
+func (g *Granter) giveUpRequest(p *purse, now clock.Time) {
+	if !p.pending {
+		return
+	}
+	p.pending = false
+	until := p.askedAt.Add(g.options.SliceTerm)
+	p.end(p.asked.name, Returned{Number: p.number, Unspent: Unapplied}, until)
+	p.silences++
+	if p.silences >= silencesBorne {
+		p.silences = 0
+		p.asked.holders[p.slot].avoidUntil = now.Add(avoidTerm)
+	}
+}
+
+// sendAsk takes along the ended slices of the domain asked. They are reported once: what gets lost with the message
+// counts as spent when the slice expires at the bank.
+func (g *Granter) sendAsk(p *purse, d *domain, want identifier.Tokens, now clock.Time) {
+	m := Ask{
+		Team: p.team, Domain: d.name, Number: g.nextNumber(), Want: want, Demand: p.offered(now),
+	}
+	p.reported = m.Demand
+	kept := p.ended[:0]
+	for _, e := range p.ended {
+		if e.domain != d.name {
+			kept = append(kept, e)
+			continue
+		}
+		m.Returned = append(m.Returned, e.returned)
+	}
+	p.ended = kept
+	if h := d.holders[p.slot]; h.node != "" {
+		g.send(h.node, m)
+	}
+}
+
+func (p *purse) dropStale(now clock.Time) {
+	p.ended = slices.DeleteFunc(p.ended, func(e unreported) bool { return now >= e.until })
+}
+
+// offered is the demand in tokens a second. At the start of a rush the calls of the running window count by their
+// distances, so that the bank learns of it within a few calls.
+func (p *purse) offered(now clock.Time) identifier.Tokens {
+	if p.idle(now) {
+		return 0
+	}
+	const shortest = 20 * clock.Millisecond
+	span := max(p.lastCall.Sub(p.firstCall), shortest)
+	rush := (p.arrivals - identifier.TokensPerCall) * identifier.Tokens(clock.Second) / identifier.Tokens(span)
+	return max(p.demand, rush, identifier.TokensPerCall)
+}
+
+// idle tells that a call is missing that should have come; the bound follows the demand, so that a fast team's
+// tokens are free for another node soon after its calls have moved there.
+func (p *purse) idle(now clock.Time) bool {
+	const missed = 4
+	bound := missed * clock.Duration(identifier.TokensPerCall) * clock.Second / clock.Duration(max(p.demand, 1))
+	return now >= p.lastCall.Add(min(max(bound, shortestIdle), longestIdle))
+}
+
+// want is what is missing of the store for the lookahead and for the calls parked, in whole calls.
+func (p *purse) want(now clock.Time, lookahead clock.Duration) identifier.Tokens {
+	var have identifier.Tokens
+	for _, s := range p.slices {
+		if now < s.until {
+			have += s.left
+		}
+	}
+	store := p.offered(now) * identifier.Tokens(lookahead) / identifier.Tokens(clock.Second)
+	parked := identifier.Tokens(len(p.waiters)) * identifier.TokensPerCall
+	if parked == 0 && have >= store/2 {
+		return 0
+	}
+	missing := store + parked - have
+	calls := (missing + identifier.TokensPerCall - 1) / identifier.TokensPerCall
+	return max(calls, 0) * identifier.TokensPerCall
+}
+
+// receiveGrant takes the answer to the latest request only, and nothing from a holder that is known to be replaced.
+// The term counts from the sending of the request, so the slice ends here before the bank counts it as spent.
+func (g *Granter) receiveGrant(from identifier.Node, m Grant, now clock.Time) {
+	p := g.purses[m.Team]
+	if p == nil || !p.pending || m.Number != p.number || from != p.askedOf {
+		return
+	}
+	h := &p.asked.holders[p.slot]
+	p.pending = false
+	p.silences = 0
+	switch {
+	case m.NotHolder:
+		h.avoidUntil = now.Add(avoidTerm / 4)
+	case m.Epoch < h.epoch:
+		return
+	case m.Amount == 0:
+		p.nextAsk = now.Add(m.RetryIn)
+	default:
+		p.nextAsk = now.Add(min(m.RetryIn, g.options.Lookahead/4))
+		g.addSlice(p, from, m, now)
+	}
+	h.epoch = max(h.epoch, m.Epoch)
+	g.tickPurse(p, now)
+}
+
+func (g *Granter) addSlice(p *purse, from identifier.Node, m Grant, now clock.Time) {
+	until := p.askedAt.Add(g.options.shorten(g.options.SliceTerm))
+	if now >= until {
+		return
+	}
+	paid := Paid{Holder: from, Domain: m.Domain, Epoch: m.Epoch, Slice: m.Number}
+	p.slices = append(p.slices, slice{paid: paid, left: m.Amount, until: until})
+}
--- /dev/null
+++ b/internal/granter/bank.go
@@ -0,0 +1,299 @@
+// The bank of a slot keeps one account for each of its teams. Bucket and outstanding slices together never exceed
+// the cap, so in any window the team spends at most what existed at its start, the burst, and what was refilled.
+//
+// Example: with a cap of 100 calls, 60 granted and not yet ended, the bucket fills up to 40. When the 60 end with 20
+// unspent, the bucket gets the 20 and room for 40 more.
+
+package granter
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	// clientTerm is how long a purse's demand counts after its last request.
+	clientTerm = 600 * clock.Millisecond
+	// hungerTerm is how long an unmet request counts.
+	hungerTerm = 200 * clock.Millisecond
+	// clientMemory is how long the number of a purse's last request is kept after it; messages that are delayed
+	// longer than that find their slices long expired.
+	clientMemory = 30 * clock.Second
+
+	shortestRetryIn = 10 * clock.Millisecond
+	longestRetryIn  = 250 * clock.Millisecond
+)
+
+// outstanding is a slice granted and neither ended nor expired.
+type outstanding struct {
+	number uint64
+	amount identifier.Tokens
+	until  clock.Time
+}
+
+// client is a purse as its bank sees it.
+type client struct {
+	node   identifier.Node
+	number uint64
+	demand identifier.Tokens
+	askAt  clock.Time
+	slices []outstanding
+}
+
+type account struct {
+	team identifier.Team
+	// rate and cap are the share of this domain, before loans.
+	rate identifier.Tokens
+	cap  identifier.Tokens
+
+	bucket      identifier.Tokens
+	fraction    identifier.Tokens
+	outstanding identifier.Tokens
+	advancedAt  clock.Time
+	clients     []*client
+	unmetAt     clock.Time
+	wantedAt    clock.Time
+
+	lent     []*lent
+	lenders  []*lender
+	recallAt clock.Time
+}
+
+type bank struct {
+	slot     int
+	claim    claimer.Name
+	owned    bool
+	epoch    identifier.Epoch
+	accounts map[identifier.Team]*account
+	sorted   []*account
+	growth   *growth
+}
+
+// account returns the team's account. A new one starts empty: what an old holder granted has ended, but what was
+// spent of it lately is unknown.
+func (g *Granter) account(b *bank, t identifier.Team, now clock.Time) *account {
+	a := b.accounts[t]
+	if a == nil {
+		a = &account{team: t, advancedAt: now, unmetAt: -clock.Time(hungerTerm), wantedAt: -clock.Time(clientTerm)}
+		b.accounts[t] = a
+		i, _ := slices.BinarySearchFunc(b.sorted, t, func(a *account, t identifier.Team) int {
+			return strings.Compare(string(a.team), string(t))
+		})
+		b.sorted = slices.Insert(b.sorted, i, a)
+		g.setBase(b, a)
+	}
+	g.advance(a, now)
+	return a
+}
+
+// rebase gives all accounts the rates, bursts and shares now in force; a team that is gone has none.
+func (g *Granter) rebase(now clock.Time) {
+	for _, b := range g.banks {
+		g.rebaseBank(b, now)
+	}
+}
+
+// rebaseBank also opens the accounts, so that they fill up before the first call.
+func (g *Granter) rebaseBank(b *bank, now clock.Time) {
+	if !b.owned {
+		return
+	}
+	for _, p := range g.sorted {
+		if p.slot == b.slot {
+			g.account(b, p.team, now)
+		}
+	}
+	for _, a := range b.sorted {
+		g.advance(a, now)
+		g.setBase(b, a)
+		a.clip()
+	}
+}
+
+func (g *Granter) setBase(b *bank, a *account) {
+	a.rate, a.cap = 0, 0
+	if p := g.purses[a.team]; p != nil {
+		share := identifier.Tokens(g.share(b))
+		a.rate = p.rate * share / 1000
+		a.cap = p.burst * share / 1000
+	}
+}
+
+// limit is what bucket and outstanding slices may come to.
+func (a *account) limit() identifier.Tokens {
+	return max(0, a.cap-a.lentCap()) + a.borrowedCap()
+}
+
+func (a *account) refillRate() identifier.Tokens {
+	return max(0, a.rate-a.lentRate()) + a.borrowedRate()
+}
+
+func (a *account) clip() {
+	a.bucket = min(a.bucket, max(0, a.limit()-a.outstanding))
+}
+
+// advance brings the account to the moment. Everything that shrinks it is taken to have happened at the start of
+// the span and everything that makes room at its end; otherwise an account that nobody asked for a while would
+// refill for time in which it was full, and a window over that time would see the burst twice.
+func (g *Granter) advance(a *account, now clock.Time) {
+	a.dropBorrowed(now, g.options.SliceTerm)
+	a.clip()
+	g.refill(a, now)
+	a.dropLent(now)
+	a.expireSlices(now)
+}
+
+// refill goes by a clock that may run fast, so it is slowed by the slack between any two clocks; half of it would
+// be the bound of one clock, and the rest is left for rounding to milliseconds.
+func (g *Granter) refill(a *account, now clock.Time) {
+	span := identifier.Tokens(now.Sub(a.advancedAt))
+	if span <= 0 {
+		return
+	}
+	a.advancedAt = now
+	const scale = 1000 * 1000
+	slowed := identifier.Tokens(1000 - (g.options.SlackPerMille+1)/2)
+	// A span in which any bucket fills up is long enough; beyond it the product could overflow.
+	span = min(span, identifier.Tokens(clock.Hour))
+	a.fraction += a.refillRate() * slowed * span
+	a.bucket += a.fraction / scale
+	a.fraction %= scale
+	a.clip()
+}
+
+func (a *account) expireSlices(now clock.Time) {
+	for _, c := range a.clients {
+		c.slices = slices.DeleteFunc(c.slices, func(o outstanding) bool {
+			expired := now >= o.until
+			if expired {
+				a.outstanding -= o.amount
+			}
+			return expired
+		})
+	}
+}
+
+func (a *account) client(n identifier.Node) *client {
+	i, ok := slices.BinarySearchFunc(a.clients, n, func(c *client, n identifier.Node) int {
+		return strings.Compare(string(c.node), string(n))
+	})
+	if !ok {
+		a.clients = slices.Insert(a.clients, i, &client{node: n})
+	}
+	return a.clients[i]
+}
+
+func (g *Granter) receiveAsk(from identifier.Node, m Ask, now clock.Time) {
+	b, ok := g.bankOf(m.Team, now)
+	if !ok || m.Domain != g.options.Domain || g.purses[m.Team] == nil {
+		if m.Want > 0 {
+			g.send(from, Grant{Team: m.Team, Domain: m.Domain, Number: m.Number, NotHolder: true})
+		}
+		return
+	}
+	a := g.account(b, m.Team, now)
+	c := a.client(from)
+	if m.Number <= c.number {
+		return // repeated or overtaken: granting once more would not double tokens, but waste them
+	}
+	c.number = m.Number
+	c.demand = m.Demand
+	c.askAt = now
+	for _, r := range m.Returned {
+		a.takeBack(c, r)
+	}
+	if m.Want <= 0 {
+		return
+	}
+	a.wantedAt = now
+	g.grant(b, a, c, m, now)
+}
+
+// takeBack ends a slice once; a repeated or late report finds it gone.
+func (a *account) takeBack(c *client, r Returned) {
+	for i, o := range c.slices {
+		if o.number != r.Number {
+			continue
+		}
+		back := min(r.Unspent, o.amount)
+		if r.Unspent == Unapplied {
+			back = o.amount
+		}
+		c.slices = slices.Delete(c.slices, i, i+1)
+		a.outstanding -= o.amount
+		a.bucket += max(back, 0)
+		return
+	}
+}
+
+func (g *Granter) grant(b *bank, a *account, c *client, m Ask, now clock.Time) {
+	largest := max(identifier.TokensPerCall, a.limit()/4)
+	amount := min(m.Want, a.bucket, largest)
+	amount -= amount % identifier.TokensPerCall
+	r := Grant{Team: m.Team, Domain: m.Domain, Number: m.Number, Epoch: b.epoch, Amount: amount}
+	if amount > 0 {
+		a.bucket -= amount
+		a.outstanding += amount
+		c.slices = append(c.slices, outstanding{number: m.Number, amount: amount, until: now.Add(g.options.SliceTerm)})
+	}
+	if amount < m.Want {
+		a.unmetAt = now
+		g.borrow(b, a, now)
+		g.recallOwn(a, now)
+	}
+	if amount < m.Want {
+		r.RetryIn = a.retryIn(now)
+	}
+	g.send(c.node, r)
+}
+
+// retryIn spreads the purses that find the bucket empty over the time that it takes to refill.
+func (a *account) retryIn(now clock.Time) clock.Duration {
+	rate := a.refillRate()
+	if rate <= 0 {
+		return shortestRetryIn
+	}
+	asking := identifier.Tokens(0)
+	for _, c := range a.clients {
+		if now < c.askAt.Add(hungerTerm) {
+			asking++
+		}
+	}
+	missing := max(identifier.TokensPerCall*asking-a.bucket, 0)
+	d := clock.Duration(missing * 1000 / rate)
+	return min(max(d, shortestRetryIn), longestRetryIn)
+}
+
+// demand is what the purses offer here, in tokens a second.
+func (a *account) demand(now clock.Time) identifier.Tokens {
+	var sum identifier.Tokens
+	for _, c := range a.clients {
+		if now < c.askAt.Add(clientTerm) {
+			sum += c.demand
+		}
+	}
+	return sum
+}
+
+// idle tells that the purses have nothing to ask for: they say so themselves when their calls stop.
+func (a *account) idle(now clock.Time) bool {
+	return now >= a.wantedAt.Add(clientTerm) || a.demand(now) == 0 && now >= a.unmetAt.Add(shortestRetryIn)
+}
+
+func (g *Granter) tickBank(b *bank, now clock.Time) {
+	for _, a := range b.sorted {
+		quiet := len(a.lent)+len(a.lenders)+len(a.clients) == 0
+		if quiet {
+			continue
+		}
+		g.advance(a, now)
+		g.tickBorrower(b, a, now)
+		a.clients = slices.DeleteFunc(a.clients, func(c *client) bool {
+			return len(c.slices) == 0 && now >= c.askAt.Add(clientMemory)
+		})
+	}
+}
--- /dev/null
+++ b/internal/granter/dump.go
@@ -0,0 +1,93 @@
+// The dump shows where a team's tokens are, as this node knows it: what its purse has, what its banks keep, have
+// granted, lent and borrowed.
+//
+// Example: an account {Team: "okhotskAgents", Rate: 50000, LentRate: 50000, Bucket: 0} has lent all that it has.
+
+package granter
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// State is what this node knows of the rates.
+type State struct {
+	Purses   []PurseState
+	Accounts []AccountState
+	Holders  []HolderState
+}
+
+// PurseState is the purse of one team.
+type PurseState struct {
+	Team    identifier.Team
+	Slot    int
+	Unspent identifier.Tokens
+	Slices  int
+	Waiters int
+	Demand  identifier.Tokens
+}
+
+// AccountState is one team's account at the bank of a slot.
+type AccountState struct {
+	Team         identifier.Team
+	Slot         int
+	Epoch        identifier.Epoch
+	Authority    bool
+	Rate         identifier.Tokens
+	Cap          identifier.Tokens
+	Bucket       identifier.Tokens
+	Outstanding  identifier.Tokens
+	LentRate     identifier.Tokens
+	LentCap      identifier.Tokens
+	BorrowedRate identifier.Tokens
+	BorrowedCap  identifier.Tokens
+	// Growing tells that a larger share waits for other domains to confirm.
+	Growing bool
+}
+
+// HolderState is who keeps the bank of a domain and slot, as the log has it.
+type HolderState struct {
+	Domain identifier.FailureDomain
+	Slot   int
+	Node   identifier.Node
+	Epoch  identifier.Epoch
+	// Silent tells that its answers failed to come and other banks are asked.
+	Silent bool
+}
+
+// Dump returns the state, sorted by team, slot and domain.
+func (g *Granter) Dump(now clock.Time) State {
+	var s State
+	for _, p := range g.sorted {
+		s.Purses = append(s.Purses, p.dump(now))
+	}
+	for _, b := range g.banks {
+		for _, a := range b.sorted {
+			s.Accounts = append(s.Accounts, AccountState{
+				Team: a.team, Slot: b.slot, Epoch: b.epoch, Authority: g.holds(b, now),
+				Rate: a.rate, Cap: a.cap, Bucket: a.bucket, Outstanding: a.outstanding,
+				LentRate: a.lentRate(), LentCap: a.lentCap(),
+				BorrowedRate: a.borrowedRate(), BorrowedCap: a.borrowedCap(), Growing: b.growth != nil,
+			})
+		}
+	}
+	for _, d := range g.domains {
+		for i, h := range d.holders {
+			s.Holders = append(s.Holders, HolderState{
+				Domain: d.name, Slot: i, Node: h.node, Epoch: h.epoch, Silent: now < h.avoidUntil,
+			})
+		}
+	}
+	return s
+}
+
+func (p *purse) dump(now clock.Time) PurseState {
+	s := PurseState{Team: p.team, Slot: p.slot, Waiters: len(p.waiters), Demand: p.offered(now)}
+	for _, n := range p.slices {
+		if now < n.until {
+			s.Slices++
+			s.Unspent += n.left
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/granter/granter.go
@@ -0,0 +1,210 @@
+// One Granter is the purse of its node for all teams, and the bank of each slot whose claim the node holds. The
+// purse is in purse.go and asker.go, the bank in bank.go, lender.go and borrower.go, shares in shares.go.
+//
+// Example: Spend("okhotskAgents", 1, 50) on an empty purse gives Wait; Tick(50) sends an Ask to the bank; Receive
+// of its Grant gives Resume{Call: 1}.
+
+package granter
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// holder is the node that keeps the bank of one domain and slot, as the log has it.
+type holder struct {
+	node  identifier.Node
+	epoch identifier.Epoch
+	// avoidUntil is set after silence, so that other domains' banks are asked meanwhile.
+	avoidUntil clock.Time
+}
+
+type domain struct {
+	name    identifier.FailureDomain
+	holders []holder
+}
+
+// Granter is the state; make one with New.
+type Granter struct {
+	options Options
+	domains []*domain
+	purses  map[identifier.Team]*purse
+	sorted  []*purse
+	banks   []*bank
+	shares  shares
+	number  uint64
+	out     []Effect
+	local   []any
+}
+
+// New returns a Granter that knows of no team and no holder.
+func New(o Options) *Granter {
+	o.setDefaults()
+	g := &Granter{options: o, purses: map[identifier.Team]*purse{}}
+	for s := range o.Slots {
+		g.banks = append(g.banks, &bank{
+			slot: s, claim: ClaimName(o.Domain, s), accounts: map[identifier.Team]*account{},
+		})
+	}
+	return g
+}
+
+// SetTeams takes the teams and shares of the preset in force. before has the shares in force before the last
+// change of proportions, as far as the configuration still knows them.
+func (g *Granter) SetTeams(teams []definer.Team, now, before []definer.DomainShare, v identifier.Version, at clock.Time) []Effect {
+	g.setShares(now, before, v, at)
+	fresh := make(map[identifier.Team]*purse, len(teams))
+	for _, t := range teams {
+		p := g.purses[t.Name]
+		if p == nil {
+			p = newPurse(t.Name, SlotOf(t.Name, g.options.Slots), g.options.MaxWaiters)
+		}
+		p.rate = t.Rate
+		p.burst = t.Burst
+		fresh[t.Name] = p
+	}
+	for _, p := range g.sorted {
+		if fresh[p.team] == nil {
+			g.refuseAll(p)
+		}
+	}
+	g.purses = fresh
+	g.sorted = g.sorted[:0]
+	for _, p := range fresh {
+		g.sorted = append(g.sorted, p)
+	}
+	slices.SortFunc(g.sorted, func(a, b *purse) int { return strings.Compare(string(a.team), string(b.team)) })
+	g.orderDomains()
+	g.rebase(at)
+	return g.finish(at)
+}
+
+// SetHolder tells who holds the bank of a slot in a domain, as the claimer has it; an empty node is nobody.
+func (g *Granter) SetHolder(d identifier.FailureDomain, slot int, node identifier.Node, e identifier.Epoch) {
+	h := &g.domain(d).holders[slot]
+	if e < h.epoch || h.node == node && h.epoch == e {
+		return
+	}
+	*h = holder{node: node, epoch: e}
+}
+
+// Own begins the bank of a slot, empty; an epoch that continues one's own keeps the bank as it is.
+func (g *Granter) Own(slot int, e identifier.Epoch, now clock.Time) []Effect {
+	b := g.banks[slot]
+	b.epoch = e
+	if !b.owned {
+		b.owned = true
+		b.accounts = map[identifier.Team]*account{}
+		b.sorted = nil
+		g.rebaseBank(b, now)
+	}
+	return nil
+}
+
+// Disown ends the bank of a slot.
+func (g *Granter) Disown(slot int) {
+	b := g.banks[slot]
+	b.owned = false
+	b.accounts = map[identifier.Team]*account{}
+	b.sorted = nil
+}
+
+// Receive takes a message from another node.
+func (g *Granter) Receive(from identifier.Node, message any, now clock.Time) []Effect {
+	g.dispatch(from, message, now)
+	return g.finish(now)
+}
+
+func (g *Granter) dispatch(from identifier.Node, message any, now clock.Time) {
+	switch m := message.(type) {
+	case Ask:
+		g.receiveAsk(from, m, now)
+	case Grant:
+		g.receiveGrant(from, m, now)
+	case LoanRequest:
+		g.receiveLoanRequest(from, m, now)
+	case Loan:
+		g.receiveLoan(from, m, now)
+	case Recall:
+		g.receiveRecall(from, m, now)
+	case SharesQuery:
+		g.receiveQuery(from, m, now)
+	case SharesConfirm:
+		g.receiveConfirm(from, m, now)
+	}
+}
+
+// Tick does what is due; call it every 10 ms, and at once after a Spend that gave Wait.
+func (g *Granter) Tick(now clock.Time) []Effect {
+	for _, p := range g.sorted {
+		if p.active {
+			g.tickPurse(p, now)
+		}
+	}
+	g.tickShares(now)
+	for _, b := range g.banks {
+		if b.owned {
+			g.tickBank(b, now)
+		}
+	}
+	return g.finish(now)
+}
+
+// send keeps messages to this node itself in the process; the bank is often at the same node as the purse.
+func (g *Granter) send(to identifier.Node, message any) {
+	if to == g.options.Self {
+		g.local = append(g.local, message)
+		return
+	}
+	g.out = append(g.out, Send{To: to, Message: message})
+}
+
+func (g *Granter) finish(now clock.Time) []Effect {
+	for len(g.local) > 0 {
+		m := g.local[0]
+		g.local = g.local[1:]
+		g.dispatch(g.options.Self, m, now)
+	}
+	out := g.out
+	g.out = nil
+	return out
+}
+
+func (g *Granter) nextNumber() uint64 {
+	g.number++
+	return g.number
+}
+
+// domain returns the state of a domain and keeps the domains sorted by name.
+func (g *Granter) domain(n identifier.FailureDomain) *domain {
+	i, ok := slices.BinarySearchFunc(g.domains, n, func(d *domain, n identifier.FailureDomain) int {
+		return strings.Compare(string(d.name), string(n))
+	})
+	if !ok {
+		d := &domain{name: n, holders: make([]holder, g.options.Slots)}
+		g.domains = slices.Insert(g.domains, i, d)
+		g.orderDomains()
+	}
+	return g.domains[i]
+}
+
+func (g *Granter) holds(b *bank, now clock.Time) bool {
+	if !b.owned {
+		return false
+	}
+	_, ok := g.options.Authority.Holds(b.claim, now)
+	return ok
+}
+
+// bankOf returns the bank for the team when it is kept here.
+func (g *Granter) bankOf(t identifier.Team, now clock.Time) (*bank, bool) {
+	b := g.banks[SlotOf(t, g.options.Slots)]
+	return b, g.holds(b, now)
+}
+
+var _ Authority = (*claimer.Claimer)(nil)
--- /dev/null
+++ b/internal/granter/lender.go
@@ -0,0 +1,256 @@
+// A bank lends what its own domain doesn't use, so that a team whose traffic is all in one domain gets its whole
+// rate. Rate, cap and tokens leave the lender's account before the answer is sent, and come back when the loan has
+// ended by the lender's clock or the borrower has reported that it holds less.
+//
+// Example: bravo has no calls of the team and lends alfa all of its 50 calls a second. When a call comes in at
+// bravo, it recalls what exceeds its surplus; alfa reports at once that it holds less, with the tokens left.
+
+package granter
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	recallPeriod = 50 * clock.Millisecond
+	// borrowerTerm is how long a borrower counts as asking after its last request.
+	borrowerTerm = 600 * clock.Millisecond
+	// maxLoans bounds the loans of one lender to one borrower.
+	maxLoans = 8
+	// smallestPart is the part of the share, as a divisor, below which a further loan isn't worth a record.
+	smallestPart = 50
+	// reservePart is the part of the cap, as a divisor, that is never lent.
+	reservePart = 4
+)
+
+type lentLoan struct {
+	number uint64
+	cap    identifier.Tokens
+	rate   identifier.Tokens
+	tokens identifier.Tokens
+	// back is what came back so far, at most the cap of the beginning.
+	back  identifier.Tokens
+	first identifier.Tokens
+	until clock.Time
+}
+
+// lent is all that a borrower has of this account.
+type lent struct {
+	node     identifier.Node
+	number   uint64
+	wantRate identifier.Tokens
+	askAt    clock.Time
+	loans    []lentLoan
+}
+
+func (l *lent) held() (capacity, rate identifier.Tokens) {
+	for _, n := range l.loans {
+		capacity += n.cap
+		rate += n.rate
+	}
+	return capacity, rate
+}
+
+func (a *account) lentCap() (sum identifier.Tokens) {
+	for _, l := range a.lent {
+		c, _ := l.held()
+		sum += c
+	}
+	return sum
+}
+
+func (a *account) lentRate() (sum identifier.Tokens) {
+	for _, l := range a.lent {
+		_, r := l.held()
+		sum += r
+	}
+	return sum
+}
+
+func (a *account) dropLent(now clock.Time) {
+	for _, l := range a.lent {
+		l.loans = slices.DeleteFunc(l.loans, func(n lentLoan) bool { return now >= n.until })
+	}
+	a.lent = slices.DeleteFunc(a.lent, func(l *lent) bool {
+		return len(l.loans) == 0 && now >= l.askAt.Add(clientMemory)
+	})
+}
+
+func (a *account) borrower(n identifier.Node) *lent {
+	i, ok := slices.BinarySearchFunc(a.lent, n, func(l *lent, n identifier.Node) int {
+		return strings.Compare(string(l.node), string(n))
+	})
+	if !ok {
+		a.lent = slices.Insert(a.lent, i, &lent{node: n})
+	}
+	return a.lent[i]
+}
+
+func (g *Granter) receiveLoanRequest(from identifier.Node, m LoanRequest, now clock.Time) {
+	b, ok := g.bankOf(m.Team, now)
+	if !ok || m.Domain != g.options.Domain || g.purses[m.Team] == nil {
+		return
+	}
+	a := g.account(b, m.Team, now)
+	l := a.borrower(from)
+	if m.Number <= l.number {
+		return
+	}
+	l.number = m.Number
+	l.wantRate = m.WantRate
+	l.askAt = now
+	a.settleLoans(l, m)
+	if m.WantRate > 0 {
+		g.lend(b, a, l, m, now)
+	}
+}
+
+// settleLoans takes the report of what is still held. A loan that isn't listed is held no more, for the borrower
+// drops a loan, or gives up a request, before it sends this; its tokens count as spent unless reported back.
+func (a *account) settleLoans(l *lent, m LoanRequest) {
+	kept := l.loans[:0]
+	for _, n := range l.loans {
+		i := slices.IndexFunc(m.Held, func(h HeldLoan) bool { return h.Number == n.number })
+		if i < 0 {
+			continue
+		}
+		h := m.Held[i]
+		back := h.Back
+		if back == Unapplied {
+			back = n.tokens
+		}
+		back = min(back, n.first)
+		a.bucket += max(0, back-n.back)
+		n.back = max(n.back, back)
+		n.cap = min(n.cap, h.Cap)
+		n.rate = min(n.rate, h.Rate)
+		if n.cap > 0 || n.rate > 0 {
+			kept = append(kept, n)
+		}
+	}
+	l.loans = kept
+	a.clip()
+}
+
+// surplus is what the own domain leaves of its share.
+func (g *Granter) surplus(a *account, now clock.Time) (capacity, rate identifier.Tokens) {
+	if a.idle(now) {
+		return a.cap - a.reserve(), a.idleRate()
+	}
+	own := a.demand(now) * 5 / 4
+	rate = max(0, a.rate-own)
+	if a.rate > 0 {
+		capacity = a.cap * rate / a.rate
+	}
+	return capacity, rate
+}
+
+// reserve is the part of the cap that an idle bank keeps for the first calls after a move of the traffic; they
+// would wait for a recall otherwise. Pooled teams keep none, for their calls come to one bank anyway.
+func (a *account) reserve() identifier.Tokens {
+	if a.cap < pooledCalls*identifier.TokensPerCall {
+		return 0
+	}
+	return a.cap / reservePart
+}
+
+// idleRate lends the whole rate only when the reserve is full.
+func (a *account) idleRate() identifier.Tokens {
+	if a.bucket < a.reserve() {
+		return a.rate - a.rate/reservePart
+	}
+	return a.rate
+}
+
+// target divides the surplus among the borrowers that ask, by what they miss.
+func (g *Granter) target(a *account, l *lent, now clock.Time) (capacity, rate identifier.Tokens) {
+	capacity, rate = g.surplus(a, now)
+	var sum identifier.Tokens
+	for _, o := range a.lent {
+		if now < o.askAt.Add(borrowerTerm) {
+			sum += o.wantRate
+		}
+	}
+	if now >= l.askAt.Add(borrowerTerm) || l.wantRate == 0 {
+		return 0, 0
+	}
+	return scale(capacity, l.wantRate, sum), scale(rate, l.wantRate, sum)
+}
+
+// scale returns v×part÷whole without overflow for parts of any size.
+func scale(v, part, whole identifier.Tokens) identifier.Tokens {
+	const bound = 1 << 20
+	for whole > bound {
+		whole >>= 1
+		part >>= 1
+	}
+	if whole <= 0 {
+		return v
+	}
+	return v * min(part, whole) / whole
+}
+
+func (g *Granter) lend(b *bank, a *account, l *lent, m LoanRequest, now clock.Time) {
+	targetCap, targetRate := g.target(a, l, now)
+	heldCap, heldRate := l.held()
+	r := Loan{Team: m.Team, Domain: m.Domain, Number: m.Number, Epoch: b.epoch}
+	until := now.Add(g.options.LoanTerm)
+	if exceeds(heldCap, targetCap, a.cap) || exceeds(heldRate, targetRate, a.rate) {
+		g.send(l.node, Recall{Team: m.Team, Domain: m.Domain, Cap: targetCap, Rate: targetRate})
+	} else {
+		r.Extended = true
+		for i := range l.loans {
+			l.loans[i].until = until
+		}
+	}
+	freeCap := max(0, a.cap-a.lentCap()-a.outstanding)
+	freeRate := max(0, a.rate-a.lentRate())
+	n := lentLoan{
+		number: m.Number,
+		cap:    max(0, min(targetCap-heldCap, freeCap)),
+		rate:   max(0, min(targetRate-heldRate, freeRate)),
+		until:  until,
+	}
+	worth := n.cap > a.cap/smallestPart || n.rate > a.rate/smallestPart
+	if worth && len(l.loans) < maxLoans {
+		n.first = n.cap
+		n.tokens = min(a.bucket, n.cap)
+		a.bucket -= n.tokens
+		l.loans = append(l.loans, n)
+		r.Cap, r.Rate, r.Tokens = n.cap, n.rate, n.tokens
+	}
+	g.send(l.node, r)
+	if n.cap < targetCap-heldCap || n.rate < targetRate-heldRate {
+		g.recall(a, now)
+	}
+}
+
+// exceeds leaves room for small changes of demand, which aren't worth a message.
+func exceeds(held, target, share identifier.Tokens) bool {
+	return held > target+share/smallestPart
+}
+
+// recallOwn asks for the share back when the own domain wants it.
+func (g *Granter) recallOwn(a *account, now clock.Time) {
+	if len(a.lent) > 0 {
+		g.recall(a, now)
+	}
+}
+
+func (g *Granter) recall(a *account, now clock.Time) {
+	if now < a.recallAt {
+		return
+	}
+	a.recallAt = now.Add(recallPeriod)
+	for _, l := range a.lent {
+		targetCap, targetRate := g.target(a, l, now)
+		heldCap, heldRate := l.held()
+		if exceeds(heldCap, targetCap, a.cap) || exceeds(heldRate, targetRate, a.rate) {
+			g.send(l.node, Recall{Team: a.team, Domain: g.options.Domain, Cap: targetCap, Rate: targetRate})
+		}
+	}
+}
--- /dev/null
+++ b/internal/granter/purse.go
@@ -0,0 +1,191 @@
+// The purse decides on each call at the entry, so it costs a map look-up and an addition. It judges a slice by the
+// node's own clock at the moment of spending: a process that was paused finds its slices ended.
+//
+// Example: a slice of 2000 tokens that ends at 487 pays for two calls till then; a third call waits, and is
+// resumed when the next slice comes or refused after 100 ms.
+
+package granter
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const (
+	// demandWindow is the span over which arrivals are counted.
+	demandWindow = 100 * clock.Millisecond
+	// maxSlices bounds the slices that a purse has of one team.
+	maxSlices = 4
+	// shortestRetryAfter keeps refused callers from coming back within the same burst.
+	shortestRetryAfter = 50 * clock.Millisecond
+	// A purse is idle after four calls' time without any, but within these bounds.
+	shortestIdle = 20 * clock.Millisecond
+	longestIdle  = 200 * clock.Millisecond
+)
+
+type slice struct {
+	paid  Paid
+	left  identifier.Tokens
+	until clock.Time
+}
+
+type waiter struct {
+	call  Call
+	until clock.Time
+}
+
+// unreported is a slice that the bank must be told the end of.
+type unreported struct {
+	domain   identifier.FailureDomain
+	returned Returned
+	until    clock.Time
+}
+
+type purse struct {
+	team  identifier.Team
+	slot  int
+	rate  identifier.Tokens
+	burst identifier.Tokens
+	// order has the domains whose banks are asked, best first.
+	order  []*domain
+	pooled bool
+
+	active  bool
+	slices  []slice
+	waiters []waiter
+	ended   []unreported
+
+	window    clock.Time
+	arrivals  identifier.Tokens
+	demand    identifier.Tokens
+	firstCall clock.Time
+	lastCall  clock.Time
+
+	asked *domain
+	// reported is the demand last told to a bank.
+	reported identifier.Tokens
+	askedOf  identifier.Node
+	number   uint64
+	askedAt  clock.Time
+	pending  bool
+	silences int
+	nextAsk  clock.Time
+}
+
+func newPurse(t identifier.Team, slot, maxWaiters int) *purse {
+	return &purse{
+		team: t, slot: slot,
+		slices:  make([]slice, 0, maxSlices),
+		waiters: make([]waiter, 0, maxWaiters),
+	}
+}
+
+// Spend decides on one call of the team; a call that must wait is known by the given number.
+func (g *Granter) Spend(t identifier.Team, call Call, now clock.Time) Decision {
+	p := g.purses[t]
+	if p == nil {
+		return Decision{Verdict: Refused, RetryAfter: clock.Second}
+	}
+	p.noteArrival(now)
+	if len(p.waiters) == 0 {
+		if paid, ok := p.take(now); ok {
+			return Decision{Verdict: Spent, Paid: paid}
+		}
+	}
+	hopeless := p.nextAsk >= now.Add(g.options.WaitBound)
+	if hopeless || len(p.waiters) == g.options.MaxWaiters {
+		return Decision{Verdict: Refused, RetryAfter: p.retryAfter(now)}
+	}
+	p.waiters = append(p.waiters, waiter{call: call, until: now.Add(g.options.WaitBound)})
+	return Decision{Verdict: Wait}
+}
+
+func (p *purse) noteArrival(now clock.Time) {
+	p.roll(now)
+	if p.arrivals == 0 {
+		p.firstCall = now
+	}
+	p.arrivals += identifier.TokensPerCall
+	p.lastCall = now
+	p.active = true
+}
+
+// roll closes the demand window when it has passed; each idle window halves the demand.
+func (p *purse) roll(now clock.Time) {
+	w := now / clock.Time(demandWindow)
+	passed := w - p.window
+	if passed <= 0 {
+		return
+	}
+	p.demand = (p.demand + p.arrivals*identifier.Tokens(clock.Second/demandWindow)) / 2
+	p.demand >>= min(uint(passed-1), 32)
+	p.arrivals = 0
+	p.window = w
+}
+
+// take pays for one call out of the slices, the oldest first.
+func (p *purse) take(now clock.Time) (Paid, bool) {
+	for i := range p.slices {
+		s := &p.slices[i]
+		if s.left >= identifier.TokensPerCall && now < s.until {
+			s.left -= identifier.TokensPerCall
+			return s.paid, true
+		}
+	}
+	return Paid{}, false
+}
+
+func (p *purse) retryAfter(now clock.Time) clock.Duration {
+	return max(shortestRetryAfter, p.nextAsk.Sub(now))
+}
+
+func (g *Granter) tickPurse(p *purse, now clock.Time) {
+	p.roll(now)
+	g.serveWaiters(p, now)
+	p.endSlices(now, g.options.RenewBefore)
+	g.ask(p, now)
+	p.active = len(p.slices)+len(p.waiters)+len(p.ended) > 0 || p.pending || p.demand > 0 || p.arrivals > 0 || p.reported > 0
+}
+
+// serveWaiters resumes parked calls in their order, and refuses those whose bound has passed.
+func (g *Granter) serveWaiters(p *purse, now clock.Time) {
+	done := 0
+	for _, w := range p.waiters {
+		if now >= w.until {
+			g.out = append(g.out, Refuse{Call: w.call, RetryAfter: p.retryAfter(now)})
+			done++
+			continue
+		}
+		paid, ok := p.take(now)
+		if !ok {
+			break
+		}
+		g.out = append(g.out, Resume{Call: w.call, Paid: paid})
+		done++
+	}
+	p.waiters = p.waiters[:copy(p.waiters, p.waiters[done:])]
+}
+
+func (g *Granter) refuseAll(p *purse) {
+	for _, w := range p.waiters {
+		g.out = append(g.out, Refuse{Call: w.call, RetryAfter: clock.Second})
+	}
+	p.waiters = p.waiters[:0]
+}
+
+// endSlices gives up slices that are spent, about to expire, or idle; what is left of them goes back.
+func (p *purse) endSlices(now clock.Time, early clock.Duration) {
+	kept := p.slices[:0]
+	for _, s := range p.slices {
+		if s.left >= identifier.TokensPerCall && now < s.until.Add(-early) && !p.idle(now) {
+			kept = append(kept, s)
+			continue
+		}
+		p.end(s.paid.Domain, Returned{Number: s.paid.Slice, Unspent: s.left}, s.until)
+	}
+	p.slices = kept
+}
+
+func (p *purse) end(d identifier.FailureDomain, r Returned, until clock.Time) {
+	p.ended = append(p.ended, unreported{domain: d, returned: r, until: until})
+}
--- /dev/null
+++ b/internal/granter/shares.go
@@ -0,0 +1,161 @@
+// A preset reaches the nodes at different moments. While the domains' shares keep their proportion that does no
+// harm: each domain is at its share of the old or of the new rate. When proportions change, a domain that already
+// has its larger share would add to one that still has its old one, so a share grows only after every domain that
+// must shrink has confirmed, or after its holder has certainly stopped.
+//
+// Example: alfa goes from 250 to 500 per mille and bravo from 500 to 250. The holders at alfa ask the holders at
+// bravo every 250 ms; these answer when they are at 250 and nothing lent out of the 500 is left.
+
+package granter
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const queryPeriod = 250 * clock.Millisecond
+
+// shares is what the preset in force says about the domains.
+type shares struct {
+	known   bool
+	version identifier.Version
+	domains []definer.DomainShare
+}
+
+// growth is a larger share that a bank doesn't use yet.
+type growth struct {
+	// from is the share used meanwhile.
+	from     int
+	awaiting []identifier.FailureDomain
+	version  identifier.Version
+	since    clock.Time
+	queryAt  clock.Time
+}
+
+func shareOf(domains []definer.DomainShare, n identifier.FailureDomain) int {
+	for _, d := range domains {
+		if d.Domain == n {
+			return d.PerMille
+		}
+	}
+	return 0
+}
+
+func (s *shares) latest(n identifier.FailureDomain) int {
+	return shareOf(s.domains, n)
+}
+
+// share is the part of each team's rate and burst that the bank starts from.
+func (g *Granter) share(b *bank) int {
+	s := g.shares.latest(g.options.Domain)
+	if b.growth != nil {
+		return min(s, b.growth.from)
+	}
+	return s
+}
+
+func (g *Granter) setShares(now, before []definer.DomainShare, v identifier.Version, at clock.Time) {
+	old := g.shares.domains
+	if !g.shares.known {
+		old = before
+	}
+	first := !g.shares.known && before == nil
+	used := make([]int, len(g.banks))
+	for i, b := range g.banks {
+		used[i] = shareOf(old, g.options.Domain)
+		if b.growth != nil {
+			used[i] = g.share(b)
+		}
+	}
+	g.shares = shares{known: true, version: v, domains: slices.Clone(now)}
+	for _, d := range now {
+		g.domain(d.Domain)
+	}
+	shrunk := shrunkDomains(old, now, g.options.Domain)
+	if first || len(shrunk) == 0 {
+		return
+	}
+	for i, b := range g.banks {
+		b.await(used[i], shrunk, v, at)
+	}
+}
+
+// await adds to what the bank waits for already: a change on top of an unconfirmed one waits for both.
+func (b *bank) await(from int, shrunk []identifier.FailureDomain, v identifier.Version, at clock.Time) {
+	if b.growth == nil {
+		b.growth = &growth{}
+	}
+	for _, d := range shrunk {
+		if !slices.Contains(b.growth.awaiting, d) {
+			b.growth.awaiting = append(b.growth.awaiting, d)
+		}
+	}
+	b.growth.from = from
+	b.growth.version = v
+	b.growth.since = at
+	b.growth.queryAt = at
+}
+
+func shrunkDomains(old, now []definer.DomainShare, own identifier.FailureDomain) []identifier.FailureDomain {
+	var shrunk []identifier.FailureDomain
+	for _, d := range old {
+		if d.Domain != own && shareOf(now, d.Domain) < d.PerMille {
+			shrunk = append(shrunk, d.Domain)
+		}
+	}
+	return shrunk
+}
+
+func (g *Granter) tickShares(now clock.Time) {
+	for _, b := range g.banks {
+		w := b.growth
+		if w == nil {
+			continue
+		}
+		if len(w.awaiting) == 0 || now >= w.since.Add(g.options.ShareTerm) {
+			b.growth = nil
+			g.rebaseBank(b, now)
+			continue
+		}
+		if !b.owned || now < w.queryAt {
+			continue
+		}
+		w.queryAt = now.Add(queryPeriod)
+		for _, d := range w.awaiting {
+			if h := g.domain(d).holders[b.slot]; h.node != "" {
+				g.send(h.node, SharesQuery{Slot: b.slot, Domain: d, Version: w.version})
+			}
+		}
+	}
+}
+
+// receiveQuery confirms only as a holder with authority: its successors have then read the change too, since their
+// records come after it on the log. And it confirms only when nothing is left of the larger share.
+func (g *Granter) receiveQuery(from identifier.Node, m SharesQuery, now clock.Time) {
+	known := m.Slot >= 0 && m.Slot < len(g.banks) && m.Domain == g.options.Domain
+	if !known || g.shares.version < m.Version || !g.holds(g.banks[m.Slot], now) {
+		return
+	}
+	for _, a := range g.banks[m.Slot].sorted {
+		g.advance(a, now)
+		if a.lentCap() > a.cap || a.lentRate() > a.rate || a.outstanding > a.limit() {
+			return
+		}
+	}
+	g.send(from, SharesConfirm(m))
+}
+
+func (g *Granter) receiveConfirm(from identifier.Node, m SharesConfirm, now clock.Time) {
+	if m.Slot < 0 || m.Slot >= len(g.banks) {
+		return
+	}
+	w := g.banks[m.Slot].growth
+	if w == nil || m.Version < w.version || g.domain(m.Domain).holders[m.Slot].node != from {
+		return
+	}
+	w.awaiting = slices.DeleteFunc(w.awaiting, func(d identifier.FailureDomain) bool { return d == m.Domain })
+	g.tickShares(now)
+}
