Prove the router against an oracle, and measure a pick

Full endpoints wait in a group of their own, so that a pick never searches past them; returned endpoints warm up like cold ones; of a pair one is ejected only if the other has room; another failure domain has to be clearly better.

--- a/internal/router/eject.go
+++ b/internal/router/eject.go
@@ -34,8 +34,7 @@
 	}
 	m.until = 0
 	m.ejections = max(0, m.ejections-1)
-	m.since = now
-	r.place(m)
+	m.warmUp(now)
 }
 
 func (r *Router) eject(m *member, now clock.Time) {
@@ -46,19 +45,37 @@
 		}
 		return
 	}
-	if m.failures < r.options.FailuresToEject || !r.mayEject(m) {
-		return
+	if m.failures >= r.options.FailuresToEject && r.mayEject(m, now) {
+		r.extend(m, now)
 	}
-	r.extend(m, now)
-	r.place(m)
 }
 
-func (r *Router) mayEject(m *member) bool {
+func (r *Router) mayEject(m *member, now clock.Time) bool {
 	s := r.services[m.endpoint.Service]
 	if m.group != &s.near && m.group != &s.far {
 		return false
 	}
-	return s.usable()-1 >= keepFactor*(len(s.ejected.members)+1)
+	rest := s.usable() - 1
+	if rest >= keepFactor*(len(s.ejected.members)+1) {
+		return true
+	}
+	other := s.other(m)
+	return rest == 1 && other.failures == 0 && other.known && other.used(now, r.options) < pairUse
+}
+
+// pairUse is how much of the only other endpoint may be in use for a failing one to be ejected.
+const pairUse = 0.5
+
+// other returns the usable endpoint besides m; there must be exactly one.
+func (s *service) other(m *member) *member {
+	for _, g := range []*group{&s.near, &s.far} {
+		for _, candidate := range g.members {
+			if candidate != m {
+				return candidate
+			}
+		}
+	}
+	return nil
 }
 
 // extend sets the next probe, later after each ejection, and jittered so that nodes do not probe together.
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -30,9 +30,10 @@
 type service struct {
 	// near and far are the usable endpoints of the own failure domain and of the others.
 	near, far group
-	// ejected endpoints are probed; suspect ones are the last resort; leaving ones are never picked.
-	ejected, suspect, leaving group
-	count                     int
+	// ejected endpoints are probed; suspect ones are the last resort; leaving ones are never picked; full ones
+	// wait for one of their calls to end, so that no pick has to search past them.
+	ejected, suspect, leaving, full group
+	count                           int
 }
 
 // usable returns how many endpoints take ordinary calls.
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -16,7 +16,9 @@
 	group    *group
 	place    int
 	inFlight int
-	since    clock.Time
+	// since is when the endpoint began to warm up, if it does.
+	since   clock.Time
+	warming bool
 
 	headroom uint8
 	measured clock.Time
@@ -50,15 +52,20 @@
 
 const coldestPart = 0.1
 
-// warmth is the part of its slots that a cold endpoint is trusted with.
+// warmth is the part of its slots that a cold or returned endpoint is trusted with.
 func (m *member) warmth(now clock.Time, o Options) float64 {
-	if m.endpoint.State != Cold {
+	if !m.warming {
 		return 1
 	}
 	age := float64(now.Sub(m.since)) / float64(o.ColdStart)
 	return min(1, max(coldestPart, age))
 }
 
+func (m *member) warmUp(now clock.Time) {
+	m.since = now
+	m.warming = true
+}
+
 // full tells that this node has as many calls there as connections are allowed.
 func (m *member) full() bool {
 	return m.endpoint.ConnectionLimit > 0 && m.inFlight >= m.endpoint.ConnectionLimit
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,12 +37,12 @@
 		ok = false
 	}
 	if !ok {
-		m = &member{since: now}
+		m = &member{}
 		r.members[e.ID] = m
 		r.service(e.Service).count++
 	}
-	if e.State == Cold && m.endpoint.State != Cold {
-		m.since = now
+	if e.State == Cold && (!ok || m.endpoint.State != Cold) {
+		m.warmUp(now)
 	}
 	m.endpoint = e
 	r.place(m)
@@ -79,11 +79,17 @@
 		return Endpoint{}, false
 	}
 	m.inFlight++
+	r.place(m)
 	return m.endpoint, true
 }
 
-// spillScore is the score from which the own failure domain counts as having no headroom.
-const spillScore = 1.0
+const (
+	// spillScore is the score from which the own failure domain counts as having no headroom.
+	spillScore = 0.9
+	// farCost is by how much an endpoint elsewhere must be better: without it, half of all calls would cross
+	// failure domains whenever every endpoint is full.
+	farCost = 0.1
+)
 
 func (r *Router) choose(s *service, now clock.Time, exclude []identifier.Endpoint) *member {
 	if m := r.probe(s, now, exclude); m != nil {
@@ -101,7 +107,7 @@
 		return far
 	case far == nil:
 		return near
-	case far.score(now, r.options) < near.score(now, r.options):
+	case far.score(now, r.options)+farCost < near.score(now, r.options):
 		return far
 	default:
 		return near
@@ -137,12 +143,12 @@
 	return a
 }
 
-// allowed returns the member at the place, or the next one that is neither excluded nor full.
+// allowed returns the member at the place, or the next one that is not excluded.
 func (r *Router) allowed(g *group, place int, exclude []identifier.Endpoint) *member {
 	n := len(g.members)
 	for i := range n {
 		m := g.members[(place+i)%n]
-		if !m.full() && !slices.Contains(exclude, m.endpoint.ID) {
+		if !slices.Contains(exclude, m.endpoint.ID) {
 			return m
 		}
 	}
@@ -162,6 +168,7 @@
 		m.known = true
 	}
 	r.judge(m, result.Outcome, now)
+	r.place(m)
 }
 
 func (r *Router) service(name identifier.Service) *service {
@@ -190,6 +197,8 @@
 	switch {
 	case m.endpoint.State == Leaving:
 		return &s.leaving
+	case m.full():
+		return &s.full
 	case m.endpoint.State == Suspect:
 		return &s.suspect
 	case m.until != 0:
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,212 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+const ice = identifier.Service("ice")
+
+// oracle keeps what was announced and counts calls, in plain maps.
+type oracle struct {
+	known map[identifier.Endpoint]Endpoint
+	calls map[identifier.Endpoint]int
+}
+
+func (o oracle) free(e Endpoint, exclude []identifier.Endpoint) bool {
+	return o.calls[e.ID] < e.ConnectionLimit && !slices.Contains(exclude, e.ID)
+}
+
+// allows checks a pick: a leaving, excluded or full endpoint never; a suspect one only if there is no other.
+func (o oracle) allows(t *rapid.T, picked Endpoint, ok bool, exclude []identifier.Endpoint) {
+	sound, suspect := 0, 0
+	for _, e := range o.known {
+		switch {
+		case e.State == Leaving || !o.free(e, exclude):
+		case e.State == Suspect:
+			suspect++
+		default:
+			sound++
+		}
+	}
+	assert.Equal(t, ok, sound+suspect > 0)
+	if !ok {
+		return
+	}
+	assert.Equal(t, picked, o.known[picked.ID])
+	assert.Assert(t, picked.State != Leaving && o.free(picked, exclude))
+	assert.Assert(t, picked.State != Suspect || sound == 0)
+}
+
+func TestRouterAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(Options{Domain: "a", Rand: rand.New(rand.NewPCG(1, 2)), FailuresToEject: 2})
+		o := oracle{known: map[identifier.Endpoint]Endpoint{}, calls: map[identifier.Endpoint]int{}}
+		now := clock.Time(0)
+		id := rapid.Custom(func(t *rapid.T) identifier.Endpoint {
+			return identifier.Endpoint(fmt.Sprint("e", rapid.IntRange(0, 6).Draw(t, "id")))
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				e := Endpoint{
+					ID: id.Draw(t, "endpoint"), Service: ice, Slots: 4, ConnectionLimit: 3,
+					Domain: rapid.SampledFrom([]identifier.FailureDomain{"a", "b"}).Draw(t, "domain"),
+					State:  State(rapid.IntRange(0, 3).Draw(t, "state")),
+				}
+				r.Put(e, now)
+				o.known[e.ID] = e
+			},
+			"remove": func(t *rapid.T) {
+				e := id.Draw(t, "endpoint")
+				r.Remove(e)
+				delete(o.known, e)
+				delete(o.calls, e)
+			},
+			"pick": func(t *rapid.T) {
+				exclude := rapid.SliceOfN(id, 0, 3).Draw(t, "exclude")
+				e, ok := r.Pick(ice, now, exclude)
+				o.allows(t, e, ok, exclude)
+				if ok {
+					o.calls[e.ID]++
+				}
+			},
+			"done": func(t *rapid.T) {
+				e := id.Draw(t, "endpoint")
+				if o.calls[e] == 0 {
+					t.Skip("no call")
+				}
+				o.calls[e]--
+				r.Done(e, Result{
+					Outcome:  Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")),
+					Headroom: rapid.Uint8().Draw(t, "headroom"),
+				}, now)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(clock.Duration(rapid.IntRange(0, 3000).Draw(t, "time")))
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, r.Count(ice), len(o.known))
+			},
+		})
+	})
+}
+
+func newRouter(near, far int) *Router {
+	r := New(Options{Domain: "a", Rand: rand.New(rand.NewPCG(7, 7))})
+	for i := range near + far {
+		domain := identifier.FailureDomain("a")
+		if i >= near {
+			domain = "b"
+		}
+		r.Put(Endpoint{ID: identifier.Endpoint(fmt.Sprint(i)), Service: ice, Domain: domain, Slots: 100, State: Ready}, 0)
+	}
+	return r
+}
+
+// spread makes calls of which each ends at once as result says, and counts them by endpoint.
+func spread(r *Router, calls int, every clock.Duration, result func(Endpoint) Result) map[identifier.Endpoint]int {
+	counts := map[identifier.Endpoint]int{}
+	for i := range calls {
+		now := clock.Time(i) * clock.Time(every)
+		e, _ := r.Pick(ice, now, nil)
+		counts[e.ID]++
+		r.Done(e.ID, result(e), now)
+	}
+	return counts
+}
+
+// The own failure domain is the nearest, but when its backend servers are full, calls that stay there wait or
+// are refused although others have room. A user notices refusals on a half-empty fleet.
+func TestSpillsByHeadroom(t *testing.T) {
+	for name, c := range map[string]struct {
+		near, far uint8
+		least     int
+		most      int
+	}{
+		"near has room":  {near: 120, far: 255, least: 0, most: 0},
+		"near is full":   {near: 0, far: 120, least: 900, most: 1000},
+		"all are full":   {near: 0, far: 0, least: 0, most: 30},
+		"far is fullest": {near: 5, far: 0, least: 0, most: 30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counts := spread(newRouter(3, 3), 1000, 1, func(e Endpoint) Result {
+				if e.Domain == "a" {
+					return Result{Headroom: c.near}
+				}
+				return Result{Headroom: c.far}
+			})
+			far := counts["3"] + counts["4"] + counts["5"]
+			assert.Assert(t, far >= c.least && far <= c.most, "%d of 1000 calls went elsewhere", far)
+		})
+	}
+}
+
+// A backend server that fails at once looks idle and draws calls that then fail. If the cause is shared, all of
+// them fail, and taking them out one by one would leave the last one to drown. A user notices errors in the
+// first case, and a service that is gone in the second.
+func TestEjectsWithoutDrowningTheRest(t *testing.T) {
+	for name, c := range map[string]struct {
+		failing map[identifier.Endpoint]bool
+		most    int
+	}{
+		"one fails":         {failing: map[identifier.Endpoint]bool{"0": true}, most: 40},
+		"all but two fail":  {failing: map[identifier.Endpoint]bool{"0": true, "1": true, "2": true, "3": true}, most: 10_000},
+		"all of them fail":  {failing: map[identifier.Endpoint]bool{"0": true, "1": true, "2": true, "3": true, "4": true, "5": true}, most: 10_000},
+		"none of them does": {most: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(6, 0)
+			failed := 0
+			spread(r, 10_000, 1, func(e Endpoint) Result {
+				assert.Assert(t, len(r.services[ice].ejected.members) <= 2)
+				if c.failing[e.ID] {
+					failed++
+					return Result{Outcome: Failed}
+				}
+				return Result{Headroom: 200}
+			})
+			assert.Assert(t, failed <= c.most, "%d calls failed", failed)
+		})
+	}
+}
+
+// A backend server that comes back after an ejection, or starts cold, is slow at first. Its full share of calls
+// at once would make them time out, and it would be ejected again; a user notices errors in waves.
+func TestWarmsUp(t *testing.T) {
+	r := newRouter(4, 0)
+	cold := Endpoint{ID: "cold", Service: ice, Domain: "a", Slots: 100, State: Cold}
+	r.Put(cold, 0)
+	held := map[identifier.Endpoint]int{}
+	for range 200 {
+		e, _ := r.Pick(ice, 0, nil)
+		held[e.ID]++
+	}
+	assert.Assert(t, held["cold"] < 20, "%d of 200 calls are at the cold one", held["cold"])
+	for range 200 {
+		e, _ := r.Pick(ice, 10_000, nil)
+		held[e.ID]++
+	}
+	assert.Assert(t, held["cold"] > 50, "%d of 400 calls are at the one that was cold", held["cold"])
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{5, 50, 500} {
+		b.Run(fmt.Sprint("endpoints=", n), func(b *testing.B) {
+			r := newRouter(n/2, n-n/2)
+			exclude := []identifier.Endpoint{"1"}
+			b.ReportAllocs()
+			for i := range b.N {
+				e, _ := r.Pick(ice, clock.Time(i), exclude)
+				r.Done(e.ID, Result{Headroom: uint8(i)}, clock.Time(i))
+			}
+		})
+	}
+}
