--- a/internal/limiter/law.go
+++ b/internal/limiter/law.go
@@ -1,10 +1,16 @@
 // The announced slots are a promise of the backend server, not a measurement. How the limit follows what is
 // measured is a policy of its own, so that laws can be compared.
 //
-// Example: 100 announced slots, of which the VM can really use 40: FixedLaw runs 100 calls slowly.
+// Example: 100 announced slots, of which the VM can really use 40: under FixedLaw 100 calls run, all slowly.
 
 package limiter
 
+import (
+	"math"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
 // Law names how the concurrency limit follows measured latency.
 type Law uint8
 
@@ -14,4 +20,93 @@
 	KneeLaw Law = iota
 	// FixedLaw keeps the limit at the announced slots.
 	FixedLaw
+	// GradientLaw lowers the limit as latency rises over its long-term mean.
+	GradientLaw
 )
+
+// sample is one call that a backend server has answered.
+type sample struct {
+	latency float64
+	// full tells that the limit was reached when the call ended, quiet that less than half of it was in use.
+	full, quiet bool
+}
+
+// law is a policy for the limit; its limit stays within 1 and the slots.
+type law interface {
+	finished(s sample, now clock.Time)
+	tick(now clock.Time)
+	suspect()
+	setSlots(slots float64)
+	limit() float64
+}
+
+func newLaw(l Law, slots float64) law {
+	switch l {
+	case FixedLaw:
+		return &fixed{slots: slots}
+	case GradientLaw:
+		return &gradient{slots: slots, current: slots}
+	default:
+		return newKnee(slots)
+	}
+}
+
+// fixed is FixedLaw.
+type fixed struct {
+	slots float64
+}
+
+func (f *fixed) finished(sample, clock.Time) {}
+
+func (f *fixed) tick(clock.Time) {}
+
+func (f *fixed) suspect() {}
+
+func (f *fixed) setSlots(slots float64) {
+	f.slots = slots
+}
+
+func (f *fixed) limit() float64 {
+	return f.slots
+}
+
+const (
+	gradientFast      = 1.0 / 64
+	gradientSlow      = 1.0 / 4096
+	gradientTolerance = 1.5
+	gradientLeast     = 0.5
+	gradientSmooth    = 1.0 / 128
+)
+
+// gradient is GradientLaw: the product of the limit and the ratio of long-term to recent latency, and a
+// little more to probe with.
+type gradient struct {
+	slots, current     float64
+	fast, slow, counts float64
+}
+
+func (g *gradient) finished(s sample, _ clock.Time) {
+	g.counts++
+	g.fast += max(gradientFast, 1/g.counts) * (s.latency - g.fast)
+	g.slow += max(gradientSlow, 1/g.counts) * (s.latency - g.slow)
+	ratio := 1.0
+	if g.fast > 0 {
+		ratio = min(1, max(gradientLeast, gradientTolerance*g.slow/g.fast))
+	}
+	want := g.current*ratio + math.Sqrt(g.current)
+	g.current += gradientSmooth * (want - g.current)
+	g.current = min(g.slots, max(1, g.current))
+}
+
+func (g *gradient) tick(clock.Time) {}
+
+func (g *gradient) suspect() {}
+
+func (g *gradient) setSlots(slots float64) {
+	g.slots = slots
+	g.current = min(g.current, slots)
+}
+
+func (g *gradient) limit() float64 {
+	return g.current
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -26,17 +26,22 @@
 	inFlight int
 	limit    int
 	service  estimate
+	law      law
+	// lastUrgent is when an urgent call last came.
+	lastUrgent clock.Time
 }
 
 // New returns a limiter whose cold start begins now.
 func New(o Options, now clock.Time) *Limiter {
 	o = o.withDefaults()
 	l := &Limiter{
-		options: o,
-		slots:   o.Slots,
-		started: now,
-		index:   make(map[CallID]int32, o.Slots+o.Queue),
-		queue:   queue{order: o.Order},
+		options:    o,
+		slots:      o.Slots,
+		started:    now,
+		index:      make(map[CallID]int32, o.Slots+o.Queue),
+		queue:      queue{order: o.Order},
+		law:        newLaw(o.Law, float64(o.Slots)),
+		lastUrgent: now.Add(-urgentMemory),
 	}
 	l.grow(o.Slots + o.Queue + 1)
 	l.adjust(now)
@@ -51,9 +56,12 @@
 	if l.doomed(c, now) {
 		return append(out, Verdict{c.ID, Expire})
 	}
+	if c.Rank.Priority() == identifier.Urgent {
+		l.lastUrgent = now
+	}
 	out = l.Tick(now, out)
 	number := l.take(c)
-	if l.mayRun(c.Rank) && l.queue.len() == 0 {
+	if l.mayRun(c.Rank, now) && l.queue.len() == 0 {
 		return l.dispatch(number, now, out)
 	}
 	l.queue.push(number, c)
@@ -82,7 +90,7 @@
 	if !ok || !l.entries[number].running {
 		return out
 	}
-	l.measure(now.Sub(l.entries[number].dispatched), o)
+	l.measure(now.Sub(l.entries[number].dispatched), o, now)
 	l.inFlight--
 	l.release(number)
 	return l.Tick(now, out)
@@ -115,13 +123,21 @@
 // SetSlots takes a new number of slots over; running calls beyond it finish. Call Tick next.
 func (l *Limiter) SetSlots(slots int, now clock.Time) {
 	l.slots = max(slots, 1)
+	l.law.setSlots(float64(l.slots))
 	l.grow(l.slots + l.options.Queue + 1)
 	l.adjust(now)
 }
 
-// Announced takes the backend server's load figure (1 is full) as a hint.
+// fullLoad is the announced load from which a backend server says that it is overloaded.
+const fullLoad = 1
+
+// Announced takes the backend server's load figure (1 is full) as a hint. All that it can do is to have the
+// limit tried out sooner; a figure that lies changes no verdict by itself.
 func (l *Limiter) Announced(load float64, now clock.Time) {
-	_, _ = load, now
+	_ = now
+	if load >= fullLoad {
+		l.law.suspect()
+	}
 }
 
 // Drain ends dispatching for good; the next Tick sheds what is queued.
@@ -160,6 +176,17 @@
 	return clock.Duration(math.Ceil(wait))
 }
 
+const (
+	// chanceCalls times the square root of the limit is how many calls wait now and then at full but not
+	// excessive load.
+	chanceCalls = 4
+)
+
+// ExpectedDelay returns the queueing delay that chance alone causes, which is no sign of overload.
+func (l *Limiter) ExpectedDelay() clock.Duration {
+	return clock.Duration(chanceCalls * l.service.mean / math.Sqrt(float64(l.limit)))
+}
+
 func (l *Limiter) grow(n int) {
 	for len(l.entries) < n {
 		l.free = append(l.free, int32(len(l.entries)))
@@ -203,7 +230,7 @@
 	for l.queue.len() > 0 {
 		number := l.queue.best.first()
 		c := l.entries[number].call
-		if !l.mayRun(c.Rank) {
+		if !l.mayRun(c.Rank, now) {
 			return out
 		}
 		if l.doomed(c, now) {
@@ -238,11 +265,32 @@
 }
 
 // mayRun lets urgent calls use all slots, others what the limit leaves.
-func (l *Limiter) mayRun(r identifier.Rank) bool {
+func (l *Limiter) mayRun(r identifier.Rank, now clock.Time) bool {
 	if r.Priority() == identifier.Urgent {
 		return l.inFlight < l.slots
 	}
-	return l.inFlight < l.limit
+	return l.inFlight < l.limit-l.reserve(now)
+}
+
+const (
+	// urgentMemory is how long after an urgent call the next one is expected.
+	urgentMemory = 10 * clock.Second
+	// urgentWait is how long an urgent call may wait for the next slot that comes free.
+	urgentWait = 20
+	// leastReserving is the smallest limit that a slot is kept back from.
+	leastReserving = 4
+)
+
+// reserve keeps one slot back for urgent calls where slots come free too seldom. Otherwise uploads that take
+// minutes could hold all slots, and a bulletin would wait behind them although it is the first in the queue.
+func (l *Limiter) reserve(now clock.Time) int {
+	if l.limit < leastReserving || now.Sub(l.lastUrgent) >= urgentMemory {
+		return 0
+	}
+	if l.service.mean <= urgentWait*float64(l.limit) {
+		return 0
+	}
+	return 1
 }
 
 // probeFraction of the limit may run even if the estimate says that it cannot end in time. Without it, a
@@ -261,24 +309,30 @@
 	return float64(left) < l.service.optimistic()
 }
 
-func (l *Limiter) measure(d clock.Duration, o Outcome) {
-	sample := float64(d)
-	switch o {
-	case Succeeded, TimedOut:
-		l.service.add(sample)
-	case Cancelled:
-		if sample > l.service.mean {
-			l.service.add(sample)
-		}
-	case Failed:
+// measure learns from calls that took their time; a failure may have been quick, and a cancelled call only
+// tells something if it had already run longer than usual.
+func (l *Limiter) measure(d clock.Duration, o Outcome, now clock.Time) {
+	latency := float64(d)
+	if o == Failed || o == Cancelled && latency <= l.service.mean {
+		return
+	}
+	l.service.add(latency)
+	if now.Sub(l.started) < l.options.ColdStart {
+		return
 	}
+	l.law.finished(sample{
+		latency: latency,
+		full:    l.inFlight >= l.limit-l.reserve(now),
+		quiet:   2*l.inFlight < l.limit,
+	}, now)
 }
 
 // coldFraction is the part of the slots that a cold backend server starts with.
 const coldFraction = 8
 
 func (l *Limiter) adjust(now clock.Time) {
-	l.limit = l.ramp(now)
+	l.law.tick(now)
+	l.limit = min(l.ramp(now), max(1, int(l.law.limit())))
 }
 
 func (l *Limiter) ramp(now clock.Time) int {
