Add the command line: verbs, exit codes, JSON, completion, whole sessions as golden files

Cause: operators drive the system by publishing presets and keys; a script needs exit codes, a tool JSON. Change: commander has a verb per file and hooks for the verbs of other packages; operators' verbs act on the log and settle lost answers by reading back; inspector asks a node's admin endpoint; docs/operators/cli.md is printed by the program and compared by a test.

--- /dev/null
+++ b/internal/commander/explain.go
@@ -0,0 +1,73 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// `explain` turns the node's answer into a line per fact, in the order in which the node tells them. It knows none
+// of the facts by name, so that a newer node's explanation is printed whole.
+
+type explanation struct {
+	json.RawMessage
+}
+
+func (r explanation) writeText(w io.Writer) error {
+	d := json.NewDecoder(bytes.NewReader(r.RawMessage))
+	d.UseNumber()
+	return writeFacts(w, d, "")
+}
+
+// writeFacts writes the next value of the decoder, each plain value within it on a line of its own.
+func writeFacts(w io.Writer, d *json.Decoder, path string) error {
+	token, err := d.Token()
+	if err != nil {
+		return fmt.Errorf("print: %w", err)
+	}
+	opening, ok := token.(json.Delim)
+	if !ok {
+		_, err := fmt.Fprintf(w, "%s: %v\n", strings.TrimPrefix(path, "."), token)
+		return err
+	}
+	for i := 1; d.More(); i++ {
+		inner := fmt.Sprintf("%s[%d]", path, i)
+		if opening == '{' {
+			name, err := d.Token()
+			if err != nil {
+				return fmt.Errorf("print: %w", err)
+			}
+			inner = fmt.Sprintf("%s.%v", path, name)
+		}
+		if err := writeFacts(w, d, inner); err != nil {
+			return err
+		}
+	}
+	// The closing delimiter.
+	_, err = d.Token()
+	return err
+}
+
+func addExplain(c *cli) {
+	var request string
+	clause := c.add(c.app, "explain", "Tell why a request was answered as it was: who decided, by which rule and version.",
+		"jackdawtide explain --admin http://127.0.0.1:8082 01990c2e-5b1e-7c3a-9f00-2d1f6a7be001", nil)
+	address, flags := bindAdminAddress(clause), bindAdmin(clause)
+	clause.Arg("request", "The requestId of the answer.").Required().StringVar(&request)
+	c.runs[clause.FullCommand()] = func(ctx context.Context) error {
+		client, err := c.inspect(*address, flags)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, flags.timeout)
+		defer cancel()
+		data, err := client.Explain(ctx, request)
+		if err != nil {
+			return err
+		}
+		return c.print(explanation{data})
+	}
+}
--- /dev/null
+++ b/internal/commander/key.go
@@ -0,0 +1,73 @@
+package commander
+
+// The verbs of keys name a key by its hash, of which the beginning is enough. A key itself is never an argument:
+// arguments stand in the shell's history and in every list of processes.
+
+import (
+	"io"
+	"strconv"
+
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/publisher"
+)
+
+func addKey(c *cli) {
+	all := c.app.Command("key", "Issue and withdraw the keys of teams.")
+	addKeyIssue(c, all)
+	addKeyWithdraw(c, all)
+	addKeyList(c, all)
+}
+
+type keyRow struct {
+	Hash    string `json:"hash"`
+	Team    string `json:"team"`
+	Label   string `json:"label"`
+	Issued  string `json:"issued"`
+	Version int64  `json:"version"`
+	State   string `json:"state"`
+}
+
+type keyList struct {
+	Keys []keyRow `json:"keys"`
+}
+
+// shownHash is how much of a hash a table shows; it names one key among millions.
+const shownHash = 16
+
+func (r keyList) writeText(w io.Writer) error {
+	rows := [][]string{{"HASH", "TEAM", "LABEL", "ISSUED", "VERSION", "STATE"}}
+	for _, k := range r.Keys {
+		rows = append(rows, []string{
+			k.Hash[:min(len(k.Hash), shownHash)], k.Team, orDash(k.Label), k.Issued,
+			strconv.FormatInt(k.Version, 10), k.State,
+		})
+	}
+	return writeTable(w, rows)
+}
+
+// listKeys lists the keys of a team, or of all teams where none is named.
+func listKeys(v *publisher.View, team identifier.Team) keyList {
+	l := keyList{Keys: []keyRow{}}
+	for _, k := range v.Keys() {
+		if team == "" || k.Key.Team == team {
+			l.Keys = append(l.Keys, keyRowOf(k))
+		}
+	}
+	return l
+}
+
+func keyRowOf(k configurer.VersionedKey) keyRow {
+	state := "valid"
+	if k.Withdrawn {
+		state = "withdrawn"
+	}
+	return keyRow{
+		Hash:    string(k.Key.Hash),
+		Team:    string(k.Key.Team),
+		Label:   k.Key.Label,
+		Issued:  formatWall(k.Key.Issued),
+		Version: int64(k.Version),
+		State:   state,
+	}
+}
--- /dev/null
+++ b/internal/commander/logflags.go
@@ -0,0 +1,95 @@
+package commander
+
+// The operators' verbs act on the platform's log itself, so they work while every node is down, and need no node's
+// leave. This file is what they have in common: where the log is, who changes, and how long to try.
+//
+// Example: --log http://10.9.0.1:7000 --operator eva --timeout 30s
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/publisher"
+	"github.com/jackdawtide/jackdawtide/pkg/appender"
+)
+
+// Environment variables that stand in for flags.
+const (
+	logVariable      = "JACKDAWTIDE_LOG"
+	operatorVariable = "JACKDAWTIDE_OPERATOR"
+	adminVariable    = "JACKDAWTIDE_ADMIN"
+)
+
+const (
+	defaultTimeout = "30s"
+	retryPause     = 200 * clock.Millisecond
+	// triesPerTimeout leaves time for reading back after a request to a log that hangs.
+	triesPerTimeout = 3
+)
+
+type logFlags struct {
+	url      string
+	operator string
+	timeout  time.Duration
+}
+
+func bindLog(clause *kingpin.CmdClause) *logFlags {
+	f := &logFlags{}
+	clause.Flag("log", "URL of the platform's log.").
+		Envar(logVariable).
+		PlaceHolder("URL").
+		Required().
+		StringVar(&f.url)
+	clause.Flag("timeout", "How long to try while the log gives no answer.").
+		Default(defaultTimeout).
+		DurationVar(&f.timeout)
+	return f
+}
+
+// bindChange adds the flags of verbs that change something.
+func bindChange(clause *kingpin.CmdClause) *logFlags {
+	f := bindLog(clause)
+	clause.Flag("operator", "Name that stands in the change; the default is the user's.").
+		Envar(operatorVariable).
+		PlaceHolder("NAME").
+		StringVar(&f.operator)
+	return f
+}
+
+// withLog reads the log and hands the view of it to run.
+func (c *cli) withLog(
+	ctx context.Context,
+	f *logFlags,
+	run func(ctx context.Context, p *publisher.Publisher, v *publisher.View) error,
+) error {
+	client, err := appender.NewClient(f.url, c.HTTP)
+	if err != nil {
+		return UsageError{Cause: err}
+	}
+	if f.timeout <= 0 {
+		return UsageError{Cause: fmt.Errorf("--timeout %s: want more than none", f.timeout)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	operator := f.operator
+	if operator == "" {
+		operator = c.User
+	}
+	p := publisher.New(publisher.Options{
+		Log:        client,
+		Operator:   operator,
+		Wall:       func() clock.Wall { return clock.Wall(c.Now().UnixMilli()) },
+		Random:     c.Random,
+		TryTimeout: clock.FromStd(f.timeout / triesPerTimeout),
+		RetryPause: retryPause,
+	})
+	v, err := p.Load(ctx)
+	if err != nil {
+		return err
+	}
+	return run(ctx, p, v)
+}
--- a/internal/logkeeper/handler.go
+++ b/internal/logkeeper/handler.go
@@ -193,5 +193,9 @@
 }
 
 func fail(w http.ResponseWriter, status int, err error) {
+	var u appender.Unavailable
+	if errors.As(err, &u) {
+		err = u.Cause
+	}
 	http.Error(w, err.Error(), status)
 }
--- a/internal/publisher/key.go
+++ b/internal/publisher/key.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
@@ -51,6 +52,16 @@
 
 // Hash returns what is published of the key.
 func (s Secret) Hash() identifier.KeyHash {
-	sum := sha256.Sum256([]byte(s.text))
+	return HashOf(s.text)
+}
+
+// HashOf returns what is published of a key in its text form.
+func HashOf(key string) identifier.KeyHash {
+	sum := sha256.Sum256([]byte(key))
 	return identifier.KeyHash(hex.EncodeToString(sum[:]))
 }
+
+// LooksLikeKey tells whether a text has the form of a key.
+func LooksLikeKey(text string) bool {
+	return strings.HasPrefix(text, keyPrefix)
+}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
@@ -50,13 +51,30 @@
 	return &Publisher{options: o}
 }
 
-// Load reads the whole log.
+// Load reads the whole log, trying until ctx ends while the log is unavailable.
 func (p *Publisher) Load(ctx context.Context) (*View, error) {
 	v := newView()
-	if err := v.catchUp(ctx, p.options.Log); err != nil {
-		return nil, fmt.Errorf("read the log: %w", err)
+	var cause error
+	for {
+		err := p.catchUp(ctx, v)
+		if err == nil {
+			return v, nil
+		}
+		// That the time is up tells an operator less than what was wrong before.
+		if cause == nil || !errors.Is(err, context.DeadlineExceeded) {
+			cause = err
+		}
+		var u appender.Unavailable
+		if !errors.As(err, &u) || !pause(ctx, p.options.RetryPause.Std()) {
+			return nil, fmt.Errorf("read the log: %w", cause)
+		}
 	}
-	return v, nil
+}
+
+func (p *Publisher) catchUp(ctx context.Context, v *View) error {
+	ctx, cancel := context.WithTimeout(ctx, p.options.TryTimeout.Std())
+	defer cancel()
+	return v.catchUp(ctx, p.options.Log)
 }
 
 // Publish sets the content of a preset, made against the given version of it.
--- a/internal/publisher/settler.go
+++ b/internal/publisher/settler.go
@@ -73,9 +73,7 @@
 }
 
 func (p *Publisher) look(ctx context.Context, v *View, id configurer.ChangeID) (configurer.Outcome, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.options.TryTimeout.Std())
-	defer cancel()
-	if err := v.catchUp(ctx, p.options.Log); err != nil {
+	if err := p.catchUp(ctx, v); err != nil {
 		return configurer.Outcome{}, false, err
 	}
 	o, found := v.OutcomeOf(id)
