transporter: failure tests, fuzzing of frames

Cause: an empty tail frame was reported by the decoder as io.EOF, which a reader would take for a whole answer; the failure of reading a request's body could be lost behind the reset that it caused. Change: decoders never report a clean end; the cause is stored before the reset. Tests for phases, cancellation, early refusal, 200 MB bodies, strangers, control overflow, graceful close and idle links.

--- a/internal/transporter/call.go
+++ b/internal/transporter/call.go
@@ -39,10 +39,10 @@
 	body   bodyReader
 	// stopWatch ends the watch over ctx.
 	stopWatch func() bool
-	// uploading is closed when the request's body has been sent or given up; nil for a body sent at once.
-	uploading chan struct{}
-	// uploadErr is set before uploading is closed.
-	uploadErr error
+	// uploading tells that the request's body is sent by a goroutine of its own.
+	uploading bool
+	// uploadErr is why the request's body could not be read.
+	uploadErr atomic.Pointer[error]
 	tail      AnswerTail
 	complete  atomic.Bool
 	ended     atomic.Bool
@@ -84,7 +84,7 @@
 		_ = c.stream.Close()
 		return Sent, nil
 	}
-	c.uploading = make(chan struct{})
+	c.uploading = true
 	go c.upload(body)
 	return Sent, nil
 }
@@ -138,7 +138,6 @@
 
 // upload sends a large body or one of unknown size.
 func (c *call) upload(body io.Reader) {
-	defer close(c.uploading)
 	chunk := chunkPool.Get().(*[lengthSize + maxChunk]byte)
 	defer chunkPool.Put(chunk)
 	for {
@@ -153,7 +152,7 @@
 			return
 		}
 		if err != nil {
-			c.uploadErr = err
+			c.uploadErr.Store(&err)
 			c.abort()
 			return
 		}
@@ -233,8 +232,8 @@
 // fail ends the exchange after an error and says how far the call had got.
 func (c *call) fail(err error) (Phase, error) {
 	c.abort()
-	if c.uploading != nil && c.uploadErrNow() != nil {
-		err = c.uploadErrNow()
+	if cause := c.uploadErr.Load(); cause != nil {
+		err = *cause
 	}
 	c.finish()
 	if c.ctx.Err() != nil {
@@ -246,15 +245,6 @@
 	return Sent, err
 }
 
-func (c *call) uploadErrNow() error {
-	select {
-	case <-c.uploading:
-		return c.uploadErr
-	default:
-		return nil
-	}
-}
-
 // abort resets the stream both ways: the handler's context ends, and nothing is sent or read any more.
 func (c *call) abort() {
 	c.stream.CancelRead(streamCancelled)
@@ -267,7 +257,7 @@
 		return
 	}
 	c.stopWatch()
-	if c.uploading != nil {
+	if c.uploading {
 		c.stream.CancelWrite(streamEnough)
 	}
 	c.link.done()
--- a/internal/transporter/codec.go
+++ b/internal/transporter/codec.go
@@ -133,7 +133,7 @@
 func decodeCall(b []byte) (CallHead, error) {
 	var w wireCall
 	if err := decoderMode.Unmarshal(b, &w); err != nil {
-		return CallHead{}, MalformedError{What: "call head", Err: err}
+		return CallHead{}, malformed("call head", err)
 	}
 	return CallHead{
 		Request: identifier.Request(w.Request), Root: identifier.Request(w.Root), Team: identifier.Team(w.Team),
@@ -159,7 +159,7 @@
 func decodeAnswer(b []byte) (AnswerHead, error) {
 	var w wireAnswer
 	if err := decoderMode.Unmarshal(b, &w); err != nil {
-		return AnswerHead{}, MalformedError{What: "answer head", Err: err}
+		return AnswerHead{}, malformed("answer head", err)
 	}
 	h := AnswerHead{Status: w.Status, Header: fieldsFromWire(w.Header)}
 	if r := w.Refusal; r != nil {
@@ -180,7 +180,7 @@
 func decodeTail(b []byte) (AnswerTail, error) {
 	var w wireTail
 	if err := decoderMode.Unmarshal(b, &w); err != nil {
-		return AnswerTail{}, MalformedError{What: "answer tail", Err: err}
+		return AnswerTail{}, malformed("answer tail", err)
 	}
 	return AnswerTail{
 		Allowance: w.Allowance, Threshold: identifier.Threshold(w.Threshold), Headroom: w.Headroom,
@@ -201,9 +201,14 @@
 func decodeHello(b []byte) (hello, error) {
 	var w wireHello
 	if err := decoderMode.Unmarshal(b, &w); err != nil {
-		return hello{}, MalformedError{What: "hello", Err: err}
+		return hello{}, malformed("hello", err)
 	}
 	return hello{
 		node: identifier.Node(w.Node), domain: identifier.FailureDomain(w.Domain), to: identifier.Node(w.To),
 	}, nil
 }
+
+// The decoder reports an empty frame as io.EOF, which a reader of the answer would take for its whole end.
+func malformed(what string, err error) MalformedError {
+	return MalformedError{What: what, Err: noCleanEnd(err)}
+}
--- /dev/null
+++ b/internal/transporter/codec_test.go
@@ -0,0 +1,103 @@
+package transporter
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func drawFields(t *rapid.T) []Field {
+	return rapid.SliceOfN(rapid.Make[Field](), 0, 5).Draw(t, "fields")
+}
+
+func sameFields(a, b []Field) []Field {
+	if len(a) == 0 {
+		return b
+	}
+	return a
+}
+
+func TestHeadsAndTailsComeBackTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		call, answer := rapid.Make[CallHead]().Draw(t, "call"), rapid.Make[AnswerHead]().Draw(t, "answer")
+		call.Header, answer.Header = drawFields(t), drawFields(t)
+		tail := rapid.Make[AnswerTail]().Draw(t, "tail")
+		b := getBuffer()
+		defer putBuffer(b)
+		assert.NilError(t, appendFrame(b, "call", callToWire(&call), 1<<20))
+		assert.NilError(t, appendFrame(b, "answer", answerToWire(&answer), 1<<20))
+		assert.NilError(t, appendFrame(b, "tail", tailToWire(tail), 1<<20))
+		r := bufio.NewReaderSize(b, 64)
+		assert.NilError(t, readFrame(r, "call", 1<<20, func(b []byte) error {
+			got, err := decodeCall(b)
+			call.Header = sameFields(call.Header, got.Header)
+			assert.DeepEqual(t, got, call)
+			return err
+		}))
+		assert.NilError(t, readFrame(r, "answer", 1<<20, func(b []byte) error {
+			got, err := decodeAnswer(b)
+			answer.Header = sameFields(answer.Header, got.Header)
+			assert.DeepEqual(t, got, answer)
+			return err
+		}))
+		assert.NilError(t, readFrame(r, "tail", 1<<20, func(b []byte) error {
+			got, err := decodeTail(b)
+			assert.Equal(t, got, tail)
+			return err
+		}))
+	})
+}
+
+// Bytes from the network are cut short, garbled or made by an attacker with a stolen certificate. No reader may
+// panic, hang, take a cut body for a whole one, or ask for memory that a length field names.
+func FuzzFrames(f *testing.F) {
+	b := new(bytes.Buffer)
+	assert.NilError(f, appendFrame(b, "call", callToWire(&CallHead{Service: "ice", Header: []Field{{"A", "b"}}}), 1<<10))
+	appendChunk(b, []byte("body"))
+	appendChunk(b, nil)
+	assert.NilError(f, appendFrame(b, "tail", tailToWire(AnswerTail{Threshold: 9}), 1<<10))
+	f.Add(b.Bytes())
+	f.Add([]byte{0, 0, 0, 4, 0x9b, 0xff, 0xff, 0xff})
+	f.Add([]byte{1, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for name, decode := range map[string]func([]byte) error{
+			"call":   func(b []byte) error { _, err := decodeCall(b); return err },
+			"answer": func(b []byte) error { _, err := decodeAnswer(b); return err },
+			"tail":   func(b []byte) error { _, err := decodeTail(b); return err },
+			"hello":  func(b []byte) error { _, err := decodeHello(b); return err },
+		} {
+			r := bufio.NewReader(bytes.NewReader(data))
+			if err := readFrame(r, name, 1<<16, decode); errors.Is(err, io.EOF) {
+				t.Fatalf("%s: a frame cut short ended cleanly", name)
+			}
+		}
+		_, _, err := readControlFrame(bufio.NewReader(bytes.NewReader(data)), 1<<16)
+		assert.Assert(t, !errors.Is(err, io.EOF))
+		body := &bodyReader{r: bufio.NewReader(bytes.NewReader(data))}
+		got, err := io.ReadAll(body)
+		if err == nil {
+			assert.Assert(t, body.whole())
+			assert.Assert(t, len(got)+lengthSize <= len(data))
+		}
+	})
+}
+
+func TestEveryCutOfABodyIsAnError(t *testing.T) {
+	b := new(bytes.Buffer)
+	for _, part := range []string{"a", "bcd", ""} {
+		appendChunk(b, []byte(part))
+	}
+	for n := range b.Len() {
+		body := &bodyReader{r: bufio.NewReader(bytes.NewReader(b.Bytes()[:n]))}
+		_, err := io.ReadAll(body)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "%d bytes", n)
+	}
+	whole, err := io.ReadAll(&bodyReader{r: bufio.NewReader(b)})
+	assert.NilError(t, err)
+	assert.Equal(t, string(whole), "abcd")
+}
--- a/internal/transporter/control.go
+++ b/internal/transporter/control.go
@@ -58,7 +58,7 @@
 			err = l.sendBatch(batch)
 			l.done()
 		}
-		if t.queueEnded(to, p, err) {
+		if t.queueEnded(p, err) {
 			return
 		}
 	}
@@ -74,7 +74,7 @@
 }
 
 // queueEnded tells whether the sender may end: nothing waits, or the peer can't be reached and what waits is lost.
-func (t *Transporter) queueEnded(to Peer, p *peerState, err error) bool {
+func (t *Transporter) queueEnded(p *peerState, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err == nil && len(p.queue) > 0 {
--- /dev/null
+++ b/internal/transporter/failure_test.go
@@ -0,0 +1,382 @@
+package transporter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+type callFunc = func(context.Context, identifier.Node, CallHead, io.Reader, AnswerWriter)
+
+// zeros gives n bytes and then io.EOF.
+func zeros(n int64) io.Reader {
+	return io.LimitReader(zeroReader{}, n)
+}
+
+type zeroReader struct{}
+
+func (zeroReader) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+func quick(o *Options) {
+	o.PeerTimeout = 300 * clock.Millisecond
+	o.DialTimeout = 300 * clock.Millisecond
+}
+
+// Nodes die, hang, refuse, vanish behind a partition and turn out to be somebody else. Whoever waits for the
+// answer must learn truthfully whether the call may have run: a caller who is told "not run" sends the booking
+// again, and would be charged twice if that were wrong.
+func TestPhaseIsTrue(t *testing.T) {
+	half := func(ctx context.Context, w AnswerWriter) {
+		_ = w.WriteHead(AnswerHead{Status: 200})
+		_, _ = w.Write([]byte("half"))
+		_ = w.Flush()
+		<-ctx.Done()
+	}
+	var cut atomic.Bool
+	cases := map[string]struct {
+		call    callFunc
+		prepare func(a, b *Transporter, to *Peer)
+		during  func(b *Transporter)
+		options func(a, b *Options)
+		want    Phase
+		ran     bool
+	}{
+		"dies before the head": {
+			call:   func(ctx context.Context, _ identifier.Node, _ CallHead, _ io.Reader, _ AnswerWriter) { <-ctx.Done() },
+			during: kill, want: Sent, ran: true,
+		},
+		"dies in the middle of the body": {
+			call: func(ctx context.Context, _ identifier.Node, _ CallHead, _ io.Reader, w AnswerWriter) {
+				half(ctx, w)
+			},
+			during: kill, want: Answered, ran: true,
+		},
+		"handler gives up in the middle of the body": {
+			call: func(_ context.Context, _ identifier.Node, _ CallHead, _ io.Reader, w AnswerWriter) {
+				_ = w.WriteHead(AnswerHead{Status: 200})
+				_, _ = w.Write([]byte("half"))
+			},
+			want: Sent, ran: true,
+		},
+		"handler never answers": {
+			call: func(context.Context, identifier.Node, CallHead, io.Reader, AnswerWriter) {},
+			want: Sent, ran: true,
+		},
+		"partition during the call": {
+			call:   func(ctx context.Context, _ identifier.Node, _ CallHead, _ io.Reader, _ AnswerWriter) { <-ctx.Done() },
+			during: func(*Transporter) { cut.Store(true) }, want: Sent, ran: true,
+		},
+		"partition before the call": {
+			prepare: func(*Transporter, *Transporter, *Peer) { cut.Store(true) }, want: NotSent,
+		},
+		"nobody listens": {
+			prepare: func(_, b *Transporter, _ *Peer) { kill(b) }, want: NotSent,
+		},
+		"another node listens there": {
+			prepare: func(_, _ *Transporter, to *Peer) { to.Node = "forerunner" }, want: NotSent,
+		},
+		"peer is closing": {
+			prepare: func(_, b *Transporter, _ *Peer) {
+				b.mu.Lock()
+				b.closing = true
+				b.mu.Unlock()
+			}, want: NotSent,
+		},
+		"head too large": {
+			options: func(a, _ *Options) { a.MaxHead = 40 }, want: NotSent,
+		},
+		"head too large for the peer": {
+			options: func(_, b *Options) { b.MaxHead = 40 }, want: NotSent,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			cut.Store(false)
+			f := newFleet(t)
+			entered := make(chan struct{})
+			var ran atomic.Bool
+			ofA, ofB := Options{}, Options{}
+			if c.options != nil {
+				c.options(&ofA, &ofB)
+			}
+			a, _ := f.start("a", funcHandler{}, func(o *Options) {
+				quick(o)
+				o.MaxHead = ofA.MaxHead
+				o.Cut = func(identifier.Node) bool { return cut.Load() }
+			})
+			b, to := f.start("b", funcHandler{call: func(
+				ctx context.Context, n identifier.Node, h CallHead, r io.Reader, w AnswerWriter,
+			) {
+				ran.Store(true)
+				close(entered)
+				c.call(ctx, n, h, r, w)
+			}}, func(o *Options) {
+				quick(o)
+				o.MaxHead = ofB.MaxHead
+			})
+			if c.prepare != nil {
+				c.prepare(a, b, &to)
+			}
+			if c.during != nil {
+				go func() {
+					<-entered
+					time.Sleep(20 * time.Millisecond)
+					c.during(b)
+				}()
+			}
+			head := CallHead{Service: "ice", Method: "GET", Path: "/a-path-that-makes-the-head-long"}
+			answer, phase, err := a.Call(context.Background(), to, head, nil)
+			if err == nil {
+				_, err = io.ReadAll(answer.Body)
+				_, whole := answer.Tail()
+				assert.Assert(t, !whole)
+			}
+			var callErr CallError
+			assert.Assert(t, errors.As(err, &callErr), "%v", err)
+			assert.Equal(t, callErr.Phase, c.want)
+			assert.Equal(t, phase, c.want)
+			assert.Equal(t, ran.Load(), c.ran)
+		})
+	}
+}
+
+// A caller hangs up, or its deadline passes, while the handler at the other node still works. The handler must
+// notice, or the node works on for nobody; and its late answer must reach no one else.
+func TestCancelledCallEndsItsHandlerAndItsAnswerReachesNobody(t *testing.T) {
+	f := newFleet(t)
+	ended := make(chan struct{})
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: func(
+		ctx context.Context, n identifier.Node, h CallHead, r io.Reader, w AnswerWriter,
+	) {
+		if h.Path == "/slow" {
+			<-ctx.Done()
+			_ = w.WriteHead(AnswerHead{Status: 200})
+			_, _ = w.Write([]byte("late"))
+			assert.Check(t, w.Close(AnswerTail{}) != nil)
+			close(ended)
+			return
+		}
+		echo(ctx, n, h, r, w)
+	}}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, phase, err := a.Call(ctx, to, CallHead{Path: "/slow"}, nil)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, phase, Sent)
+	for range 20 {
+		got, _, err := callText(context.Background(), a, to, "mine")
+		assert.NilError(t, err)
+		assert.Equal(t, got, "mine")
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the handler was not told that its caller had gone")
+	}
+}
+
+// A node refuses an upload at once while the caller still sends. The caller must get the refusal, not an error
+// of its own sending, and must stop sending.
+func TestEarlyRefusalStopsTheUpload(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: func(
+		_ context.Context, _ identifier.Node, _ CallHead, _ io.Reader, w AnswerWriter,
+	) {
+		_ = w.WriteHead(AnswerHead{Status: 503, Refusal: &Refusal{Reason: "shed", NotRun: true, RetryAfter: 40, DecidedBy: "b"}})
+		_ = w.Close(AnswerTail{Allowance: 3})
+	}}, nil)
+	body := &countingReader{r: zeros(200 << 20)}
+	answer, _, err := a.Call(context.Background(), to, CallHead{ContentLength: 200 << 20}, body)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answer.Head.Refusal, &Refusal{Reason: "shed", NotRun: true, RetryAfter: 40, DecidedBy: "b"})
+	_, err = io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	tail, whole := answer.Tail()
+	assert.Assert(t, whole && tail.Allowance == 3)
+	time.Sleep(50 * time.Millisecond)
+	sent := body.n.Load()
+	assert.Assert(t, sent < 20<<20, "%d bytes were read for a refused upload", sent)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, body.n.Load(), sent)
+}
+
+type countingReader struct {
+	r io.Reader
+	n atomic.Int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// A clerk uploads 200 MB through a node with 64 MB to its name, and a slow reader fetches as much. If a node
+// kept bodies, it would be killed, and all its other calls with it.
+func TestLargeBodiesPassWithFlatMemory(t *testing.T) {
+	f := newFleet(t)
+	const size = 200 << 20
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: echo}, nil)
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	answer, _, err := a.Call(context.Background(), to, CallHead{ContentLength: size}, zeros(size))
+	assert.NilError(t, err)
+	var peak uint64
+	got := int64(0)
+	for step := int64(8 << 20); err == nil; got += step {
+		step, err = io.CopyN(io.Discard, answer.Body, 8<<20)
+		runtime.ReadMemStats(&now)
+		peak = max(peak, now.HeapAlloc)
+	}
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, got, int64(size))
+	grown := int64(peak) - int64(before.HeapAlloc)
+	t.Logf("heap grew by at most %d KB", grown>>10)
+	assert.Assert(t, grown < 40<<20, "the heap grew by %d bytes", grown)
+}
+
+// The caller's own connection breaks in the middle of its upload. The backend server must see an error, never
+// the end of a body: half a manifest would be taken for a whole one.
+func TestBrokenUploadNeverEndsCleanly(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("a", funcHandler{}, nil)
+	seen, entered := make(chan error, 1), make(chan struct{}, 1)
+	_, to := f.start("b", funcHandler{call: func(
+		_ context.Context, _ identifier.Node, _ CallHead, r io.Reader, _ AnswerWriter,
+	) {
+		entered <- struct{}{}
+		_, err := io.Copy(io.Discard, r)
+		seen <- err
+	}}, nil)
+	for name, length := range map[string]int64{"unknown length": -1, "large": 1 << 20} {
+		body := io.MultiReader(strings.NewReader("half"), brokenReader(entered))
+		_, phase, err := a.Call(context.Background(), to, CallHead{ContentLength: length}, body)
+		assert.ErrorIs(t, err, io.ErrClosedPipe, name)
+		assert.Equal(t, phase, Sent)
+		assert.Assert(t, <-seen != nil, name)
+	}
+	body := strings.NewReader("half")
+	_, phase, err := a.Call(context.Background(), to, CallHead{ContentLength: 100}, body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Equal(t, phase, NotSent)
+}
+
+// brokenReader fails once the other end is at work.
+type brokenReader chan struct{}
+
+func (b brokenReader) Read([]byte) (int, error) {
+	<-b
+	return 0, io.ErrClosedPipe
+}
+
+// Somebody in the network presents a certificate of another authority, or none at all. It must neither call nor
+// be called.
+func TestStrangersAreTurnedAway(t *testing.T) {
+	own, other := newFleet(t), newFleet(t)
+	called := func(context.Context, identifier.Node, CallHead, io.Reader, AnswerWriter) {
+		t.Error("a stranger's call was served")
+	}
+	_, to := own.start("b", funcHandler{call: called}, quick)
+	cases := map[string]*fleet{
+		"stranger calls":         {t: t, server: own.server, client: other.client},
+		"stranger trusts us":     {t: t, server: own.server, client: strangerThatTrusts(own, other)},
+		"stranger presents none": {t: t, server: own.server, client: withoutCertificate(own)},
+	}
+	for name, f := range cases {
+		a, _ := f.start("a", funcHandler{}, quick)
+		_, phase, err := a.Call(context.Background(), to, CallHead{}, nil)
+		assert.Assert(t, err != nil, name)
+		assert.Equal(t, phase, NotSent, name)
+	}
+}
+
+// A peer is dead or far slower than what is sent to it. The event loop must not wait, and memory must not grow.
+func TestControlQueueIsBounded(t *testing.T) {
+	f := newFleet(t)
+	block := make(chan struct{})
+	defer close(block)
+	a, _ := f.start("a", funcHandler{}, func(o *Options) { o.MaxQueueBytes = 4 << 20 })
+	_, to := f.start("b", funcHandler{control: func(identifier.Node, []byte) { <-block }}, nil)
+	start := time.Now()
+	var err error
+	accepted := 0
+	for ; err == nil && accepted < 10_000; accepted++ {
+		err = a.SendControl(to, make([]byte, 64<<10))
+		time.Sleep(time.Millisecond)
+	}
+	assert.ErrorType(t, err, OverflowError{})
+	assert.Assert(t, accepted < 400, "%d messages of 64 KB were taken", accepted)
+	assert.Assert(t, time.Since(start) < 5*time.Second)
+}
+
+// A VM is replaced while a clerk uploads: the node announces that it leaves and ends only when the upload is
+// through. An operator who sees a cut upload after a planned stop has found this broken.
+func TestCloseFinishesStreams(t *testing.T) {
+	f := newFleet(t)
+	for name, closeCaller := range map[string]bool{"caller closes": true, "callee closes": false} {
+		t.Run(name, func(t *testing.T) {
+			a, _ := f.start("a", funcHandler{}, nil)
+			b, to := f.start("b", funcHandler{call: promptEcho}, nil)
+			r, w := io.Pipe()
+			answer, _, err := a.Call(context.Background(), to, CallHead{ContentLength: -1}, r)
+			assert.NilError(t, err)
+			closing := b
+			if closeCaller {
+				closing = a
+			}
+			closed := make(chan error, 1)
+			go func() { closed <- closing.Close(context.Background()) }()
+			time.Sleep(50 * time.Millisecond)
+			_, _, err = callText(context.Background(), a, to, "new")
+			assert.Assert(t, err != nil)
+			_, err = w.Write([]byte("upload"))
+			assert.NilError(t, err)
+			assert.NilError(t, w.Close())
+			got, err := io.ReadAll(answer.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), "upload")
+			assert.NilError(t, <-closed)
+		})
+	}
+}
+
+// Calls come now and then, just when the idle connection between two nodes is let go. None may fail for that.
+func TestIdleLinksGoWithoutHurtingCalls(t *testing.T) {
+	f := newFleet(t)
+	idle := func(o *Options) { o.IdleAfter = 4 * clock.Millisecond }
+	a, toA := f.start("a", funcHandler{call: echo}, idle)
+	b, toB := f.start("b", funcHandler{call: echo}, idle)
+	for i := range 150 {
+		time.Sleep(time.Duration(3500+i*20) * time.Microsecond)
+		from, to := a, toB
+		if i%2 == 1 {
+			from, to = b, toA
+		}
+		_, _, err := callText(context.Background(), from, to, "now and then")
+		assert.NilError(t, err)
+	}
+	for range 100 {
+		if a.Links()+b.Links() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%d idle links are left", a.Links()+b.Links())
+}
--- a/internal/transporter/harness_test.go
+++ b/internal/transporter/harness_test.go
@@ -76,6 +76,15 @@
 	_ = w.Close(AnswerTail{Allowance: head.Allowance, Threshold: 7})
 }
 
+// promptEcho is echo with a head that does not wait for the body.
+func promptEcho(_ context.Context, _ identifier.Node, _ CallHead, body io.Reader, w AnswerWriter) {
+	_ = w.WriteHead(AnswerHead{Status: 200})
+	_ = w.Flush()
+	if _, err := io.Copy(w, body); err == nil {
+		_ = w.Close(AnswerTail{})
+	}
+}
+
 // fleet starts nodes of one authority and stops them with the test.
 type fleet struct {
 	t              testing.TB
@@ -108,3 +117,16 @@
 func kill(n *Transporter) {
 	_ = n.transport.Conn.Close()
 }
+
+// strangerThatTrusts returns a client that takes ours for good but shows its own authority's certificate.
+func strangerThatTrusts(ours, stranger *fleet) *tls.Config {
+	c := stranger.client.Clone()
+	c.RootCAs = ours.client.RootCAs
+	return c
+}
+
+func withoutCertificate(ours *fleet) *tls.Config {
+	c := ours.client.Clone()
+	c.Certificates = nil
+	return c
+}
