transporter: keep the stream of a whole exchange for the next call

Change: streams that both ends know to be clean carry the next call; copies go through a pooled buffer.

--- a/internal/transporter/call.go
+++ b/internal/transporter/call.go
@@ -12,7 +12,6 @@
 	"errors"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -41,6 +40,8 @@
 	stopWatch func() bool
 	// uploading tells that the request's body is sent by a goroutine of its own.
 	uploading bool
+	// uploaded tells that the whole request has been sent.
+	uploaded atomic.Bool
 	// uploadErr is why the request's body could not be read.
 	uploadErr atomic.Pointer[error]
 	tail      AnswerTail
@@ -73,15 +74,12 @@
 	if err != nil {
 		return NotSent, err
 	}
-	if err := c.open(t); err != nil {
+	if err := c.open(t, b.Bytes()); err != nil {
 		return NotSent, err
 	}
 	c.stopWatch = context.AfterFunc(c.ctx, c.abort)
-	if _, err := c.stream.Write(b.Bytes()); err != nil && !isEnough(err) {
-		return c.fail(err)
-	}
 	if whole {
-		_ = c.stream.Close()
+		c.uploaded.Store(true)
 		return Sent, nil
 	}
 	c.uploading = true
@@ -116,16 +114,21 @@
 	return true, err
 }
 
-// open gets a stream; a link that died since it was last used is replaced once.
-func (c *call) open(t *Transporter) error {
+// open sends the first bytes of the call on a stream. A link that died since it was last used takes none of
+// them, which proves that the call was not sent; it is replaced once.
+func (c *call) open(t *Transporter, first []byte) error {
 	for attempt := 0; ; attempt++ {
 		l, err := t.acquire(c.ctx, c.to)
 		if err != nil {
 			return err
 		}
-		s, err := l.conn.OpenStreamSync(c.ctx)
+		c.link = l
+		c.stream, err = l.takeStream(c.ctx)
+		n := 0
 		if err == nil {
-			c.link, c.stream = l, s
+			n, err = c.stream.Write(first)
+		}
+		if err == nil || n > 0 {
 			return nil
 		}
 		l.done()
@@ -146,9 +149,7 @@
 			return
 		}
 		if errors.Is(err, io.EOF) {
-			if c.sendChunk(chunk, 0) {
-				_ = c.stream.Close()
-			}
+			c.uploaded.Store(c.sendChunk(chunk, 0))
 			return
 		}
 		if err != nil {
@@ -206,36 +207,35 @@
 
 func (c *call) readTail() error {
 	limit := c.link.t.options.MaxHead
+	keep := false
 	err := readFrame(c.reader, "answer tail", limit, func(b []byte) (err error) {
-		c.tail, err = decodeTail(b)
+		c.tail, keep, err = decodeTail(b)
 		return err
 	})
 	if err != nil {
 		return err
 	}
+	keep = keep && c.uploaded.Load() && c.reader.Buffered() == 0
 	c.complete.Store(true)
-	endReading(c.stream)
 	putReader(c.reader)
-	c.finish()
+	c.finish(keep)
 	return nil
 }
 
 // Close gives the rest of the answer up.
 func (c *call) Close() error {
 	if !c.complete.Load() {
-		c.abort()
-		c.finish()
+		c.finish(false)
 	}
 	return nil
 }
 
 // fail ends the exchange after an error and says how far the call had got.
 func (c *call) fail(err error) (Phase, error) {
-	c.abort()
 	if cause := c.uploadErr.Load(); cause != nil {
 		err = *cause
 	}
-	c.finish()
+	c.finish(false)
 	if c.ctx.Err() != nil {
 		return Sent, c.ctx.Err()
 	}
@@ -251,34 +251,21 @@
 	c.stream.CancelWrite(streamCancelled)
 }
 
-// finish counts the call as ended, once, and stops an upload that nobody wants any more.
-func (c *call) finish() {
+// finish counts the call as ended, once. It keeps the stream, or resets it, which also stops an upload that nobody
+// wants any more. A reset that the watch over ctx has begun must not hit the stream's next call, so a stream is
+// kept only if the watch was stopped before that.
+func (c *call) finish(keep bool) {
 	if c.ended.Swap(true) {
 		return
 	}
-	c.stopWatch()
-	if c.uploading {
-		c.stream.CancelWrite(streamEnough)
+	if c.stopWatch() && keep {
+		c.link.putStream(c.stream)
+	} else {
+		c.abort()
 	}
 	c.link.done()
 }
 
-// endReading ends the receiving side of a stream whose last frame was read: without an extra packet when the
-// stream's end is already there, which is the usual case.
-func endReading(s *quic.Stream) {
-	_ = s.SetReadDeadline(time.Unix(1, 0))
-	var b [1]byte
-	if _, err := s.Read(b[:]); !errors.Is(err, io.EOF) {
-		s.CancelRead(streamEnough)
-	}
-}
-
-// isEnough tells that the peer wants no more of the body, which is no failure: its answer says why.
-func isEnough(err error) bool {
-	var e *quic.StreamError
-	return errors.As(err, &e) && e.Remote && e.ErrorCode == streamEnough
-}
-
 // notTaken tells that the peer said it never handed the call to a handler.
 func notTaken(err error) bool {
 	var s *quic.StreamError
--- a/internal/transporter/codec.go
+++ b/internal/transporter/codec.go
@@ -63,6 +63,8 @@
 	Threshold  uint16
 	Headroom   uint8
 	RetryRatio uint8
+	// Keep tells that the whole request was read, so that the stream can carry another call.
+	Keep bool
 }
 
 type wireHello struct {
@@ -171,21 +173,22 @@
 	return h, nil
 }
 
-func tailToWire(t AnswerTail) wireTail {
+func tailToWire(t AnswerTail, keep bool) wireTail {
 	return wireTail{
 		Allowance: t.Allowance, Threshold: uint16(t.Threshold), Headroom: t.Headroom, RetryRatio: t.RetryRatio,
+		Keep: keep,
 	}
 }
 
-func decodeTail(b []byte) (AnswerTail, error) {
+func decodeTail(b []byte) (_ AnswerTail, keep bool, _ error) {
 	var w wireTail
 	if err := decoderMode.Unmarshal(b, &w); err != nil {
-		return AnswerTail{}, malformed("answer tail", err)
+		return AnswerTail{}, false, malformed("answer tail", err)
 	}
 	return AnswerTail{
 		Allowance: w.Allowance, Threshold: identifier.Threshold(w.Threshold), Headroom: w.Headroom,
 		RetryRatio: w.RetryRatio,
-	}, nil
+	}, w.Keep, nil
 }
 
 type hello struct {
--- a/internal/transporter/codec_test.go
+++ b/internal/transporter/codec_test.go
@@ -31,7 +31,7 @@
 		defer putBuffer(b)
 		assert.NilError(t, appendFrame(b, "call", callToWire(&call), 1<<20))
 		assert.NilError(t, appendFrame(b, "answer", answerToWire(&answer), 1<<20))
-		assert.NilError(t, appendFrame(b, "tail", tailToWire(tail), 1<<20))
+		assert.NilError(t, appendFrame(b, "tail", tailToWire(tail, true), 1<<20))
 		r := bufio.NewReaderSize(b, 64)
 		assert.NilError(t, readFrame(r, "call", 1<<20, func(b []byte) error {
 			got, err := decodeCall(b)
@@ -46,7 +46,8 @@
 			return err
 		}))
 		assert.NilError(t, readFrame(r, "tail", 1<<20, func(b []byte) error {
-			got, err := decodeTail(b)
+			got, keep, err := decodeTail(b)
+			assert.Assert(t, keep)
 			assert.Equal(t, got, tail)
 			return err
 		}))
@@ -60,7 +61,7 @@
 	assert.NilError(f, appendFrame(b, "call", callToWire(&CallHead{Service: "ice", Header: []Field{{"A", "b"}}}), 1<<10))
 	appendChunk(b, []byte("body"))
 	appendChunk(b, nil)
-	assert.NilError(f, appendFrame(b, "tail", tailToWire(AnswerTail{Threshold: 9}), 1<<10))
+	assert.NilError(f, appendFrame(b, "tail", tailToWire(AnswerTail{Threshold: 9}, true), 1<<10))
 	f.Add(b.Bytes())
 	f.Add([]byte{0, 0, 0, 4, 0x9b, 0xff, 0xff, 0xff})
 	f.Add([]byte{1, 0, 0, 0, 0})
@@ -68,7 +69,7 @@
 		for name, decode := range map[string]func([]byte) error{
 			"call":   func(b []byte) error { _, err := decodeCall(b); return err },
 			"answer": func(b []byte) error { _, err := decodeAnswer(b); return err },
-			"tail":   func(b []byte) error { _, err := decodeTail(b); return err },
+			"tail":   func(b []byte) error { _, _, err := decodeTail(b); return err },
 			"hello":  func(b []byte) error { _, err := decodeHello(b); return err },
 		} {
 			r := bufio.NewReader(bytes.NewReader(data))
--- /dev/null
+++ b/internal/transporter/latency_test.go
@@ -0,0 +1,229 @@
+// The design note's figures come from here: one hop over QUIC against a minimal one over TCP and TLS, with calls
+// of both interleaved in one run, since absolute times differ from run to run on a shared machine.
+//
+// Example: go test -run '^$' -bench HopAtSteadyRate -benchtime 8000x ./internal/transporter
+
+package transporter
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	smallBody    = 256
+	callsASecond = 400
+)
+
+func benchHead() CallHead {
+	return CallHead{
+		Request: "0192f0c1-7c1e-7d5b-9b8e-3f6a5d1c2b3a", Root: "0192f0c1-7c1e-7d5b-9b8e-3f6a5d1c2b3a",
+		Team: "okhotskAgents", Service: "ice", Endpoint: "ice-3", Method: "POST", Path: "/bulletins/today",
+		Header: []Field{
+			{"Content-Type", "application/json"}, {"Accept", "application/json"}, {"User-Agent", "agent/3"},
+			{"Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"},
+		},
+		ContentLength: smallBody, Rank: 9000, Deadline: 1800, Allowance: 2, Depth: 1,
+	}
+}
+
+// tcpPool is the variant weighed against QUIC: one TLS connection a call under way, kept for the next call.
+type tcpPool struct {
+	address string
+	config  *tls.Config
+	mu      sync.Mutex
+	idle    []*tcpConn
+}
+
+type tcpConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (p *tcpPool) get() (*tcpConn, error) {
+	p.mu.Lock()
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		return c, nil
+	}
+	p.mu.Unlock()
+	conn, err := tls.Dial("tcp", p.address, p.config)
+	if err != nil {
+		return nil, err
+	}
+	return &tcpConn{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+func (p *tcpPool) call(head *CallHead, body string) error {
+	c, err := p.get()
+	if err != nil {
+		return err
+	}
+	b := getBuffer()
+	defer putBuffer(b)
+	if err := appendFrame(b, "call head", callToWire(head), 1<<16); err != nil {
+		return err
+	}
+	appendChunk(b, []byte(body))
+	appendChunk(b, nil)
+	if _, err := c.conn.Write(b.Bytes()); err != nil {
+		return err
+	}
+	if err := readFrame(c.reader, "head", 1<<16, func(b []byte) error { _, err := decodeAnswer(b); return err }); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, &bodyReader{r: c.reader}); err != nil {
+		return err
+	}
+	if err := readFrame(c.reader, "tail", 1<<16, func(b []byte) error { _, _, err := decodeTail(b); return err }); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+	return nil
+}
+
+func serveTCP(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	for {
+		var head CallHead
+		err := readFrame(r, "head", 1<<16, func(b []byte) (err error) { head, err = decodeCall(b); return err })
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(&bodyReader{r: r})
+		b := new(bytes.Buffer)
+		_ = appendFrame(b, "head", answerToWire(&AnswerHead{Status: 200, Header: head.Header}), 1<<16)
+		appendChunk(b, body)
+		appendChunk(b, nil)
+		_ = appendFrame(b, "tail", tailToWire(AnswerTail{Threshold: 7}, true), 1<<16)
+		if _, err := conn.Write(b.Bytes()); err != nil {
+			return
+		}
+	}
+}
+
+func startTCP(t testing.TB, f *fleet) *tcpPool {
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", f.server)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveTCP(conn)
+		}
+	}()
+	return &tcpPool{address: listener.Addr().String(), config: f.client}
+}
+
+func quicCall(a *Transporter, to Peer, head CallHead, body string) error {
+	answer, _, err := a.Call(context.Background(), to, head, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err
+}
+
+// BenchmarkHopAtSteadyRate sends 400 calls a second by each way, at random moments.
+func BenchmarkHopAtSteadyRate(b *testing.B) {
+	f := newFleet(b)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: echo}, nil)
+	pool := startTCP(b, f)
+	body := strings.Repeat("x", smallBody)
+	ways := map[string]func() error{
+		"quic": func() error { return quicCall(a, to, benchHead(), body) },
+		"tcp":  func() error { h := benchHead(); return pool.call(&h, body) },
+	}
+	for range 200 {
+		for _, call := range ways {
+			assert.NilError(b, call())
+		}
+	}
+	var wait sync.WaitGroup
+	results := map[string]*hdrhistogram.Histogram{}
+	b.ResetTimer()
+	for name, call := range ways {
+		h := hdrhistogram.New(1, int64(time.Minute), 3)
+		results[name] = h
+		wait.Go(func() { paced(b, call, h) })
+	}
+	wait.Wait()
+	for name, h := range results {
+		b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, name+"-p50-µs")
+		b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, name+"-p99-µs")
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// paced sends b.N calls whose starts do not wait for each other's answers.
+func paced(b *testing.B, call func() error, h *hdrhistogram.Histogram) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	next := time.Now()
+	for range b.N {
+		next = next.Add(time.Duration(rand.ExpFloat64() * float64(time.Second) / callsASecond))
+		time.Sleep(time.Until(next))
+		wait.Go(func() {
+			start := time.Now()
+			err := call()
+			took := time.Since(start)
+			mu.Lock()
+			defer mu.Unlock()
+			assert.Check(b, err)
+			_ = h.RecordValue(int64(took))
+		})
+	}
+	wait.Wait()
+}
+
+// BenchmarkCall is for profiles: one call after the other.
+func BenchmarkCall(b *testing.B) {
+	f := newFleet(b)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: echo}, nil)
+	pool := startTCP(b, f)
+	body := strings.Repeat("x", smallBody)
+	b.Run("quic", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			assert.NilError(b, quicCall(a, to, benchHead(), body))
+		}
+		reportPackets(b, a)
+	})
+	b.Run("tcp", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			h := benchHead()
+			assert.NilError(b, pool.call(&h, body))
+		}
+	})
+}
+
+// reportPackets tells how many datagrams the caller's end has sent and received a call, over the whole link.
+func reportPackets(b *testing.B, a *Transporter) {
+	for _, l := range a.currentLinks() {
+		s := l.conn.ConnectionStats()
+		b.ReportMetric(float64(s.PacketsSent)/float64(b.N), "sent/op")
+		b.ReportMetric(float64(s.PacketsReceived)/float64(b.N), "received/op")
+	}
+}
--- a/internal/transporter/link.go
+++ b/internal/transporter/link.go
@@ -52,6 +52,10 @@
 	serving atomic.Int32
 	lastUse atomic.Int64
 
+	// idle holds streams whose last exchange was whole.
+	idleMu sync.Mutex
+	idle   []*quic.Stream
+
 	controlMu sync.Mutex
 	control   *quic.SendStream
 
@@ -207,12 +211,7 @@
 		if err != nil {
 			break
 		}
-		l.serving.Add(1)
-		l.t.wait.Go(func() {
-			l.serve(s)
-			l.touch()
-			l.serving.Add(-1)
-		})
+		l.t.wait.Go(func() { l.serveStream(s) })
 	}
 	l.shut(codeGoodbye)
 	l.t.drop(l)
--- a/internal/transporter/serve.go
+++ b/internal/transporter/serve.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"io"
 	"sync"
@@ -14,9 +15,36 @@
 	"github.com/quic-go/quic-go"
 )
 
-func (l *link) serve(s *quic.Stream) {
+// serveStream answers the calls of one stream, one after the other, until an exchange on it was not whole.
+func (l *link) serveStream(s *quic.Stream) {
+	for l.awaitCall(s) {
+		l.serving.Add(1)
+		again := l.serve(s)
+		l.touch()
+		l.serving.Add(-1)
+		if !again {
+			return
+		}
+	}
+}
+
+// awaitCall waits for the next call without holding a buffer for it.
+func (l *link) awaitCall(s *quic.Stream) bool {
+	var first [1]byte
+	if _, err := s.Peek(first[:]); err != nil {
+		_ = s.Close()
+		s.CancelRead(streamEnough)
+		return false
+	}
+	return true
+}
+
+// serve answers one call and tells whether the stream can carry another.
+func (l *link) serve(s *quic.Stream) bool {
 	r := getReader(s)
+	defer putReader(r)
 	body := &requestBody{body: bodyReader{r: r}}
+	defer body.detach()
 	var head CallHead
 	err := readFrame(r, "call head", l.t.options.MaxHead, func(b []byte) (err error) {
 		head, err = decodeCall(b)
@@ -25,18 +53,13 @@
 	if err != nil || l.t.isCut(l.node()) {
 		s.CancelWrite(streamNotTaken)
 		s.CancelRead(streamNotTaken)
-		return
-	}
-	w := &answerWriter{stream: s, maxHead: l.t.options.MaxHead, buffer: getBuffer()}
-	l.t.handler.ServeCall(s.Context(), l.node(), head, body, w)
-	w.finish()
-	if body.whole() {
-		endReading(s)
-	} else {
-		s.CancelRead(streamEnough)
+		return false
 	}
-	body.detach()
-	putReader(r)
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	w := &answerWriter{stream: s, body: body, maxHead: l.t.options.MaxHead, buffer: getBuffer()}
+	l.t.handler.ServeCall(ctx, l.node(), head, body, w)
+	return w.finish()
 }
 
 // requestBody guards the pooled reader: a handler that leaves a goroutine behind which still reads the body
@@ -53,17 +76,22 @@
 	return r.body.Read(p)
 }
 
-// whole tells whether all was read; a body whose end mark has arrived but was not asked for counts too.
+// whole tells whether all was read. A rest that has arrived but was not asked for, such as the small body of a
+// refused call, is thrown away: the stream is then clean for the next call.
 func (r *requestBody) whole() bool {
 	if !r.mu.TryLock() {
 		return false
 	}
 	defer r.mu.Unlock()
 	b := &r.body
-	if b.err == nil && b.left == 0 && b.r.Buffered() >= lengthSize {
-		b.next()
+	for b.err == nil && b.r.Buffered() > 0 {
+		n, _ := b.r.Discard(min(b.left, b.r.Buffered()))
+		b.left -= n
+		if b.left == 0 && (b.r.Buffered() < lengthSize || !b.next()) {
+			break
+		}
 	}
-	return b.whole()
+	return b.whole() && b.r.Buffered() == 0
 }
 
 func (r *requestBody) detach() {
@@ -74,10 +102,13 @@
 
 type answerWriter struct {
 	stream  *quic.Stream
+	body    *requestBody
 	maxHead int
 	buffer  *bytes.Buffer
 	headed  bool
 	closed  bool
+	// keep tells that the answer is whole and the stream can carry another call.
+	keep bool
 }
 
 // WriteHead begins the answer.
@@ -124,33 +155,48 @@
 	return err
 }
 
+// ReadFrom copies r into the answer's body through a pooled buffer.
+func (w *answerWriter) ReadFrom(r io.Reader) (int64, error) {
+	chunk := chunkPool.Get().(*[lengthSize + maxChunk]byte)
+	defer chunkPool.Put(chunk)
+	return io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r}, chunk[:maxChunk])
+}
+
 // Close sends the end mark and the tail.
 func (w *answerWriter) Close(t AnswerTail) error {
 	if !w.headed || w.closed {
 		return errSequence
 	}
 	w.closed = true
+	keep := w.body.whole()
 	appendChunk(w.buffer, nil)
-	if err := appendFrame(w.buffer, "answer tail", tailToWire(t), w.maxHead); err != nil {
+	if err := appendFrame(w.buffer, "answer tail", tailToWire(t, keep), w.maxHead); err != nil {
 		return err
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	return w.stream.Close()
+	w.keep = keep
+	if !keep {
+		return w.stream.Close()
+	}
+	return nil
 }
 
-// finish resets an answer that its handler did not close: the caller gets an error, never half an answer.
-func (w *answerWriter) finish() {
+// finish ends the exchange and tells whether the stream can carry another. An answer that its handler did not
+// close is reset: the caller gets an error, never half an answer.
+func (w *answerWriter) finish() bool {
 	if !w.closed {
 		w.stream.CancelWrite(streamAborted)
 	}
+	if !w.keep {
+		w.stream.CancelRead(streamEnough)
+	}
 	putBuffer(w.buffer)
 	w.buffer = nil
+	return w.keep
 }
 
-var _ io.Writer = (*answerWriter)(nil)
-
 func lengthBytes(n int) []byte {
 	var b [lengthSize]byte
 	binary.BigEndian.PutUint32(b[:], uint32(n))
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -60,7 +60,7 @@
 		MaxStreamReceiveWindow:         o.MaxStreamWindow,
 		InitialConnectionReceiveWindow: o.LinkWindow,
 		MaxConnectionReceiveWindow:     o.MaxLinkWindow,
-		MaxIncomingStreams:             int64(o.MaxCalls),
+		MaxIncomingStreams:             int64(o.MaxCalls + maxIdleStreams),
 		MaxIncomingUniStreams:          1,
 	}
 }
