--- /dev/null
+++ b/internal/configurer/world_test.go
@@ -0,0 +1,251 @@
+package configurer_test
+
+// A world of several nodes around one log, in which messages are lost, doubled and late, appends land late
+// or twice, records expire, and nodes are replaced. The oracle knows the log whole and judges it by its own,
+// much simpler account of what was promised.
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/encoder"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// CI must give the same verdict each time; -rapid.seed still draws anew.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
+type logged struct {
+	record configurer.Record
+	value  any
+	at     clock.Time
+}
+
+type envelope struct {
+	due      clock.Time
+	from, to identifier.Node
+	message  any
+}
+
+type machine struct {
+	id      identifier.Node
+	domain  int
+	c       *configurer.Configurer
+	cut     bool
+	paused  clock.Time
+	last    identifier.Offset
+	covered map[identifier.Offset]bool
+	skipped map[identifier.Offset]bool
+	version identifier.Version
+	changed clock.Time
+}
+
+type world struct {
+	rand      *rand.Rand
+	now       clock.Time
+	log       []logged
+	earliest  identifier.Offset
+	outage    bool
+	closed    bool
+	retention clock.Duration
+	machines  []*machine
+	mail      []envelope
+	late      []logged
+	loss      float64
+	split     bool
+	started   int
+	messages  int
+	bytes     int
+	fault     string
+}
+
+func newWorld(seed uint64, perDomain ...int) *world {
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), now: 1, retention: clock.Minute}
+	for d, count := range perDomain {
+		for range count {
+			w.machines = append(w.machines, w.start(d))
+		}
+	}
+	w.introduce()
+	return w
+}
+
+func (w *world) start(domain int) *machine {
+	w.started++
+	id := identifier.Node(fmt.Sprintf("n%d", w.started))
+	c := configurer.New(configurer.Options{
+		Node: id, Rand: rand.New(rand.NewPCG(uint64(w.started), 2)), Decode: encoder.Decode, Retention: w.retention,
+	})
+	return &machine{
+		id: id, domain: domain, last: -1, c: c,
+		covered: map[identifier.Offset]bool{}, skipped: map[identifier.Offset]bool{},
+	}
+}
+
+func (w *world) introduce() {
+	for _, m := range w.machines {
+		var local, remote []identifier.Node
+		for _, o := range w.machines {
+			switch {
+			case o == m:
+			case o.domain == m.domain:
+				local = append(local, o.id)
+			case len(remote) < 4:
+				remote = append(remote, o.id)
+			}
+		}
+		m.c.SetPeers(local, remote)
+	}
+}
+
+func (w *world) wall() clock.Wall { return clock.Wall(1_700_000_000_000 + int64(w.now)) }
+
+func (w *world) append(value any) {
+	raw, err := encoder.Encode(value)
+	if err != nil {
+		panic(err)
+	}
+	o := identifier.Offset(len(w.log))
+	w.log = append(w.log, logged{record: configurer.Record{Offset: o, Raw: raw}, value: value, at: w.now})
+}
+
+func (w *world) perform(m *machine, effects []configurer.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case configurer.Send:
+			w.send(m.id, e)
+		case configurer.ReadLog:
+			w.read(m, e)
+		case configurer.Append:
+			w.late = append(w.late, logged{value: e.Record, at: w.now.Add(clock.Duration(w.rand.IntN(3000)))})
+			if w.rand.IntN(3) == 0 {
+				w.late = append(w.late, logged{value: e.Record, at: w.now.Add(clock.Duration(w.rand.IntN(20000)))})
+			}
+		case configurer.Deliver:
+			if e.Offset <= m.last {
+				w.fault = fmt.Sprintf("%s delivered %d after %d", m.id, e.Offset, m.last)
+			}
+			m.last = e.Offset
+			m.covered[e.Offset] = true
+		case configurer.Skipped:
+			for o := e.From; o < e.To; o++ {
+				m.covered[o] = true
+				m.skipped[o] = true
+			}
+		case configurer.Changed:
+			m.changed = w.now
+		}
+	}
+}
+
+func (w *world) send(from identifier.Node, e configurer.Send) {
+	raw, err := encoder.Encode(e.Message)
+	if err != nil {
+		panic(err)
+	}
+	w.messages++
+	w.bytes += len(raw)
+	if w.rand.Float64() < w.loss {
+		return
+	}
+	delay := clock.Duration(1 + w.rand.IntN(3))
+	if w.loss > 0 && w.rand.IntN(20) == 0 {
+		delay = clock.Duration(w.rand.IntN(4000))
+		w.mail = append(w.mail, envelope{due: w.now.Add(1), from: from, to: e.To, message: e.Message})
+	}
+	w.mail = append(w.mail, envelope{due: w.now.Add(delay), from: from, to: e.To, message: e.Message})
+}
+
+func (w *world) read(m *machine, e configurer.ReadLog) {
+	if w.outage || m.cut {
+		w.perform(m, m.c.LogFailed(w.now))
+		return
+	}
+	b := configurer.Batch{Earliest: w.earliest, Next: identifier.Offset(len(w.log)), Asked: e.Asked}
+	for o := max(e.From, w.earliest); o < b.Next && len(b.Records) < 50; o++ {
+		b.Records = append(b.Records, w.log[o].record)
+	}
+	w.perform(m, m.c.LogRead(b, w.now, w.wall()))
+}
+
+func (w *world) find(id identifier.Node) *machine {
+	i := slices.IndexFunc(w.machines, func(m *machine) bool { return m.id == id })
+	if i < 0 {
+		return nil
+	}
+	return w.machines[i]
+}
+
+func (w *world) run(span clock.Duration) {
+	end := w.now.Add(span)
+	for w.now < end {
+		w.now++
+		w.deliver()
+		if w.now%50 == 0 {
+			w.tick()
+		}
+	}
+}
+
+func (w *world) deliver() {
+	var rest []envelope
+	due := w.mail
+	w.mail = nil
+	for _, e := range due {
+		if e.due > w.now {
+			rest = append(rest, e)
+			continue
+		}
+		from, to := w.find(e.from), w.find(e.to)
+		if to == nil || from == nil || to.paused > w.now || (w.split && from.domain != to.domain) {
+			continue
+		}
+		w.perform(to, to.c.Receive(e.from, e.message, w.now, w.wall()))
+	}
+	w.mail = append(w.mail, rest...)
+}
+
+func (w *world) tick() {
+	var late []logged
+	for _, l := range w.late {
+		if l.at > w.now || w.outage || w.closed {
+			late = append(late, l)
+			continue
+		}
+		w.append(l.value)
+	}
+	w.late = late
+	for int(w.earliest) < len(w.log) && w.now.Sub(w.log[w.earliest].at) > w.retention {
+		w.earliest++
+	}
+	for i, m := range w.machines {
+		if m.paused > w.now {
+			continue
+		}
+		w.perform(m, m.c.Tick(w.now, w.wall()))
+		if (int(w.now)/50+i)%10 == 0 {
+			w.ping(m)
+		}
+	}
+}
+
+// ping stands for the membership's pings, which carry the position and the age.
+func (w *world) ping(m *machine) {
+	o := w.machines[w.rand.IntN(len(w.machines))]
+	if o == m || o.domain != m.domain || o.paused > w.now || w.rand.Float64() < w.loss {
+		return
+	}
+	w.perform(o, o.c.PeerNews(m.id, m.c.Offset(), m.c.Freshness(w.now), w.now))
+}
