Pace the gate by measured capacity; draw overuse levels over a team's use

It now measures what is served while calls wait, holds the queue at the delay that chance alone would cause, and lets that much through of the demand that it remembers by rank.

--- a/internal/admitter/board.go
+++ b/internal/admitter/board.go
@@ -71,7 +71,7 @@
 
 // Admit tells whether a call of the given rank has a chance at the service.
 func (b *Board) Admit(service identifier.Service, r identifier.Rank, now clock.Time) bool {
-	return r <= b.Threshold(service, now)
+	return b.AdmitRoute(service, 0, r, now)
 }
 
 // AdmitRoute tells whether a call of the given rank and route has a chance at the service and all that it needs.
--- a/internal/admitter/demand.go
+++ b/internal/admitter/demand.go
@@ -6,7 +6,11 @@
 
 package admitter
 
-import "github.com/jackdawtide/jackdawtide/internal/identifier"
+import (
+	"math"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
 
 const (
 	bucketBits = 9
@@ -15,9 +19,9 @@
 	// lastUrgent is the highest rank of the urgent class.
 	lastUrgent = identifier.Rank(1<<14 - 1)
 	// demandWeight is the weight of the newest window.
-	demandWeight = 0.3
+	demandWeight = 0.4
 	// memory is what remains after one window of a demand that can no longer be seen.
-	memory = 0.97
+	memory = 0.995
 )
 
 // demand holds how many calls a window come in each bucket of ranks: one priority class and overuse level.
@@ -33,11 +37,13 @@
 // fold ends a window in which the threshold was t.
 func (d *demand) fold(t identifier.Threshold, windows float64) {
 	limit := int(t >> bucketBits)
+	weight := 1 - math.Pow(1-demandWeight, windows)
+	kept := math.Pow(memory, windows)
 	for i := range d.rates {
 		seen := d.counts[i] / windows
-		mixed := d.rates[i] + demandWeight*(seen-d.rates[i])
+		mixed := d.rates[i] + weight*(seen-d.rates[i])
 		if i >= limit && t != identifier.MaxRank {
-			mixed = max(mixed, d.rates[i]*memory)
+			mixed = max(mixed, d.rates[i]*kept)
 		}
 		d.rates[i] = mixed
 		d.counts[i] = 0
--- a/internal/admitter/fairness.go
+++ b/internal/admitter/fairness.go
@@ -3,8 +3,12 @@
 // from nothing up to its team's use per weight. A threshold at one level then cuts every team down to the
 // same use per weight, and a team below that loses nothing.
 //
-// Example: seven teams use 1, one uses 10. Calls of the seven get levels up to that of use 1, of the heavy
-// team one tenth of the calls too; at a threshold there, each of the eight gets 1.
+// The levels stand for calls a second, not for parts of this node's mean: ranks made at a node that sees only
+// the heavy team must mean the same as those of a node that sees only the others.
+//
+// Example: seven teams send 10 calls a second, one sends 100. The levels of the seven end at that of 10; so do
+// those of a tenth of the heavy team's calls. With room for 80 calls, the threshold settles there, and each of
+// the eight gets 10.
 
 package admitter
 
@@ -23,30 +27,28 @@
 
 const (
 	defaultMemory = 2 * clock.Second
-	// idleMemories is after how many memories without a call a team no longer counts as active.
-	idleMemories = 3
-	// sweep is how many teams each call looks at, to find those that have become idle.
-	sweep = 2
 	// golden is the fractional part of the golden ratio: its multiples spread evenly over 0 to 1.
 	golden = 0.6180339887498949
 )
 
-// Fairness measures each team's use at this node against its fair share; it is not safe for concurrent use.
+// Fairness measures each team's use at this node; it is not safe for concurrent use.
 type Fairness struct {
 	options FairnessOptions
-	index   map[identifier.Team]int
-	teams   []teamUse
-	hand    int
-	// total is the use of all teams, and weight the weight of the active ones.
-	total  decaying
-	weight float64
+	teams   map[identifier.Team]*teamUse
+	// weights is the sum of the weights of all known teams.
+	weights float64
 }
 
 type teamUse struct {
 	weight float64
-	use    decaying
-	active bool
-	draw   float64
+	// count is the number of recent calls, each weighing less the older it is.
+	count float64
+	when  clock.Time
+	// draw is the place of the last call between nothing and the team's use.
+	draw float64
+	// fleet is the team's use at all nodes in calls a second, as last learned.
+	fleet   float64
+	learned clock.Time
 }
 
 // NewFairness returns a fairness that knows no team.
@@ -54,29 +56,30 @@
 	if o.Memory <= 0 {
 		o.Memory = defaultMemory
 	}
-	return &Fairness{options: o, index: make(map[identifier.Team]int)}
+	return &Fairness{options: o, teams: make(map[identifier.Team]*teamUse)}
 }
 
 // SetTeam takes a team's weight over; less than 1 counts as 1.
 func (f *Fairness) SetTeam(team identifier.Team, weight int) {
 	t := f.team(team)
-	before := t.weight
+	f.weights -= t.weight
 	t.weight = float64(max(weight, 1))
-	if t.active {
-		f.weight += t.weight - before
-	}
+	f.weights += t.weight
 }
 
 // Note counts a call of the team.
 func (f *Fairness) Note(team identifier.Team, now clock.Time) {
 	t := f.team(team)
-	if !t.active {
-		t.active = true
-		f.weight += t.weight
-	}
-	t.use.add(now, f.options.Memory)
-	f.total.add(now, f.options.Memory)
-	f.retire(now)
+	t.count = f.recent(t, now) + 1
+	t.when = now
+}
+
+// Learn takes over how many calls a second the team sends to all nodes together, where another knows it (the
+// holder of its rate does). Without it, a team whose calls come in at many nodes seems small at each of them.
+func (f *Fairness) Learn(team identifier.Team, callsPerSecond float64, now clock.Time) {
+	t := f.team(team)
+	t.fleet = callsPerSecond
+	t.learned = now
 }
 
 // Overuse returns the overuse level of the team's next call.
@@ -86,70 +89,47 @@
 	if t.draw >= 1 {
 		t.draw--
 	}
-	return level(t.draw * f.ratio(t, now))
+	mean := f.weights / float64(len(f.teams))
+	return level(t.draw * f.use(t, now) * mean / t.weight)
 }
 
-// ratio is the team's use over the mean use of the active teams, each per weight.
-func (f *Fairness) ratio(t *teamUse, now clock.Time) float64 {
-	total := f.total.at(now, f.options.Memory)
-	if total <= 0 {
-		return 0
+// use is the team's calls a second.
+func (f *Fairness) use(t *teamUse, now clock.Time) float64 {
+	here := f.recent(t, now) * float64(clock.Second) / float64(f.options.Memory)
+	if now.Sub(t.learned) > f.options.Memory {
+		return here
 	}
-	return t.use.at(now, f.options.Memory) / t.weight * max(f.weight, 1) / total
+	return max(here, t.fleet)
 }
 
-// retire looks at a few teams and takes the idle ones out of the weight that shares are made of.
-func (f *Fairness) retire(now clock.Time) {
-	for range min(sweep, len(f.teams)) {
-		f.hand = (f.hand + 1) % len(f.teams)
-		t := &f.teams[f.hand]
-		if t.active && now.Sub(t.use.when) > idleMemories*f.options.Memory {
-			t.active = false
-			f.weight -= t.weight
-		}
+func (f *Fairness) recent(t *teamUse, now clock.Time) float64 {
+	if now == t.when {
+		return t.count
 	}
+	return t.count * math.Exp(-float64(now.Sub(t.when))/float64(f.options.Memory))
 }
 
 func (f *Fairness) team(name identifier.Team) *teamUse {
-	i, ok := f.index[name]
+	t, ok := f.teams[name]
 	if !ok {
-		i = len(f.teams)
-		f.index[name] = i
-		f.teams = append(f.teams, teamUse{weight: 1})
+		t = &teamUse{weight: 1}
+		f.weights++
+		f.teams[name] = t
 	}
-	return &f.teams[i]
+	return t
 }
 
 const (
-	// fineLevels cover a use of up to fineRange times the mean in even steps; the rest is logarithmic.
-	fineLevels = 24
-	fineRange  = 2.0
-	// coarsePerDouble is how many levels each doubling of use takes above that.
-	coarsePerDouble = 2
+	// levelsPerDouble is how many levels each doubling of use takes.
+	levelsPerDouble = 2
+	// lowestUse in calls a second is where level 1 begins; the highest level begins 15 doublings above it.
+	lowestUse = 0.125
 )
 
 func level(use float64) uint8 {
-	if use < fineRange {
-		return uint8(use / fineRange * fineLevels)
-	}
-	coarse := coarsePerDouble * math.Log2(use/fineRange)
-	return uint8(min(fineLevels+coarse, identifier.MaxOveruse))
-}
-
-// decaying is a count that loses weight with time.
-type decaying struct {
-	count float64
-	when  clock.Time
-}
-
-func (d *decaying) add(now clock.Time, memory clock.Duration) {
-	d.count = d.at(now, memory) + 1
-	d.when = now
-}
-
-func (d *decaying) at(now clock.Time, memory clock.Duration) float64 {
-	if now == d.when {
-		return d.count
+	if use <= lowestUse {
+		return 0
 	}
-	return d.count * math.Exp(-float64(now.Sub(d.when))/float64(memory))
+	steps := 1 + levelsPerDouble*math.Log2(use/lowestUse)
+	return uint8(min(steps, identifier.MaxOveruse))
 }
--- /dev/null
+++ b/internal/admitter/fairness_test.go
@@ -0,0 +1,110 @@
+package admitter_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/admitter"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// crowd has eight teams of equal weight with 400 calls a second each, but team 0 sends ten times that, all at node
+// 0; the others send to the nodes from first on. There is room for 2000, so the fair share is 250.
+func crowd(nodes, first int, fleet bool) scenario {
+	entries := make([]*admitter.Fairness, nodes)
+	for i := range entries {
+		entries[i] = admitter.NewFairness(admitter.FairnessOptions{})
+	}
+	s := surge()
+	s.seconds, s.load = 25, during(0, 25, 400*17, 0)
+	s.rank = func(r *rand.Rand, now clock.Time) (identifier.Rank, int) {
+		team := max(0, r.IntN(17)-9)
+		f := entries[0]
+		if team > 0 {
+			f = entries[first+r.IntN(nodes-first)]
+		}
+		name := identifier.Team(fmt.Sprint("team", team))
+		f.Note(name, now)
+		if fleet && team > 0 {
+			f.Learn(name, 400, now)
+		}
+		return identifier.MakeRank(identifier.Normal, f.Overuse(name, now), r.Uint64()), team
+	}
+	return s
+}
+
+// One team sends ten times what each of its equals does. If its calls count like theirs, it takes ten times their
+// part; if all its calls count as overuse, it gets nothing at all. Either team notices most of its calls refused.
+func TestEveryTeamGetsItsFairShare(t *testing.T) {
+	for name, c := range map[string]struct {
+		scenario     scenario
+		heavy, light float64
+	}{
+		"all at one node":                {scenario: crowd(1, 0, false), heavy: 0.9, light: 0.9},
+		"the heavy one at its own node":  {scenario: crowd(2, 1, false), heavy: 0.9, light: 0.9},
+		"the others spread, fleet known": {scenario: crowd(4, 0, true), heavy: 0.9, light: 0.9},
+		// Here each of the others looks a quarter as heavy as it is, and the heavy one loses by that.
+		"the others spread, fleet unknown": {scenario: crowd(4, 0, false), heavy: 0.3, light: 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := run(c.scenario, 1)
+			share := 250 * 25.0
+			worst := r.served[1]
+			for team := 1; team < 8; team++ {
+				worst = min(worst, r.served[team])
+			}
+			t.Logf("heavy team %.3f of its fair share, worst of the others %.3f", r.served[0]/share, worst/share)
+			assert.Assert(t, r.served[0] >= c.heavy*share)
+			assert.Assert(t, worst >= c.light*share)
+		})
+	}
+}
+
+// Whatever the rates and weights, and wherever the threshold settles: no team may get less per weight than another
+// one gets, unless it gets all that it sent.
+func TestThresholdCutsTeamsAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := admitter.NewFairness(admitter.FairnessOptions{Memory: 500})
+		teams := rapid.IntRange(2, 12).Draw(t, "teams")
+		rates, weights := make([]int, teams), make([]float64, teams)
+		for i := range teams {
+			rates[i] = rapid.SampledFrom([]int{1, 2, 5, 10, 50}).Draw(t, "calls in 10 ms")
+			weights[i] = float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+			f.SetTeam(identifier.Team(fmt.Sprint(i)), int(weights[i]))
+		}
+		ranks := make([][]identifier.Rank, teams)
+		hash := rand.New(rand.NewPCG(1, 1))
+		for now := clock.Time(0); now < 4500; now += 10 {
+			for i, rate := range rates {
+				name := identifier.Team(fmt.Sprint(i))
+				for range rate {
+					f.Note(name, now)
+					rank := identifier.MakeRank(identifier.Normal, f.Overuse(name, now), hash.Uint64())
+					if now >= 2500 {
+						ranks[i] = append(ranks[i], rank)
+					}
+				}
+			}
+		}
+		threshold := identifier.MakeRank(identifier.Normal, uint8(rapid.IntRange(8, 25).Draw(t, "level")), rapid.Uint64().Draw(t, "hash"))
+		served, most := make([]float64, teams), 0.0
+		for i := range teams {
+			for _, r := range ranks[i] {
+				if r <= threshold {
+					served[i]++
+				}
+			}
+			most = max(most, served[i]/weights[i])
+		}
+		for i := range teams {
+			entitled := min(float64(len(ranks[i])), most*weights[i])
+			assert.Assert(t, served[i] >= 0.85*entitled-10, "team %d got %.0f of %.0f", i, served[i], entitled)
+		}
+	})
+}
--- a/internal/admitter/gate.go
+++ b/internal/admitter/gate.go
@@ -2,6 +2,9 @@
 // measured delay into a rate that the service can take, and the rate into the rank up to which calls are
 // taken. Working with a rate keeps it from staying closed: when demand falls below the rate, it opens at once.
 //
+// The node that owns a gate feeds it: Admit for each call, Served for each dispatch, Observe with the limiter's
+// QueueDelay and SetTarget with its ExpectedDelay on each tick.
+//
 // Example: 3000 calls a second come, 1000 get through with a queueing delay under the target: the threshold
 // settles on the rank that a third of the calls do not exceed.
 
@@ -14,10 +17,12 @@
 
 // GateOptions set a gate up; zero fields take the defaults.
 type GateOptions struct {
-	// Target is the standing queueing delay that the gate aims at; default 20 ms.
+	// Target is the least queueing delay that the gate aims at; default 20 ms.
 	Target clock.Duration
 	// Window is how often the threshold moves; default 50 ms.
 	Window clock.Duration
+	// Law is how the rate follows the measured delay.
+	Law Law
 }
 
 const (
@@ -27,23 +32,17 @@
 
 // Gate moves one service's threshold at one delivery node; it is not safe for concurrent use.
 type Gate struct {
-	options   GateOptions
-	demand    demand
-	threshold identifier.Threshold
-	windowEnd clock.Time
-	// rate is how many calls a window the gate lets through while it is not open.
-	rate float64
-	open bool
-	// calm counts the windows in a row without a standing queue.
-	calm int
+	options     GateOptions
+	target      clock.Duration
+	demand      demand
+	threshold   identifier.Threshold
+	windowStart clock.Time
+	pace        pace
+	open        bool
 	// strained counts the windows in a row in which urgent calls alone were too many.
 	strained int
 
-	observed         bool
-	lowest           clock.Duration
-	admitted, served float64
-	admittedRate     float64
-	servedRate       float64
+	admitted, served, delays, observations float64
 }
 
 // NewGate returns a gate that is open.
@@ -54,16 +53,23 @@
 	if o.Window <= 0 {
 		o.Window = defaultWindow
 	}
-	return &Gate{options: o, threshold: identifier.MaxRank, open: true}
+	return &Gate{options: o, target: o.Target, threshold: identifier.MaxRank, open: true, pace: newPace(o.Law)}
 }
 
 // Observe takes a measured queueing delay; call it with every change of the queue and with ticks.
 func (g *Gate) Observe(queueDelay clock.Duration, now clock.Time) {
 	g.roll(now)
-	if !g.observed || queueDelay < g.lowest {
-		g.lowest = queueDelay
-	}
-	g.observed = true
+	g.delays += float64(queueDelay)
+	g.observations++
+}
+
+// longestTarget keeps the queue short against what callers wait for, however slow the service is.
+const longestTarget = 200 * clock.Millisecond
+
+// SetTarget takes over the queueing delay that chance alone causes (the limiter's ExpectedDelay). Below it the
+// gate would refuse calls of a service that has room; how one would notice: refusals at 80% load.
+func (g *Gate) SetTarget(d clock.Duration) {
+	g.target = min(max(d, g.options.Target), longestTarget)
 }
 
 // Served counts a call handed to the backend server; the gate learns from it what the service can take.
@@ -88,92 +94,58 @@
 	return g.threshold
 }
 
-// roll ends the windows that have passed; a long silence ends all of them as one.
+const (
+	// enoughServed calls make a window; with fewer, chance would move the threshold up and down.
+	enoughServed = 10
+	// extraWindows is by how many windows one is lengthened to get them.
+	extraWindows = 3
+)
+
+// roll ends the window when it is time; a long silence counts as many windows at once.
 func (g *Gate) roll(now clock.Time) {
-	if now < g.windowEnd {
+	passed := now.Sub(g.windowStart)
+	if passed < g.options.Window {
 		return
 	}
-	if g.windowEnd == 0 {
-		g.windowEnd = now.Add(g.options.Window)
+	if g.served < enoughServed && passed < (1+extraWindows)*g.options.Window {
 		return
 	}
-	windows := 1 + now.Sub(g.windowEnd)/g.options.Window
-	g.endWindow(float64(windows))
-	g.windowEnd = g.windowEnd.Add(windows * g.options.Window)
+	g.endWindow(float64(passed) / float64(g.options.Window))
+	g.windowStart = now
 }
 
-// rateWeight is the weight of the newest window in the measured rates.
-const rateWeight = 0.3
+// slack is how far demand must be below the rate for the gate to open.
+const slack = 0.97
 
 func (g *Gate) endWindow(windows float64) {
 	g.demand.fold(g.threshold, windows)
-	g.admittedRate += rateWeight * (g.admitted/windows - g.admittedRate)
-	g.servedRate += rateWeight * (g.served/windows - g.servedRate)
-	delay := clock.Duration(0)
-	if g.observed {
-		delay = g.lowest
-	}
+	delay := 0.0
+	if g.observations > 0 {
+		delay = g.delays / g.observations
+	}
+	g.pace.learn(window{
+		admitted: g.admitted / windows,
+		served:   g.served / windows,
+		delay:    delay / float64(g.target),
+		open:     g.open,
+	})
 	g.move(delay)
-	g.admitted, g.served = 0, 0
-	g.observed = false
+	g.admitted, g.served, g.delays, g.observations = 0, 0, 0, 0
 }
 
-const (
-	// steepestCut is the most by which one window lowers the rate under what the service takes.
-	steepestCut = 0.3
-	// growth is by how much a window without a queue raises the rate, and fastGrowth after several of them.
-	growth     = 0.04
-	fastGrowth = 0.15
-	calmEnough = 4
-	// slack is how far demand must be below the rate for the gate to open.
-	slack = 0.97
-)
-
-func (g *Gate) move(delay clock.Duration) {
-	if delay > g.options.Target {
-		g.tighten(delay)
-	} else {
-		g.loosen(delay)
-	}
-	if g.open {
-		g.threshold = identifier.MaxRank
+func (g *Gate) move(delay float64) {
+	target := float64(g.target)
+	if g.open && delay <= target {
 		return
 	}
-	g.threshold = g.keepUrgent(g.demand.quantile(g.rate))
-}
-
-func (g *Gate) tighten(delay clock.Duration) {
-	g.calm = 0
-	excess := float64(delay-g.options.Target) / float64(g.options.Target)
-	cut := min(steepestCut, 0.05*excess)
-	base := g.admittedRate
-	if g.servedRate > 0 {
-		base = min(base, g.servedRate)
-	}
-	if !g.open {
-		base = min(base, g.rate)
-	}
-	g.open = false
-	g.rate = max(1, base*(1-cut))
-}
-
-func (g *Gate) loosen(delay clock.Duration) {
+	rate := g.pace.rate(delay / target)
+	g.open = delay <= target && g.demand.total() < rate*slack
 	if g.open {
+		g.threshold = identifier.MaxRank
+		g.strained = 0
 		return
 	}
-	room := 1 - float64(delay)/float64(g.options.Target)
-	step := growth
-	g.calm++
-	if delay > 0 {
-		g.calm = 0
-	}
-	if g.calm > calmEnough {
-		step = fastGrowth
-	}
-	g.rate = max(1, g.rate*(1+step*room))
-	if g.demand.total() < g.rate*slack {
-		g.open = true
-	}
+	g.threshold = g.keepUrgent(g.demand.quantile(rate))
 }
 
 // strainedEnough is how many windows urgent calls alone must be too many before some of them are refused.
--- /dev/null
+++ b/internal/admitter/loop_test.go
@@ -0,0 +1,312 @@
+// The gate, the board, the chain and the limiter only prove themselves together and under load. This loop
+// steps them by milliseconds: seeded arrivals at an entry, a front service, and a deep service that some
+// routes need. Both are plain queues in front of slots; there are no processes and no network.
+//
+// Example: run(surge(), 1).good holds the good answers of each 100 ms.
+
+package admitter_test
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/jackdawtide/jackdawtide/internal/admitter"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/limiter"
+)
+
+const (
+	lag      = 3 * clock.Millisecond
+	ringSize = 1 << 14
+	slice    = 100 * clock.Millisecond
+	front    = identifier.Service("front")
+	deep     = identifier.Service("deep")
+	plain    = admitter.Route(1)
+	nesting  = admitter.Route(2)
+)
+
+// scenario is what happens; load and slow are functions of the time.
+type scenario struct {
+	seconds, retries    int
+	frontSlots          int
+	deepSlots           int
+	frontWork, deepWork float64
+	nestingPart         float64
+	patience            clock.Duration
+	load                func(clock.Time) float64
+	slow                func(clock.Time) float64
+	gate                admitter.GateOptions
+	limit               limiter.Options
+	noGate              bool
+	// rank gives a call its rank; nil draws priorities 5% urgent, 15% high, 60% normal, 20% low.
+	rank func(*rand.Rand, clock.Time) (identifier.Rank, int)
+}
+
+// result is what users get.
+type result struct {
+	good, sent             []float64
+	urgentSent, urgentGood float64
+	served, asked          map[int]float64
+	delays                 []float64
+	wasted                 float64
+}
+
+type request struct {
+	rank     identifier.Rank
+	route    admitter.Route
+	team     int
+	deadline clock.Time
+	tries    int
+	born     clock.Time
+}
+
+type hop struct {
+	w     *world
+	gate  *admitter.Gate
+	limit *limiter.Limiter
+	work  func() float64
+	open  map[limiter.CallID]*visit
+	next  limiter.CallID
+	ran   func(*visit)
+	out   []limiter.Verdict
+}
+
+type visit struct {
+	request *request
+	hop     *hop
+	id      limiter.CallID
+	answer  func(ok bool)
+}
+
+type world struct {
+	scenario
+	result
+	rand  *rand.Rand
+	now   clock.Time
+	ring  [ringSize][]func()
+	entry *admitter.Board
+	exit  *admitter.Board
+	chain *admitter.Chain
+	front *hop
+	deep  *hop
+}
+
+func (w *world) after(d clock.Duration, f func()) {
+	at := w.now.Add(max(1, min(d, ringSize-1))) % ringSize
+	w.ring[at] = append(w.ring[at], f)
+}
+
+func run(s scenario, seed uint64) result {
+	w := &world{scenario: s, rand: rand.New(rand.NewPCG(seed, 1))}
+	w.served, w.asked = map[int]float64{}, map[int]float64{}
+	w.good = make([]float64, s.seconds*10)
+	w.sent = make([]float64, s.seconds*10)
+	w.entry, w.exit = admitter.NewBoard(admitter.BoardOptions{}), admitter.NewBoard(admitter.BoardOptions{})
+	w.chain = admitter.NewChain(admitter.BoardOptions{})
+	w.front = w.newHop(s.frontSlots, func() float64 { return w.erlang() * s.frontWork })
+	w.deep = w.newHop(max(s.deepSlots, 1), func() float64 { return w.erlang() * s.deepWork * s.slow(w.now) })
+	w.front.ran, w.deep.ran = w.nest, func(v *visit) { v.finish(true) }
+	for ; w.now < clock.Time(s.seconds*1000); w.now++ {
+		due := w.ring[w.now%ringSize]
+		w.ring[w.now%ringSize] = nil
+		for _, f := range due {
+			f()
+		}
+		for range w.poisson(s.load(w.now) / 1000) {
+			w.arrive()
+		}
+		w.front.tick()
+		w.deep.tick()
+	}
+	return w.result
+}
+
+func (w *world) poisson(mean float64) int {
+	n, p := 0, w.rand.Float64()
+	for limit := math.Exp(-mean); p > limit; n++ {
+		p *= w.rand.Float64()
+	}
+	return n
+}
+
+// erlang draws a working time of mean 1, less spread than an exponential one.
+func (w *world) erlang() float64 {
+	return (w.rand.ExpFloat64() + w.rand.ExpFloat64() + w.rand.ExpFloat64() + w.rand.ExpFloat64()) / 4
+}
+
+func (w *world) arrive() {
+	q := &request{route: plain, born: w.now, deadline: w.now.Add(w.patience)}
+	if w.rand.Float64() < w.nestingPart {
+		q.route = nesting
+	}
+	if w.rank != nil {
+		q.rank, q.team = w.rank(w.rand, w.now)
+	} else {
+		classes := [...]identifier.Priority{0, 1, 1, 1, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 3, 3, 3, 3}
+		q.rank = identifier.MakeRank(classes[w.rand.IntN(len(classes))], uint8(w.rand.IntN(12)), w.rand.Uint64())
+	}
+	w.sent[w.now/clock.Time(slice)]++
+	w.asked[q.team]++
+	if w.settled(q) {
+		w.urgentSent++
+	}
+	w.send(q)
+}
+
+// send is the entry: the caller retries hard, without back-off, as often as the scenario says.
+func (w *world) send(q *request) {
+	again := func() {
+		if q.tries++; q.tries <= w.retries {
+			q.deadline = w.now.Add(w.patience)
+			w.send(q)
+		}
+	}
+	if !w.noGate && !w.entry.AdmitRoute(front, q.route, q.rank, w.now) {
+		w.after(lag, again)
+		return
+	}
+	w.front.offer(q, func(ok bool) {
+		own, effective := w.front.gate.Threshold(), w.chain.Effective(w.front.gate.Threshold(), q.route, w.now)
+		w.after(lag, func() {
+			w.entry.Learn(front, own, w.now)
+			w.entry.LearnRoute(front, q.route, effective, w.now)
+			if !ok {
+				again()
+				return
+			}
+			w.finished(q)
+		})
+	})
+}
+
+func (w *world) finished(q *request) {
+	w.good[w.now/clock.Time(slice)]++
+	w.served[q.team]++
+	w.delays = append(w.delays, float64(w.now.Sub(q.born)))
+	if w.settled(q) {
+		w.urgentGood++
+	}
+}
+
+// settled tells that the call is urgent and came early enough to be answered within the run.
+func (w *world) settled(q *request) bool {
+	return q.rank.Priority() == identifier.Urgent && q.born < clock.Time(w.seconds*1000-2000)
+}
+
+// nest is what the front service does after its own work: some routes need the deep service.
+func (w *world) nest(v *visit) {
+	q := v.request
+	if q.route == plain {
+		v.finish(true)
+		return
+	}
+	if !w.noGate && !w.exit.Admit(deep, q.rank, w.now) {
+		w.chain.Note(nesting, deep, w.exit.Threshold(deep, w.now), w.now)
+		v.finish(false)
+		return
+	}
+	w.deep.offer(q, func(ok bool) {
+		t := w.deep.gate.Threshold()
+		w.after(lag, func() {
+			w.exit.Learn(deep, t, w.now)
+			w.chain.Note(nesting, deep, t, w.now)
+			v.finish(ok)
+		})
+	})
+}
+
+func (w *world) newHop(slots int, work func() float64) *hop {
+	o := w.limit
+	o.Slots = slots
+	return &hop{
+		w: w, work: work, open: map[limiter.CallID]*visit{},
+		gate: admitter.NewGate(w.gate), limit: limiter.New(o, w.now),
+	}
+}
+
+func (h *hop) offer(q *request, answer func(bool)) {
+	if !h.gate.Admit(q.rank, h.w.now) && !h.w.noGate {
+		answer(false)
+		return
+	}
+	h.next++
+	h.open[h.next] = &visit{request: q, hop: h, id: h.next, answer: answer}
+	h.out = h.limit.Offer(limiter.Call{ID: h.next, Rank: q.rank, Deadline: q.deadline}, h.w.now, h.out[:0])
+	h.perform()
+}
+
+func (h *hop) tick() {
+	h.out = h.limit.Tick(h.w.now, h.out[:0])
+	h.perform()
+	h.gate.SetTarget(h.limit.ExpectedDelay())
+	h.gate.Observe(h.limit.QueueDelay(h.w.now), h.w.now)
+}
+
+func (h *hop) perform() {
+	verdicts := append([]limiter.Verdict(nil), h.out...)
+	for _, verdict := range verdicts {
+		v := h.open[verdict.ID]
+		switch verdict.Action {
+		case limiter.Dispatch:
+			h.gate.Served(h.w.now)
+			h.start(v)
+		case limiter.Shed, limiter.Expire:
+			delete(h.open, v.id)
+			v.answer(false)
+		case limiter.Queue:
+		}
+	}
+}
+
+func (h *hop) start(v *visit) {
+	if h == h.w.front {
+		h.w.chain.Started(v.request.route)
+	}
+	work := clock.Duration(math.Round(h.work()))
+	left := v.request.deadline.Sub(h.w.now)
+	if work > left {
+		h.w.after(left, func() { v.end(limiter.TimedOut) })
+		return
+	}
+	h.w.after(work, func() { h.ran(v) })
+}
+
+func (v *visit) finish(ok bool) {
+	outcome := limiter.Succeeded
+	if !ok {
+		outcome = limiter.Failed
+		v.hop.w.wasted++
+	}
+	if v.hop.w.now > v.request.deadline {
+		outcome = limiter.TimedOut
+	}
+	v.end(outcome)
+}
+
+func (v *visit) end(o limiter.Outcome) {
+	h := v.hop
+	delete(h.open, v.id)
+	h.out = h.limit.Done(v.id, o, h.w.now, h.out[:0])
+	h.perform()
+	v.answer(o == limiter.Succeeded)
+}
+
+// between returns the mean of the slices from second a to second b, per second.
+func between(slices []float64, a, b float64) float64 {
+	sum := 0.0
+	for _, v := range slices[int(a*10):int(b*10)] {
+		sum += v
+	}
+	return sum / (b - a)
+}
+
+// recovery returns the milliseconds from second end until half a second of goodput reaches 95% of want.
+func recovery(slices []float64, end, want float64) float64 {
+	for i := int(end * 10); i+5 <= len(slices); i++ {
+		if between(slices, float64(i)/10, float64(i)/10+0.5) >= 0.95*want {
+			return float64(i)*100 - end*1000
+		}
+	}
+	return math.Inf(1)
+}
--- /dev/null
+++ b/internal/admitter/overload_test.go
@@ -0,0 +1,177 @@
+package admitter_test
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/admitter"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/limiter"
+)
+
+// during is in from second a to b, and out at any other time.
+func during(a, b clock.Time, in, out float64) func(clock.Time) float64 {
+	return func(t clock.Time) float64 {
+		if t >= a*1000 && t < b*1000 {
+			return in
+		}
+		return out
+	}
+}
+
+// surge has a service of 2000 calls a second that gets 1800, and 6000 from second 5 to 10.
+func surge() scenario {
+	return scenario{
+		seconds: 16, frontSlots: 100, frontWork: 50, patience: 500,
+		load: during(5, 10, 6000, 1800), slow: during(0, 0, 1, 1),
+	}
+}
+
+// small has a service of 200 calls a second that gets 160, and 600 from second 5 to 10.
+func small() scenario {
+	s := surge()
+	s.frontSlots, s.frontWork, s.load = 20, 100, during(5, 10, 600, 160)
+	return s
+}
+
+// deepSlow has 4 in 10 calls that need a deep service of 1000 calls a second, which takes 5 times as long from
+// second 5 to 25; callers retry three times at once. The front service has slots enough.
+func deepSlow() scenario {
+	s := surge()
+	s.seconds, s.retries, s.nestingPart = 31, 3, 0.4
+	s.frontSlots, s.deepSlots, s.deepWork = 200, 40, 40
+	s.load, s.slow = during(0, 0, 0, 2000), during(5, 25, 5, 1)
+	return s
+}
+
+func with(s scenario, change func(*scenario)) scenario {
+	change(&s)
+	return s
+}
+
+type figures struct {
+	goodput, recovery, urgent, median, late, wasted float64
+}
+
+// measure averages over seeds: goodput over ideal from a second after the trigger to its end, and recovery to
+// 95% of the goodput before it.
+func measure(s scenario, end, ideal float64, seeds int) figures {
+	sum := figures{}
+	n := float64(seeds)
+	for seed := range seeds {
+		r := run(s, uint64(seed))
+		slices.Sort(r.delays)
+		sum.goodput += between(r.good, 6, end) / ideal / n
+		sum.recovery += recovery(r.good, end, between(r.good, 2, 5)) / n
+		sum.urgent += r.urgentGood / r.urgentSent / n
+		sum.median += r.delays[len(r.delays)/2] / n
+		sum.late += r.delays[len(r.delays)*99/100] / n
+		sum.wasted += r.wasted / float64(s.seconds) / n
+	}
+	return sum
+}
+
+// Demand triples, or a deep service slows down while callers retry hard, or both. Without control the work goes to
+// calls that time out, and goes on doing so after the cause is gone. A user notices that nothing is answered, not
+// even bulletins, and that this outlasts the cause.
+func TestGoodputAndRecovery(t *testing.T) {
+	hard := func(s *scenario) { s.retries = 3 }
+	for name, c := range map[string]struct {
+		scenario             scenario
+		end, ideal, goodput  float64
+		mostGoodput, urgents float64
+	}{
+		"surge":               {scenario: surge(), end: 10, ideal: 2000, goodput: 0.95, urgents: 0.999},
+		"surge, hard retries": {scenario: with(surge(), hard), end: 10, ideal: 2000, goodput: 0.95, urgents: 0.999},
+		"surge at few slots":  {scenario: small(), end: 10, ideal: 200, goodput: 0.95, urgents: 0.999},
+		"deep service slow":   {scenario: deepSlow(), end: 25, ideal: 1400, goodput: 0.95, urgents: 0.999},
+		"slow while load doubles": {
+			scenario: with(deepSlow(), func(s *scenario) { s.load = during(5, 25, 4000, 2000) }),
+			end:      25, ideal: 2600, goodput: 0.90, urgents: 0.999,
+		},
+		"deep service slow, no gate, for contrast": {
+			scenario: with(deepSlow(), func(s *scenario) { s.noGate = true }),
+			end:      25, ideal: 1400, mostGoodput: 0.6,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := measure(c.scenario, c.end, c.ideal, 3)
+			t.Logf("goodput %.3f, recovery %.0f ms, urgent %.4f, median %.0f ms, p99 %.0f ms, %.0f wasted a second",
+				f.goodput, f.recovery, f.urgent, f.median, f.late, f.wasted)
+			if c.mostGoodput > 0 {
+				assert.Assert(t, f.goodput <= c.mostGoodput)
+				return
+			}
+			assert.Assert(t, f.goodput >= c.goodput)
+			assert.Assert(t, f.recovery <= 2000)
+			assert.Assert(t, f.urgent >= c.urgents)
+		})
+	}
+}
+
+// Calls come in clusters by chance, also when there is room for all. A gate that takes each cluster for overload
+// refuses calls for nothing; a small congregation notices refusals on an ordinary day.
+func TestRefusesNothingWhileThereIsRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		slots      int
+		work, load float64
+	}{
+		"many slots, 90%":         {slots: 100, work: 50, load: 0.9},
+		"few slots, 80%":          {slots: 20, work: 20, load: 0.8},
+		"few slots and slow, 80%": {slots: 20, work: 100, load: 0.8},
+		"few slots and slow, 90%": {slots: 20, work: 100, load: 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rate := c.load * float64(c.slots) / c.work * 1000
+			r := run(with(surge(), func(s *scenario) {
+				s.seconds, s.frontSlots, s.frontWork, s.load = 60, c.slots, c.work, during(0, 0, 0, rate)
+			}), 1)
+			refused := 1 - between(r.good, 1, 59)/between(r.sent, 1, 59)
+			t.Logf("%.4f refused or late", refused)
+			assert.Assert(t, refused <= 0.01)
+		})
+	}
+}
+
+func report(b *testing.B, s scenario, end, ideal float64) {
+	f := figures{}
+	for range b.N {
+		f = measure(s, end, ideal, 4)
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(f.goodput, "goodput")
+	b.ReportMetric(math.Min(f.recovery, 1e6), "recoveryMs")
+	b.ReportMetric(f.urgent, "urgent")
+	b.ReportMetric(f.median, "medianMs")
+	b.ReportMetric(f.late, "p99Ms")
+	b.ReportMetric(f.wasted, "wasted/s")
+}
+
+// BenchmarkPolicies compares the variants under the same load: go test -bench Policies -benchtime 1x.
+func BenchmarkPolicies(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		change func(*scenario)
+	}{
+		{"chosen", func(*scenario) {}},
+		{"order=rankNewest", func(s *scenario) { s.limit.Order = limiter.RankNewest }},
+		{"order=classNewest", func(s *scenario) { s.limit.Order = limiter.ClassNewest }},
+		{"order=classOldest", func(s *scenario) { s.limit.Order = limiter.ClassOldest }},
+		{"gate=step", func(s *scenario) { s.gate.Law = admitter.StepLaw }},
+		{"gate=additive", func(s *scenario) { s.gate.Law = admitter.AdditiveLaw }},
+		{"gate=none", func(s *scenario) { s.noGate = true }},
+		{"gate=none,order=classOldest", func(s *scenario) { s.noGate, s.limit.Order = true, limiter.ClassOldest }},
+		{"limit=fixed", func(s *scenario) { s.limit.Law = limiter.FixedLaw }},
+		{"limit=gradient", func(s *scenario) { s.limit.Law = limiter.GradientLaw }},
+	} {
+		hard := func(s *scenario) { c.change(s); s.retries = 3 }
+		b.Run("surge/"+c.name, func(b *testing.B) { report(b, with(surge(), hard), 10, 2000) })
+		b.Run("small/"+c.name, func(b *testing.B) { report(b, with(small(), hard), 10, 200) })
+		b.Run("deep/"+c.name, func(b *testing.B) { report(b, with(deepSlow(), c.change), 25, 1400) })
+	}
+}
--- /dev/null
+++ b/internal/limiter/adjust.go
@@ -0,0 +1,44 @@
+// The limit follows what is measured of the calls, and a ramp while the backend server is cold: its first calls
+// are slow, and all its slots at once would time out together.
+//
+// Example: 80 slots, cold start of 10 s: the limit is 10 at first, 45 after 5 s and 80 after 10 s.
+
+package limiter
+
+import "github.com/jackdawtide/jackdawtide/internal/clock"
+
+// measure learns from calls that took their time; a failure may have been quick, and a cancelled call only
+// tells something if it had already run longer than usual.
+func (l *Limiter) measure(d clock.Duration, o Outcome, now clock.Time) {
+	latency := float64(d)
+	if o == Failed || o == Cancelled && latency <= l.service.mean {
+		return
+	}
+	l.service.add(latency)
+	if now.Sub(l.started) < l.options.ColdStart {
+		return
+	}
+	l.law.finished(sample{
+		latency: latency,
+		full:    l.inFlight >= l.limit-l.reserve(now),
+		quiet:   2*l.inFlight < l.limit,
+	}, now)
+}
+
+// coldFraction is the part of the slots that a cold backend server starts with.
+const coldFraction = 8
+
+func (l *Limiter) adjust(now clock.Time) {
+	l.law.tick(now)
+	l.limit = min(l.ramp(now), max(1, int(l.law.limit())))
+}
+
+func (l *Limiter) ramp(now clock.Time) int {
+	age := now.Sub(l.started)
+	if age >= l.options.ColdStart {
+		return l.slots
+	}
+	low := max(1, l.slots/coldFraction)
+	grown := clock.Duration(l.slots-low) * age / l.options.ColdStart
+	return low + int(grown)
+}
