Test a key in doubt and the admin endpoint's mutual TLS

Cause: both were only argued for. Change: a log that takes a key and goes down; an admin endpoint beyond loopback. Conclusion: no key is shown in doubt; a node's certificate is not let in.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -7,14 +7,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"net/http"
+	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/certifier"
 	"github.com/jackdawtide/jackdawtide/internal/logkeeper"
 )
 
@@ -123,3 +128,68 @@
 		assert.Assert(t, strings.Contains(all, part), all)
 	}
 }
+
+// The log takes a new key and goes down before its answer. Shown now, the key might never become valid, and a team
+// would be given a key that is refused; so nothing is shown, and the operator is told which hash to look for.
+func TestKeyInDoubtIsNotShown(t *testing.T) {
+	s := newSession(t)
+	for _, line := range []string{"preset publish testdata/ordinary.toml", "preset switch ordinary"} {
+		_, errOut, code := s.run(strings.Fields(line), "")
+		assert.Equal(t, code, Done, errOut)
+	}
+	var down atomic.Bool
+	flaky := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if down.Load() {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if r.Method != http.MethodPost {
+			s.keeper.Handler().ServeHTTP(w, r)
+			return
+		}
+		down.Store(true)
+		s.keeper.Handler().ServeHTTP(httptest.NewRecorder(), r)
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	}))
+	defer flaky.Close()
+	out, errOut, code := s.run([]string{"key", "issue", "agents", "--timeout", "1s", "--log", flaky.URL, "--format", "json"}, "")
+	assert.Equal(t, code, Unreachable)
+	assert.Equal(t, out, "")
+	var f failure
+	assert.NilError(t, json.Unmarshal([]byte(errOut), &f))
+	assert.Equal(t, f.Kind, kindInDoubt)
+	assert.Assert(t, f.ChangeID != "" && !strings.Contains(errOut, "jt_"))
+	out, _, _ = s.run([]string{"key", "list", "--format", "json"}, "")
+	hash, _, _ := strings.Cut(strings.TrimPrefix(f.Error, "key "), ":")
+	assert.Assert(t, len(hash) == 64 && strings.Contains(out, hash), f.Error)
+}
+
+// An admin endpoint that listens beyond loopback lets in operators' certificates only. Were a node's taken as well,
+// whoever holds one VM could read the state of all.
+func TestAdminByMutualTLS(t *testing.T) {
+	s := newSession(t)
+	s.now = time.Now()
+	for _, line := range []string{"cert authority", "cert node --valid 1h board-1", "cert operator --valid 1h eva"} {
+		_, errOut, code := s.run(append(strings.Fields(line), "--directory", s.directory), "")
+		assert.Equal(t, code, Done, errOut)
+	}
+	file := func(name string) string { return filepath.Join(s.directory, name) }
+	trust, err := certifier.Load(certifier.Files{
+		Authority: file("authority.pem"), Certificate: file("board-1.pem"), Key: file("board-1.key"),
+	})
+	assert.NilError(t, err)
+	node := httptest.NewUnstartedServer(http.HandlerFunc(serveFakeNode))
+	node.TLS = trust.Server(nil, certifier.Operator)
+	node.Config.ErrorLog = log.New(io.Discard, "", 0)
+	node.StartTLS()
+	defer node.Close()
+	for name, want := range map[string]Code{"eva": Done, "board-1": Unreachable} {
+		_, errOut, code := s.run([]string{
+			"dump", "--admin", node.URL, "--authority", file("authority.pem"),
+			"--certificate", file(name + ".pem"), "--key", file(name + ".key"),
+		}, "")
+		assert.Equal(t, code, want, errOut)
+	}
+	_, _, code := s.run([]string{"dump", "--admin", node.URL}, "")
+	assert.Equal(t, code, Unreachable, "without a certificate")
+}
