--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -219,3 +220,27 @@
 	_, err = v.FindKey("zz")
 	assert.Assert(t, errors.As(err, &none), "%v", err)
 }
+
+// BenchmarkLoad reads a day of 12,000 changes over HTTP, as each verb does before it acts.
+func BenchmarkLoad(b *testing.B) {
+	const changes = 12_000
+	ctx := context.Background()
+	k := logkeeper.New(logkeeper.Options{})
+	p := newPublisher(k, rand.Reader)
+	v, err := p.Load(ctx)
+	assert.NilError(b, err)
+	for i := range changes {
+		_, err := p.Publish(ctx, v, preset("peak", i+1), v.Base(PresetSubject("peak")))
+		assert.NilError(b, err)
+	}
+	s := httptest.NewServer(k.Handler())
+	defer s.Close()
+	c, err := appender.NewClient(s.URL, s.Client())
+	assert.NilError(b, err)
+	for b.Loop() {
+		v, err := newPublisher(c, rand.Reader).Load(ctx)
+		assert.NilError(b, err)
+		assert.Equal(b, v.Version(), identifier.Version(changes))
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/changes, "µs/record")
+}
