transporter: stateless reset, counts, benchmarks of the ways weighed

Cause: calls to a restarted process hung for PeerTimeout; header values that are no UTF-8 broke a call; nothing counted. Change: reset key from the node's private key; invalid UTF-8 passes; flat header arrays; Stats; benchmarks against TCP with TLS and HTTP/2, and of abandoned calls.

--- a/internal/transporter/codec.go
+++ b/internal/transporter/codec.go
@@ -14,24 +14,19 @@
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
-type wireField struct {
-	_     struct{} `cbor:",toarray"`
-	Name  string
-	Value string
-}
-
 type wireCall struct {
-	_             struct{} `cbor:",toarray"`
-	Request       string
-	Root          string
-	Team          string
-	KeyHash       string
-	Service       string
-	Endpoint      string
-	Method        string
-	Path          string
-	RawQuery      string
-	Header        []wireField
+	_        struct{} `cbor:",toarray"`
+	Request  string
+	Root     string
+	Team     string
+	KeyHash  string
+	Service  string
+	Endpoint string
+	Method   string
+	Path     string
+	RawQuery string
+	// Header holds names and values in turn: half the work of an array of pairs.
+	Header        []string
 	ContentLength int64
 	Rank          uint16
 	Deadline      int64
@@ -53,7 +48,7 @@
 type wireAnswer struct {
 	_       struct{} `cbor:",toarray"`
 	Status  int
-	Header  []wireField
+	Header  []string
 	Refusal *wireRefusal
 }
 
@@ -87,9 +82,16 @@
 	return m
 }
 
-// A head has few fields; bounds this low keep a hostile length from costing memory.
+// A head has few fields; bounds this low keep a hostile length from costing memory. HTTP allows header values
+// that are no UTF-8: were they refused here, such a call would fail at every node for no reason that its caller
+// could see.
 func mustDecoderMode() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 16, MaxNestedLevels: 8}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: 1024,
+		MaxMapPairs:      16,
+		MaxNestedLevels:  8,
+		UTF8:             cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
@@ -100,24 +102,25 @@
 	return encoderMode.MarshalToBuffer(wire, b)
 }
 
-func fieldsToWire(fields []Field) []wireField {
+func fieldsToWire(fields []Field) []string {
 	if len(fields) == 0 {
 		return nil
 	}
-	out := make([]wireField, len(fields))
-	for i, f := range fields {
-		out[i] = wireField{Name: f.Name, Value: f.Value}
+	out := make([]string, 0, 2*len(fields))
+	for _, f := range fields {
+		out = append(out, f.Name, f.Value)
 	}
 	return out
 }
 
-func fieldsFromWire(fields []wireField) []Field {
-	if len(fields) == 0 {
+// fieldsFromWire leaves out a name without a value, which no sender of ours writes.
+func fieldsFromWire(pairs []string) []Field {
+	if len(pairs) < 2 {
 		return nil
 	}
-	out := make([]Field, len(fields))
-	for i, f := range fields {
-		out[i] = Field{Name: f.Name, Value: f.Value}
+	out := make([]Field, len(pairs)/2)
+	for i := range out {
+		out[i] = Field{Name: pairs[2*i], Value: pairs[2*i+1]}
 	}
 	return out
 }
--- a/internal/transporter/codec_test.go
+++ b/internal/transporter/codec_test.go
@@ -12,14 +12,8 @@
 )
 
 func drawFields(t *rapid.T) []Field {
-	return rapid.SliceOfN(rapid.Make[Field](), 0, 5).Draw(t, "fields")
-}
-
-func sameFields(a, b []Field) []Field {
-	if len(a) == 0 {
-		return b
-	}
-	return a
+	fields := rapid.SliceOfN(rapid.Make[Field](), 0, 5).Draw(t, "fields")
+	return append(fields, Field{Name: "X-Latin", Value: string(rapid.SliceOf(rapid.Byte()).Draw(t, "bytes"))})
 }
 
 func TestHeadsAndTailsComeBackTheSame(t *testing.T) {
@@ -35,13 +29,11 @@
 		r := bufio.NewReaderSize(b, 64)
 		assert.NilError(t, readFrame(r, "call", 1<<20, func(b []byte) error {
 			got, err := decodeCall(b)
-			call.Header = sameFields(call.Header, got.Header)
 			assert.DeepEqual(t, got, call)
 			return err
 		}))
 		assert.NilError(t, readFrame(r, "answer", 1<<20, func(b []byte) error {
 			got, err := decodeAnswer(b)
-			answer.Header = sameFields(answer.Header, got.Header)
 			assert.DeepEqual(t, got, answer)
 			return err
 		}))
--- a/internal/transporter/control.go
+++ b/internal/transporter/control.go
@@ -38,6 +38,7 @@
 	}
 	p := t.stateLocked(to)
 	if len(p.queue) >= t.options.MaxQueue || p.queueBytes+len(message) > t.options.MaxQueueBytes {
+		t.past.ControlDropped++
 		return OverflowError{Node: to.Node}
 	}
 	p.queue = append(p.queue, message)
@@ -58,7 +59,7 @@
 			err = l.sendBatch(batch)
 			l.done()
 		}
-		if t.queueEnded(p, err) {
+		if t.queueEnded(p, len(batch), err) {
 			return
 		}
 	}
@@ -74,9 +75,14 @@
 }
 
 // queueEnded tells whether the sender may end: nothing waits, or the peer can't be reached and what waits is lost.
-func (t *Transporter) queueEnded(p *peerState, err error) bool {
+func (t *Transporter) queueEnded(p *peerState, taken int, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if err != nil {
+		t.past.ControlDropped += uint64(taken + len(p.queue))
+	} else {
+		t.past.ControlSent += uint64(taken)
+	}
 	if err == nil && len(p.queue) > 0 {
 		return false
 	}
--- a/internal/transporter/dialer.go
+++ b/internal/transporter/dialer.go
@@ -109,11 +109,13 @@
 	done := p.dialling
 	p.dialling = nil
 	p.lastErr = err
+	t.past.Dials++
 	if err == nil {
 		p.failures = 0
 		p.link = l
 		t.links[l] = struct{}{}
 	} else {
+		t.past.FailedDials++
 		p.failures++
 		p.retryAt = time.Now().Add(t.backOff(p.failures).Std())
 	}
@@ -246,5 +248,8 @@
 	t.forget(l)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.links, l)
+	if _, known := t.links[l]; known {
+		t.past.add(l)
+		delete(t.links, l)
+	}
 }
--- a/internal/transporter/failure_test.go
+++ b/internal/transporter/failure_test.go
@@ -373,10 +373,30 @@
 		assert.NilError(t, err)
 	}
 	for range 100 {
-		if a.Links()+b.Links() == 0 {
+		if a.Stats().Links+b.Stats().Links == 0 {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatalf("%d idle links are left", a.Links()+b.Links())
+	t.Fatalf("%d idle links are left", a.Stats().Links+b.Stats().Links)
+}
+
+// A VM's process is restarted while calls are on their way to it. Its peers must learn that at once, and not hold
+// callers for the seconds after which a silent peer counts as dead.
+func TestRestartedPeerIsNoticedAtOnce(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("a", funcHandler{}, func(o *Options) { o.PeerTimeout = clock.Minute })
+	b, to := f.start("b", funcHandler{call: echo}, nil)
+	_, _, err := callText(context.Background(), a, to, "before")
+	assert.NilError(t, err)
+	kill(b)
+	_, again := f.start("b2", funcHandler{call: echo}, func(o *Options) { o.Listen = to.Address })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, _, err = callText(ctx, a, to, "lost")
+	var callErr CallError
+	assert.Assert(t, errors.As(err, &callErr) && callErr.Phase == Sent, "%v", err)
+	assert.NilError(t, ctx.Err())
+	_, _, err = callText(ctx, a, again, "after")
+	assert.NilError(t, err)
 }
--- a/internal/transporter/latency_test.go
+++ b/internal/transporter/latency_test.go
@@ -13,13 +13,18 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 const (
@@ -32,7 +37,9 @@
 		Request: "0192f0c1-7c1e-7d5b-9b8e-3f6a5d1c2b3a", Root: "0192f0c1-7c1e-7d5b-9b8e-3f6a5d1c2b3a",
 		Team: "okhotskAgents", Service: "ice", Endpoint: "ice-3", Method: "POST", Path: "/bulletins/today",
 		Header: []Field{
-			{"Content-Type", "application/json"}, {"Accept", "application/json"}, {"User-Agent", "agent/3"},
+			{"Content-Type", "application/json"},
+			{"Accept", "application/json"},
+			{"User-Agent", "agent/3"},
 			{"Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"},
 		},
 		ContentLength: smallBody, Rank: 9000, Deadline: 1800, Allowance: 2, Depth: 1,
@@ -143,16 +150,56 @@
 	return err
 }
 
+// startHTTP2 is the other variant weighed: streams over one TCP connection by the standard library.
+func startHTTP2(t testing.TB) func(ctx context.Context, body string) error {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-r.Context().Done()
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Trailer", "Tail")
+		_, _ = w.Write(body)
+		w.Header().Set("Tail", "0 7 0 0")
+	}))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	client := server.Client()
+	return func(ctx context.Context, body string) error {
+		path := "/bulletins/today"
+		if body == "" {
+			path = "/slow"
+		}
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		for _, f := range benchHead().Header {
+			r.Header.Set(f.Name, f.Value)
+		}
+		answer, err := client.Do(r)
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		_, err = io.Copy(io.Discard, answer.Body)
+		return err
+	}
+}
+
 // BenchmarkHopAtSteadyRate sends 400 calls a second by each way, at random moments.
 func BenchmarkHopAtSteadyRate(b *testing.B) {
 	f := newFleet(b)
 	a, _ := f.start("a", funcHandler{}, nil)
 	_, to := f.start("b", funcHandler{call: echo}, nil)
 	pool := startTCP(b, f)
+	http2 := startHTTP2(b)
 	body := strings.Repeat("x", smallBody)
 	ways := map[string]func() error{
-		"quic": func() error { return quicCall(a, to, benchHead(), body) },
-		"tcp":  func() error { h := benchHead(); return pool.call(&h, body) },
+		"quic":  func() error { return quicCall(a, to, benchHead(), body) },
+		"tcp":   func() error { h := benchHead(); return pool.call(&h, body) },
+		"http2": func() error { return http2(context.Background(), body) },
 	}
 	for range 200 {
 		for _, call := range ways {
@@ -205,6 +252,7 @@
 	body := strings.Repeat("x", smallBody)
 	b.Run("quic", func(b *testing.B) {
 		b.ReportAllocs()
+		defer reportCPU(b, cpuTime(b))
 		for b.Loop() {
 			assert.NilError(b, quicCall(a, to, benchHead(), body))
 		}
@@ -212,11 +260,99 @@
 	})
 	b.Run("tcp", func(b *testing.B) {
 		b.ReportAllocs()
+		defer reportCPU(b, cpuTime(b))
 		for b.Loop() {
 			h := benchHead()
 			assert.NilError(b, pool.call(&h, body))
 		}
 	})
+	http2 := startHTTP2(b)
+	b.Run("http2", func(b *testing.B) {
+		b.ReportAllocs()
+		defer reportCPU(b, cpuTime(b))
+		for b.Loop() {
+			assert.NilError(b, http2(context.Background(), body))
+		}
+	})
+}
+
+// BenchmarkAbandonedCall gives each call up before its answer, as callers do in an overload: over pooled TCP
+// connections that costs the connection.
+func BenchmarkAbandonedCall(b *testing.B) {
+	f := newFleet(b)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: func(
+		ctx context.Context, _ identifier.Node, _ CallHead, _ io.Reader, _ AnswerWriter,
+	) {
+		<-ctx.Done()
+	}}, nil)
+	pool := startTCP(b, f)
+	http2 := startHTTP2(b)
+	ways := map[string]func(ctx context.Context) error{
+		"quic":  func(ctx context.Context) error { _, _, err := a.Call(ctx, to, benchHead(), nil); return err },
+		"http2": func(ctx context.Context) error { return http2(ctx, "") },
+		"tcp": func(ctx context.Context) error {
+			c, err := pool.get()
+			assert.NilError(b, err)
+			<-ctx.Done()
+			_ = c.conn.Close()
+			return ctx.Err()
+		},
+	}
+	for name, call := range ways {
+		b.Run(name, func(b *testing.B) {
+			defer reportCPU(b, cpuTime(b))
+			for b.Loop() {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Millisecond)
+				assert.ErrorIs(b, call(ctx), context.DeadlineExceeded)
+				cancel()
+			}
+		})
+	}
+}
+
+func reportCPU(b *testing.B, start time.Duration) {
+	b.ReportMetric(float64(cpuTime(b)-start)/1e3/float64(b.N), "cpu-µs/op")
+}
+
+// BenchmarkLargeBody sends 64 MB there and back.
+func BenchmarkLargeBody(b *testing.B) {
+	const size = 64 << 20
+	f := newFleet(b)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: echo}, nil)
+	b.SetBytes(size)
+	defer reportCPU(b, cpuTime(b))
+	for b.Loop() {
+		answer, _, err := a.Call(context.Background(), to, CallHead{ContentLength: size}, zeros(size))
+		assert.NilError(b, err)
+		n, err := io.Copy(io.Discard, answer.Body)
+		assert.NilError(b, err)
+		assert.Equal(b, n, int64(size))
+	}
+}
+
+// BenchmarkHeads encodes and decodes the heads and the tail of one call.
+func BenchmarkHeads(b *testing.B) {
+	head, answer := benchHead(), AnswerHead{Status: 200, Header: benchHead().Header}
+	buffer := new(bytes.Buffer)
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer.Reset()
+		assert.NilError(b, encodeTo(buffer, callToWire(&head)))
+		_, err := decodeCall(buffer.Bytes())
+		assert.NilError(b, err)
+		buffer.Reset()
+		assert.NilError(b, encodeTo(buffer, answerToWire(&answer)))
+		_, err = decodeAnswer(buffer.Bytes())
+		assert.NilError(b, err)
+	}
+}
+
+func cpuTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // reportPackets tells how many datagrams the caller's end has sent and received a call, over the whole link.
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -36,6 +36,8 @@
 	// unnamed holds peers known only by their address.
 	unnamed map[string]*peerState
 	links   map[*link]struct{}
+	// past holds the counts of links that have ended, and those that belong to no link.
+	past Stats
 }
 
 // New returns a transporter that does nothing until Start.
@@ -75,7 +77,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	t.transport = &quic.Transport{Conn: socket}
+	t.transport = &quic.Transport{Conn: socket, StatelessResetKey: resetKey(t.options.ServerTLS)}
 	t.listener, err = t.transport.Listen(withProtocol(t.options.ServerTLS), t.config)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen: %w", err), socket.Close())
@@ -149,13 +151,6 @@
 	return t.linksLocked()
 }
 
-// Links returns the number of open connections.
-func (t *Transporter) Links() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.links)
-}
-
 func (t *Transporter) isCut(n identifier.Node) bool {
 	return t.options.Cut != nil && t.options.Cut(n)
 }
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -42,8 +42,8 @@
 	wait.Wait()
 	_, _, err := callText(context.Background(), b, peerA, "back")
 	assert.NilError(t, err)
-	assert.Equal(t, a.Links(), 1)
-	assert.Equal(t, b.Links(), 1)
+	assert.Equal(t, a.Stats().Links, 1)
+	assert.Equal(t, b.Stats().Links, 1)
 }
 
 func TestControlOfAllSizesArrives(t *testing.T) {
