--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -91,11 +92,21 @@
 	}()
 	name, err = c.app.Parse(nameStandardInput(c.Args))
 	if err != nil {
+		c.guessFormat()
 		return "", nil, UsageError{Cause: err}
 	}
 	return name, nil, nil
 }
 
+// guessFormat looks for the format in a command line that can't be parsed: a tool that asked for JSON must get its
+// failure as JSON too.
+func (c *cli) guessFormat() {
+	line := strings.Join(c.Args, " ")
+	if strings.Contains(line, "--format json") || strings.Contains(line, "--format=json") {
+		c.format = JSON
+	}
+}
+
 // add adds a verb; the example is shown at the end of its help.
 func (c *cli) add(p parent, name, help, example string, run runner) *kingpin.CmdClause {
 	clause := p.Command(name, help).HelpLong(example)
