Tell entries their share of each team's calls, so that spread teams rank alike

Overuse measured at one entry made a team that comes in at many nodes look small. Without shares nothing changes.

--- a/internal/admitter/decision_test.go
+++ b/internal/admitter/decision_test.go
@@ -135,7 +135,7 @@
 	assert.Assert(t, b.AdmitRoute("slots", 1, 30_000, 1000))
 }
 
-// BenchmarkEntry is what the entry decides for each call, with all teams and services in use.
+// BenchmarkEntry is what the entry decides and learns for each call, with all teams and services in use.
 func BenchmarkEntry(b *testing.B) {
 	for _, teams := range []int{8, 100, 1000} {
 		b.Run(fmt.Sprint("teams=", teams), func(b *testing.B) {
@@ -151,6 +151,7 @@
 				board.LearnRoute(services[i], 1, 40_000, 0)
 			}
 			b.ReportAllocs()
+			shares := admitter.NewShares(admitter.FairnessOptions{})
 			for i := range b.N {
 				now := clock.Time(i / 10)
 				team, service := names[i%teams], services[i%len(services)]
@@ -158,6 +159,7 @@
 				rank := identifier.MakeRank(identifier.Normal, f.Overuse(team, now), uint64(i))
 				board.AdmitRoute(service, 1, rank, now)
 				board.LearnRoute(service, 1, 40_000, now)
+				f.LearnShare(team, shares.Note(team, "entry", now), now)
 			}
 		})
 	}
--- a/internal/admitter/fairness.go
+++ b/internal/admitter/fairness.go
@@ -41,22 +41,24 @@
 
 type teamUse struct {
 	weight float64
-	// count is the number of recent calls, each weighing less the older it is.
-	count float64
-	when  clock.Time
+	recent decaying
 	// draw is the place of the last call between nothing and the team's use.
 	draw float64
-	// fleet is the team's use at all nodes in calls a second, as last learned.
-	fleet   float64
+	// share is the part of the team's calls that come in here, as last learned; zero while unknown.
+	share   float64
 	learned clock.Time
 }
 
-// NewFairness returns a fairness that knows no team.
-func NewFairness(o FairnessOptions) *Fairness {
+func (o FairnessOptions) withDefaults() FairnessOptions {
 	if o.Memory <= 0 {
 		o.Memory = defaultMemory
 	}
-	return &Fairness{options: o, teams: make(map[identifier.Team]*teamUse)}
+	return o
+}
+
+// NewFairness returns a fairness that knows no team.
+func NewFairness(o FairnessOptions) *Fairness {
+	return &Fairness{options: o.withDefaults(), teams: make(map[identifier.Team]*teamUse)}
 }
 
 // SetTeam takes a team's weight over; less than 1 counts as 1.
@@ -69,16 +71,20 @@
 
 // Note counts a call of the team.
 func (f *Fairness) Note(team identifier.Team, now clock.Time) {
-	t := f.team(team)
-	t.count = f.recent(t, now) + 1
-	t.when = now
+	f.team(team).recent.add(now, f.options.Memory)
 }
 
-// Learn takes over how many calls a second the team sends to all nodes together, where another knows it (the
-// holder of its rate does). Without it, a team whose calls come in at many nodes seems small at each of them.
-func (f *Fairness) Learn(team identifier.Team, callsPerSecond float64, now clock.Time) {
+// shareWeight is the weight of one answer in the learned share.
+const shareWeight = 1.0 / 16
+
+// LearnShare takes over, from an answer, which part of the team's calls come in here (see Shares).
+func (f *Fairness) LearnShare(team identifier.Team, share uint8, now clock.Time) {
 	t := f.team(team)
-	t.fleet = callsPerSecond
+	told := float64(max(share, 1)) / math.MaxUint8
+	if t.share == 0 || now.Sub(t.learned) > f.options.Memory {
+		t.share = told
+	}
+	t.share += shareWeight * (told - t.share)
 	t.learned = now
 }
 
@@ -93,20 +99,13 @@
 	return level(t.draw * f.use(t, now) * mean / t.weight)
 }
 
-// use is the team's calls a second.
+// use is the team's calls a second at all entries, by those that come in here and their part of all.
 func (f *Fairness) use(t *teamUse, now clock.Time) float64 {
-	here := f.recent(t, now) * float64(clock.Second) / float64(f.options.Memory)
-	if now.Sub(t.learned) > f.options.Memory {
+	here := t.recent.at(now, f.options.Memory) * float64(clock.Second) / float64(f.options.Memory)
+	if t.share == 0 || now.Sub(t.learned) > f.options.Memory {
 		return here
 	}
-	return max(here, t.fleet)
-}
-
-func (f *Fairness) recent(t *teamUse, now clock.Time) float64 {
-	if now == t.when {
-		return t.count
-	}
-	return t.count * math.Exp(-float64(now.Sub(t.when))/float64(f.options.Memory))
+	return here / t.share
 }
 
 func (f *Fairness) team(name identifier.Team) *teamUse {
--- a/internal/admitter/fairness_test.go
+++ b/internal/admitter/fairness_test.go
@@ -14,26 +14,31 @@
 )
 
 // crowd has eight teams of equal weight with 400 calls a second each, but team 0 sends ten times that, all at node
-// 0; the others send to the nodes from first on. There is room for 2000, so the fair share is 250.
-func crowd(nodes, first int, fleet bool) scenario {
+// 0; the others send to the nodes from first on, and most to that one. There is room for 2000, so the fair share
+// is 250.
+func crowd(nodes, first int, told bool) scenario {
 	entries := make([]*admitter.Fairness, nodes)
 	for i := range entries {
 		entries[i] = admitter.NewFairness(admitter.FairnessOptions{})
 	}
+	shares := admitter.NewShares(admitter.FairnessOptions{})
+	name := func(team int) identifier.Team { return identifier.Team(fmt.Sprint("team", team)) }
 	s := surge()
 	s.seconds, s.load = 25, during(0, 25, 400*17, 0)
-	s.rank = func(r *rand.Rand, now clock.Time) (identifier.Rank, int) {
-		team := max(0, r.IntN(17)-9)
-		f := entries[0]
-		if team > 0 {
-			f = entries[first+r.IntN(nodes-first)]
+	s.rank = func(r *rand.Rand, now clock.Time) (identifier.Rank, origin) {
+		from := origin{team: max(0, r.IntN(17)-9)}
+		if from.team > 0 {
+			from.node = first + r.IntN(1+r.IntN(nodes-first))
 		}
-		name := identifier.Team(fmt.Sprint("team", team))
-		f.Note(name, now)
-		if fleet && team > 0 {
-			f.Learn(name, 400, now)
+		f := entries[from.node]
+		f.Note(name(from.team), now)
+		return identifier.MakeRank(identifier.Normal, f.Overuse(name(from.team), now), r.Uint64()), from
+	}
+	s.admitted = func(from origin, now clock.Time) {
+		share := shares.Note(name(from.team), identifier.Node(fmt.Sprint(from.node)), now)
+		if told {
+			entries[from.node].LearnShare(name(from.team), share, now)
 		}
-		return identifier.MakeRank(identifier.Normal, f.Overuse(name, now), r.Uint64()), team
 	}
 	return s
 }
@@ -42,14 +47,15 @@
 // part; if all its calls count as overuse, it gets nothing at all. Either team notices most of its calls refused.
 func TestEveryTeamGetsItsFairShare(t *testing.T) {
 	for name, c := range map[string]struct {
-		scenario     scenario
-		heavy, light float64
+		scenario                  scenario
+		heavy, light, heavyAtMost float64
 	}{
-		"all at one node":                {scenario: crowd(1, 0, false), heavy: 0.9, light: 0.9},
-		"the heavy one at its own node":  {scenario: crowd(2, 1, false), heavy: 0.9, light: 0.9},
-		"the others spread, fleet known": {scenario: crowd(4, 0, true), heavy: 0.9, light: 0.9},
-		// Here each of the others looks a quarter as heavy as it is, and the heavy one loses by that.
-		"the others spread, fleet unknown": {scenario: crowd(4, 0, false), heavy: 0.3, light: 0.9},
+		"all at one node":               {scenario: crowd(1, 0, true), heavy: 0.9, light: 0.9},
+		"the heavy one at its own node": {scenario: crowd(2, 1, true), heavy: 0.9, light: 0.9},
+		"the others spread":             {scenario: crowd(4, 0, true), heavy: 0.9, light: 0.9},
+		"the others spread widely":      {scenario: crowd(12, 0, true), heavy: 0.9, light: 0.9},
+		// Without shares, each of the others looks a part as heavy as it is, and the heavy one loses by that.
+		"the others spread, for contrast": {scenario: crowd(4, 0, false), light: 0.9, heavyAtMost: 0.6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -62,10 +68,24 @@
 			t.Logf("heavy team %.3f of its fair share, worst of the others %.3f", r.served[0]/share, worst/share)
 			assert.Assert(t, r.served[0] >= c.heavy*share)
 			assert.Assert(t, worst >= c.light*share)
+			assert.Assert(t, c.heavyAtMost == 0 || r.served[0] <= c.heavyAtMost*share)
 		})
 	}
 }
 
+// Entries are replaced all the time. If a delivery node kept the counts of those that are gone, it would grow until
+// it is killed, and its calls with it.
+func TestSharesForgetEntriesThatAreGone(t *testing.T) {
+	s := admitter.NewShares(admitter.FairnessOptions{})
+	for i := range 20_000 {
+		now := clock.Time(10 * i)
+		s.Note("a", identifier.Node(fmt.Sprint(i/100)), now)
+		s.Note("b", "steady", now)
+	}
+	assert.Assert(t, s.Known() < 20, "%d pairs known", s.Known())
+	assert.Equal(t, s.Note("b", "steady", 200_000), uint8(255))
+}
+
 // Whatever the rates and weights, and wherever the threshold settles: no team may get less per weight than another
 // one gets, unless it gets all that it sent.
 func TestThresholdCutsTeamsAlike(t *testing.T) {
--- a/internal/admitter/loop_test.go
+++ b/internal/admitter/loop_test.go
@@ -47,7 +47,9 @@
 	// weak is how many times as long the first front endpoint works; default 1.
 	weak float64
 	// rank gives a call its rank; nil draws priorities 5% urgent, 15% high, 60% normal, 20% low.
-	rank func(*rand.Rand, clock.Time) (identifier.Rank, int)
+	rank func(*rand.Rand, clock.Time) (identifier.Rank, origin)
+	// admitted is told of each call that passed the gate of a front endpoint.
+	admitted func(origin, clock.Time)
 }
 
 // result is what users get.
@@ -59,10 +61,15 @@
 	wasted, attempts       float64
 }
 
+// origin is who sent a call, and to which entry.
+type origin struct {
+	team, node int
+}
+
 type request struct {
 	rank     identifier.Rank
 	route    admitter.Route
-	team     int
+	origin   origin
 	deadline clock.Time
 	tries    int
 	born     clock.Time
@@ -181,13 +188,13 @@
 		q.route = nesting
 	}
 	if w.rank != nil {
-		q.rank, q.team = w.rank(w.rand, w.now)
+		q.rank, q.origin = w.rank(w.rand, w.now)
 	} else {
 		classes := [...]identifier.Priority{0, 1, 1, 1, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 3, 3, 3, 3}
 		q.rank = identifier.MakeRank(classes[w.rand.IntN(len(classes))], uint8(w.rand.IntN(12)), w.rand.Uint64())
 	}
 	w.sent[w.now/clock.Time(slice)]++
-	w.asked[q.team]++
+	w.asked[q.origin.team]++
 	if w.settled(q) {
 		w.urgentSent++
 	}
@@ -242,7 +249,7 @@
 
 func (w *world) finished(q *request) {
 	w.good[w.now/clock.Time(slice)]++
-	w.served[q.team]++
+	w.served[q.origin.team]++
 	w.delays = append(w.delays, float64(w.now.Sub(q.born)))
 	if w.settled(q) {
 		w.urgentGood++
@@ -292,6 +299,9 @@
 		answer(false, false)
 		return
 	}
+	if h != h.w.deep && h.w.admitted != nil {
+		h.w.admitted(q.origin, h.w.now)
+	}
 	h.next++
 	h.open[h.next] = &visit{request: q, hop: h, id: h.next, answer: answer}
 	h.out = h.limit.Offer(limiter.Call{ID: h.next, Rank: q.rank, Deadline: q.deadline}, h.w.now, h.out[:0])
