--- /dev/null
+++ b/internal/assembler/inbox.go
@@ -0,0 +1,60 @@
+// The transport listens before the rest of the node exists. What arrives in that moment is turned away, and the
+// sender takes it for a node that is not up yet, which is the truth.
+
+package assembler
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/deliverer"
+	"github.com/jackdawtide/jackdawtide/internal/encoder"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/performer"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+	"github.com/jackdawtide/jackdawtide/internal/transporter"
+)
+
+type inbox struct {
+	clock  *clock.Clock
+	logger *log.Logger
+	ready  atomic.Pointer[inboxTarget]
+}
+
+type inboxTarget struct {
+	deliverer *deliverer.Deliverer
+	performer *performer.Performer
+}
+
+func newInbox(c *clock.Clock, l *log.Logger) *inbox {
+	return &inbox{clock: c, logger: l}
+}
+
+func connectInbox(in *inbox, d *deliverer.Deliverer, p *performer.Performer) {
+	in.ready.Store(&inboxTarget{deliverer: d, performer: p})
+}
+
+// ServeCall passes a call on to the deliverer.
+func (in *inbox) ServeCall(ctx context.Context, from identifier.Node, head transporter.CallHead, body io.Reader, w transporter.AnswerWriter) {
+	if t := in.ready.Load(); t != nil {
+		t.deliverer.ServeCall(ctx, from, head, body, w)
+	}
+}
+
+// ServeControl passes a message on to the reducer.
+func (in *inbox) ServeControl(from identifier.Node, message []byte) {
+	t := in.ready.Load()
+	if t == nil {
+		return
+	}
+	m, err := encoder.Decode(message)
+	if err != nil {
+		in.logger.Warn("message cannot be decoded", "from", from, "error", err)
+		return
+	}
+	t.performer.Apply(&reducer.MessageReceived{From: from, Message: m, Wall: in.clock.Wall()})
+}
--- /dev/null
+++ b/internal/assembler/outside.go
@@ -0,0 +1,195 @@
+// The reducer's effects towards other processes are carried out here, outside its lock. A slow peer or log must not
+// hold up calls, so each kind has a bounded queue of its own; what does not fit is dropped, as if the network had
+// lost it, and the matters send again what they still need.
+
+package assembler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/encoder"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+	"github.com/jackdawtide/jackdawtide/internal/transporter"
+	"github.com/jackdawtide/jackdawtide/pkg/appender"
+)
+
+const (
+	sendQueue   = 8192
+	appendQueue = 1024
+	logQueue    = 1024
+	readLimit   = 500
+	// readWait is how long one read waits for a new record; the news of an idle log is at most this old.
+	readWait      = time.Second
+	readTimeout   = 5 * time.Second
+	appendTimeout = 2 * time.Second
+	retryPause    = 200 * time.Millisecond
+)
+
+// outside carries out effects that concern other processes.
+type outside struct {
+	clock       *clock.Clock
+	logger      *log.Logger
+	log         appender.Log
+	transporter *transporter.Transporter
+
+	sends   chan reducer.Send
+	appends chan reducer.Append
+	reads   chan reducer.ReadLog
+	lines   chan reducer.Log
+}
+
+func newOutside(c *clock.Clock, logger *log.Logger, l appender.Log, t *transporter.Transporter) *outside {
+	return &outside{
+		clock:       c,
+		logger:      logger,
+		log:         l,
+		transporter: t,
+		sends:       make(chan reducer.Send, sendQueue),
+		appends:     make(chan reducer.Append, appendQueue),
+		reads:       make(chan reducer.ReadLog, 1),
+		lines:       make(chan reducer.Log, logQueue),
+	}
+}
+
+// Send queues a control message.
+func (o *outside) Send(e reducer.Send) { offer(o.sends, e) }
+
+// Append queues a record.
+func (o *outside) Append(e reducer.Append) { offer(o.appends, e) }
+
+// ReadLog queues a read.
+func (o *outside) ReadLog(e reducer.ReadLog) { offer(o.reads, e) }
+
+// Log queues a log line.
+func (o *outside) Log(e reducer.Log) { offer(o.lines, e) }
+
+func offer[T any](queue chan T, v T) {
+	select {
+	case queue <- v:
+	default:
+	}
+}
+
+// run works off the queues until ctx ends.
+func (o *outside) run(ctx context.Context, apply func(reducer.Event)) {
+	go o.runSends(ctx)
+	go o.runAppends(ctx)
+	go o.runReads(ctx, apply)
+	go o.runLines(ctx)
+}
+
+func (o *outside) runSends(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-o.sends:
+			o.sendOne(e)
+		}
+	}
+}
+
+func (o *outside) sendOne(e reducer.Send) {
+	b, err := encoder.Encode(e.Message)
+	if err != nil {
+		o.logger.Error("message cannot be encoded", "error", err)
+		return
+	}
+	err = o.transporter.SendControl(transporter.Peer{Node: e.To, Address: e.Address}, b)
+	if err != nil {
+		o.logger.Debug("message not sent", "to", e.To, "error", err)
+	}
+}
+
+func (o *outside) runAppends(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-o.appends:
+			o.appendOne(ctx, e)
+		}
+	}
+}
+
+// A claim is appended once: the claimer judges by reading it back, and appends anew in its own time. Other records
+// are repeated until the log has them, since nobody else would.
+func (o *outside) appendOne(ctx context.Context, e reducer.Append) {
+	b, err := encoder.Encode(e.Record)
+	if err != nil {
+		o.logger.Error("record cannot be encoded", "error", err)
+		return
+	}
+	attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = o.log.Append(attempt, b)
+	if err == nil {
+		return
+	}
+	o.logger.Debug("record not appended", "error", err)
+	if _, isClaim := e.Record.(claimer.Claim); isClaim {
+		return
+	}
+	time.AfterFunc(retryPause, func() { o.Append(e) })
+}
+
+func (o *outside) runReads(ctx context.Context, apply func(reducer.Event)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-o.reads:
+			apply(o.readOne(ctx, e))
+		}
+	}
+}
+
+func (o *outside) readOne(ctx context.Context, e reducer.ReadLog) reducer.Event {
+	from := appender.Offset(e.From)
+	b, err := o.read(ctx, from)
+	var expired appender.Expired
+	if errors.As(err, &expired) {
+		b, err = o.read(ctx, expired.Earliest)
+	}
+	if err != nil {
+		o.logger.Debug("log not read", "error", err)
+		return &reducer.LogFailed{}
+	}
+	event := &reducer.RecordsRead{
+		Earliest: identifier.Offset(b.Earliest),
+		Next:     identifier.Offset(b.End),
+		Wall:     o.clock.Wall(),
+	}
+	for _, r := range b.Records {
+		event.Records = append(event.Records, reducer.LogRecord{
+			Offset: identifier.Offset(r.Offset),
+			Wall:   clock.Wall(r.Time),
+			Data:   r.Data,
+		})
+	}
+	return event
+}
+
+func (o *outside) read(parent context.Context, from appender.Offset) (appender.Batch, error) {
+	ctx, cancel := context.WithTimeout(parent, readTimeout)
+	defer cancel()
+	return o.log.Read(ctx, from, readLimit, readWait)
+}
+
+func (o *outside) runLines(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-o.lines:
+			o.logger.Info(e.Message, e.Fields...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/deliverer/deliverer.go
@@ -0,0 +1,297 @@
+// This is the last node a call passes before its backend server. The reducer decides when the call may go; what
+// is done here is only to carry it, to tell truthfully whether it can have run, and to tell the reducer how
+// it ended, since the slot it used must come free whatever happens.
+//
+// Example: a call for endpoint "ice-2" waits in the mailbox loop until Dispatch comes, is sent to
+// 127.0.0.1:9002 with its token, and its answer streams back; EndDelivery brings the tail.
+
+package deliverer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/performer"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+	"github.com/jackdawtide/jackdawtide/internal/transporter"
+)
+
+// The header fields that a node sets for its backend server.
+const (
+	TokenHeader     = "Jackdawtide-Call"
+	DeadlineHeader  = "Jackdawtide-Deadline-Ms"
+	TeamHeader      = "Jackdawtide-Team"
+	RequestIDHeader = "Jackdawtide-Request-Id"
+)
+
+const (
+	tokenBytes     = 24
+	copyBufferSize = 32 << 10
+)
+
+// Deliverer carries calls to the backend servers of this VM.
+type Deliverer struct {
+	performer *performer.Performer
+
+	mu       sync.Mutex
+	backends map[identifier.Endpoint]*backend
+}
+
+type backend struct {
+	address string
+	client  *http.Transport
+}
+
+// New returns a deliverer that asks p for decisions.
+func New(p *performer.Performer) *Deliverer {
+	return &Deliverer{performer: p, backends: make(map[identifier.Endpoint]*backend)}
+}
+
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBufferSize)
+	return &b
+}}
+
+// ServeCall takes a call from a node, waits for its turn, and hands it to the backend server.
+func (d *Deliverer) ServeCall(ctx context.Context, from identifier.Node, head transporter.CallHead, body io.Reader, w transporter.AnswerWriter) {
+	id, box := d.performer.Open()
+	defer d.performer.Close(id)
+	token := newToken()
+	d.performer.Apply(&reducer.DeliveryArrived{
+		Delivery:   id,
+		From:       from,
+		Request:    head.Request,
+		Root:       head.Root,
+		Team:       head.Team,
+		KeyHash:    head.KeyHash,
+		Service:    head.Service,
+		Endpoint:   head.Endpoint,
+		Method:     head.Method,
+		Path:       head.Path,
+		Rank:       head.Rank,
+		Deadline:   head.Deadline,
+		Allowance:  head.Allowance,
+		Depth:      head.Depth,
+		Attempt:    head.Attempt,
+		Idempotent: head.Idempotent,
+		Token:      token,
+	})
+	select {
+	case e := <-box:
+		d.act(ctx, e, box, head, token, body, w)
+	case <-ctx.Done():
+		d.performer.Apply(&reducer.DeliveryCancelled{Delivery: id})
+	}
+}
+
+func (d *Deliverer) act(ctx context.Context, e reducer.CallEffect, box performer.Mailbox, head transporter.CallHead, token reducer.Token, body io.Reader, w transporter.AnswerWriter) {
+	switch e := e.(type) {
+	case reducer.RefuseDelivery:
+		writeRefusal(w, e)
+	case reducer.Dispatch:
+		d.dispatch(ctx, e, box, head, token, body, w)
+	}
+}
+
+func writeRefusal(w transporter.AnswerWriter, e reducer.RefuseDelivery) {
+	if err := w.WriteHead(transporter.AnswerHead{
+		Status: e.Refusal.Reason.Status(),
+		Refusal: &transporter.Refusal{
+			Reason:     string(e.Refusal.Reason),
+			NotRun:     e.Refusal.NotRun,
+			RetryAfter: e.Refusal.RetryAfter,
+			DecidedBy:  e.Refusal.DecidedBy,
+		},
+	}); err != nil {
+		return
+	}
+	_ = w.Close(toTail(e.Tail))
+}
+
+func (d *Deliverer) dispatch(parent context.Context, e reducer.Dispatch, box performer.Mailbox, head transporter.CallHead, token reducer.Token, body io.Reader, w transporter.AnswerWriter) {
+	ctx, cancel := context.WithTimeout(parent, e.Deadline.Std())
+	defer cancel()
+	result := d.exchange(ctx, e, head, token, body, w)
+	d.performer.Apply(&reducer.DeliveryEnded{Delivery: e.Delivery, Result: result.delivery})
+	end, ok := (<-box).(reducer.EndDelivery)
+	if !ok || !result.whole {
+		return
+	}
+	_ = w.Close(toTail(end.Tail))
+}
+
+// ended tells how an exchange with a backend server went; whole means that the answer may be closed properly.
+type ended struct {
+	delivery reducer.DeliveryResult
+	whole    bool
+}
+
+func (d *Deliverer) exchange(ctx context.Context, e reducer.Dispatch, head transporter.CallHead, token reducer.Token, body io.Reader, w transporter.AnswerWriter) ended {
+	b, ok := d.backend(e.Endpoint)
+	if !ok {
+		return refuse(w, e, reducer.NoBackend, true, reducer.DeliveryAborted)
+	}
+	req, err := newBackendRequest(ctx, b, e, head, token, body)
+	if err != nil {
+		return refuse(w, e, reducer.BadRequest, true, reducer.DeliveryAborted)
+	}
+	resp, err := b.client.RoundTrip(req)
+	if err != nil {
+		return refuseFailed(ctx, w, e, err)
+	}
+	defer resp.Body.Close()
+	if err := w.WriteHead(transporter.AnswerHead{Status: resp.StatusCode, Header: answerFields(resp)}); err != nil {
+		return ended{delivery: reducer.DeliveryAborted}
+	}
+	if err := copyBody(w, resp); err != nil {
+		return ended{delivery: failure(ctx)}
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return ended{delivery: reducer.DeliveryFailed, whole: true}
+	}
+	return ended{delivery: reducer.DeliverySucceeded, whole: true}
+}
+
+// A connection that could not even be made has carried nothing, so the call has not run. After that, a lost
+// connection says nothing about whether the backend server did the work.
+func refuseFailed(ctx context.Context, w transporter.AnswerWriter, e reducer.Dispatch, err error) ended {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return refuse(w, e, reducer.Unreachable, true, reducer.DeliveryFailed)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuse(w, e, reducer.DeadlinePassed, false, reducer.DeliveryTimedOut)
+	}
+	return refuse(w, e, reducer.LostAnswer, false, failure(ctx))
+}
+
+func failure(ctx context.Context) reducer.DeliveryResult {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return reducer.DeliveryTimedOut
+	case ctx.Err() != nil:
+		return reducer.DeliveryAborted
+	default:
+		return reducer.DeliveryFailed
+	}
+}
+
+func refuse(w transporter.AnswerWriter, e reducer.Dispatch, reason reducer.Reason, notRun bool, result reducer.DeliveryResult) ended {
+	err := w.WriteHead(transporter.AnswerHead{
+		Status:  reason.Status(),
+		Refusal: &transporter.Refusal{Reason: string(reason), NotRun: notRun, RetryAfter: e.RetryAfter, DecidedBy: e.Self},
+	})
+	return ended{delivery: result, whole: err == nil}
+}
+
+func newBackendRequest(ctx context.Context, b *backend, e reducer.Dispatch, head transporter.CallHead, token reducer.Token, body io.Reader) (*http.Request, error) {
+	target := "http://" + b.address + head.Path
+	if head.RawQuery != "" {
+		target += "?" + head.RawQuery
+	}
+	if head.ContentLength == 0 {
+		body = emptyBody{}
+	}
+	req, err := http.NewRequestWithContext(ctx, head.Method, target, body)
+	if err != nil {
+		return nil, fmt.Errorf("make request for %s: %w", e.Endpoint, err)
+	}
+	req.ContentLength = head.ContentLength
+	for _, f := range head.Header {
+		req.Header.Add(f.Name, f.Value)
+	}
+	req.Header.Set(TokenHeader, string(token))
+	req.Header.Set(DeadlineHeader, strconv.FormatInt(int64(e.Deadline), 10))
+	req.Header.Set(TeamHeader, string(head.Team))
+	req.Header.Set(RequestIDHeader, string(head.Request))
+	return req, nil
+}
+
+// The HTTP library sends a request without a body a second time, by itself, when a reused connection dies
+// before the answer and the method is GET or an idempotency id is in the header. A booking would then run
+// twice and no retry allowance would be spent. A body that the library cannot rewind stops it from doing so.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Flushing after each read lets a slow download reach its caller as it comes; an answer that is known to be
+// small is sent in one piece instead.
+func copyBody(w transporter.AnswerWriter, resp *http.Response) error {
+	buffer := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	streaming := resp.ContentLength < 0 || resp.ContentLength > copyBufferSize
+	for {
+		n, err := resp.Body.Read(*buffer)
+		if n > 0 {
+			if _, werr := w.Write((*buffer)[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !streaming {
+			continue
+		}
+		if ferr := w.Flush(); ferr != nil {
+			return ferr
+		}
+	}
+}
+
+func newToken() reducer.Token {
+	var b [tokenBytes]byte
+	// crypto/rand.Read never fails; it ends the process instead.
+	_, _ = rand.Read(b[:])
+	return reducer.Token(base64.RawURLEncoding.EncodeToString(b[:]))
+}
+
+func toTail(t reducer.Tail) transporter.AnswerTail {
+	return transporter.AnswerTail{
+		Allowance:  t.Allowance,
+		Threshold:  t.Threshold,
+		Headroom:   t.Headroom,
+		RetryRatio: t.RetryRatio,
+	}
+}
+
+func (d *Deliverer) backend(id identifier.Endpoint) (*backend, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.backends[id]
+	return b, ok
+}
+
+func (d *Deliverer) putBackend(id identifier.Endpoint, address string, connections int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, ok := d.backends[id]; ok {
+		old.client.CloseIdleConnections()
+	}
+	d.backends[id] = &backend{
+		address: address,
+		client: &http.Transport{
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleTimeout.Std(),
+			DisableCompression:  true,
+			WriteBufferSize:     copyBufferSize,
+			ReadBufferSize:      copyBufferSize,
+		},
+	}
+}
+
+const idleTimeout = 90 * clock.Second
--- /dev/null
+++ b/internal/deliverer/header.go
@@ -0,0 +1,71 @@
+// Header fields that belong to one connection must not travel on, and a node's own fields must not be forged by
+// a backend server's answer.
+//
+// Example: an answer with "Connection: X-Trace" and "X-Trace: 1" passes on neither.
+
+package deliverer
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/transporter"
+)
+
+// OwnPrefix starts the names of all header fields that nodes set themselves.
+const OwnPrefix = "Jackdawtide-"
+
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// EndToEnd returns the fields of h that may travel on; also drop names the canonical fields to leave out besides.
+func EndToEnd(h http.Header, drop ...string) []transporter.Field {
+	named := connectionNames(h)
+	fields := make([]transporter.Field, 0, len(h))
+	for name, values := range h {
+		if hopByHop[name] || named[name] || strings.HasPrefix(name, OwnPrefix) || contains(drop, name) {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, transporter.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+func connectionNames(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	names := make(map[string]bool)
+	for _, v := range values {
+		for _, n := range strings.Split(v, ",") {
+			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(n))] = true
+		}
+	}
+	return names
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func answerFields(resp *http.Response) []transporter.Field {
+	return EndToEnd(resp.Header)
+}
--- /dev/null
+++ b/internal/performer/doc.go
@@ -0,0 +1,2 @@
+// Package performer feeds events to the reducer one at a time and carries out its effects.
+package performer
--- /dev/null
+++ b/internal/receiver/exchange.go
@@ -0,0 +1,260 @@
+// One exchange is one caller's request from its arrival to its final answer. It does what the reducer's effects
+// say and reports back how each attempt went; nothing is decided here.
+//
+// Example: Forward → the attempt's answer is lost → AnswerEnded{Phase: Sent} → Refuse{LostAnswer}.
+
+package receiver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/jackdawtide/jackdawtide/internal/deliverer"
+	"github.com/jackdawtide/jackdawtide/internal/forwarder"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/performer"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+	"github.com/jackdawtide/jackdawtide/internal/transporter"
+)
+
+const (
+	copyBufferSize = 32 << 10
+	// maxRecorded is the largest answer body kept for retries with the same idempotency id.
+	maxRecorded = 64 << 10
+)
+
+type exchange struct {
+	receiver *Receiver
+	id       reducer.CallID
+	box      performer.Mailbox
+	request  identifier.Request
+	writer   http.ResponseWriter
+	incoming *http.Request
+	body     *replayBody
+	parts    parts
+	relayed  bool
+}
+
+func (x *exchange) run() {
+	for {
+		select {
+		case e := <-x.box:
+			if x.act(e) {
+				return
+			}
+		case <-x.incoming.Context().Done():
+			x.receiver.performer.Apply(&reducer.CallCancelled{Call: x.id})
+			return
+		}
+	}
+}
+
+// act carries out one effect and tells whether the exchange is over.
+func (x *exchange) act(e reducer.CallEffect) bool {
+	switch e := e.(type) {
+	case reducer.Forward:
+		x.attempt(e)
+		return false
+	case reducer.Refuse:
+		x.finish(func() { writeRefusal(x.writer, x.request, e.Refusal) })
+	case reducer.Replay:
+		x.finish(func() { writeOutcome(x.writer, x.request, e.Outcome) })
+	}
+	return true
+}
+
+// An answer that has begun cannot be turned into a refusal. Ending the handler normally would make the cut
+// answer look whole to the caller; aborting closes the connection instead, and the caller sees an error.
+func (x *exchange) finish(write func()) {
+	if x.relayed {
+		panic(http.ErrAbortHandler)
+	}
+	write()
+}
+
+func (x *exchange) attempt(f reducer.Forward) {
+	ctx, cancel := context.WithTimeout(x.incoming.Context(), f.Deadline.Std())
+	defer cancel()
+	body := x.body.attempt(f.MaxBody)
+	defer body.detach()
+	peer := transporter.Peer{Node: f.Node, Address: f.Address}
+	answer, phase, err := x.receiver.forwarder.Call(ctx, peer, x.head(f), body)
+	if err != nil {
+		x.report(ctx, body, reducer.AnswerEnded{Phase: toPhase(phase)})
+		return
+	}
+	defer answer.Close()
+	if r := answer.Head().Refusal; r != nil {
+		x.reportRefusal(ctx, body, answer, r)
+		return
+	}
+	x.relay(ctx, f, body, answer)
+}
+
+func (x *exchange) head(f reducer.Forward) transporter.CallHead {
+	q := x.incoming
+	return transporter.CallHead{
+		Request:       x.request,
+		Root:          f.Root,
+		Team:          f.Team,
+		KeyHash:       f.KeyHash,
+		Service:       x.parts.service,
+		Endpoint:      f.Endpoint,
+		Method:        q.Method,
+		Path:          x.parts.path,
+		RawQuery:      q.URL.RawQuery,
+		Header:        deliverer.EndToEnd(q.Header, authorization),
+		ContentLength: q.ContentLength,
+		Rank:          f.Rank,
+		Deadline:      f.Deadline,
+		Allowance:     f.Allowance,
+		Idempotent:    f.Idempotent,
+		Depth:         f.Depth,
+		Attempt:       f.Attempt,
+		Idempotency:   x.parts.idempotency,
+	}
+}
+
+func (x *exchange) report(ctx context.Context, body *attemptBody, e reducer.AnswerEnded) {
+	body.detach()
+	e.Call = x.id
+	e.Wall = x.receiver.clock.Wall()
+	e.Replayable = x.body.replayable()
+	e.TimedOut = errors.Is(ctx.Err(), context.DeadlineExceeded)
+	e.TooLarge = body.exceeded()
+	x.receiver.performer.Apply(&e)
+}
+
+func (x *exchange) reportRefusal(ctx context.Context, body *attemptBody, a forwarder.Answer, r *transporter.Refusal) {
+	// A refusal carries no body; reading to its end brings the tail.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, copyBufferSize))
+	x.report(ctx, body, reducer.AnswerEnded{
+		Phase: reducer.Answered,
+		Refusal: &reducer.RemoteRefusal{
+			Reason:     reducer.Reason(r.Reason),
+			NotRun:     r.NotRun,
+			RetryAfter: r.RetryAfter,
+			DecidedBy:  r.DecidedBy,
+		},
+		Tail: fromTail(a),
+	})
+}
+
+func (x *exchange) relay(ctx context.Context, f reducer.Forward, body *attemptBody, a forwarder.Answer) {
+	head := a.Head()
+	x.relayed = true
+	h := x.writer.Header()
+	for _, field := range head.Header {
+		h.Add(field.Name, field.Value)
+	}
+	x.writer.WriteHeader(head.Status)
+	var kept *recorder
+	if f.Record {
+		kept = &recorder{limit: maxRecorded}
+	}
+	err := x.copy(a, kept)
+	x.report(ctx, body, reducer.AnswerEnded{
+		Phase:   reducer.Answered,
+		Relayed: true,
+		Whole:   err == nil,
+		Tail:    fromTail(a),
+		Outcome: kept.outcome(head, err == nil),
+	})
+}
+
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBufferSize)
+	return &b
+}}
+
+func (x *exchange) copy(a forwarder.Answer, kept *recorder) error {
+	buffer := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	controller := http.NewResponseController(x.writer)
+	total := 0
+	for {
+		n, err := a.Read(*buffer)
+		if n > 0 {
+			kept.write((*buffer)[:n])
+			if _, werr := x.writer.Write((*buffer)[:n]); werr != nil {
+				return werr
+			}
+		}
+		total += n
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		// A small answer goes out in one piece at the end; a long one as it comes.
+		if total < copyBufferSize && !isStream(x.writer.Header()) {
+			continue
+		}
+		if ferr := controller.Flush(); ferr != nil {
+			return ferr
+		}
+	}
+}
+
+func isStream(h http.Header) bool {
+	return h.Get("Content-Length") == "" || strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+func fromTail(a forwarder.Answer) *reducer.Tail {
+	t, ok := a.Tail()
+	if !ok {
+		return nil
+	}
+	return &reducer.Tail{
+		Allowance:  t.Allowance,
+		Threshold:  t.Threshold,
+		Headroom:   t.Headroom,
+		RetryRatio: t.RetryRatio,
+	}
+}
+
+func toPhase(p transporter.Phase) reducer.Phase {
+	switch p {
+	case transporter.NotSent:
+		return reducer.NotSent
+	case transporter.Answered:
+		return reducer.Answered
+	default:
+		return reducer.Sent
+	}
+}
+
+// recorder keeps an answer's body up to its limit; a nil recorder keeps nothing.
+type recorder struct {
+	limit    int
+	body     []byte
+	overflow bool
+}
+
+func (r *recorder) write(p []byte) {
+	if r == nil || r.overflow {
+		return
+	}
+	if len(r.body)+len(p) > r.limit {
+		r.overflow = true
+		r.body = nil
+		return
+	}
+	r.body = append(r.body, p...)
+}
+
+func (r *recorder) outcome(head transporter.AnswerHead, whole bool) *reducer.RecordedOutcome {
+	if r == nil || !whole {
+		return nil
+	}
+	fields := make([]reducer.Field, 0, len(head.Header))
+	for _, f := range head.Header {
+		fields = append(fields, reducer.Field(f))
+	}
+	return &reducer.RecordedOutcome{Status: head.Status, Header: fields, Body: r.body, Kept: !r.overflow}
+}
--- /dev/null
+++ b/internal/receiver/replay.go
@@ -0,0 +1,109 @@
+// A retry needs the request's body from its start, but an upload of 200 MB cannot be kept. The first part is
+// kept; once more than that was read, the call can no longer be sent again.
+//
+// Example: 10 KB are read by a first attempt that fails; the second attempt reads the same 10 KB.
+
+package receiver
+
+import (
+	"io"
+	"sync"
+)
+
+// replaySize is how much of a request's body is kept for a retry.
+const replaySize = 64 << 10
+
+// replayBody lets several attempts read one body, one after the other.
+type replayBody struct {
+	mu       sync.Mutex
+	source   io.Reader
+	kept     []byte
+	overflow bool
+	err      error
+}
+
+func newReplayBody(source io.Reader) *replayBody {
+	return &replayBody{source: source}
+}
+
+// replayable tells whether another attempt can read the whole body.
+func (b *replayBody) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.overflow && (b.err == nil || b.err == io.EOF)
+}
+
+// attempt returns a reader for one attempt; detach must be called when the attempt is over.
+func (b *replayBody) attempt(limit int64) *attemptBody {
+	return &attemptBody{body: b, limit: limit}
+}
+
+// attemptBody reads the body for one attempt, up to a limit.
+type attemptBody struct {
+	body     *replayBody
+	offset   int64
+	limit    int64
+	detached bool
+	tooLarge bool
+}
+
+// An attempt that is over may still have a reader in flight; were it let go on, it would take bytes that belong
+// to the next attempt, and the backend server would get a body with a hole.
+func (a *attemptBody) Read(p []byte) (int, error) {
+	b := a.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.detached {
+		return 0, io.ErrClosedPipe
+	}
+	n, err := a.read(p)
+	a.offset += int64(n)
+	if a.limit > 0 && a.offset > a.limit {
+		a.tooLarge = true
+		return 0, errBodyTooLarge
+	}
+	return n, err
+}
+
+func (a *attemptBody) read(p []byte) (int, error) {
+	b := a.body
+	if a.offset < int64(len(b.kept)) {
+		return copy(p, b.kept[a.offset:]), nil
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.source.Read(p)
+	b.err = err
+	b.keep(p[:n])
+	return n, err
+}
+
+func (b *replayBody) keep(p []byte) {
+	if b.overflow {
+		return
+	}
+	if len(b.kept)+len(p) > replaySize {
+		b.overflow = true
+		return
+	}
+	b.kept = append(b.kept, p...)
+}
+
+func (a *attemptBody) detach() {
+	a.body.mu.Lock()
+	a.detached = true
+	a.body.mu.Unlock()
+}
+
+func (a *attemptBody) exceeded() bool {
+	a.body.mu.Lock()
+	defer a.body.mu.Unlock()
+	return a.tooLarge
+}
+
+type bodyTooLargeError struct{}
+
+func (bodyTooLargeError) Error() string { return "request body is larger than the service takes" }
+
+var errBodyTooLarge = bodyTooLargeError{}
--- /dev/null
+++ b/internal/reducer/call.go
@@ -0,0 +1,246 @@
+// A call enters here, by a caller's key or by the token of the call it is nested in. What both share begins in
+// begin: route, rank, threshold; a root call then pays with its team's rate, and a call that must not run twice
+// asks the owner of its idempotency id.
+//
+// Example: CallArrived → rank 0x4123 → slice spent → Forward to endpoint "ice-2" at node "a2".
+
+package reducer
+
+import (
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/admitter"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/retrier"
+	"github.com/jackdawtide/jackdawtide/internal/router"
+)
+
+// maxDepth stops services that call each other in a circle.
+const maxDepth = 32
+
+// maxExcluded is how many failed endpoints a call remembers.
+const maxExcluded = 4
+
+type call struct {
+	id          CallID
+	request     identifier.Request
+	root        identifier.Request
+	team        identifier.Team
+	keyHash     identifier.KeyHash
+	service     identifier.Service
+	method      string
+	path        string
+	route       admitter.Route
+	rank        identifier.Rank
+	deadline    clock.Time
+	idempotent  bool
+	idempotency identifier.Idempotency
+	maxBody     int64
+	depth       uint8
+
+	// parent is the delivery that a nested call belongs to, and portion what it took of its allowance.
+	parent  *delivery
+	portion uint8
+
+	budget   retrier.Budget
+	carried  uint8
+	attempt  uint16
+	endpoint identifier.Endpoint
+	// lastEndpoint is where the attempt before went.
+	lastEndpoint identifier.Endpoint
+	sentAt   clock.Time
+	excluded []identifier.Endpoint
+	// maybeRun is set once any attempt may have started at a backend server.
+	maybeRun bool
+	// owned is set once the owner of the idempotency id let the call run.
+	owned bool
+	// asking is set while the owner is being asked.
+	asking bool
+	// searchUntil is set once the call has waited for endpoints of its service.
+	searchUntil clock.Time
+	paid        granter.Paid
+}
+
+func (s *State) callArrived(e *CallArrived) {
+	s.wall = e.Wall
+	s.counters.Entered++
+	c := &call{
+		id:          e.Call,
+		request:     e.Request,
+		root:        e.Request,
+		keyHash:     e.KeyHash,
+		service:     e.Service,
+		method:      e.Method,
+		path:        e.Path,
+		idempotency: e.Idempotency,
+	}
+	s.calls[c.id] = c
+	team, ok := s.configurer.Resolve(e.KeyHash)
+	if !ok {
+		s.refuse(c, Refusal{Reason: UnknownKey})
+		return
+	}
+	c.team = team
+	if s.refuseUnready(c) {
+		return
+	}
+	if !s.begin(c, e.Deadline, e.ContentLength) {
+		return
+	}
+	c.budget = retrier.NewBudget(s.rules.preset.RetryAllowance)
+	s.fairness.Note(c.team, s.now)
+	m := s.rules.services[c.service].match(c.method, c.path)
+	c.rank = identifier.MakeRank(m.priority, s.fairness.Overuse(c.team, s.now), rootHash(c))
+	if !s.board.AdmitRoute(c.service, c.route, c.rank, s.now) {
+		s.refuse(c, Refusal{Reason: Shed, RetryAfter: s.backOff()})
+		return
+	}
+	s.spend(c)
+}
+
+// A caller's retry with the same id gets the same place within its class, so asking again earns nothing.
+func rootHash(c *call) uint64 {
+	if c.idempotency != "" {
+		return xxh3.HashString(string(c.idempotency))
+	}
+	return xxh3.HashString(string(c.root))
+}
+
+func (s *State) nestedArrived(e *NestedArrived) {
+	s.wall = e.Wall
+	s.counters.Nested++
+	c := &call{
+		id:          e.Call,
+		request:     e.Request,
+		service:     e.Service,
+		method:      e.Method,
+		path:        e.Path,
+		idempotency: e.Idempotency,
+	}
+	s.calls[c.id] = c
+	d, ok := s.tokens[e.Token]
+	if !ok || e.Token == "" {
+		s.refuse(c, Refusal{Reason: UnknownToken})
+		return
+	}
+	c.join(d)
+	if c.depth > maxDepth {
+		s.refuse(c, Refusal{Reason: TooDeep})
+		return
+	}
+	if s.rules == nil {
+		s.refuse(c, Refusal{Reason: NoPreset, RetryAfter: s.backOff()})
+		return
+	}
+	if !s.begin(c, e.Deadline, e.ContentLength) {
+		return
+	}
+	c.deadline = min(c.deadline, d.deadline)
+	c.portion = d.budget.Portion()
+	c.budget = retrier.NewBudget(c.portion)
+	if !s.board.AdmitRoute(c.service, c.route, c.rank, s.now) {
+		d.note(c, s.board.ThresholdRoute(c.service, c.route, s.now), s.now)
+		s.refuse(c, Refusal{Reason: Shed, RetryAfter: s.backOff()})
+		return
+	}
+	s.claimID(c)
+}
+
+// join lets a nested call act for the team of the call that it is part of, and for no other.
+func (c *call) join(d *delivery) {
+	c.parent = d
+	c.root = d.root
+	c.team = d.team
+	c.rank = d.rank
+	c.depth = d.depth + 1
+	d.nested++
+}
+
+func (s *State) refuseUnready(c *call) bool {
+	switch {
+	case s.rules == nil:
+		s.refuse(c, Refusal{Reason: NoPreset, RetryAfter: s.backOff()})
+	case !s.configurer.MayServe(s.now):
+		s.refuse(c, Refusal{Reason: NoPreset, RetryAfter: s.backOff(), Detail: "no news of the configuration for too long"})
+	default:
+		return false
+	}
+	return true
+}
+
+// begin finds the rules for the call and tells whether it may go on.
+func (s *State) begin(c *call, deadline clock.Duration, length int64) bool {
+	r, ok := s.rules.services[c.service]
+	if !ok {
+		s.refuse(c, Refusal{Reason: UnknownService, Detail: string(c.service)})
+		return false
+	}
+	if r.maxBody > 0 && length > r.maxBody {
+		s.refuse(c, Refusal{Reason: BodyTooLarge})
+		return false
+	}
+	m := r.match(c.method, c.path)
+	c.route = m.route
+	c.idempotent = m.idempotent
+	c.maxBody = r.maxBody
+	if deadline == 0 || deadline > r.timeout {
+		deadline = r.timeout
+	}
+	c.deadline = s.now.Add(deadline)
+	return true
+}
+
+// Refused callers that all come back at the same moment are the next surge, so the time varies.
+func (s *State) backOff() clock.Duration {
+	const least, spread = 500, 1000
+	return clock.Duration(least + s.rand.Int64N(spread))
+}
+
+func (s *State) refuse(c *call, r Refusal) {
+	r.NotRun = !c.maybeRun
+	r.DecidedBy = orNode(r.DecidedBy, s.options.Self)
+	r.Version = s.configurer.Version()
+	if r.Reason == EndpointFull || r.Reason == EndpointLeaving {
+		r.Reason = Shed
+	}
+	s.countRefusal(r.Reason)
+	s.record(c, string(r.Reason), r.DecidedBy)
+	s.emit(Refuse{Call: c.id, Refusal: r})
+	s.forget(c)
+}
+
+func orNode(n, fallback identifier.Node) identifier.Node {
+	if n == "" {
+		return fallback
+	}
+	return n
+}
+
+func (s *State) countRefusal(r Reason) {
+	s.counters.Refused[r]++
+}
+
+// forget ends a call at this node and gives its unused allowance back to the call that it is nested in.
+func (s *State) forget(c *call) {
+	if c.parent != nil {
+		c.parent.budget.Return(c.budget.Left(), c.portion)
+		c.parent.nested--
+	}
+	delete(s.calls, c.id)
+}
+
+func (s *State) callCancelled(e *CallCancelled) {
+	c, ok := s.calls[e.Call]
+	if !ok {
+		return
+	}
+	if c.endpoint != "" {
+		s.endAttempt(c, router.Cancelled, nil)
+		c.maybeRun = true
+	}
+	s.abandonID(c)
+	s.record(c, string(Cancelled), s.options.Self)
+	s.forget(c)
+}
--- /dev/null
+++ b/internal/reducer/dump.go
@@ -0,0 +1,185 @@
+// A dump shows one consistent moment of the node's state, for the operator who asks why the fleet behaves as it does.
+// It holds hashes of keys, never a key, since no key ever gets this far.
+
+package reducer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/gossiper"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Dump is the state of a node at one moment.
+type Dump struct {
+	Node       identifier.Node
+	Domain     identifier.FailureDomain
+	Address    string
+	Leaving    bool
+	Status     Status
+	Offset     identifier.Offset
+	Keys       []KeyDump
+	Calls      int
+	Deliveries int
+	Counters   CountersDump
+	Backends   []BackendDump
+	Members    []identifier.Node
+	Endpoints  []gossiper.PlacedEndpoint
+	Contacts   []gossiper.Contact
+	Claims     []claimer.State
+	Rates      granter.State
+	IDRecords  int
+	IDReports  int
+}
+
+// Status is the configuration in force at a node.
+type Status struct {
+	Preset  identifier.Preset
+	Version identifier.Version
+	Silence clock.Duration
+}
+
+// KeyDump is a key as everybody may see it.
+type KeyDump struct {
+	Hash      identifier.KeyHash
+	Team      identifier.Team
+	Withdrawn bool
+}
+
+// CountersDump is Counters with the refusals in order.
+type CountersDump struct {
+	Entered    uint64
+	Nested     uint64
+	Forwarded  uint64
+	Retried    uint64
+	Delivered  uint64
+	Dispatched uint64
+	Refused    []RefusedCount
+}
+
+// RefusedCount is how often a reason was given.
+type RefusedCount struct {
+	Reason Reason
+	Count  uint64
+}
+
+// BackendDump is a backend server of this VM.
+type BackendDump struct {
+	Endpoint  identifier.Endpoint
+	Service   identifier.Service
+	Slots     int
+	Limit     int
+	InFlight  int
+	Queued    int
+	Threshold identifier.Threshold
+	State     string
+}
+
+// Dump returns the state at this moment.
+func (s *State) Dump(now clock.Time) Dump {
+	d := Dump{
+		Node:       s.options.Self,
+		Domain:     s.options.Domain,
+		Address:    s.options.Address,
+		Leaving:    s.leaving != nil,
+		Status:     s.Status(now),
+		Offset:     s.configurer.Offset(),
+		Calls:      len(s.calls),
+		Deliveries: len(s.deliveries),
+		Counters:   s.Counters(),
+		Members:    s.gossiper.Members(),
+		Contacts:   s.gossiper.Contacts(),
+		Claims:     s.claimer.Dump(now),
+		Rates:      s.granter.Dump(now),
+		IDRecords:  s.owner.Records(),
+		IDReports:  s.asker.Reports(),
+	}
+	for _, k := range s.configurer.Keys() {
+		d.Keys = append(d.Keys, KeyDump{Hash: k.Key.Hash, Team: k.Key.Team, Withdrawn: k.Withdrawn})
+	}
+	for _, b := range s.sortedBackends() {
+		d.Backends = append(d.Backends, b.dump())
+	}
+	for _, service := range s.interestList() {
+		d.Endpoints = append(d.Endpoints, s.gossiper.Endpoints(service)...)
+	}
+	return d
+}
+
+func (s *State) interestList() []identifier.Service {
+	list := make([]identifier.Service, 0, len(s.interests))
+	for service := range s.interests {
+		list = append(list, service)
+	}
+	slices.SortFunc(list, func(a, b identifier.Service) int { return strings.Compare(string(a), string(b)) })
+	return list
+}
+
+// Status returns the configuration in force.
+func (s *State) Status(now clock.Time) Status {
+	st := Status{Version: s.configurer.Version(), Silence: s.configurer.Freshness(now)}
+	if p, _ := s.configurer.InForce(); p != nil {
+		st.Preset = p.Name
+	}
+	return st
+}
+
+// FleetStatus returns what this node last heard of the configuration in force at the others of its failure domain.
+func (s *State) FleetStatus() map[identifier.Node]Status {
+	fleet := make(map[identifier.Node]Status)
+	for _, n := range s.gossiper.Members() {
+		h, ok := s.gossiper.NewsOf(n)
+		if !ok {
+			continue
+		}
+		fleet[n] = Status{Preset: h.InForce, Version: h.Version, Silence: h.Age}
+	}
+	return fleet
+}
+
+// Counters returns what the node counted since its start.
+func (s *State) Counters() CountersDump {
+	c := CountersDump{
+		Entered:    s.counters.Entered,
+		Nested:     s.counters.Nested,
+		Forwarded:  s.counters.Forwarded,
+		Retried:    s.counters.Retried,
+		Delivered:  s.counters.Delivered,
+		Dispatched: s.counters.Dispatched,
+	}
+	for r, n := range s.counters.Refused {
+		c.Refused = append(c.Refused, RefusedCount{Reason: r, Count: n})
+	}
+	slices.SortFunc(c.Refused, func(a, b RefusedCount) int { return strings.Compare(string(a.Reason), string(b.Reason)) })
+	return c
+}
+
+// BackendState returns what is known of one backend server of this VM.
+func (s *State) BackendState(id identifier.Endpoint) (BackendDump, bool) {
+	b, ok := s.backends[id]
+	if !ok {
+		return BackendDump{}, false
+	}
+	return b.dump(), true
+}
+
+func (b *backend) dump() BackendDump {
+	state := "ready"
+	if b.leaving {
+		state = "leaving"
+	}
+	return BackendDump{
+		Endpoint:  b.id,
+		Service:   b.service,
+		Slots:     b.slots,
+		Limit:     b.limiter.Limit(),
+		InFlight:  b.limiter.InFlight(),
+		Queued:    b.limiter.Queued(),
+		Threshold: b.gate.Threshold(),
+		State:     state,
+	}
+}
--- /dev/null
+++ b/internal/reducer/once.go
@@ -0,0 +1,174 @@
+// A call that must not run twice asks the owner of its idempotency id before it is sent, and tells it how it ended.
+// A call without an id is sent once and never again after it may have started.
+//
+// Example: POST /bookings with an id → BeginRequest to the owner → Permit → Forward → FinishReport with the answer.
+
+package reducer
+
+import (
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// gained is when this node's present hold on a claim began.
+type gained struct {
+	epoch identifier.Epoch
+	wall  clock.Wall
+}
+
+func (s *State) claimID(c *call) {
+	if c.idempotent || c.idempotency == "" {
+		s.forward(c)
+		return
+	}
+	id, err := deduplicator.ParseID(string(c.idempotency))
+	if err != nil {
+		s.refuse(c, Refusal{Reason: BadRequest, Detail: "Idempotency-Key: " + err.Error()})
+		return
+	}
+	c.asking = true
+	s.ask(s.asker.Ask(deduplicator.CallID(c.id), c.team, id, fingerprint(c), c.deadline, s.now))
+}
+
+func fingerprint(c *call) deduplicator.Fingerprint {
+	return deduplicator.Fingerprint(xxh3.HashString(c.method + " " + string(c.service) + " " + c.path))
+}
+
+func (s *State) ask(effects []deduplicator.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case deduplicator.Send:
+			s.sendToOwner(e)
+		case deduplicator.Permit:
+			s.permitted(CallID(e.Call))
+		case deduplicator.Replay:
+			s.replayed(CallID(e.Call), e.Outcome)
+		case deduplicator.Refuse:
+			s.idRefused(e)
+		}
+	}
+}
+
+func (s *State) sendToOwner(e deduplicator.Send) {
+	to := e.To
+	if to == "" {
+		holder, _, ok := s.claimer.HolderOf(claimer.Name(e.Claim))
+		if !ok {
+			return
+		}
+		to = holder
+	}
+	s.send(to, "", e.Message)
+}
+
+func (s *State) permitted(id CallID) {
+	c, ok := s.calls[id]
+	if !ok {
+		return
+	}
+	c.asking = false
+	c.owned = true
+	s.forward(c)
+}
+
+func (s *State) replayed(id CallID, o *deduplicator.Outcome) {
+	c, ok := s.calls[id]
+	if !ok {
+		return
+	}
+	c.asking = false
+	s.record(c, "replayed", s.options.Self)
+	s.emit(Replay{Call: id, Outcome: toRecorded(o)})
+	s.forget(c)
+}
+
+func (s *State) idRefused(e deduplicator.Refuse) {
+	c, ok := s.calls[CallID(e.Call)]
+	if !ok {
+		return
+	}
+	c.asking = false
+	c.maybeRun = !e.NotRun
+	after := e.RetryAfter
+	if after == 0 && retriable(e.Verdict) {
+		after = s.backOff()
+	}
+	s.refuse(c, Refusal{Reason: idReason(e.Verdict), RetryAfter: after})
+}
+
+func retriable(v deduplicator.Verdict) bool {
+	return v == deduplicator.InProgress || idReason(v) == OwnerUnknown
+}
+
+func idReason(v deduplicator.Verdict) Reason {
+	switch v {
+	case deduplicator.InProgress:
+		return InProgress
+	case deduplicator.Unknown, deduplicator.Done:
+		return OutcomeUnknown
+	case deduplicator.Expired:
+		return IDExpired
+	case deduplicator.Mismatch:
+		return IDMismatch
+	case deduplicator.FromFuture:
+		return IDFromFuture
+	default:
+		return OwnerUnknown
+	}
+}
+
+// finishID reports the outcome of a call that had the owner's permit; nil means that its end was not seen.
+func (s *State) finishID(c *call, o *RecordedOutcome) {
+	if !c.owned {
+		return
+	}
+	c.owned = false
+	s.ask(s.asker.Finish(deduplicator.CallID(c.id), fromRecorded(o), s.now))
+}
+
+// abandonID frees the id of a call of which nothing was sent, so that the caller's next try may run.
+func (s *State) abandonID(c *call) {
+	if c.maybeRun {
+		s.finishID(c, nil)
+		return
+	}
+	if !c.owned && !c.asking {
+		return
+	}
+	c.owned = false
+	c.asking = false
+	s.ask(s.asker.Abandon(deduplicator.CallID(c.id), s.now))
+}
+
+func toRecorded(o *deduplicator.Outcome) RecordedOutcome {
+	r := RecordedOutcome{Status: o.Status, Body: o.Body, Kept: !o.BodyDropped && !o.Unknown}
+	for _, h := range o.Headers {
+		r.Header = append(r.Header, Field(h))
+	}
+	return r
+}
+
+func fromRecorded(r *RecordedOutcome) deduplicator.Outcome {
+	if r == nil {
+		return deduplicator.Outcome{Unknown: true}
+	}
+	o := deduplicator.Outcome{Status: r.Status, Body: r.Body, BodyDropped: !r.Kept}
+	for _, f := range r.Header {
+		o.Headers = append(o.Headers, deduplicator.Header(f))
+	}
+	return o
+}
+
+// hold is this node's hold on a claim at this very moment.
+func (s *State) hold(c deduplicator.Claim) (deduplicator.Hold, bool) {
+	epoch, ok := s.claimer.Holds(claimer.Name(c), s.now)
+	if !ok {
+		return deduplicator.Hold{}, false
+	}
+	g := s.gained[claimer.Name(c)]
+	return deduplicator.Hold{Claim: c, Epoch: epoch, Gained: g.wall, First: epoch == 1}, true
+}
--- /dev/null
+++ b/internal/reducer/rules.go
@@ -0,0 +1,76 @@
+// The preset in force, laid out for look-ups, since it is asked several times for each call and changes rarely.
+//
+// Example: rules.service("ice").match("GET", "/bulletins/aniva") finds the route with prefix "/bulletins".
+
+package reducer
+
+import (
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/admitter"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// defaultTimeout bounds a call to a service whose preset names none.
+const defaultTimeout = 10 * clock.Second
+
+type rules struct {
+	preset   *definer.Preset
+	version  identifier.Version
+	services map[identifier.Service]*serviceRules
+}
+
+type serviceRules struct {
+	timeout clock.Duration
+	maxBody int64
+	routes  []definer.Route
+}
+
+type matched struct {
+	route      admitter.Route
+	priority   identifier.Priority
+	idempotent bool
+}
+
+func newRules(p *definer.Preset, v identifier.Version) *rules {
+	r := &rules{preset: p, version: v, services: make(map[identifier.Service]*serviceRules, len(p.Services))}
+	for i := range p.Services {
+		d := &p.Services[i]
+		timeout := d.Timeout
+		if timeout == 0 {
+			timeout = defaultTimeout
+		}
+		r.services[d.Name] = &serviceRules{timeout: timeout, maxBody: d.MaxBody, routes: d.Routes}
+	}
+	return r
+}
+
+// match returns the first route that fits. A call that fits none is of normal priority, and idempotent only
+// where HTTP says so of its method.
+func (r *serviceRules) match(method, path string) matched {
+	for i := range r.routes {
+		d := &r.routes[i]
+		if d.Method != "*" && d.Method != method {
+			continue
+		}
+		if !underPrefix(path, d.Prefix) {
+			continue
+		}
+		return matched{route: admitter.Route(i + 1), priority: d.Priority, idempotent: d.Idempotent}
+	}
+	return matched{
+		route:      admitter.Route(len(r.routes) + 1),
+		priority:   identifier.Normal,
+		idempotent: method == "GET" || method == "HEAD" || method == "OPTIONS",
+	}
+}
+
+func underPrefix(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/internal/reducer/spend.go
@@ -0,0 +1,46 @@
+// A root call pays with its team's rate before anything else is asked of the fleet. Where the slice at this node is
+// used up, the call waits a few milliseconds for the next one, since most of these waits end well.
+//
+// Example: Spend gives Wait → granter.Send asks the bank → its Grant arrives → Resume → the call goes on.
+
+package reducer
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
+)
+
+func (s *State) spend(c *call) {
+	d := s.granter.Spend(c.team, granter.Call(c.id), s.now)
+	switch d.Verdict {
+	case granter.Spent:
+		c.paid = d.Paid
+		s.claimID(c)
+	case granter.Wait:
+		s.grant(s.granter.Tick(s.now))
+	case granter.Refused:
+		s.refuseRate(c, d.RetryAfter)
+	}
+}
+
+func (s *State) refuseRate(c *call, after clock.Duration) {
+	s.refuse(c, Refusal{Reason: RateExceeded, RetryAfter: max(after, 1)})
+}
+
+func (s *State) grant(effects []granter.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case granter.Send:
+			s.send(e.To, "", e.Message)
+		case granter.Resume:
+			if c, ok := s.calls[CallID(e.Call)]; ok {
+				c.paid = e.Paid
+				s.claimID(c)
+			}
+		case granter.Refuse:
+			if c, ok := s.calls[CallID(e.Call)]; ok {
+				s.refuseRate(c, e.RetryAfter)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/reducer/trail.go
@@ -0,0 +1,102 @@
+// When a caller asks why its request was refused, the answer must not depend on a log search. The node keeps its last
+// decisions in a ring, each with what it was judged by.
+//
+// Example: explain 0190… → "shed" decided by node "a2" under version 12, rank 0x8123, threshold 0x7fff.
+
+package reducer
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// trailSize is how many decisions a node remembers.
+const trailSize = 4096
+
+// Decision is what was decided on one call at this node, and by what.
+type Decision struct {
+	Request   identifier.Request
+	Root      identifier.Request
+	Team      identifier.Team
+	Service   identifier.Service
+	Verdict   string
+	DecidedBy identifier.Node
+	Version   identifier.Version
+	Preset    identifier.Preset
+	Rank      identifier.Rank
+	Threshold identifier.Threshold
+	Attempts  uint16
+	Paid      granter.Paid
+	Wall      clock.Wall
+}
+
+type trail struct {
+	ring []Decision
+	next int
+}
+
+func newTrail(size int) *trail {
+	return &trail{ring: make([]Decision, size)}
+}
+
+func (t *trail) add(d Decision) {
+	t.ring[t.next] = d
+	t.next = (t.next + 1) % len(t.ring)
+}
+
+// find returns the decisions on a request and on the calls nested in it, oldest first.
+func (t *trail) find(r identifier.Request) []Decision {
+	var found []Decision
+	for i := range t.ring {
+		d := t.ring[(t.next+i)%len(t.ring)]
+		if d.Request == r || (d.Root == r && r != "") {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+// Explain returns what this node decided on a request, oldest first.
+func (s *State) Explain(r identifier.Request) []Decision {
+	return s.trail.find(r)
+}
+
+func (s *State) record(c *call, verdict string, by identifier.Node) {
+	d := Decision{
+		Request:   c.request,
+		Root:      c.root,
+		Team:      c.team,
+		Service:   c.service,
+		Verdict:   verdict,
+		DecidedBy: by,
+		Version:   s.configurer.Version(),
+		Rank:      c.rank,
+		Attempts:  c.attempt,
+		Paid:      c.paid,
+		Wall:      s.wall,
+	}
+	if s.rules != nil {
+		d.Preset = s.rules.preset.Name
+		d.Threshold = s.board.ThresholdRoute(c.service, c.route, s.now)
+	}
+	s.trail.add(d)
+}
+
+func (s *State) recordDelivery(d *delivery, r Reason) {
+	entry := Decision{
+		Request:   d.request,
+		Root:      d.root,
+		Team:      d.team,
+		Verdict:   string(r),
+		DecidedBy: s.options.Self,
+		Version:   s.configurer.Version(),
+		Rank:      d.rank,
+		Wall:      s.wall,
+	}
+	if d.backend != nil {
+		entry.Service = d.backend.service
+		entry.Threshold = d.backend.gate.Threshold()
+	}
+	s.trail.add(entry)
+}
--- /dev/null
+++ b/internal/responder/responder.go
@@ -0,0 +1,314 @@
+// Tests and measurements need a backend server with slots, a service time, a cold start, a load report that can
+// lie, and nested calls. It counts what it ran by request and keeps whether it ever saw a key, so that checks
+// can be made from its own account rather than from what the nodes say about themselves.
+//
+// Example: a Server with Service "board" and Calls [{ice GET /bulletins}] works for ServiceTime, calls ice
+// through its node on behalf of the call it serves, and answers with both texts.
+
+package responder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/pkg/announcer"
+)
+
+// The header fields by which a node and its backend server speak of a call.
+const (
+	CallHeader        = "Jackdawtide-Call"
+	DeadlineHeader    = "Jackdawtide-Deadline-Ms"
+	IdempotencyHeader = "Idempotency-Key"
+	requestIDHeader   = "Jackdawtide-Request-Id"
+)
+
+// Nested is a call that the backend server makes to another service for each call it serves.
+type Nested struct {
+	Service string
+	Method  string
+	Path    string
+}
+
+// Options describe the backend server.
+type Options struct {
+	Endpoint        string
+	Service         string
+	Listen          string
+	NodeURL         string
+	Slots           int
+	ConnectionLimit int
+	ServiceTime     time.Duration
+	ColdStart       time.Duration
+	Calls           []Nested
+	Seed            uint64
+}
+
+// Server is a running stand-in.
+type Server struct {
+	options  Options
+	slots    chan struct{}
+	started  time.Time
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+
+	// serviceTime, failEvery and announcedLoad can be changed while it runs; a negative load means the truth.
+	serviceTime   atomic.Int64
+	failEvery     atomic.Int64
+	announcedLoad atomic.Int64
+	inUse         atomic.Int64
+	served        atomic.Int64
+	sawKey        atomic.Bool
+
+	mu   sync.Mutex
+	runs map[string]int
+	rnd  *rand.Rand
+
+	announcement *announcer.Announcement
+}
+
+// Start listens and announces the backend server to its node.
+func Start(ctx context.Context, o Options) (*Server, error) {
+	s, err := Listen(o)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.Announce(ctx); err != nil {
+		s.Crash()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Listen serves without announcing anything.
+func Listen(o Options) (*Server, error) {
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", o.Endpoint, err)
+	}
+	s := &Server{
+		options:  o,
+		slots:    make(chan struct{}, o.Slots),
+		started:  time.Now(),
+		listener: l,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Slots}},
+		runs:     make(map[string]int),
+		rnd:      rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
+	}
+	s.serviceTime.Store(int64(o.ServiceTime))
+	s.announcedLoad.Store(-1)
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Announce tells the node about the backend server.
+func (s *Server) Announce(ctx context.Context) error {
+	a, err := announcer.Announce(ctx, s.options.NodeURL, announcer.Backend{
+		Endpoint:        s.options.Endpoint,
+		Service:         s.options.Service,
+		Address:         s.Address(),
+		Slots:           s.options.Slots,
+		ConnectionLimit: s.options.ConnectionLimit,
+		ColdStart:       s.options.ColdStart,
+	}, s.load)
+	if err != nil {
+		return err
+	}
+	s.announcement = a
+	return nil
+}
+
+// Address returns where it listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Leave drains it and stops it.
+func (s *Server) Leave(ctx context.Context) error {
+	err := s.announcement.Leave(ctx)
+	_ = s.server.Shutdown(ctx)
+	return err
+}
+
+// Crash stops it at once, with calls cut short and no word to the node.
+func (s *Server) Crash() {
+	if s.announcement != nil {
+		s.announcement.Stop()
+	}
+	_ = s.server.Close()
+}
+
+// SetServiceTime changes the mean time that a call takes.
+func (s *Server) SetServiceTime(d time.Duration) { s.serviceTime.Store(int64(d)) }
+
+// FailEvery makes every nth call end with a 500; zero stops that.
+func (s *Server) FailEvery(n int64) { s.failEvery.Store(n) }
+
+// Lie makes it report the load given in thousandths; a negative number makes it tell the truth again.
+func (s *Server) Lie(perMille int64) { s.announcedLoad.Store(perMille) }
+
+// Served returns how many calls it answered in whole.
+func (s *Server) Served() int64 { return s.served.Load() }
+
+// SawKey tells whether any call carried a team's key.
+func (s *Server) SawKey() bool { return s.sawKey.Load() }
+
+// Runs returns how often it started work on each idempotency id.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for id, n := range s.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+func (s *Server) load() float64 {
+	if lie := s.announcedLoad.Load(); lie >= 0 {
+		return float64(lie) / 1000
+	}
+	return float64(s.inUse.Load()) / float64(s.options.Slots)
+}
+
+// ServeHTTP works on one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.note(r)
+	size, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	if !s.takeSlot(r.Context()) {
+		return
+	}
+	defer s.freeSlot()
+	if !sleep(r.Context(), s.drawServiceTime()) {
+		return
+	}
+	texts, status := s.callNested(r)
+	if status >= http.StatusMultipleChoices {
+		http.Error(w, "nested call failed", status)
+		return
+	}
+	n := s.served.Add(1)
+	if f := s.failEvery.Load(); f > 0 && n%f == 0 {
+		http.Error(w, "failed on purpose", http.StatusInternalServerError)
+		return
+	}
+	s.answer(w, r, size, texts)
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, size int64, texts []string) {
+	if n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64); err == nil {
+		s.stream(w, n)
+		return
+	}
+	fmt.Fprintf(w, "%s %s %s got %d bytes for %s", s.options.Service, r.Method, r.URL.Path, size, r.Header.Get(requestIDHeader))
+	for _, t := range texts {
+		fmt.Fprintf(w, " [%s]", t)
+	}
+}
+
+func (s *Server) stream(w http.ResponseWriter, n int64) {
+	w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	_, _ = io.CopyN(w, zeros{}, n)
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
+
+func (s *Server) note(r *http.Request) {
+	if r.Header.Get("Authorization") != "" || strings.Contains(r.URL.RawQuery, "jt_") {
+		s.sawKey.Store(true)
+	}
+	id := r.Header.Get(IdempotencyHeader)
+	if id == "" {
+		return
+	}
+	s.mu.Lock()
+	s.runs[id]++
+	s.mu.Unlock()
+}
+
+func (s *Server) takeSlot(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		s.inUse.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) freeSlot() {
+	s.inUse.Add(-1)
+	<-s.slots
+}
+
+// The time varies by a quarter around its mean; a cold backend server starts at three times that.
+func (s *Server) drawServiceTime() time.Duration {
+	s.mu.Lock()
+	f := 0.75 + s.rnd.Float64()/2
+	s.mu.Unlock()
+	if age := time.Since(s.started); age < s.options.ColdStart {
+		f *= 3 - 2*float64(age)/float64(s.options.ColdStart)
+	}
+	return time.Duration(f * float64(s.serviceTime.Load()))
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) callNested(r *http.Request) ([]string, int) {
+	var texts []string
+	for _, n := range s.options.Calls {
+		text, status := s.callOne(r, n)
+		if status >= http.StatusMultipleChoices {
+			return nil, status
+		}
+		texts = append(texts, text)
+	}
+	return texts, http.StatusOK
+}
+
+func (s *Server) callOne(r *http.Request, n Nested) (string, int) {
+	target := s.options.NodeURL + "/" + n.Service + n.Path
+	req, err := http.NewRequestWithContext(r.Context(), n.Method, target, http.NoBody)
+	if err != nil {
+		return "", http.StatusInternalServerError
+	}
+	req.Header.Set(CallHeader, r.Header.Get(CallHeader))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return "", http.StatusBadGateway
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", http.StatusBadGateway
+	}
+	return string(text), resp.StatusCode
+}
