--- /dev/null
+++ b/deploy/examples.go
@@ -0,0 +1,15 @@
+// The demo must run from a clean clone and from a lone binary alike, so the examples travel inside it.
+//
+// Example: deploy.Preset("kitakaze", "peak") returns the bytes of deploy/kitakaze/peak.toml.
+
+package deploy
+
+import "embed"
+
+//go:embed concordia/*.toml kitakaze/*.toml
+var examples embed.FS
+
+// Preset returns the TOML of an example preset of a deployment.
+func Preset(deployment, name string) ([]byte, error) {
+	return examples.ReadFile(deployment + "/" + name + ".toml")
+}
--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -57,6 +57,7 @@
 	servers *servers
 	peer    *transporter.Transporter
 	stopper *stopper
+	source  *source
 }
 
 // New puts a node together; nothing listens yet but the peer address.
@@ -91,7 +92,7 @@
 			newStopper,
 		),
 		fx.Invoke(connectInbox, runNode),
-		fx.Populate(&n.servers, &n.peer, &n.stopper),
+		fx.Populate(&n.servers, &n.peer, &n.stopper, &n.source),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node %s: %w", o.Settings.Name, err)
@@ -166,3 +167,6 @@
 		Retention:  o.Settings.Log.Retention,
 	})
 }
+
+// Dump returns the node's state at this moment.
+func (n *Node) Dump() reducer.Dump { return n.source.Dump() }
