--- a/internal/receiver/problem.go
+++ b/internal/receiver/problem.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	problemType     = "application/problem+json"
-	typePrefix      = "urn:jackdawtide:refusal:"
-	replayedHeader  = "Idempotent-Replayed"
+	problemType    = "application/problem+json"
+	typePrefix     = "urn:jackdawtide:refusal:"
+	replayedHeader = "Idempotent-Replayed"
 )
 
 type problem struct {
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -50,8 +50,8 @@
 	endpoint identifier.Endpoint
 	// lastEndpoint is where the attempt before went.
 	lastEndpoint identifier.Endpoint
-	sentAt   clock.Time
-	excluded []identifier.Endpoint
+	sentAt       clock.Time
+	excluded     []identifier.Endpoint
 	// maybeRun is set once any attempt may have started at a backend server.
 	maybeRun bool
 	// owned is set once the owner of the idempotency id let the call run.
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -45,12 +45,12 @@
 	options Options
 	rand    *rand.Rand
 
-	configurer   *configurer.Configurer
-	gossiper     *gossiper.Gossiper
-	claimer      *claimer.Claimer
-	granter      *granter.Granter
-	asker        *deduplicator.Asker
-	owner        *deduplicator.Owner
+	configurer *configurer.Configurer
+	gossiper   *gossiper.Gossiper
+	claimer    *claimer.Claimer
+	granter    *granter.Granter
+	asker      *deduplicator.Asker
+	owner      *deduplicator.Owner
 
 	router   *router.Router
 	board    *admitter.Board
