Run nodes and backend server stand-ins as processes

Cause: the verbs node and backend had no code behind them. Change: the runner starts them and turns SIGTERM into their planned stop. A backend server may report its load by a factor.

--- a/cmd/jackdawtide/hooks.go
+++ b/cmd/jackdawtide/hooks.go
@@ -2,8 +2,14 @@
 
 package main
 
-import "github.com/jackdawtide/jackdawtide/internal/commander"
+import (
+	"github.com/jackdawtide/jackdawtide/internal/commander"
+	"github.com/jackdawtide/jackdawtide/internal/runner"
+)
 
 func hooks() commander.Hooks {
-	return commander.Hooks{}
+	return commander.Hooks{
+		Node:    runner.Node,
+		Backend: runner.Backend,
+	}
 }
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -48,8 +48,10 @@
 	ConnectionLimit int
 	ServiceTime     time.Duration
 	ColdStart       time.Duration
-	Calls           []Nested
-	Seed            uint64
+	// ReportedLoad multiplies the load that it reports; 0 and 1 tell the truth.
+	ReportedLoad float64
+	Calls        []Nested
+	Seed         uint64
 }
 
 // Server is a running stand-in.
@@ -176,7 +178,11 @@
 	if lie := s.announcedLoad.Load(); lie >= 0 {
 		return float64(lie) / 1000
 	}
-	return float64(s.inUse.Load()) / float64(s.options.Slots)
+	load := float64(s.inUse.Load()) / float64(s.options.Slots)
+	if f := s.options.ReportedLoad; f > 0 {
+		return load * f
+	}
+	return load
 }
 
 // ServeHTTP works on one call.
--- /dev/null
+++ b/internal/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner runs the long-lived programs behind the verbs `node` and `backend`, from their start to their planned stop.
+package runner
--- /dev/null
+++ b/internal/runner/node.go
@@ -0,0 +1,66 @@
+// A process's end is where a planned stop is won or lost: SIGTERM must lead into the node's graceful stop, and the
+// program may not return before it is over, or uploads under way are cut.
+//
+// Example: Node(ctx, p, settings) returns nil some minutes after ctx was done, once the last upload has ended.
+
+package runner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/jackdawtide/jackdawtide/internal/assembler"
+	"github.com/jackdawtide/jackdawtide/internal/certifier"
+	"github.com/jackdawtide/jackdawtide/internal/commander"
+	"github.com/jackdawtide/jackdawtide/internal/loader"
+	"github.com/jackdawtide/jackdawtide/pkg/appender"
+)
+
+// stopSlack is what a stop needs besides waiting for calls.
+const stopSlack = 15 * time.Second
+
+// NewLogger returns a logger that writes JSON lines.
+func NewLogger(w io.Writer) *log.Logger {
+	return log.NewWithOptions(w, log.Options{
+		Formatter:       log.JSONFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+	})
+}
+
+// Node runs the node of this VM until ctx is done, and then stops it as planned.
+func Node(ctx context.Context, p commander.Process, s loader.Settings) error {
+	logger := NewLogger(p.Err).With("node", string(s.Name))
+	n, err := newNode(s, logger)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	a := n.Addresses()
+	logger.Info("node started", "id", string(n.ID()), "failureDomain", string(s.Domain),
+		"caller", a.Caller, "local", a.Local, "peer", a.Peer, "admin", a.Admin)
+	<-ctx.Done()
+	logger.Info("node stopping", "drainTimeout", s.Limits.DrainTimeout.Std().String())
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Limits.DrainTimeout.Std()+stopSlack)
+	defer cancel()
+	return n.Stop(stop)
+}
+
+func newNode(s loader.Settings, logger *log.Logger) (*assembler.Node, error) {
+	trust, err := certifier.Load(s.Certificates)
+	if err != nil {
+		return nil, err
+	}
+	// The client bounds each request by its context; a timeout here would cut waiting reads.
+	l, err := appender.NewClient(s.Log.URL, &http.Client{})
+	if err != nil {
+		return nil, err
+	}
+	return assembler.New(assembler.Options{Settings: s, Trust: trust, Log: l, Logger: logger})
+}
