--- /dev/null
+++ b/internal/overloader/account.go
@@ -0,0 +1,273 @@
+// The figures are taken from what callers saw alone. A policy that looks good in its own metrics and leaves callers
+// without answers must look bad here.
+//
+// Example: 900 of 1,000 requests answered while the ideal could have answered 950 gives goodputRatio 0.947.
+
+package overloader
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Figures are the measures of one scenario under one policy.
+type Figures struct {
+	Scenario             string
+	Policy               string
+	Deployment           string
+	Seed                 uint64
+	Offered              int
+	Answered             int
+	GoodputRatio         float64
+	RecoveryMs           int64
+	WorstTeam            string
+	WorstTeamRatio       float64
+	WrongfulRefusalRatio float64
+	UrgentServedRatio    float64
+	AttemptsPerRequest   float64
+	P50Ms                float64
+	P99Ms                float64
+	Reasons              map[string]int
+}
+
+// neverRecovered stands in RecoveryMs where the goodput did not come back within the run.
+const neverRecovered = -1
+
+type account struct {
+	scenario scenario
+	shape    shape
+	times    times
+	results  []result
+	attempts float64
+}
+
+func (a account) figures(policy string, seed uint64) Figures {
+	f := Figures{
+		Scenario:           a.scenario.name,
+		Policy:             policy,
+		Deployment:         a.shape.deployment,
+		Seed:               seed,
+		AttemptsPerRequest: a.attempts,
+		Reasons:            make(map[string]int),
+	}
+	triggered := a.inTrigger()
+	f.Offered = len(triggered)
+	for _, r := range triggered {
+		if r.answered {
+			f.Answered++
+			continue
+		}
+		f.Reasons[reasonOf(r)]++
+	}
+	f.GoodputRatio = float64(f.Answered) / a.ideal()
+	f.RecoveryMs = a.recovery()
+	f.WorstTeam, f.WorstTeamRatio = a.worstTeam()
+	f.WrongfulRefusalRatio = a.wrongful()
+	f.UrgentServedRatio = a.urgent()
+	f.P50Ms, f.P99Ms = percentiles(triggered)
+	return f
+}
+
+func reasonOf(r result) string {
+	switch {
+	case r.reason != "":
+		return r.reason
+	case r.status == 0:
+		return "noAnswer"
+	default:
+		return "error"
+	}
+}
+
+func (a account) inTrigger() []result {
+	var list []result
+	for _, r := range a.results {
+		if a.times.inTrigger(r.arrival.at) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// ideal is the most whole requests that could be answered in the trigger: what is offered within the teams' rates, or
+// the capacity.
+func (a account) ideal() float64 {
+	seconds := a.times.trigger.Seconds()
+	var entitled float64
+	for _, v := range a.demands() {
+		entitled += v
+	}
+	return min(entitled*seconds, a.scenario.capacity(a.shape.capacity())*seconds)
+}
+
+// demands are the teams' requests a second in the trigger, each at most at its rate.
+func (a account) demands() map[identifier.Team]float64 {
+	offered := make(map[identifier.Team]float64)
+	for _, r := range a.inTrigger() {
+		offered[teamOf(r)] += 1 / a.times.trigger.Seconds()
+	}
+	demands := make(map[identifier.Team]float64)
+	for _, l := range a.shape.loads() {
+		demands[l.team] = min(offered[l.team], l.rate*a.scenario.sold)
+	}
+	return demands
+}
+
+// entitlements share the capacity out by max-min fairness over the teams' weights.
+func (a account) entitlements() map[identifier.Team]float64 {
+	left := a.scenario.capacity(a.shape.capacity())
+	open := a.demands()
+	weights := make(map[identifier.Team]float64)
+	for _, t := range a.shape.plan.Presets[0].Teams {
+		weights[t.Name] = float64(max(t.Weight, 1))
+	}
+	entitled := make(map[identifier.Team]float64)
+	for len(open) > 0 {
+		var sum float64
+		for t := range open {
+			sum += weights[t]
+		}
+		satisfied := false
+		share := left / sum
+		for t, d := range open {
+			if d <= share*weights[t] {
+				entitled[t] = d
+				left -= d
+				delete(open, t)
+				satisfied = true
+			}
+		}
+		if satisfied {
+			continue
+		}
+		for t := range open {
+			entitled[t] = share * weights[t]
+			delete(open, t)
+		}
+	}
+	return entitled
+}
+
+func (a account) worstTeam() (string, float64) {
+	served := make(map[identifier.Team]float64)
+	for _, r := range a.inTrigger() {
+		if r.answered {
+			served[teamOf(r)] += 1 / a.times.trigger.Seconds()
+		}
+	}
+	worst, name := 1e9, ""
+	for t, e := range a.entitlements() {
+		if e == 0 {
+			continue
+		}
+		if ratio := served[t] / e; ratio < worst {
+			worst, name = ratio, string(t)
+		}
+	}
+	return name, worst
+}
+
+// wrongful is the part of the requests of teams within their rate that were not answered. It says something of the
+// policy only where the capacity suffices.
+func (a account) wrongful() float64 {
+	demands := a.demands()
+	offered := make(map[identifier.Team]float64)
+	for _, r := range a.inTrigger() {
+		offered[teamOf(r)] += 1 / a.times.trigger.Seconds()
+	}
+	var within, refused float64
+	for _, r := range a.inTrigger() {
+		t := teamOf(r)
+		if offered[t] > demands[t] {
+			continue
+		}
+		within++
+		if !r.answered {
+			refused++
+		}
+	}
+	if within == 0 {
+		return 0
+	}
+	return refused / within
+}
+
+func (a account) urgent() float64 {
+	demands := a.demands()
+	offered := make(map[identifier.Team]float64)
+	for _, r := range a.inTrigger() {
+		offered[teamOf(r)] += 1 / a.times.trigger.Seconds()
+	}
+	var sent, served float64
+	for _, r := range a.inTrigger() {
+		if !a.shape.kinds[r.arrival.kind].urgent || offered[teamOf(r)] > demands[teamOf(r)] {
+			continue
+		}
+		sent++
+		if r.answered {
+			served++
+		}
+	}
+	if sent == 0 {
+		return 1
+	}
+	return served / sent
+}
+
+const (
+	recoveryWindow = time.Second
+	recoveryStep   = 100 * time.Millisecond
+	recovered      = 0.95
+)
+
+// recovery is the time from the trigger's end until a second in which the answered part of the requests is 95% of
+// what it was before.
+func (a account) recovery() int64 {
+	before := a.answeredPart(0, a.times.before)
+	end := a.times.before + a.times.trigger
+	for d := time.Duration(0); end+d+recoveryWindow <= a.times.total(); d += recoveryStep {
+		if a.answeredPart(end+d, end+d+recoveryWindow) >= recovered*before {
+			return d.Milliseconds()
+		}
+	}
+	return neverRecovered
+}
+
+func (a account) answeredPart(from, to time.Duration) float64 {
+	var all, answered float64
+	for _, r := range a.results {
+		if r.arrival.at < from || r.arrival.at >= to {
+			continue
+		}
+		all++
+		if r.answered {
+			answered++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return answered / all
+}
+
+func percentiles(list []result) (p50, p99 float64) {
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	for _, r := range list {
+		if r.answered {
+			// Values beyond the histogram's range are longer than any run.
+			_ = h.RecordValue(max(1, r.latency.Microseconds()))
+		}
+	}
+	const microsecondsPerMs = 1000
+	return float64(h.ValueAtQuantile(50)) / microsecondsPerMs, float64(h.ValueAtQuantile(99)) / microsecondsPerMs
+}
+
+func sorted(list []arrival) []arrival {
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b arrival) int { return int(a.at - b.at) })
+	return list
+}
--- /dev/null
+++ b/internal/overloader/baseline.go
@@ -0,0 +1,250 @@
+// The baselines are what a team without this product may have: calls go straight from service to service, with
+// retries at each hop, and each backend server protects itself or does not.
+//
+// Example: baseline "noControl" lets every call queue for a slot and works on for callers that have gone.
+
+package overloader
+
+import (
+	"context"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+// protection is how a baseline's backend servers protect themselves, and how its callers retry.
+type protection struct {
+	name string
+	// retries is how many more attempts a hop makes.
+	retries int
+	// ignoreCancel makes backend servers work on for callers that have gone.
+	ignoreCancel bool
+	admit        func(slots int) func() (func(), bool)
+}
+
+var protections = []protection{
+	{name: "noControl", retries: 3, ignoreCancel: true},
+	{name: "fixedLimit", retries: 1, admit: fixedLimit},
+	{name: "adaptiveLimit", retries: 1, admit: adaptiveLimit},
+}
+
+// fixedLimit lets four times the slots in, which wait in order of arrival.
+func fixedLimit(slots int) func() (func(), bool) {
+	const queueFactor = 4
+	var inside atomic.Int64
+	limit := int64(slots * (1 + queueFactor))
+	return func() (func(), bool) {
+		if inside.Add(1) > limit {
+			inside.Add(-1)
+			return nil, false
+		}
+		return func() { inside.Add(-1) }, true
+	}
+}
+
+// adaptiveLimit lowers its limit while latency is above twice the lowest seen, and raises it by one otherwise.
+func adaptiveLimit(slots int) func() (func(), bool) {
+	l := &latencyLimit{limit: float64(slots), least: math.MaxFloat64}
+	return l.admit
+}
+
+type latencyLimit struct {
+	mu     sync.Mutex
+	limit  float64
+	least  float64
+	inside int
+}
+
+func (l *latencyLimit) admit() (func(), bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if float64(l.inside) >= l.limit {
+		return nil, false
+	}
+	l.inside++
+	began := time.Now()
+	return func() { l.done(time.Since(began).Seconds()) }, true
+}
+
+func (l *latencyLimit) done(latency float64) {
+	const tolerance, decrease = 2, 0.98
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inside--
+	l.least = min(l.least*1.0005, latency)
+	if latency > tolerance*l.least {
+		l.limit = max(1, l.limit*decrease)
+		return
+	}
+	l.limit += 1 / l.limit
+}
+
+// mesh is a baseline at work.
+type mesh struct {
+	shape      shape
+	protection protection
+	client     *http.Client
+	seed       uint64
+
+	mu       sync.Mutex
+	servers  map[string][]*responder.Server
+	first    atomic.Int64
+	attempts atomic.Int64
+}
+
+func newMesh(s shape, p protection, seed uint64) (system, error) {
+	m := &mesh{shape: s, protection: p, client: newClient(), seed: seed, servers: make(map[string][]*responder.Server)}
+	for _, v := range s.plan.Services {
+		for range v.Endpoints {
+			server, err := m.listen(v.Name, v.Slots, v.ServiceTime, 0, v.Calls)
+			if err != nil {
+				m.close()
+				return nil, err
+			}
+			m.servers[v.Name] = append(m.servers[v.Name], server)
+		}
+	}
+	return m, nil
+}
+
+func (m *mesh) listen(service string, slots int, d, cold time.Duration, calls []responder.Nested) (*responder.Server, error) {
+	o := responder.Options{
+		Endpoint:     service,
+		Service:      service,
+		Listen:       "127.0.0.1:0",
+		Slots:        slots,
+		ServiceTime:  d,
+		ColdStart:    cold,
+		Calls:        calls,
+		Call:         m.nested,
+		IgnoreCancel: m.protection.ignoreCancel,
+		Seed:         m.seed,
+	}
+	if m.protection.admit != nil {
+		o.Admit = m.protection.admit(slots)
+	}
+	return responder.Listen(o)
+}
+
+func (m *mesh) nested(r *http.Request, n responder.Nested) (string, int) {
+	return m.hop(r.Context(), n.Service, n.Method, "/"+n.Service+n.Path, "")
+}
+
+// hop makes one call with the retries that every hop allows itself.
+func (m *mesh) hop(parent context.Context, service, method, path, id string) (string, int) {
+	m.first.Add(1)
+	status := 0
+	for range m.protection.retries + 1 {
+		m.attempts.Add(1)
+		ctx, cancel := context.WithTimeout(parent, deadline)
+		text, s := m.try(ctx, service, method, path, id)
+		cancel()
+		status = s
+		if s == http.StatusOK {
+			return text, s
+		}
+		if parent.Err() != nil {
+			break
+		}
+	}
+	if status == 0 {
+		status = http.StatusBadGateway
+	}
+	return "", status
+}
+
+func (m *mesh) try(ctx context.Context, service, method, path, id string) (string, int) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.pick(service).Address()+path, http.NoBody)
+	if err != nil {
+		return "", 0
+	}
+	if id != "" {
+		req.Header.Set(responder.IdempotencyHeader, id)
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return "", 0
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", 0
+	}
+	return string(text), resp.StatusCode
+}
+
+func (m *mesh) pick(service string) *responder.Server {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := m.servers[service]
+	return list[rand.IntN(len(list))]
+}
+
+func (m *mesh) send(ctx context.Context, a arrival, _ int) reply {
+	k := m.shape.kinds[a.kind]
+	id := ""
+	if k.withID {
+		id = uuidFor(a)
+	}
+	_, status := m.hop(ctx, serviceOf(k.path), k.method, k.path, id)
+	return reply{status: status}
+}
+
+func serviceOf(path string) string {
+	for i := 1; i < len(path); i++ {
+		if path[i] == '/' {
+			return path[1:i]
+		}
+	}
+	return path[1:]
+}
+
+func (m *mesh) deep() []*responder.Server {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]*responder.Server(nil), m.servers[m.shape.deep]...)
+}
+
+// restart takes each endpoint out of the list before it stops, as a careful operator would by hand.
+func (m *mesh) restart(context.Context) {
+	for i, old := range m.deep() {
+		m.mu.Lock()
+		list := append([]*responder.Server(nil), m.servers[m.shape.deep]...)
+		m.servers[m.shape.deep] = append(list[:i:i], list[i+1:]...)
+		m.mu.Unlock()
+		time.Sleep(restartPause)
+		old.Crash()
+		fresh, err := m.listen(m.shape.deep, deepSlots, deepServiceTime, coldStart, nil)
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		m.servers[m.shape.deep] = append(list[:i:i], append([]*responder.Server{fresh}, list[i+1:]...)...)
+		m.mu.Unlock()
+		time.Sleep(coldStart)
+	}
+}
+
+func (m *mesh) attemptsPerRequest() float64 {
+	if m.first.Load() == 0 {
+		return 1
+	}
+	return float64(m.attempts.Load()) / float64(m.first.Load())
+}
+
+func (m *mesh) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, list := range m.servers {
+		for _, s := range list {
+			s.Crash()
+		}
+	}
+	m.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/overloader/plot.go
@@ -0,0 +1,77 @@
+// A picture of the goodput over time shows at a glance what a ratio hides: whether a policy holds its level, sinks
+// slowly, or stays down after the trigger has gone.
+
+package overloader
+
+import (
+	"path/filepath"
+	"slices"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotStep   = 250 * time.Millisecond
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+func plotScenario(dir string, s shape, sc scenario, t times, list []arrival, curves map[string][]result) error {
+	p := plot.New()
+	p.Title.Text = s.deployment + ": " + sc.name
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "whole requests a second"
+	p.Legend.Top = true
+	lines := []any{"offered", offeredCurve(list, t)}
+	names := make([]string, 0, len(curves))
+	for name := range curves {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		lines = append(lines, name, goodputCurve(curves[name], t))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, filepath.Join(dir, s.deployment+"-"+sc.name+".svg"))
+}
+
+func offeredCurve(list []arrival, t times) plotter.XYs {
+	points := emptyCurve(t)
+	for _, a := range list {
+		points.count(a.at)
+	}
+	return plotter.XYs(points)
+}
+
+func goodputCurve(list []result, t times) plotter.XYs {
+	points := emptyCurve(t)
+	for _, r := range list {
+		if r.answered {
+			points.count(r.doneAt)
+		}
+	}
+	return plotter.XYs(points)
+}
+
+type curve plotter.XYs
+
+func emptyCurve(t times) curve {
+	points := make(curve, int(t.total()/plotStep)+1)
+	for i := range points {
+		points[i].X = (time.Duration(i) * plotStep).Seconds()
+	}
+	return points
+}
+
+func (c curve) count(at time.Duration) {
+	i := int(at / plotStep)
+	if i < len(c) {
+		c[i].Y += 1 / plotStep.Seconds()
+	}
+}
--- /dev/null
+++ b/internal/overloader/policy.go
@@ -0,0 +1,178 @@
+// Every policy stands behind the same three things: a way to send a request, a set of backend servers whose service
+// time can be changed, and a count of attempts.
+
+package overloader
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/launcher"
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+// system is one policy at work on a deployment.
+type system interface {
+	send(ctx context.Context, a arrival, try int) reply
+	// deep returns the backend servers of the deep service.
+	deep() []*responder.Server
+	// restart replaces the deep service's backend servers one after the other, each with a cold start.
+	restart(ctx context.Context)
+	// attemptsPerRequest is how many attempts were made for each call that had to be made.
+	attemptsPerRequest() float64
+	close()
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1024,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// controlled is a fleet of real nodes.
+type controlled struct {
+	shape  shape
+	fleet  *launcher.Fleet
+	client *http.Client
+}
+
+func newControlled(ctx context.Context, s shape, sc scenario, seed uint64) (system, error) {
+	plan := s.plan
+	plan.Presets = []definer.Preset{s.preset(sc)}
+	f, err := launcher.Start(ctx, launcher.Options{Plan: plan, Seed: seed})
+	if err != nil {
+		return nil, err
+	}
+	// The buckets start empty and fill within a moment.
+	time.Sleep(time.Second)
+	return &controlled{shape: s, fleet: f, client: newClient()}, nil
+}
+
+// preset is the example preset with rates to suit the scaled-down load.
+func (s shape) preset(sc scenario) definer.Preset {
+	p := s.plan.Presets[0]
+	p.Teams = append([]definer.Team(nil), p.Teams...)
+	loads := s.loads()
+	for i := range p.Teams {
+		p.Teams[i].Rate = identifier.Tokens(loads[i].rate * sc.sold * float64(identifier.TokensPerCall))
+		p.Teams[i].Burst = max(p.Teams[i].Rate, 8*identifier.TokensPerCall)
+	}
+	return p
+}
+
+func (c *controlled) send(ctx context.Context, a arrival, try int) reply {
+	m := c.fleet.Members[(a.seed+uint64(try))%uint64(len(c.fleet.Members))]
+	req, err := newRequest(ctx, m.CallerURL(), c.shape.kinds[a.kind], a)
+	if err != nil {
+		return reply{}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.fleet.Keys[a.team])
+	return do(c.client, req)
+}
+
+func newRequest(ctx context.Context, base string, k kind, a arrival) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, k.method, base+k.path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	if k.withID {
+		req.Header.Set(responder.IdempotencyHeader, uuidFor(a))
+	}
+	return req, nil
+}
+
+// uuidFor gives all tries of one arrival the same id, with the time of its making.
+func uuidFor(a arrival) string {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(a.seed >> (8 * i))
+	}
+	u, err := uuid.NewV7FromReader(bytes.NewReader(append(b[:], b[:]...)))
+	if err != nil {
+		return uuid.NewString()
+	}
+	return u.String()
+}
+
+func do(client *http.Client, req *http.Request) reply {
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}
+	}
+	r := reply{status: resp.StatusCode}
+	if resp.Header.Get("Content-Type") == "application/problem+json" {
+		var p struct{ Reason string }
+		if json.Unmarshal(body, &p) == nil {
+			r.reason = p.Reason
+		}
+	}
+	return r
+}
+
+func (c *controlled) deep() []*responder.Server {
+	var list []*responder.Server
+	for _, m := range c.deepMembers() {
+		list = append(list, m.Backend)
+	}
+	return list
+}
+
+func (c *controlled) deepMembers() []*launcher.Member {
+	var list []*launcher.Member
+	for _, m := range c.fleet.Members {
+		if m.Service.Name == c.shape.deep {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+const (
+	coldStart    = 2 * time.Second
+	restartPause = 500 * time.Millisecond
+)
+
+func (c *controlled) restart(ctx context.Context) {
+	for _, m := range c.deepMembers() {
+		if err := m.Backend.Leave(ctx); err != nil {
+			return
+		}
+		m.Service.ColdStart = coldStart
+		if err := c.fleet.StartBackend(ctx, m); err != nil {
+			return
+		}
+		time.Sleep(coldStart + restartPause)
+	}
+}
+
+func (c *controlled) attemptsPerRequest() float64 {
+	var forwarded, retried float64
+	for _, m := range c.fleet.Members {
+		n := m.Node.Dump().Counters
+		forwarded += float64(n.Forwarded)
+		retried += float64(n.Retried)
+	}
+	if forwarded == retried {
+		return 1
+	}
+	return forwarded / (forwarded - retried)
+}
+
+func (c *controlled) close() {
+	c.fleet.Close()
+	c.client.CloseIdleConnections()
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -52,6 +52,12 @@
 	ReportedLoad float64
 	Calls        []Nested
 	Seed         uint64
+	// Call makes a nested call in some other way than through the node; nil goes through the node.
+	Call func(r *http.Request, n Nested) (text string, status int)
+	// Admit is asked before a call takes a slot, and release is called after it; nil admits all.
+	Admit func() (release func(), ok bool)
+	// IgnoreCancel makes the backend server work on for callers that have gone.
+	IgnoreCancel bool
 }
 
 // Server is a running stand-in.
@@ -188,6 +194,17 @@
 // ServeHTTP works on one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.note(r)
+	if s.options.IgnoreCancel {
+		r = r.WithContext(context.WithoutCancel(r.Context()))
+	}
+	if s.options.Admit != nil {
+		release, ok := s.options.Admit()
+		if !ok {
+			http.Error(w, "too many calls", http.StatusServiceUnavailable)
+			return
+		}
+		defer release()
+	}
 	size, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
@@ -290,8 +307,12 @@
 
 func (s *Server) callNested(r *http.Request) ([]string, int) {
 	var texts []string
+	call := s.callOne
+	if s.options.Call != nil {
+		call = s.options.Call
+	}
 	for _, n := range s.options.Calls {
-		text, status := s.callOne(r, n)
+		text, status := call(r, n)
 		if status >= http.StatusMultipleChoices {
 			return nil, status
 		}
