gossiper: let the last node of a failure domain leave

Cause: a node that left itself had no members to draw from, and IntN(0) ended the process in its planned stop; the test with separate processes showed it. Change: no draw from nobody. The test panics on the code before.

--- a/internal/gossiper/spreader.go
+++ b/internal/gossiper/spreader.go
@@ -104,7 +104,13 @@
 }
 
 // somePeers draws distinct members of the own domain other than this node and the one excepted.
+//
+// The last node of a domain is no longer among the members once it has left itself; a draw from nobody would end the
+// process in the middle of its planned stop, with uploads under way.
 func (g *Gossiper) somePeers(count int, except identifier.Node) []identifier.Node {
+	if len(g.own.up) == 0 {
+		return nil
+	}
 	var peers []identifier.Node
 	for range 4 * count {
 		n := g.own.up[g.options.Rand.IntN(len(g.own.up))]
