--- /dev/null
+++ b/internal/transporter/crossing_test.go
@@ -0,0 +1,94 @@
+package transporter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Many callers share one connection and its streams; some hang up before the answer, some in the middle of it,
+// some are slow. If a stream were used again too early, a caller would get the rest of a stranger's answer, which
+// it can't tell from its own.
+func TestAnswersNeverCross(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: promptEcho}, nil)
+	var wait sync.WaitGroup
+	for worker := range 8 {
+		random := rand.New(rand.NewPCG(uint64(worker), 1))
+		wait.Go(func() {
+			for i := range 150 {
+				exchangeAtRandom(t, a, to, random, fmt.Sprintf("<%d.%d>", worker, i))
+			}
+		})
+	}
+	wait.Wait()
+	assert.Equal(t, a.Stats().Dials, uint64(1))
+}
+
+func exchangeAtRandom(t *testing.T, a *Transporter, to Peer, random *rand.Rand, mark string) {
+	size := random.IntN(60_000)
+	body := strings.Repeat(mark, size/len(mark)+1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	patience := time.Duration(random.IntN(1000)) * time.Microsecond
+	impatient, gaveUp := random.IntN(3) == 0, false
+	if impatient {
+		time.AfterFunc(patience, cancel)
+	}
+	answer, _, err := a.Call(ctx, to, CallHead{ContentLength: int64(len(body))}, strings.NewReader(body))
+	if err != nil {
+		assert.Check(t, impatient, "%v", err)
+		return
+	}
+	defer answer.Body.Close()
+	want := len(body)
+	if random.IntN(3) == 0 {
+		gaveUp = true
+		want = random.IntN(len(body))
+	}
+	got, err := io.ReadAll(io.LimitReader(answer.Body, int64(want)))
+	assert.Check(t, strings.HasPrefix(body, string(got)), "%s got another's answer", mark)
+	assert.Check(t, err == nil || impatient, "%v", err)
+	if gaveUp {
+		return
+	}
+	_, _ = io.ReadAll(answer.Body)
+	_, whole := answer.Tail()
+	assert.Check(t, whole || impatient, "%s: no whole answer", mark)
+}
+
+// A refused call's body was never read. If its stream carried the next call, the rest of that body would be taken
+// for a call's head, and a caller could write himself a call in another team's name.
+func TestUnreadBodyIsNeverTakenForACall(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.start("a", funcHandler{}, nil)
+	_, to := f.start("b", funcHandler{call: func(
+		_ context.Context, _ identifier.Node, _ CallHead, _ io.Reader, w AnswerWriter,
+	) {
+		_ = w.WriteHead(AnswerHead{Status: 503})
+		_ = w.Close(AnswerTail{})
+	}}, nil)
+	for name, c := range map[string]struct{ size, kept int }{
+		"arrived with the head": {size: 300, kept: 1},
+		"still on its way":      {size: maxCoalesced, kept: 0},
+		"not half sent":         {size: 4 << 20, kept: 0},
+	} {
+		_, _, err := callText(context.Background(), a, to, strings.Repeat("x", c.size))
+		assert.NilError(t, err, name)
+		l := a.currentLinks()[0]
+		l.idleMu.Lock()
+		assert.Equal(t, len(l.idle), c.kept, name)
+		l.idle = nil
+		l.idleMu.Unlock()
+	}
+}
