Carry an entry's share of its team's calls back; set the gate's target by the limiter

Cause: the admitter's Shares and the limiter's ExpectedDelay were built but not joined: a team that comes in at many nodes was ranked by what one node saw of it, and the gate aimed at a delay that chance alone exceeds.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -265,6 +265,7 @@
 		Threshold:  t.Threshold,
 		Headroom:   t.Headroom,
 		RetryRatio: t.RetryRatio,
+		Share:      t.Share,
 	}
 }
 
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -215,6 +215,7 @@
 		Threshold:  t.Threshold,
 		Headroom:   t.Headroom,
 		RetryRatio: t.RetryRatio,
+		Share:      t.Share,
 	}
 }
 
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -99,6 +99,9 @@
 	c.budget.Return(t.Allowance, c.carried)
 	s.board.LearnRoute(c.service, c.route, t.Threshold, s.now)
 	s.damper.Learn(c.service, t.RetryRatio, s.now)
+	if t.Share > 0 {
+		s.fairness.LearnShare(c.team, t.Share, s.now)
+	}
 	if c.parent != nil {
 		c.parent.note(c, t.Threshold, s.now)
 	}
--- a/internal/reducer/backends.go
+++ b/internal/reducer/backends.go
@@ -34,6 +34,7 @@
 	gate        *admitter.Gate
 	chain       *admitter.Chain
 	meter       retrier.Meter
+	shares      *admitter.Shares
 	heardAt     clock.Time
 	leaving     bool
 	leavingAt   clock.Time
@@ -58,6 +59,7 @@
 			id:      e.Endpoint,
 			gate:    admitter.NewGate(admitter.GateOptions{}),
 			chain:   admitter.NewChain(admitter.BoardOptions{}),
+			shares:  admitter.NewShares(admitter.FairnessOptions{}),
 			limiter: limiter.New(limiter.Options{Slots: e.Slots, ColdStart: e.ColdStart}, s.now),
 		}
 		s.backends[e.Endpoint] = b
@@ -129,6 +131,7 @@
 }
 
 func (s *State) tickBackend(b *backend) {
+	b.gate.SetTarget(b.limiter.ExpectedDelay())
 	b.gate.Observe(b.limiter.QueueDelay(s.now), s.now)
 	s.carryOut(b, b.limiter.Tick(s.now, s.verdicts[:0]))
 	if s.now.Sub(b.heardAt) <= heartbeatBound {
--- a/internal/reducer/delivery.go
+++ b/internal/reducer/delivery.go
@@ -26,8 +26,10 @@
 	token    Token
 	route    admitter.Route
 	backend  *backend
-	arrived  clock.Time
-	started  bool
+	// share is the part of the team's calls that come in at the same entry.
+	share   uint8
+	arrived clock.Time
+	started bool
 	// nested counts the calls that the backend server has under way on behalf of this one.
 	nested int
 }
@@ -70,6 +72,9 @@
 		return
 	}
 	s.deliveries[d.id] = d
+	if d.depth == 0 {
+		d.share = b.shares.Note(d.team, e.From, s.now)
+	}
 	call := limiter.Call{ID: limiter.CallID(d.id), Rank: d.rank, Deadline: d.deadline}
 	s.carryOut(b, b.limiter.Offer(call, s.now, s.verdicts[:0]))
 }
@@ -208,5 +213,6 @@
 	t.Threshold = b.chain.Effective(own, d.route, s.now)
 	t.Headroom = b.limiter.Headroom()
 	t.RetryRatio = b.meter.Hint(own < identifier.MaxRank, s.now)
+	t.Share = d.share
 	return t
 }
--- a/internal/reducer/refusals.go
+++ b/internal/reducer/refusals.go
@@ -109,6 +109,8 @@
 	Threshold  identifier.Threshold
 	Headroom   uint8
 	RetryRatio uint8
+	// Share is the part of the team's calls that come in at the node which sent the call; 0 tells nothing.
+	Share uint8
 }
 
 // RecordedOutcome is the answer kept for retries with the same idempotency id.
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -180,6 +180,9 @@
 	return runs
 }
 
+// InUse returns how many calls it works on now.
+func (s *Server) InUse() int64 { return s.inUse.Load() }
+
 func (s *Server) load() float64 {
 	if lie := s.announcedLoad.Load(); lie >= 0 {
 		return float64(lie) / 1000
--- a/internal/transporter/codec.go
+++ b/internal/transporter/codec.go
@@ -58,6 +58,7 @@
 	Threshold  uint16
 	Headroom   uint8
 	RetryRatio uint8
+	Share      uint8
 	// Keep tells that the whole request was read, so that the stream can carry another call.
 	Keep bool
 }
@@ -179,7 +180,8 @@
 func tailToWire(t AnswerTail, keep bool) wireTail {
 	return wireTail{
 		Allowance: t.Allowance, Threshold: uint16(t.Threshold), Headroom: t.Headroom, RetryRatio: t.RetryRatio,
-		Keep: keep,
+		Share: t.Share,
+		Keep:  keep,
 	}
 }
 
@@ -190,7 +192,7 @@
 	}
 	return AnswerTail{
 		Allowance: w.Allowance, Threshold: identifier.Threshold(w.Threshold), Headroom: w.Headroom,
-		RetryRatio: w.RetryRatio,
+		RetryRatio: w.RetryRatio, Share: w.Share,
 	}, w.Keep, nil
 }
 
--- a/internal/transporter/types.go
+++ b/internal/transporter/types.go
@@ -86,6 +86,8 @@
 	// Headroom is the load hint of the endpoint: how much more it could take.
 	Headroom   uint8
 	RetryRatio uint8
+	// Share is the part of the team's calls that come in at the caller's node; 0 tells nothing.
+	Share uint8
 }
 
 // AnswerWriter sends one answer: WriteHead, any number of Writes, Close.
