reducer: carry the moment of a read of the log along with its answer

Cause: the configurer takes news to be as old as the question since, but the moment was not passed on, so that all news looked as old as the node. Claims were then never taken over after a planned stop: with two VMs of a domain, one stopped, every call was refused with rateExceeded for more than 20 s. Change: ReadLog and RecordsRead carry it.

--- a/internal/assembler/outside.go
+++ b/internal/assembler/outside.go
@@ -165,6 +165,7 @@
 	event := &reducer.RecordsRead{
 		Earliest: identifier.Offset(b.Earliest),
 		Next:     identifier.Offset(b.End),
+		Asked:    e.Asked,
 		Wall:     o.clock.Wall(),
 	}
 	for _, r := range b.Records {
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -82,7 +82,7 @@
 
 func (s *State) recordsRead(e *RecordsRead) {
 	s.wall = e.Wall
-	b := configurer.Batch{Earliest: e.Earliest, Next: e.Next}
+	b := configurer.Batch{Earliest: e.Earliest, Next: e.Next, Asked: e.Asked}
 	for _, r := range e.Records {
 		b.Records = append(b.Records, configurer.Record{Offset: r.Offset, Raw: r.Data})
 	}
@@ -97,7 +97,7 @@
 		case configurer.Append:
 			s.emit(Append{Record: e.Record})
 		case configurer.ReadLog:
-			s.emit(ReadLog{From: e.From})
+			s.emit(ReadLog{From: e.From, Asked: e.Asked})
 		case configurer.Deliver:
 			s.deliverRecord(e)
 		case configurer.Skipped:
--- a/internal/reducer/effects.go
+++ b/internal/reducer/effects.go
@@ -88,7 +88,11 @@
 type Append struct{ Record any }
 
 // ReadLog asks for the log's records from an offset on; RecordsRead or LogFailed answers it.
-type ReadLog struct{ From identifier.Offset }
+type ReadLog struct {
+	From identifier.Offset
+	// Asked goes back in RecordsRead: the news is as old as the question, not as the answer.
+	Asked clock.Time
+}
 
 // Log writes one line of the structured log.
 type Log struct {
--- a/internal/reducer/events.go
+++ b/internal/reducer/events.go
@@ -131,7 +131,9 @@
 	Records  []LogRecord
 	Earliest identifier.Offset
 	Next     identifier.Offset
-	Wall     clock.Wall
+	// Asked is the moment in the ReadLog that this answers.
+	Asked clock.Time
+	Wall  clock.Wall
 }
 
 // LogRecord is one record of the platform's log, still encoded.
