--- /dev/null
+++ b/cmd/jackdawtide/process_test.go
@@ -0,0 +1,325 @@
+// The real program as separate processes: what a test within one process cannot see, such as signals, exit codes,
+// flags and settings files, is seen here.
+
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const (
+	processBound = 60 * time.Second
+	uploadParts  = 30
+	uploadPart   = 64 << 10
+)
+
+// program is the built program, and what its runs have in common.
+type program struct {
+	t         *testing.T
+	ctx       context.Context
+	file      string
+	directory string
+	logURL    string
+}
+
+// process is one running process; its lines of output are JSON.
+type process struct {
+	command *exec.Cmd
+	done    chan error
+
+	mu     sync.Mutex
+	output bytes.Buffer
+}
+
+func build(ctx context.Context, t *testing.T) *program {
+	t.Helper()
+	p := &program{t: t, ctx: ctx, directory: t.TempDir()}
+	p.file = filepath.Join(p.directory, "jackdawtide")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", p.file, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return p
+}
+
+// run runs a verb to its end.
+func (p *program) run(args ...string) string {
+	p.t.Helper()
+	c := exec.CommandContext(p.ctx, p.file, args...)
+	c.Env = append(os.Environ(), "JACKDAWTIDE_LOG="+p.logURL, "JACKDAWTIDE_OPERATOR=eva")
+	out, err := c.CombinedOutput()
+	assert.NilError(p.t, err, "%v: %s", args, out)
+	return string(out)
+}
+
+// start starts a verb that keeps running.
+func (p *program) start(args ...string) *process {
+	p.t.Helper()
+	r, w := io.Pipe()
+	s := &process{command: exec.CommandContext(p.ctx, p.file, args...), done: make(chan error, 1)}
+	s.command.Stdout, s.command.Stderr = w, w
+	assert.NilError(p.t, s.command.Start())
+	go s.collect(r)
+	go func() {
+		err := s.command.Wait()
+		_ = w.Close()
+		s.done <- err
+	}()
+	p.t.Cleanup(func() {
+		_ = s.command.Process.Kill()
+		if p.t.Failed() {
+			p.t.Logf("%v:\n%s", args, s.text())
+		}
+	})
+	return s
+}
+
+func (s *process) collect(r io.Reader) {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		s.mu.Lock()
+		fmt.Fprintln(&s.output, lines.Text())
+		s.mu.Unlock()
+	}
+}
+
+func (s *process) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.output.String()
+}
+
+// line waits for a line of the log and returns its fields.
+func (s *process) line(t *testing.T, message string) map[string]any {
+	t.Helper()
+	var found map[string]any
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for l := range strings.Lines(s.text()) {
+			var fields map[string]any
+			if json.Unmarshal([]byte(l), &fields) == nil && strings.HasPrefix(fmt.Sprint(fields["msg"]), message) {
+				found = fields
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no line %q in:\n%s", message, s.text())
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	return found
+}
+
+func (s *process) terminate(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, s.command.Process.Signal(syscall.SIGTERM))
+}
+
+// ended waits for a clean exit.
+func (s *process) ended(t *testing.T, bound time.Duration) {
+	t.Helper()
+	select {
+	case err := <-s.done:
+		assert.NilError(t, err, s.text())
+	case <-time.After(bound):
+		t.Fatalf("still running %s after SIGTERM:\n%s", bound, s.text())
+	}
+}
+
+type runningNode struct {
+	*process
+	caller, local, admin string
+}
+
+const nodeSettings = `[node]
+name = "%[1]s"
+failureDomain = "%[2]s"
+region = "okhotskCoast"
+[listen]
+caller = "127.0.0.1:0"
+local = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[log]
+url = "%[3]s"
+retention = "24h"
+[certificates]
+authority = "%[4]s/authority.pem"
+certificate = "%[4]s/%[1]s.pem"
+key = "%[4]s/%[1]s.key"
+`
+
+func (p *program) startNode(name, domain string) runningNode {
+	p.t.Helper()
+	p.run("cert", "node", "--directory", p.directory, name)
+	file := filepath.Join(p.directory, name+".toml")
+	settings := fmt.Sprintf(nodeSettings, name, domain, p.logURL, p.directory)
+	assert.NilError(p.t, os.WriteFile(file, []byte(settings), 0o600))
+	n := runningNode{process: p.start("node", "--settings", file)}
+	l := n.line(p.t, "node started")
+	n.caller = "http://" + fmt.Sprint(l["caller"])
+	n.local = "http://" + fmt.Sprint(l["local"])
+	n.admin = "http://" + fmt.Sprint(l["admin"])
+	return n
+}
+
+func (p *program) startBackend(n runningNode, service string, more ...string) *process {
+	p.t.Helper()
+	args := append([]string{"backend", "--node", n.local, "--service", service, "--service-time", "5ms"}, more...)
+	b := p.start(args...)
+	b.line(p.t, "backend server stand-in announced")
+	return b
+}
+
+func (p *program) issueKey(team string) (key, hash string) {
+	p.t.Helper()
+	var issued struct{ Key, Hash string }
+	assert.NilError(p.t, json.Unmarshal([]byte(p.run("key", "issue", "--format", "json", team)), &issued))
+	return issued.Key, issued.Hash
+}
+
+func (p *program) call(method, url, key string, body io.Reader) (int, string, error) {
+	req, err := http.NewRequestWithContext(p.ctx, method, url, body)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// awaitStatus calls until the status comes, and fails the test if it does not come within the bound.
+func (p *program) awaitStatus(url, key string, want int, bound time.Duration) string {
+	p.t.Helper()
+	var text string
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		status, body, err := p.call(http.MethodGet, url, key, http.NoBody)
+		if err != nil {
+			return poll.Error(err)
+		}
+		text = body
+		if status == want {
+			return poll.Success()
+		}
+		return poll.Continue("%s: %d %s, want %d", url, status, body, want)
+	}, poll.WithTimeout(bound), poll.WithDelay(20*time.Millisecond))
+	return text
+}
+
+// awaitCurrent waits until every node tells that it has the newest version; the verb exits with 1 while one lags.
+func (p *program) awaitCurrent(nodes ...runningNode) {
+	p.t.Helper()
+	args := []string{"preset", "status"}
+	for _, n := range nodes {
+		args = append(args, "--admin", n.admin)
+	}
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		out, err := exec.CommandContext(p.ctx, p.file, args...).CombinedOutput()
+		if err == nil {
+			return poll.Success()
+		}
+		return poll.Continue("%s", out)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(100*time.Millisecond))
+}
+
+type answered struct {
+	status int
+	text   string
+	err    error
+}
+
+// An operator replaces two VMs while a captain's manifest is on its way through both: the one that it entered by and
+// the one in front of its backend server. Cut short, the upload would be lost or, sent again, be there twice. The
+// same run sees a leaked key withdrawn, and a backend server leave.
+func TestProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), processBound)
+	defer cancel()
+	p := build(ctx, t)
+	p.logURL = fmt.Sprint(p.start("log", "--listen", "127.0.0.1:0").line(t, "log stand-in")["url"])
+	p.run("cert", "authority", "--directory", p.directory)
+	first := p.startNode("bookings-1", "abashiri")
+	second := p.startNode("slotBoard-1", "abashiri")
+	third := p.startNode("ice-1", "mombetsu")
+	p.startBackend(first, "bookings", "--call", "/slotBoard/slots")
+	p.startBackend(first, "manifests")
+	p.startBackend(second, "slotBoard", "--call", "/ice/bulletins")
+	ice := p.startBackend(third, "ice")
+	p.startBackend(second, "ice")
+
+	p.run("preset", "publish", "../../deploy/kitakaze/ordinary.toml")
+	p.run("preset", "publish", "../../deploy/kitakaze/peak.toml")
+	p.run("preset", "switch", "ordinary")
+	key, _ := p.issueKey("captains")
+	leaked, hash := p.issueKey("tankerLines")
+	for _, n := range []runningNode{first, second, third} {
+		text := p.awaitStatus(n.caller+"/bookings/mine", key, http.StatusOK, 20*time.Second)
+		assert.Assert(t, strings.Contains(text, "[slotBoard GET /slots") && strings.Contains(text, "[ice GET /bulletins"), text)
+		p.awaitStatus(n.caller+"/ice/bulletins", leaked, http.StatusOK, 20*time.Second)
+	}
+	p.run("preset", "switch", "peak")
+	p.run("key", "withdraw", hash)
+	withdrawn := time.Now()
+	for _, n := range []runningNode{first, second, third} {
+		p.awaitStatus(n.caller+"/ice/bulletins", leaked, http.StatusUnauthorized, time.Until(withdrawn.Add(2*time.Second)))
+		p.awaitStatus(n.caller+"/ice/bulletins", key, http.StatusOK, time.Second)
+	}
+	p.awaitCurrent(first, third)
+	ice.terminate(t)
+	ice.ended(t, 5*time.Second)
+	p.uploadThroughStops(first, third, key)
+	p.awaitStatus(second.caller+"/ice/bulletins", key, http.StatusOK, 5*time.Second)
+	for _, n := range []runningNode{first, second, third} {
+		for _, k := range []string{key, leaked} {
+			assert.Assert(t, !strings.Contains(n.text(), strings.TrimPrefix(k, "jt_")), "a key is in the log of a node")
+		}
+	}
+}
+
+func (p *program) uploadThroughStops(delivery, entry runningNode, key string) {
+	p.t.Helper()
+	r, w := io.Pipe()
+	result := make(chan answered, 1)
+	go func() {
+		status, text, err := p.call(http.MethodPost, entry.caller+"/manifests/manifests", key, r)
+		result <- answered{status, text, err}
+	}()
+	part := make([]byte, uploadPart)
+	for i := range uploadParts {
+		if i == uploadParts/3 {
+			entry.terminate(p.t)
+			delivery.terminate(p.t)
+			entry.line(p.t, "node stopping")
+			delivery.line(p.t, "node stopping")
+		}
+		_, err := w.Write(part)
+		assert.NilError(p.t, err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.NilError(p.t, w.Close())
+	a := <-result
+	assert.NilError(p.t, a.err)
+	assert.Equal(p.t, a.status, http.StatusOK, a.text)
+	want := fmt.Sprintf("manifests POST /manifests got %d bytes", uploadParts*uploadPart)
+	assert.Assert(p.t, strings.HasPrefix(a.text, want), a.text)
+	entry.ended(p.t, 10*time.Second)
+	delivery.ended(p.t, 10*time.Second)
+}
