Record the starts of calls at the stand-ins, and count the bytes of control messages

Cause: checks of the whole fleet need the backend servers' own record of when which team's call began, and the control traffic apart from the calls. Change: responder.Starts and Silence, transporter Stats.ControlBytes, assembler Node.Carried. Conclusion: no decision changes.

--- a/internal/assembler/assembler.go
+++ b/internal/assembler/assembler.go
@@ -168,5 +168,8 @@
 	})
 }
 
+// Carried returns what the node's transport has carried so far.
+func (n *Node) Carried() transporter.Stats { return n.peer.Stats() }
+
 // Dump returns the node's state at this moment.
 func (n *Node) Dump() reducer.Dump { return n.source.Dump() }
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -28,6 +28,7 @@
 	CallHeader        = "Jackdawtide-Call"
 	DeadlineHeader    = "Jackdawtide-Deadline-Ms"
 	IdempotencyHeader = "Idempotency-Key"
+	teamHeader        = "Jackdawtide-Team"
 	requestIDHeader   = "Jackdawtide-Request-Id"
 )
 
@@ -38,6 +39,14 @@
 	Path    string
 }
 
+// RunStart is one call as it reached the backend server.
+type RunStart struct {
+	At          time.Time
+	Team        string
+	Request     string
+	Idempotency string
+}
+
 // Options describe the backend server.
 type Options struct {
 	Endpoint        string
@@ -75,11 +84,13 @@
 	announcedLoad atomic.Int64
 	inUse         atomic.Int64
 	served        atomic.Int64
+	arrived       atomic.Int64
 	sawKey        atomic.Bool
 
-	mu   sync.Mutex
-	runs map[string]int
-	rnd  *rand.Rand
+	mu     sync.Mutex
+	runs   map[string]int
+	starts []RunStart
+	rnd    *rand.Rand
 
 	announcement *announcer.Announcement
 }
@@ -146,6 +157,9 @@
 	return err
 }
 
+// Drain leaves but goes on listening, so that work which still comes is seen.
+func (s *Server) Drain(ctx context.Context) error { return s.announcement.Leave(ctx) }
+
 // Crash stops it at once, with calls cut short and no word to the node.
 func (s *Server) Crash() {
 	if s.announcement != nil {
@@ -166,6 +180,9 @@
 // Served returns how many calls it answered in whole.
 func (s *Server) Served() int64 { return s.served.Load() }
 
+// Arrived returns how many calls reached it, whatever became of them.
+func (s *Server) Arrived() int64 { return s.arrived.Load() }
+
 // SawKey tells whether any call carried a team's key.
 func (s *Server) SawKey() bool { return s.sawKey.Load() }
 
@@ -180,6 +197,16 @@
 	return runs
 }
 
+// Starts returns every call that reached it, in order.
+func (s *Server) Starts() []RunStart {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]RunStart(nil), s.starts...)
+}
+
+// Silence ends its heartbeats while it goes on listening, as a machine that hangs would.
+func (s *Server) Silence() { s.announcement.Stop() }
+
 // InUse returns how many calls it works on now.
 func (s *Server) InUse() int64 { return s.inUse.Load() }
 
@@ -196,6 +223,7 @@
 
 // ServeHTTP works on one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.arrived.Add(1)
 	s.note(r)
 	if s.options.IgnoreCancel {
 		r = r.WithContext(context.WithoutCancel(r.Context()))
@@ -260,12 +288,17 @@
 		s.sawKey.Store(true)
 	}
 	id := r.Header.Get(IdempotencyHeader)
-	if id == "" {
-		return
-	}
 	s.mu.Lock()
-	s.runs[id]++
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.starts = append(s.starts, RunStart{
+		At:          time.Now(),
+		Team:        r.Header.Get(teamHeader),
+		Request:     r.Header.Get(requestIDHeader),
+		Idempotency: id,
+	})
+	if id != "" {
+		s.runs[id]++
+	}
 }
 
 func (s *Server) takeSlot(ctx context.Context) bool {
--- a/internal/transporter/control.go
+++ b/internal/transporter/control.go
@@ -59,7 +59,7 @@
 			err = l.sendBatch(batch)
 			l.done()
 		}
-		if t.queueEnded(p, len(batch), err) {
+		if t.queueEnded(p, batch, err) {
 			return
 		}
 	}
@@ -75,13 +75,16 @@
 }
 
 // queueEnded tells whether the sender may end: nothing waits, or the peer can't be reached and what waits is lost.
-func (t *Transporter) queueEnded(p *peerState, taken int, err error) bool {
+func (t *Transporter) queueEnded(p *peerState, taken [][]byte, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err != nil {
-		t.past.ControlDropped += uint64(taken + len(p.queue))
+		t.past.ControlDropped += uint64(len(taken) + len(p.queue))
 	} else {
-		t.past.ControlSent += uint64(taken)
+		t.past.ControlSent += uint64(len(taken))
+		for _, m := range taken {
+			t.past.ControlBytes += uint64(len(m))
+		}
 	}
 	if err == nil && len(p.queue) > 0 {
 		return false
--- a/internal/transporter/stats.go
+++ b/internal/transporter/stats.go
@@ -18,6 +18,8 @@
 	// ControlSent counts messages written, ControlDropped those given up for a full queue or an unreachable peer.
 	ControlSent    uint64
 	ControlDropped uint64
+	// ControlBytes counts the bytes of the messages written, without what the connections add.
+	ControlBytes uint64
 }
 
 // Stats returns the counts so far.
