--- /dev/null
+++ b/internal/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober measures what the path through the nodes adds to a call.
+package prober
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,311 @@
+// What users notice of this product on an ordinary day is the time that it adds. It is measured against the same backend
+// servers called directly, in the same run and at the same rate, since no absolute time is stable on a shared machine.
+//
+// Example: at depth 1 a call goes entry node -> delivery node -> backend server, and directly caller -> backend server;
+// the difference is what two nodes add.
+
+package prober
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/launcher"
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+const (
+	team     = "prober"
+	slots    = 400
+	warmUp   = 2 * time.Second
+	deadline = 10 * time.Second
+	// kneeCallers are more than it takes to use all that the machine has.
+	kneeCallers = 64
+	kneeTime    = 3 * time.Second
+	// kneePart is the part of the highest throughput at which latency "at the knee" is taken.
+	kneePart = 0.5
+)
+
+// Options say what to measure.
+type Options struct {
+	// Depths are the lengths of the call chains.
+	Depths []int
+	// Rate is in calls entered a second.
+	Rate float64
+	// Time is how long each load lasts.
+	Time time.Duration
+	Seed uint64
+	// Knee also measures at half of the highest throughput of the path through the nodes.
+	Knee bool
+}
+
+// Line is the outcome of one load over both ways.
+type Line struct {
+	Depth  int
+	Load   string
+	Rate   float64
+	Calls  int
+	Failed int
+	// The times of the direct way and of the way through the nodes, in milliseconds.
+	DirectP50, DirectP99 float64
+	NodesP50, NodesP99   float64
+	// AddedP50 and AddedP99 are the differences for the whole chain, PerHop those of a single call of it.
+	AddedP50, AddedP99   float64
+	PerHopP50, PerHopP99 float64
+	// Highest is the throughput with as many callers as the machine bears, through the nodes.
+	Highest float64
+}
+
+// Run measures each depth and reports a line for each load.
+func Run(ctx context.Context, o Options, report func(Line) error) error {
+	for _, depth := range o.Depths {
+		if err := runDepth(ctx, o, depth, report); err != nil {
+			return fmt.Errorf("depth %d: %w", depth, err)
+		}
+	}
+	return nil
+}
+
+func runDepth(ctx context.Context, o Options, depth int, report func(Line) error) error {
+	p, err := newPair(ctx, depth, o.Seed)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	if err := p.warm(ctx); err != nil {
+		return err
+	}
+	if err := report(p.line(ctx, o, "steady", o.Rate)); err != nil || !o.Knee {
+		return err
+	}
+	highest := p.highest(ctx)
+	line := p.line(ctx, o, "knee", highest*kneePart)
+	line.Highest = highest
+	return report(line)
+}
+
+// pair is one chain of services, reachable directly and through nodes.
+type pair struct {
+	depth  int
+	seed   uint64
+	fleet  *launcher.Fleet
+	direct []*responder.Server
+	client *http.Client
+}
+
+func serviceName(i int) string { return fmt.Sprintf("link%d", i) }
+
+// newPair launches the chain; the entry is the last member, whose own service is not part of the chain, so that each
+// call passes two nodes.
+func newPair(ctx context.Context, depth int, seed uint64) (*pair, error) {
+	p := &pair{depth: depth, seed: seed, client: newClient()}
+	f, err := launcher.Start(ctx, launcher.Options{Plan: plan(depth), Seed: seed})
+	if err != nil {
+		return nil, err
+	}
+	p.fleet = f
+	if err := p.listenDirect(); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots}, Timeout: deadline}
+}
+
+func plan(depth int) launcher.Plan {
+	pl := launcher.Plan{Deployment: "prober", Domains: []string{"alfa"}}
+	preset := definer.Preset{
+		Name:    "prober",
+		Domains: []definer.DomainShare{{Domain: "alfa", PerMille: 1000}},
+		Teams:   []definer.Team{{Name: team, Rate: 1e9, Burst: 1e8, Weight: 1}},
+	}
+	for i := range depth + 1 {
+		s := launcher.Service{Name: serviceName(i), Endpoints: 1, Slots: slots, Connections: slots}
+		if i < depth-1 {
+			s.Calls = []responder.Nested{{Service: serviceName(i + 1), Method: http.MethodGet, Path: "/"}}
+		}
+		pl.Services = append(pl.Services, s)
+		preset.Services = append(preset.Services, definer.Service{
+			Name:    identifier.Service(s.Name),
+			Timeout: clock.FromStd(deadline),
+			MaxBody: 1 << 20,
+			Routes:  []definer.Route{{Method: "*", Prefix: "/", Priority: identifier.Normal, Idempotent: true}},
+		})
+	}
+	pl.Presets = []definer.Preset{preset}
+	return pl
+}
+
+// listenDirect makes the same chain without nodes, from its end to its start.
+func (p *pair) listenDirect() error {
+	var next *responder.Server
+	for i := p.depth - 1; i >= 0; i-- {
+		target := next
+		o := responder.Options{Endpoint: serviceName(i), Service: serviceName(i), Listen: "127.0.0.1:0", Slots: slots}
+		if target != nil {
+			o.Calls = []responder.Nested{{Service: serviceName(i + 1), Method: http.MethodGet, Path: "/"}}
+			o.Call = func(r *http.Request, _ responder.Nested) (string, int) {
+				return p.get(r.Context(), "http://"+target.Address()+"/", "")
+			}
+		}
+		s, err := responder.Listen(o)
+		if err != nil {
+			return err
+		}
+		p.direct = append(p.direct, s)
+		next = s
+	}
+	return nil
+}
+
+func (p *pair) close() {
+	for _, s := range p.direct {
+		s.Crash()
+	}
+	p.fleet.Close()
+	p.client.CloseIdleConnections()
+}
+
+func (p *pair) get(ctx context.Context, target, key string) (string, int) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return "", 0
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return "", 0
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", 0
+	}
+	return string(text), resp.StatusCode
+}
+
+func (p *pair) callDirect(ctx context.Context) bool {
+	_, status := p.get(ctx, "http://"+p.direct[len(p.direct)-1].Address()+"/", "")
+	return status == http.StatusOK
+}
+
+func (p *pair) callNodes(ctx context.Context) bool {
+	entry := p.fleet.Members[len(p.fleet.Members)-1]
+	_, status := p.get(ctx, entry.CallerURL()+"/"+serviceName(0)+"/", p.fleet.Keys[team])
+	return status == http.StatusOK
+}
+
+// warm opens the connections and fills the team's bucket.
+func (p *pair) warm(ctx context.Context) error {
+	end := time.Now().Add(warmUp)
+	for time.Now().Before(end) {
+		p.callNodes(ctx)
+		p.callDirect(ctx)
+	}
+	return ctx.Err()
+}
+
+func (p *pair) line(ctx context.Context, o Options, load string, rate float64) Line {
+	direct := p.load(ctx, rate, o.Time, p.callDirect)
+	nodes := p.load(ctx, rate, o.Time, p.callNodes)
+	l := Line{
+		Depth:     p.depth,
+		Load:      load,
+		Rate:      rate,
+		Calls:     int(nodes.times.TotalCount()),
+		Failed:    int(nodes.failed.Load() + direct.failed.Load()),
+		DirectP50: direct.at(50),
+		DirectP99: direct.at(99),
+		NodesP50:  nodes.at(50),
+		NodesP99:  nodes.at(99),
+	}
+	l.AddedP50 = l.NodesP50 - l.DirectP50
+	l.AddedP99 = l.NodesP99 - l.DirectP99
+	l.PerHopP50 = l.AddedP50 / float64(p.depth)
+	l.PerHopP99 = l.AddedP99 / float64(p.depth)
+	return l
+}
+
+type outcome struct {
+	mu     sync.Mutex
+	times  *hdrhistogram.Histogram
+	failed atomic.Int64
+}
+
+func newOutcome() *outcome {
+	return &outcome{times: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+func (o *outcome) add(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// Values beyond the histogram's range are longer than any call may take.
+	_ = o.times.RecordValue(max(1, d.Microseconds()))
+}
+
+func (o *outcome) at(quantile float64) float64 {
+	const microsecondsPerMs = 1000
+	return float64(o.times.ValueAtQuantile(quantile)) / microsecondsPerMs
+}
+
+// load sends calls at random moments, without waiting for answers.
+func (p *pair) load(ctx context.Context, rate float64, d time.Duration, call func(context.Context) bool) *outcome {
+	out := newOutcome()
+	random := rand.New(rand.NewPCG(p.seed, 7))
+	var group sync.WaitGroup
+	next := time.Now()
+	end := next.Add(d)
+	for next.Before(end) && ctx.Err() == nil {
+		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		group.Go(func() {
+			began := time.Now()
+			if !call(ctx) {
+				out.failed.Add(1)
+				return
+			}
+			out.add(time.Since(began))
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// highest is the throughput through the nodes with callers that wait for their answers.
+func (p *pair) highest(ctx context.Context) float64 {
+	var done atomic.Int64
+	var stop atomic.Bool
+	var group sync.WaitGroup
+	for range kneeCallers {
+		group.Go(func() {
+			for !stop.Load() && ctx.Err() == nil {
+				if p.callNodes(ctx) {
+					done.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(kneeTime / 3)
+	before := done.Load()
+	time.Sleep(kneeTime)
+	after := done.Load()
+	stop.Store(true)
+	group.Wait()
+	return float64(after-before) / kneeTime.Seconds()
+}
