deduplicator: fuzz entries and owners; make "not run" hold for attempts still under way

Cause: the fuzz found that an attempt delayed on its way ran after a refusal of the same id had said "not run", and that opaque ids were called not run beyond their window. Change: attempts carry when they were asked for; after a refusal for want of room older ones get none; ids ahead of the clock count as not run only where no waiting attempt can live to see them; opaque ids never.

--- a/internal/deduplicator/answerer.go
+++ b/internal/deduplicator/answerer.go
@@ -39,9 +39,10 @@
 	if !held || err != nil {
 		return answer
 	}
-	j := o.Begin(h, m.Team, id, m.Fingerprint, m.Attempt, now, wall)
+	j := o.Begin(h, m.Team, id, m.Fingerprint, m.Attempt, m.Asked, now, wall)
 	answer.Verdict = j.Verdict
 	answer.Outcome = j.Outcome
+	answer.NotRun = j.NotRun
 	return answer
 }
 
--- a/internal/deduplicator/asker.go
+++ b/internal/deduplicator/asker.go
@@ -70,13 +70,13 @@
 }
 
 // Ask parks a call until the owner of its id has judged it, or the deadline is near.
-func (a *Asker) Ask(call CallID, team identifier.Team, id ID, f Fingerprint, deadline, now clock.Time) []Effect {
+func (a *Asker) Ask(call CallID, team identifier.Team, id ID, f Fingerprint, deadline, now clock.Time, wall clock.Wall) []Effect {
 	a.number++
 	p := &parked{
 		call: call,
 		request: BeginRequest{
 			Claim: ClaimOf(team, id), Team: team, ID: id.Text, Fingerprint: f,
-			Attempt: Attempt{Node: a.options.Node, Number: a.number},
+			Attempt: Attempt{Node: a.options.Node, Number: a.number}, Asked: wall,
 		},
 		giveUp: min(deadline, now.Add(a.options.Patience)),
 		next:   now.Add(askInterval),
@@ -120,17 +120,16 @@
 	case Done:
 		return []Effect{Replay{Call: p.call, Outcome: m.Outcome}}
 	}
-	return []Effect{refusal(p.call, m.Verdict)}
+	r := refusal(p.call, m.Verdict)
+	r.NotRun = m.NotRun
+	return []Effect{r}
 }
 
 func refusal(call CallID, v Verdict) Refuse {
 	r := Refuse{Call: call, Verdict: v}
 	switch v {
 	case Full:
-		r.NotRun = true
 		r.RetryAfter = fullRetry
-	case FromFuture, Mismatch:
-		r.NotRun = true
 	case InProgress, 0:
 		r.RetryAfter = unreachableRetry
 	}
--- /dev/null
+++ b/internal/deduplicator/fuzz_test.go
@@ -0,0 +1,232 @@
+package deduplicator_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+type fuzz struct {
+	w   *world
+	ids []deduplicator.ID
+}
+
+func (f *fuzz) machine(t *rapid.T) *machine {
+	return f.w.machines[rapid.IntRange(0, len(f.w.machines)-1).Draw(t, "machine")]
+}
+
+func (f *fuzz) holding(t *rapid.T) *holding {
+	if len(f.ids) == 0 {
+		t.Skip("no ids")
+	}
+	id := rapid.SampledFrom(f.ids).Draw(t, "id")
+	return f.w.holding(deduplicator.ClaimOf("team", id))
+}
+
+func (f *fuzz) takeReady(t *rapid.T) deduplicator.CallID {
+	if len(f.w.ready) == 0 {
+		t.Skip("no permit")
+	}
+	i := rapid.IntRange(0, len(f.w.ready)-1).Draw(t, "permit")
+	id := f.w.ready[i]
+	f.w.ready = slices.Delete(f.w.ready, i, i+1)
+	return id
+}
+
+func (f *fuzz) retry(t *rapid.T, fingerprint deduplicator.Fingerprint) {
+	if len(f.ids) == 0 {
+		t.Skip("no ids")
+	}
+	f.w.call(f.machine(t), rapid.SampledFrom(f.ids).Draw(t, "id"), fingerprint)
+}
+
+func (f *fuzz) actions() map[string]func(*rapid.T) {
+	w := f.w
+	return map[string]func(*rapid.T){
+		"call": func(t *rapid.T) {
+			ahead := clock.Duration(rapid.IntRange(-3000, 3000).Draw(t, "ahead"))
+			id := w.newID(ahead, rapid.IntRange(0, 2).Draw(t, "kind"))
+			f.ids = append(f.ids, id)
+			w.call(f.machine(t), id, 1)
+		},
+		"retry":       func(t *rapid.T) { f.retry(t, 1) },
+		"retry again": func(t *rapid.T) { f.retry(t, 1) },
+		"other body":  func(t *rapid.T) { f.retry(t, 2) },
+		"run": func(t *rapid.T) {
+			id := f.takeReady(t)
+			w.run(id)
+			if rapid.Bool().Draw(t, "ends") {
+				w.finish(id, rapid.IntRange(0, 4).Draw(t, "unknown") == 0)
+			}
+		},
+		"nothing sent": func(t *rapid.T) {
+			id := f.takeReady(t)
+			e := w.calls[id].entry
+			w.perform(e, e.asker.Abandon(id, w.now))
+		},
+		"take over": func(t *rapid.T) { w.take(f.holding(t), f.machine(t)) },
+		"hand over": func(t *rapid.T) {
+			h := f.holding(t)
+			if next := f.machine(t); next != h.holder {
+				h.next = next
+				w.export(h)
+			}
+		},
+		"replace": func(t *rapid.T) {
+			i := rapid.IntRange(0, len(w.machines)-1).Draw(t, "machine")
+			old := w.machines[i]
+			w.machines[i] = w.start()
+			for _, c := range append(deduplicator.Claims(""), deduplicator.Claims("north")...) {
+				if h := w.claims[c]; h != nil && h.holder == old {
+					w.take(h, f.machine(t))
+				}
+			}
+			w.ready = slices.DeleteFunc(w.ready, func(c deduplicator.CallID) bool { return w.calls[c].entry == old })
+		},
+		"clock": func(t *rapid.T) {
+			f.machine(t).skew = clock.Duration(rapid.IntRange(-250, 250).Draw(t, "skew"))
+		},
+		"loss":      func(t *rapid.T) { w.loss = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "loss") },
+		"wait":      func(t *rapid.T) { w.wait(clock.Duration(rapid.IntRange(1, 1000).Draw(t, "span"))) },
+		"wait long": func(t *rapid.T) { w.wait(clock.Duration(rapid.IntRange(1000, 25_000).Draw(t, "span"))) },
+		"":          func(t *rapid.T) { f.check(t) },
+	}
+}
+
+func (f *fuzz) check(t *rapid.T) {
+	assert.Equal(t, f.w.fault, "")
+	for _, m := range f.w.machines {
+		// A handover may bring more than the bound, as nothing that ran may be forgotten.
+		assert.Assert(t, f.w.max > 100 || m.owner.Records() <= f.w.max*len(f.w.machines)*2)
+	}
+}
+
+// heal ends the faults: a fresh id must then run, its retry must get the outcome, and a planned handover must
+// leave nothing unknown.
+func (f *fuzz) heal(t *rapid.T) {
+	w := f.w
+	w.loss = 0
+	w.wait(2*window + 25*clock.Second)
+	for _, kind := range []int{0, 1, 2} {
+		id := w.newID(0, kind)
+		h := w.holding(deduplicator.ClaimOf("team", id))
+		w.take(h, w.machines[0])
+		// An opaque id has to wait until nothing that an earlier holder allowed is in the window.
+		w.wait(2 * clock.Second)
+		if kind == 2 {
+			w.wait(window + 5*clock.Second)
+		} else {
+			id = w.newIDFor(h.hold.Claim, kind)
+		}
+		first := w.call(w.machines[1], id, 1)
+		w.wait(clock.Second)
+		assert.Equal(t, w.verdicts[first], "permit", "kind %d", kind)
+		w.ready = slices.DeleteFunc(w.ready, func(c deduplicator.CallID) bool { return c == first })
+		w.run(first)
+		w.finish(first, false)
+		// A report may go to a node that isn't the owner, more than once.
+		w.wait(4 * clock.Second)
+		h.next = w.machines[1]
+		w.export(h)
+		w.wait(clock.Second)
+		assert.Equal(t, h.holder, w.machines[1])
+		again := w.call(w.machines[2], id, 1)
+		w.wait(4 * clock.Second)
+		assert.Equal(t, w.verdicts[again], "replay", "kind %d", kind)
+	}
+	f.check(t)
+}
+
+func (w *world) newIDFor(c deduplicator.Claim, kind int) deduplicator.ID {
+	for {
+		if id := w.newID(0, kind); deduplicator.ClaimOf("team", id) == c {
+			return id
+		}
+	}
+}
+
+// Callers retry at other nodes while owners crash, are paused and hand over, entries die, clocks differ, and
+// answers are lost. A user would be charged twice, or told "not run" of an order that was placed.
+func TestFuzzAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.SampledFrom([]int{4, 1000}).Draw(t, "bound")
+		f := &fuzz{w: newWorld(rapid.Uint64().Draw(t, "seed"), 4, bound)}
+		t.Repeat(f.actions())
+		f.heal(t)
+	})
+}
+
+// An owner at its bound would have to forget an id to take a new one; the forgotten booking would run again.
+func TestBoundRefusesNewIDs(t *testing.T) {
+	w := newWorld(1, 1, 2)
+	o := w.machines[0].owner
+	begin := func(id deduplicator.ID, attempt uint64) deduplicator.Verdict {
+		h := deduplicator.Hold{Claim: "ids/0", Epoch: 1, First: true}
+		a := deduplicator.Attempt{Node: "n1", Number: attempt}
+		wall := w.wall(w.machines[0])
+		return o.Begin(h, "team", id, 1, a, wall, w.now, wall).Verdict
+	}
+	ids := []deduplicator.ID{w.newID(0, 0), w.newID(0, 0), w.newID(0, 0)}
+	assert.Equal(t, begin(ids[0], 1), deduplicator.Run)
+	assert.Equal(t, begin(ids[1], 2), deduplicator.Run)
+	assert.Equal(t, begin(ids[2], 3), deduplicator.Full)
+	assert.Equal(t, begin(ids[0], 4), deduplicator.InProgress)
+	w.now += clock.Time(window + clock.Second)
+	assert.Equal(t, begin(ids[0], 5), deduplicator.Expired)
+	assert.Equal(t, begin(w.newID(0, 0), 6), deduplicator.Run)
+}
+
+// A wrong reading of the text would give one request two owners, or take an opaque id's colon for a home.
+func TestParseID(t *testing.T) {
+	const plain = "0193842f-5c00-7abc-8def-0123456789ab"
+	tests := map[string]struct {
+		text  string
+		want  deduplicator.ID
+		fails bool
+	}{
+		"version 7":       {text: plain, want: deduplicator.ID{Text: plain, Time: 0x0193842f5c00, Timed: true}},
+		"upper case":      {text: "0193842F-5C00-7ABC-8DEF-0123456789AB", want: deduplicator.ID{Text: plain, Time: 0x0193842f5c00, Timed: true}},
+		"home":            {text: "north:" + plain, want: deduplicator.ID{Text: "north:" + plain, Home: "north", Time: 0x0193842f5c00, Timed: true}},
+		"opaque, colon":   {text: "order:17", want: deduplicator.ID{Text: "order:17"}},
+		"version 4":       {text: "0193842f-5c00-4abc-8def-0123456789ab", want: deduplicator.ID{Text: "0193842f-5c00-4abc-8def-0123456789ab"}},
+		"empty":           {fails: true},
+		"space":           {text: "a b", fails: true},
+		"longer than 128": {text: fmt.Sprintf("%129d", 1), fails: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := deduplicator.ParseID(test.text)
+			assert.Equal(t, err != nil, test.fails)
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
+
+func BenchmarkBegin(b *testing.B) {
+	for _, teams := range []int{8, 1000} {
+		b.Run(fmt.Sprintf("%d teams", teams), func(b *testing.B) {
+			o := deduplicator.NewOwner(deduplicator.OwnerOptions{MaxRecords: 1 << 30})
+			h := deduplicator.Hold{Claim: "ids/0", Epoch: 1, First: true}
+			names := make([]identifier.Team, teams)
+			for i := range names {
+				names[i] = identifier.Team(fmt.Sprintf("team-%d", i))
+			}
+			id := newWorld(1, 1, 1).newID(0, 0)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				// A new id for each team in turn, then three retries of it.
+				o.Begin(h, names[n/4%teams], deduplicator.ID{Text: id.Text, Time: id.Time, Timed: true}, 1,
+					deduplicator.Attempt{Node: "n1", Number: uint64(n / 4)}, id.Time, clock.Time(n), id.Time)
+			}
+		})
+	}
+}
--- a/internal/deduplicator/handover.go
+++ b/internal/deduplicator/handover.go
@@ -43,7 +43,7 @@
 	})
 	part := Handover{
 		Claim: s.claim, Epoch: s.epoch,
-		UnknownUpTo: s.unknownUpTo, OpaqueUntil: s.opaqueUntil, High: s.high,
+		UnknownUpTo: s.unknownUpTo, OpaqueUntil: s.opaqueUntil, High: s.high, RefusedAt: s.refusedAt,
 	}
 	var parts []Handover
 	bytes := 0
@@ -108,6 +108,7 @@
 		s.unknownUpTo = part.UnknownUpTo
 		s.opaqueUntil = part.OpaqueUntil
 		s.high = max(s.high, part.High)
+		s.refusedAt = part.RefusedAt
 		for _, r := range part.Records {
 			o.adoptRecord(s, r, g.arrived)
 		}
--- a/internal/deduplicator/messages.go
+++ b/internal/deduplicator/messages.go
@@ -17,6 +17,8 @@
 	ID          identifier.Idempotency
 	Fingerprint Fingerprint
 	Attempt     Attempt
+	// Asked is the entry's wall clock when the attempt was first asked for.
+	Asked clock.Wall
 }
 
 // BeginAnswer is the owner's verdict on an attempt.
@@ -24,6 +26,7 @@
 	Attempt Attempt
 	Verdict Verdict
 	Outcome *Outcome
+	NotRun  bool
 }
 
 // FinishReport tells the owner how an attempt ended.
@@ -85,6 +88,7 @@
 	UnknownUpTo clock.Wall
 	OpaqueUntil clock.Wall
 	High        clock.Wall
+	RefusedAt   clock.Wall
 }
 
 // HandoverAnswer tells that the parts of a handover have all arrived.
--- a/internal/deduplicator/owner.go
+++ b/internal/deduplicator/owner.go
@@ -30,6 +30,8 @@
 	CallerSkew clock.Duration
 	// NodeSkew is the largest difference between the wall clocks of two nodes.
 	NodeSkew clock.Duration
+	// Patience is how long an entry lets an attempt wait, as in AskerOptions.
+	Patience clock.Duration
 	// MaxRecords bounds the ids remembered; at the bound new ids are refused.
 	MaxRecords int
 	// MaxBodyBytes bounds the bodies remembered; at the bound the oldest bodies are dropped.
@@ -73,8 +75,10 @@
 	opaqueUntil clock.Wall
 	// high is the latest wall time seen. A clock that is set back must not make an id fresh again whose
 	// record was dropped as too old.
-	high   clock.Wall
-	frozen bool
+	high clock.Wall
+	// refusedAt is when an id was last refused as not run for want of room.
+	refusedAt clock.Wall
+	frozen    bool
 }
 
 // Owner is the reducer of the claims' holder.
@@ -93,6 +97,7 @@
 	o.RunLimit = orDefault(o.RunLimit, DefaultRunLimit)
 	o.CallerSkew = orDefault(o.CallerSkew, DefaultCallerSkew)
 	o.NodeSkew = orDefault(o.NodeSkew, DefaultNodeSkew)
+	o.Patience = orDefault(o.Patience, DefaultPatience)
 	o.MaxRecords = orDefault(o.MaxRecords, DefaultMaxRecords)
 	o.MaxBodyBytes = orDefault(o.MaxBodyBytes, DefaultMaxBodyBytes)
 	return &Owner{options: o, slots: map[Claim]*slot{}, staged: map[Claim]*staged{}}
@@ -122,7 +127,7 @@
 	}
 	if !h.First {
 		s.unknownUpTo = h.Gained.Add(o.options.CallerSkew + o.options.NodeSkew)
-		s.opaqueUntil = h.Gained.Add(o.options.Window + o.options.NodeSkew)
+		s.opaqueUntil = o.opaqueExpiry(h.Gained).Add(o.options.NodeSkew)
 	}
 	return s
 }
@@ -144,8 +149,8 @@
 	delete(o.slots, s.claim)
 }
 
-// Begin judges an attempt to run an id; h must be held at this very moment.
-func (o *Owner) Begin(h Hold, team identifier.Team, id ID, f Fingerprint, a Attempt, now clock.Time, wall clock.Wall) Judgement {
+// Begin judges an attempt to run an id, first asked for at that time; h must be held at this very moment.
+func (o *Owner) Begin(h Hold, team identifier.Team, id ID, f Fingerprint, a Attempt, asked clock.Wall, now clock.Time, wall clock.Wall) Judgement {
 	s := o.slotOf(h)
 	s.high = max(s.high, wall)
 	if s.frozen {
@@ -157,10 +162,10 @@
 		return o.judgeKnown(r, f, a, now, s.high)
 	}
 	if v := o.judgeNew(s, id, wall); v != Run {
-		return Judgement{Verdict: v}
+		return Judgement{Verdict: v, NotRun: v == FromFuture && o.farAhead(id, wall)}
 	}
-	if o.records >= o.options.MaxRecords {
-		return Judgement{Verdict: Full}
+	if j := o.judgeRoom(s, id, asked, wall); j.Verdict != Run {
+		return j
 	}
 	r := &record{key: key, slot: s, fingerprint: f, attempt: a, state: StateRunning, began: now}
 	r.expires = o.expiresAt(id, s.high)
@@ -168,11 +173,35 @@
 	return Judgement{Verdict: Run}
 }
 
+// judgeRoom refuses new ids at the bound as not run. An attempt asked for before such a refusal may be of the
+// refused id, delayed on its way; allowed later, when there is room, it would make that refusal untrue. An
+// opaque id may have run before the window, so nothing is said of it.
+func (o *Owner) judgeRoom(s *slot, id ID, asked, wall clock.Wall) Judgement {
+	if o.records >= o.options.MaxRecords {
+		s.refusedAt = max(s.refusedAt, wall)
+		return Judgement{Verdict: Full, NotRun: id.Timed}
+	}
+	if s.refusedAt > 0 && asked <= s.refusedAt.Add(o.options.NodeSkew) {
+		return Judgement{Verdict: Full}
+	}
+	return Judgement{Verdict: Run}
+}
+
+// farAhead tells that no attempt that waits at an entry now can still wait when the id's time is acceptable.
+func (o *Owner) farAhead(id ID, wall clock.Wall) bool {
+	return id.Time > wall.Add(o.options.CallerSkew+o.options.NodeSkew+o.options.Patience)
+}
+
 func (o *Owner) expiresAt(id ID, high clock.Wall) clock.Wall {
 	if id.Timed {
 		return id.Time.Add(o.options.Window)
 	}
-	return high.Add(o.options.Window)
+	return o.opaqueExpiry(high)
+}
+
+// opaqueExpiry lets the window begin when the permit reaches the entry, at the latest.
+func (o *Owner) opaqueExpiry(high clock.Wall) clock.Wall {
+	return high.Add(o.options.Window + o.options.Patience)
 }
 
 func (o *Owner) judgeKnown(r *record, f Fingerprint, a Attempt, now clock.Time, high clock.Wall) Judgement {
@@ -210,7 +239,7 @@
 	r.state = StateRunning
 	r.began = now
 	if id, err := ParseID(string(r.key.id)); err == nil && !id.Timed {
-		r.expires = high.Add(o.options.Window)
+		r.expires = o.opaqueExpiry(high)
 	}
 	return Judgement{Verdict: Run}
 }
--- a/internal/deduplicator/types.go
+++ b/internal/deduplicator/types.go
@@ -39,9 +39,9 @@
 	Expired
 	// Mismatch tells that the id was used for another request.
 	Mismatch
-	// FromFuture tells that the id's time is ahead of the owner's clock; it hasn't run.
+	// FromFuture tells that the id's time is ahead of the owner's clock.
 	FromFuture
-	// Full tells that the owner can't remember more ids; it hasn't run.
+	// Full tells that the owner can't remember more ids.
 	Full
 	// Moving tells that the claim is being handed over; ask again.
 	Moving
@@ -95,6 +95,8 @@
 type Judgement struct {
 	Verdict Verdict
 	Outcome *Outcome
+	// NotRun tells that no attempt with this id has run, and none that was asked for until now will.
+	NotRun bool
 }
 
 // Effect is something that the caller has to do.
@@ -123,8 +125,8 @@
 	Call CallID
 	// Verdict is the reason; zero where no owner could be asked.
 	Verdict Verdict
-	// NotRun tells that the request has run at no node. Without it only this attempt is known not to have run;
-	// an earlier one of the same id may have.
+	// NotRun tells that no attempt with this id has run, and none that was asked for until now will. Without it
+	// only this attempt is known not to have run; another one of the same id may have, or may yet.
 	NotRun     bool
 	RetryAfter clock.Duration
 }
--- /dev/null
+++ b/internal/deduplicator/world_test.go
@@ -0,0 +1,311 @@
+package deduplicator_test
+
+// Several entries and owners joined by messages that are lost, doubled and late. The claims themselves are
+// the world's: at each moment one machine holds a claim, at an epoch, and the others may not know.
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// CI must give the same verdict each time; -rapid.seed still draws anew.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
+const window = clock.Minute
+
+type machine struct {
+	id    identifier.Node
+	asker *deduplicator.Asker
+	owner *deduplicator.Owner
+	// skew is what its wall clock is ahead of the true time.
+	skew clock.Duration
+}
+
+type holding struct {
+	holder *machine
+	hold   deduplicator.Hold
+	next   *machine
+}
+
+type envelope struct {
+	due  clock.Time
+	from identifier.Node
+	send deduplicator.Send
+}
+
+type call struct {
+	id          deduplicator.ID
+	fingerprint deduplicator.Fingerprint
+	entry       *machine
+	asked       clock.Time
+	permitted   clock.Time
+}
+
+// request is the oracle's account of one id with one fingerprint.
+type request struct {
+	runs      int
+	permitted clock.Time
+	outcome   int
+	// notRun is when a refusal last said that it had not run.
+	notRun clock.Time
+}
+
+type world struct {
+	rand     *rand.Rand
+	now      clock.Time
+	machines []*machine
+	claims   map[deduplicator.Claim]*holding
+	mail     []envelope
+	loss     float64
+	calls    map[deduplicator.CallID]*call
+	ready    []deduplicator.CallID
+	requests map[string]*request
+	started  int
+	fault    string
+	verdicts map[deduplicator.CallID]string
+	max      int
+}
+
+func newWorld(seed uint64, machines, maxRecords int) *world {
+	w := &world{
+		rand: rand.New(rand.NewPCG(seed, 3)), now: 1, max: maxRecords,
+		claims: map[deduplicator.Claim]*holding{}, calls: map[deduplicator.CallID]*call{},
+		requests: map[string]*request{}, verdicts: map[deduplicator.CallID]string{},
+	}
+	for range machines {
+		w.machines = append(w.machines, w.start())
+	}
+	return w
+}
+
+func (w *world) start() *machine {
+	w.started++
+	id := identifier.Node(fmt.Sprintf("n%d", w.started))
+	return &machine{
+		id: id, skew: clock.Duration(w.rand.IntN(501) - 250),
+		asker: deduplicator.NewAsker(deduplicator.AskerOptions{Node: id}),
+		owner: deduplicator.NewOwner(deduplicator.OwnerOptions{
+			Window: window, RunLimit: 10 * clock.Second, MaxRecords: w.max, MaxBodyBytes: 40,
+		}),
+	}
+}
+
+func (w *world) wall(m *machine) clock.Wall {
+	return clock.Wall(1_700_000_000_000 + int64(w.now) + int64(m.skew))
+}
+
+// newID returns a UUIDv7 of a caller whose clock is ahead by that much, or an opaque id.
+func (w *world) newID(ahead clock.Duration, kind int) deduplicator.ID {
+	var u uuid.UUID
+	binary.BigEndian.PutUint64(u[:8], uint64(1_700_000_000_000+int64(w.now)+int64(ahead))<<16)
+	binary.BigEndian.PutUint64(u[8:], w.rand.Uint64())
+	u[6] = 0x70
+	u[8] = 0x80 | u[8]&0x3f
+	text := [...]string{u.String(), "north:" + u.String(), fmt.Sprintf("order:%d", w.rand.Uint64())}[kind]
+	id, err := deduplicator.ParseID(text)
+	if err != nil {
+		panic(err)
+	}
+	return id
+}
+
+func (w *world) call(entry *machine, id deduplicator.ID, f deduplicator.Fingerprint) deduplicator.CallID {
+	c := deduplicator.CallID(len(w.calls) + 1)
+	w.calls[c] = &call{id: id, fingerprint: f, entry: entry, asked: w.now}
+	w.perform(entry, entry.asker.Ask(c, "team", id, f, w.now.Add(30*clock.Second), w.now, w.wall(entry)))
+	return c
+}
+
+func (w *world) requestOf(c *call) *request {
+	key := fmt.Sprint(c.id.Text, " ", c.fingerprint)
+	if w.requests[key] == nil {
+		w.requests[key] = &request{}
+	}
+	return w.requests[key]
+}
+
+func (w *world) perform(m *machine, effects []deduplicator.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case deduplicator.Send:
+			w.send(m, e)
+		case deduplicator.Permit:
+			w.ready = append(w.ready, e.Call)
+			w.verdicts[e.Call] = "permit"
+			w.calls[e.Call].permitted = w.now
+		case deduplicator.Replay:
+			w.verdicts[e.Call] = "replay"
+			r := w.requestOf(w.calls[e.Call])
+			if r.outcome == 0 || e.Outcome.Status != r.outcome || e.Outcome.Unknown {
+				w.fault = fmt.Sprintf("replayed %d, recorded %d", e.Outcome.Status, r.outcome)
+			}
+		case deduplicator.Refuse:
+			w.verdicts[e.Call] = e.Verdict.String()
+			r := w.requestOf(w.calls[e.Call])
+			if e.NotRun && r.runs > 0 {
+				w.fault = fmt.Sprintf("refused as not run (%s), ran %d times", e.Verdict, r.runs)
+			}
+			if e.NotRun {
+				r.notRun = w.now
+			}
+		}
+	}
+}
+
+// run sends a permitted request to its backend server.
+func (w *world) run(id deduplicator.CallID) {
+	c := w.calls[id]
+	r := w.requestOf(c)
+	r.runs++
+	all := 0
+	for f := range deduplicator.Fingerprint(3) {
+		if o := w.requests[fmt.Sprint(c.id.Text, " ", f)]; o != nil {
+			all += o.runs
+		}
+	}
+	if all > 1 && (c.id.Timed || c.asked.Sub(r.permitted) < window) {
+		w.fault = fmt.Sprintf("%s ran twice", c.id.Text)
+	}
+	if r.notRun > c.asked {
+		w.fault = fmt.Sprintf("%s ran by an attempt older than a refusal as not run", c.id.Text)
+	}
+	r.permitted = c.permitted
+}
+
+func (w *world) finish(id deduplicator.CallID, unknown bool) {
+	c := w.calls[id]
+	r := w.requestOf(c)
+	o := deduplicator.Outcome{Unknown: unknown, Status: 200 + int(id), Body: make([]byte, 15)}
+	if !unknown {
+		r.outcome = o.Status
+	}
+	w.perform(c.entry, c.entry.asker.Finish(id, o, w.now))
+}
+
+func (w *world) send(from *machine, e deduplicator.Send) {
+	copies := 1
+	if w.loss > 0 && w.rand.IntN(10) == 0 {
+		copies = 2
+	}
+	for range copies {
+		if w.rand.Float64() < w.loss {
+			continue
+		}
+		delay := clock.Duration(1 + w.rand.IntN(3))
+		if w.loss > 0 && w.rand.IntN(4) == 0 {
+			delay = clock.Duration(w.rand.IntN(20_000))
+		}
+		w.mail = append(w.mail, envelope{due: w.now.Add(delay), from: from.id, send: e})
+	}
+}
+
+func (w *world) find(id identifier.Node) *machine {
+	for _, m := range w.machines {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (w *world) holding(c deduplicator.Claim) *holding {
+	if w.claims[c] == nil {
+		m := w.machines[0]
+		w.claims[c] = &holding{holder: m, hold: deduplicator.Hold{Claim: c, Epoch: 1, Gained: w.wall(m), First: true}}
+	}
+	return w.claims[c]
+}
+
+// take lets a machine hold a claim at the next epoch; the old holder isn't told.
+func (w *world) take(h *holding, m *machine) {
+	h.holder, h.next = m, nil
+	h.hold = deduplicator.Hold{Claim: h.hold.Claim, Epoch: h.hold.Epoch + 1, Gained: w.wall(m)}
+}
+
+func (w *world) export(h *holding) {
+	for _, part := range h.holder.owner.Export(h.hold, w.now) {
+		w.send(h.holder, deduplicator.Send{To: h.next.id, Message: part})
+	}
+}
+
+func (w *world) wait(span clock.Duration) {
+	for end := w.now.Add(span); w.now < end; w.now++ {
+		due := w.mail
+		w.mail = nil
+		var rest []envelope
+		for _, e := range due {
+			if e.due > w.now {
+				rest = append(rest, e)
+				continue
+			}
+			w.deliver(e)
+		}
+		w.mail = append(w.mail, rest...)
+		if w.now%50 == 0 {
+			w.tick()
+		}
+	}
+}
+
+func (w *world) deliver(e envelope) {
+	to := w.find(e.send.To)
+	if e.send.Claim != "" {
+		to = w.holding(e.send.Claim).holder
+		if w.rand.IntN(10) == 0 {
+			to = w.machines[w.rand.IntN(len(w.machines))]
+		}
+	}
+	if to == nil {
+		return
+	}
+	if answer, ok := e.send.Message.(deduplicator.HandoverAnswer); ok {
+		h := w.holding(answer.Claim)
+		if h.holder == to && h.hold.Epoch == answer.Epoch && h.next != nil {
+			w.take(h, h.next)
+		}
+		return
+	}
+	if claim, ok := deduplicator.ClaimOfMessage(e.send.Message); ok {
+		h := w.holding(claim)
+		hold := h.hold
+		hold.Claim = claim
+		w.perform(to, to.owner.Receive(e.from, e.send.Message, hold, h.holder == to, w.now, w.wall(to)))
+		return
+	}
+	if part, ok := e.send.Message.(deduplicator.Handover); ok {
+		w.perform(to, to.owner.Receive(e.from, part, deduplicator.Hold{}, false, w.now, w.wall(to)))
+		return
+	}
+	w.perform(to, to.asker.Receive(e.send.Message, w.now))
+}
+
+func (w *world) tick() {
+	for _, m := range w.machines {
+		w.perform(m, m.asker.Tick(w.now))
+		m.owner.Tick(w.now, w.wall(m))
+	}
+	if w.now%500 != 0 {
+		return
+	}
+	for _, c := range append(deduplicator.Claims(""), deduplicator.Claims("north")...) {
+		if h := w.claims[c]; h != nil && h.next != nil {
+			w.export(h)
+		}
+	}
+}
--- a/internal/encoder/idempotency.go
+++ b/internal/encoder/idempotency.go
@@ -48,6 +48,7 @@
 	ID          string
 	Fingerprint uint64
 	Attempt     attemptWire
+	Asked       int64
 }
 
 type beginAnswerWire struct {
@@ -55,6 +56,7 @@
 	Attempt attemptWire
 	Verdict uint8
 	Outcome *recordedOutcomeWire
+	NotRun  bool
 }
 
 type finishReportWire struct {
@@ -102,6 +104,7 @@
 	UnknownUpTo int64
 	OpaqueUntil int64
 	High        int64
+	RefusedAt   int64
 }
 
 type handoverAnswerWire struct {
@@ -168,6 +171,7 @@
 		ID:          string(m.ID),
 		Fingerprint: uint64(m.Fingerprint),
 		Attempt:     attemptToWire(m.Attempt),
+		Asked:       int64(m.Asked),
 	}
 }
 
@@ -178,6 +182,7 @@
 		ID:          identifier.Idempotency(w.ID),
 		Fingerprint: deduplicator.Fingerprint(w.Fingerprint),
 		Attempt:     attemptFromWire(w.Attempt),
+		Asked:       clock.Wall(w.Asked),
 	}
 }
 
@@ -186,6 +191,7 @@
 		Attempt: attemptToWire(m.Attempt),
 		Verdict: uint8(m.Verdict),
 		Outcome: mapPointer(m.Outcome, recordedOutcomeToWire),
+		NotRun:  m.NotRun,
 	}
 }
 
@@ -194,6 +200,7 @@
 		Attempt: attemptFromWire(w.Attempt),
 		Verdict: deduplicator.Verdict(w.Verdict),
 		Outcome: mapPointer(w.Outcome, recordedOutcomeFromWire),
+		NotRun:  w.NotRun,
 	}
 }
 
@@ -266,6 +273,7 @@
 		UnknownUpTo: int64(m.UnknownUpTo),
 		OpaqueUntil: int64(m.OpaqueUntil),
 		High:        int64(m.High),
+		RefusedAt:   int64(m.RefusedAt),
 	}
 }
 
@@ -290,6 +298,7 @@
 		UnknownUpTo: clock.Wall(w.UnknownUpTo),
 		OpaqueUntil: clock.Wall(w.OpaqueUntil),
 		High:        clock.Wall(w.High),
+		RefusedAt:   clock.Wall(w.RefusedAt),
 	}
 }
 
