--- a/cmd/jackdawtide/hooks.go
+++ b/cmd/jackdawtide/hooks.go
@@ -11,5 +11,6 @@
 	return commander.Hooks{
 		Node:    runner.Node,
 		Backend: runner.Backend,
+		Demo:    runner.Demo,
 	}
 }
--- /dev/null
+++ b/internal/demonstrator/promises.go
@@ -0,0 +1,341 @@
+// Each promise is judged by a function of its own from the account alone, so that a test can break each one and see
+// its check tell. A promise whose case did not arise counts as not held: a demo without overload shows nothing about
+// overload.
+//
+// Example: a POST whose id was started twice breaks atMostOnce, with "1 of 240 ids ran twice" as the evidence.
+
+package demonstrator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+)
+
+const (
+	// soon bounds what has to happen "within seconds".
+	soon = 2 * time.Second
+	// urgentLeast is the part of urgent requests that must be answered under overload.
+	urgentLeast = 0.9
+	// shedLeast is the part of the least important requests that an overload worth the name makes the fleet shed.
+	shedLeast = 0.2
+	// shareTolerance is by how much a more important class may fare worse than a less important one, by chance.
+	shareTolerance = 0.03
+	// recoveredLeast is the part of the goodput before the overload that must be back after it.
+	recoveredLeast = 0.95
+)
+
+// Promise is one promise and whether it held.
+type Promise struct {
+	Name     string `json:"name"`
+	Text     string `json:"text"`
+	Held     bool   `json:"held"`
+	Evidence string `json:"evidence"`
+}
+
+type check struct {
+	name, text string
+	judge      func(*account) (held bool, evidence string)
+}
+
+var checks = []check{
+	{"nothingLost", "Every request is answered or refused; none is lost or cut short.", judgeLost},
+	{"wholeAnswers", "Every caller gets the whole answer to its own request.", judgeWhole},
+	{"urgentLast", "Under overload the most important requests are shed last.", judgeUrgent},
+	{"rateHeld", "No team receives more than its rate and burst, over all VMs together.", judgeRate},
+	{"notRun", "A refusal that says \"not run\" is true.", judgeNotRun},
+	{"atMostOnce", "A non-idempotent request runs at most once, and a retry gets the first outcome.", judgeOnce},
+	{"retriesBounded", "Retries of a request stay within its allowance.", judgeRetries},
+	{"keyUnseen", "No backend server ever sees a key.", judgeKey},
+	{"keyWithdrawn", "A withdrawn key stops working within seconds.", judgeWithdrawn},
+	{"inForce", "An accepted configuration is in force everywhere within seconds and never reverts.", judgeInForce},
+	{"drained", "A backend server that is leaving receives no new work after a few seconds.", judgeDrained},
+	{"plannedStop", "An upload through a planned stop finishes.", judgeUpload},
+	{"deadlines", "No caller waits past its deadline.", judgeDeadlines},
+	{"recovered", "Goodput is back soon after the overload.", judgeRecovered},
+}
+
+func judgeAll(a *account) []Promise {
+	promises := make([]Promise, 0, len(checks))
+	for _, c := range checks {
+		held, evidence := c.judge(a)
+		promises = append(promises, Promise{Name: c.name, Text: c.text, Held: held, Evidence: evidence})
+	}
+	return promises
+}
+
+func judgeLost(a *account) (bool, string) {
+	lost, example := 0, ""
+	for _, o := range a.outcomes {
+		if o.failure != "" || !o.answered() && !o.refused() {
+			lost++
+			example = fmt.Sprintf(", such as %s %s: status %d %s", o.request.method, o.request.path, o.status, o.failure)
+		}
+	}
+	return lost == 0 && len(a.outcomes) > 0, fmt.Sprintf("%d of %d requests without an answer or a refusal%s", lost, len(a.outcomes), example)
+}
+
+func judgeWhole(a *account) (bool, string) {
+	wrong, answers := 0, 0
+	for _, o := range a.outcomes {
+		if !o.answered() || o.replayed {
+			continue
+		}
+		answers++
+		if !o.isWhole() {
+			wrong++
+		}
+	}
+	return wrong == 0 && answers > 0, fmt.Sprintf("%d of %d answers were not whole or not the caller's own", wrong, answers)
+}
+
+// isWhole compares the answer with the request: its service, path, size and id, and each nested service's part.
+func (o *outcome) isWhole() bool {
+	want := fmt.Sprintf("%s %s %s got %d bytes for %s", o.request.service, o.request.method, o.request.path, o.size, o.requestID)
+	if !strings.HasPrefix(o.text, want) {
+		return false
+	}
+	for _, s := range o.request.chain {
+		if !strings.Contains(o.text, "["+s+" ") {
+			return false
+		}
+	}
+	return strings.HasSuffix(o.text, strings.Repeat("]", len(o.request.chain)))
+}
+
+// judgeUrgent leaves out the team over its rate and the one without a key: they are refused for other reasons.
+func judgeUrgent(a *account) (bool, string) {
+	var sent, spared, shed [4]float64
+	for _, o := range a.outcomes {
+		if o.phase != overload || o.team == a.flooding || o.team == a.withdrawn {
+			continue
+		}
+		sent[o.class]++
+		if !o.fellToOverload() {
+			spared[o.class]++
+		}
+		if o.reason == string(reducer.Shed) {
+			shed[o.class]++
+		}
+	}
+	held := sent[identifier.Low] > 0 && shed[identifier.Low] >= shedLeast*sent[identifier.Low]
+	var parts []string
+	above := 1.0
+	for _, p := range identifier.Priorities {
+		if sent[p] == 0 {
+			continue
+		}
+		share := spared[p] / sent[p]
+		parts = append(parts, fmt.Sprintf("%s %.1f%%", p, 100*share))
+		held = held && share <= above+shareTolerance
+		above = min(above, share)
+	}
+	held = held && spared[identifier.Urgent] >= urgentLeast*sent[identifier.Urgent] && sent[identifier.Urgent] > 0
+	return held, "not shed under overload: " + strings.Join(parts, ", ")
+}
+
+// fellToOverload tells that a request got no answer because of the load, and not for a reason of its own, such as an
+// idempotency id that is still in use.
+func (o *outcome) fellToOverload() bool {
+	switch reducer.Reason(o.reason) {
+	case reducer.Shed, reducer.DeadlinePassed, reducer.NoBackend, reducer.Unreachable, reducer.LostAnswer, reducer.TooManyRequests, backendError:
+		return true
+	default:
+		return o.failure != ""
+	}
+}
+
+func judgeRate(a *account) (bool, string) {
+	ran := make(map[identifier.Team]int)
+	counted := make(map[string]bool)
+	for _, o := range a.outcomes {
+		if a.runs[o.id] > 0 && !counted[o.id] {
+			counted[o.id] = true
+			ran[o.team]++
+		}
+	}
+	held := ran[a.flooding] > 0
+	for t, n := range ran {
+		held = held && float64(n) <= a.bound(t)
+	}
+	return held, fmt.Sprintf("%s, who asked for more: %d ran, at most %.0f were bought", a.flooding, ran[a.flooding], a.bound(a.flooding))
+}
+
+func (a *account) bound(t identifier.Team) float64 {
+	l := a.limits[t]
+	return l.burst + l.rate*a.duration.Seconds()
+}
+
+func judgeNotRun(a *account) (bool, string) {
+	said, wrong := 0, 0
+	ranOtherwise := make(map[string]bool)
+	for _, o := range a.outcomes {
+		if !o.refused() || !o.notRun {
+			ranOtherwise[o.id] = true
+		}
+	}
+	for _, o := range a.outcomes {
+		if !o.refused() || !o.notRun || ranOtherwise[o.id] {
+			continue
+		}
+		said++
+		if a.runs[o.id] > 0 {
+			wrong++
+		}
+	}
+	return wrong == 0 && said > 0, fmt.Sprintf("%d of %d requests refused as not run had run", wrong, said)
+}
+
+func judgeOnce(a *account) (bool, string) {
+	ids, twice, replays, differing, example := 0, 0, 0, 0, ""
+	first := make(map[string]string)
+	for _, o := range a.outcomes {
+		if o.idempotent {
+			continue
+		}
+		if !o.again {
+			ids++
+			if a.runs[o.id] > 1 {
+				twice++
+				example = fmt.Sprintf(", such as %s sent at %d ms", o.id, o.sent.Milliseconds())
+			}
+		}
+		if !o.answered() {
+			continue
+		}
+		if text, ok := first[o.id]; ok {
+			replays++
+			if text != o.text {
+				differing++
+			}
+		}
+		first[o.id] = o.text
+	}
+	held := ids > 0 && replays > 0 && twice == 0 && differing == 0
+	return held, fmt.Sprintf("%d of %d ids ran twice; %d of %d answers to a retry differed from the first%s", twice, ids, differing, replays, example)
+}
+
+func judgeRetries(a *account) (bool, string) {
+	most := 0
+	for _, n := range a.runs {
+		most = max(most, n)
+	}
+	return most > 0 && most <= 1+a.allowance, fmt.Sprintf("the most often that one request was started is %d, its allowance is %d retries", most, a.allowance)
+}
+
+func judgeKey(a *account) (bool, string) {
+	return len(a.keySeen) == 0, fmt.Sprintf("%d backend servers saw a key", len(a.keySeen))
+}
+
+func judgeWithdrawn(a *account) (bool, string) {
+	before, late, refused := 0, 0, 0
+	var last time.Duration
+	for _, o := range a.outcomes {
+		switch {
+		case o.team != a.withdrawn:
+		case o.reason == string(reducer.UnknownKey):
+			refused++
+		case o.answered() && o.sent < a.withdrawnAt:
+			before++
+		case o.answered():
+			last = max(last, o.sent-a.withdrawnAt)
+		}
+	}
+	for _, o := range a.outcomes {
+		if o.team == a.withdrawn && o.sent > a.withdrawnAt+soon && o.reason != string(reducer.UnknownKey) {
+			late++
+		}
+	}
+	held := before > 0 && refused > 0 && late == 0
+	return held, fmt.Sprintf("last use %d ms after the withdrawal; %d requests refused since", last.Milliseconds(), refused)
+}
+
+func judgeInForce(a *account) (bool, string) {
+	newest := make(map[string]identifier.Version)
+	reverted := 0
+	slowest := time.Duration(0)
+	reached := make(map[string]int)
+	slices.SortStableFunc(a.sightings, func(x, y sighting) int { return int(x.at - y.at) })
+	for _, s := range a.sightings {
+		if s.version < newest[s.node] {
+			reverted++
+		}
+		newest[s.node] = max(newest[s.node], s.version)
+		if n := reached[s.node]; n < len(a.switches) && s.version >= a.switches[n].version {
+			slowest = max(slowest, s.at-a.switches[n].at)
+			reached[s.node]++
+		}
+	}
+	lagging := 0
+	for node := range newest {
+		if reached[node] < a.expectedSwitches(node) {
+			lagging++
+		}
+	}
+	held := len(newest) > 0 && len(a.switches) > 0 && lagging == 0 && reverted == 0 && slowest <= soon
+	return held, fmt.Sprintf("%d switches at %d nodes, the slowest after %d ms; %d nodes lag, %d reverted",
+		len(a.switches), len(newest), slowest.Milliseconds(), lagging, reverted)
+}
+
+func (a *account) expectedSwitches(node string) int {
+	n := 0
+	for _, c := range a.switches {
+		if node != a.stopped || c.at+soon < a.stoppedAt {
+			n++
+		}
+	}
+	return n
+}
+
+func judgeDrained(a *account) (bool, string) {
+	d := a.drain
+	held := d.failure == "" && d.before > 0 && d.end == d.settled
+	return held, fmt.Sprintf("%d calls before, %d later than %s after leaving %s", d.before, d.end-d.settled, drainSettled, d.failure)
+}
+
+func judgeUpload(a *account) (bool, string) {
+	u := a.upload
+	whole := strings.Contains(u.text, fmt.Sprintf("got %d bytes", u.size))
+	held := u.failure == "" && u.stopFailure == "" && u.status == 200 && whole && u.stoppedAfter >= u.answeredAfter
+	return held, fmt.Sprintf("status %d, answered after %d ms, its node stopped after %d ms %s%s",
+		u.status, u.answeredAfter.Milliseconds(), u.stoppedAfter.Milliseconds(), u.failure, u.stopFailure)
+}
+
+func judgeDeadlines(a *account) (bool, string) {
+	late, worst := 0, time.Duration(0)
+	for _, o := range a.outcomes {
+		over := o.ended - o.sent - o.deadline
+		worst = max(worst, over)
+		if over > answerSlack {
+			late++
+		}
+	}
+	return late == 0 && len(a.outcomes) > 0, fmt.Sprintf("%d requests ended more than %s after their deadline, the worst %d ms after it", late, answerSlack, worst.Milliseconds())
+}
+
+func judgeRecovered(a *account) (bool, string) {
+	before, after := a.goodShare(calm), a.goodShare(recovered)
+	return before > 0 && after >= recoveredLeast*before, fmt.Sprintf("answered %.1f%% before and %.1f%% after", 100*before, 100*after)
+}
+
+// goodShare is the part of the requests answered, of teams that keep to their rate.
+func (a *account) goodShare(p phase) float64 {
+	sent, answered := 0, 0
+	for _, o := range a.outcomes {
+		if o.phase != p || o.team == a.flooding || o.team == a.withdrawn || o.again {
+			continue
+		}
+		sent++
+		if o.answered() {
+			answered++
+		}
+	}
+	if sent == 0 {
+		return 0
+	}
+	return float64(answered) / float64(sent)
+}
--- /dev/null
+++ b/internal/demonstrator/scenario.go
@@ -0,0 +1,264 @@
+// The day in its order. Each step only does something to the fleet and keeps the times; whether the promises held is
+// judged afterwards, in promises.go.
+//
+// Example: Run(ctx, "kitakaze") takes about 25 seconds and returns a Report.
+
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/inspector"
+	"github.com/jackdawtide/jackdawtide/internal/launcher"
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+// The lengths of the day's parts.
+const (
+	// warmUp lets a fleet that is seconds old become an ordinary one: its banks start empty, and ids made just before
+	// their owner took over are answered as unknown.
+	warmUp         = 2 * time.Second
+	calmLength     = 2 * time.Second
+	changeLength   = 1500 * time.Millisecond
+	drainSettled   = 2 * time.Second
+	drainLength    = 1500 * time.Millisecond
+	overloadLength = 4 * time.Second
+	settleLength   = 1500 * time.Millisecond
+	recoveryLength = 1500 * time.Millisecond
+	watchInterval  = 100 * time.Millisecond
+	// slowServiceTime is what a call to the overloaded service takes in place of its usual 4 ms.
+	slowServiceTime = 60 * time.Millisecond
+)
+
+// The upload goes on for some seconds, so that the node it passes through is stopped in the middle of it.
+const (
+	uploadParts = 24
+	uploadPart  = 64 << 10
+	uploadPause = 100 * time.Millisecond
+	stopAfter   = 800 * time.Millisecond
+)
+
+type scenario struct {
+	fleet    *launcher.Fleet
+	plan     launcher.Plan
+	story    story
+	callers  *callers
+	backends []*responder.Server
+	slow     []*responder.Server
+
+	mu      sync.Mutex
+	account account
+	side    sync.WaitGroup
+}
+
+// Run launches a fleet shaped after the deployment, lives through the day and judges it.
+func Run(ctx context.Context, deployment string) (Report, error) {
+	plan, err := launcher.PlanOf(deployment)
+	if err != nil {
+		return Report{}, err
+	}
+	fleet, err := launcher.Start(ctx, launcher.Options{Plan: plan, Seed: 1})
+	if err != nil {
+		return Report{}, err
+	}
+	defer fleet.Close()
+	if err := pause(ctx, warmUp); err != nil {
+		return Report{}, err
+	}
+	s := &scenario{fleet: fleet, plan: plan, story: storyOf(deployment)}
+	if err := s.live(ctx); err != nil {
+		return Report{}, err
+	}
+	return newReport(plan, s.account), nil
+}
+
+func (s *scenario) live(ctx context.Context) error {
+	entries := make([]string, 0, len(s.fleet.Members))
+	for _, m := range s.fleet.Members {
+		entries = append(entries, m.CallerURL())
+		s.backends = append(s.backends, m.Backend)
+		if m.Service.Name == string(s.story.slow) {
+			s.slow = append(s.slow, m.Backend)
+		}
+	}
+	s.callers = newCallers(s.fleet.Keys, entries)
+	s.callers.preset.Store(&s.plan.Presets[0])
+	s.account.flooding, s.account.withdrawn = s.story.flooding, s.story.withdrawn
+	traffic, stopTraffic := context.WithCancel(ctx)
+	defer stopTraffic()
+	for _, st := range s.story.streams {
+		s.callers.run(traffic, st)
+	}
+	s.side.Go(func() { s.watch(traffic) })
+	err := s.steps(ctx)
+	stopTraffic()
+	s.callers.wait()
+	s.side.Wait()
+	s.close()
+	return err
+}
+
+func (s *scenario) steps(ctx context.Context) error {
+	for _, step := range []func(context.Context) error{
+		func(ctx context.Context) error { return pause(ctx, calmLength) },
+		func(ctx context.Context) error { s.callers.setPhase(changes); return s.switchTo(ctx, 1) },
+		s.withdraw,
+		s.drainAndStop,
+		func(ctx context.Context) error { return s.switchTo(ctx, 0) },
+		s.overload,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *scenario) switchTo(ctx context.Context, preset int) error {
+	p := &s.plan.Presets[preset]
+	v, err := s.fleet.Switch(ctx, p.Name)
+	if err != nil {
+		return err
+	}
+	s.account.switches = append(s.account.switches, change{at: s.callers.now(), version: v})
+	s.callers.preset.Store(p)
+	return pause(ctx, changeLength)
+}
+
+func (s *scenario) withdraw(ctx context.Context) error {
+	if err := s.fleet.Withdraw(ctx, s.fleet.Keys[s.story.withdrawn]); err != nil {
+		return err
+	}
+	s.account.withdrawnAt = s.callers.now()
+	return nil
+}
+
+// drainAndStop lets one backend server leave, stops another's node under an upload, and replaces the first.
+func (s *scenario) drainAndStop(ctx context.Context) error {
+	s.side.Go(func() { s.uploadThroughStop(ctx) })
+	m, err := s.member(s.story.drained)
+	if err != nil {
+		return err
+	}
+	d := &s.account.drain
+	leaving := m.Backend
+	d.before = leaving.Arrived()
+	if err := leaving.Drain(ctx); err != nil {
+		d.failure = err.Error()
+	}
+	if err := pause(ctx, drainSettled); err != nil {
+		return err
+	}
+	d.settled = leaving.Arrived()
+	if err := pause(ctx, drainLength); err != nil {
+		return err
+	}
+	d.end = leaving.Arrived()
+	if err := s.fleet.StartBackend(ctx, m); err != nil {
+		return err
+	}
+	s.backends = append(s.backends, m.Backend)
+	return nil
+}
+
+func (s *scenario) member(name string) (*launcher.Member, error) {
+	for _, m := range s.fleet.Members {
+		if m.Name == name {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("demo: no VM %q in the plan", name)
+}
+
+func (s *scenario) overload(ctx context.Context) error {
+	s.callers.setPhase(overload)
+	usual := make(map[*responder.Server]time.Duration)
+	for _, m := range s.fleet.Members {
+		usual[m.Backend] = m.Service.ServiceTime
+	}
+	for _, b := range s.slow {
+		b.SetServiceTime(slowServiceTime)
+	}
+	err := pause(ctx, overloadLength)
+	for _, b := range s.slow {
+		b.SetServiceTime(usual[b])
+	}
+	if err != nil {
+		return err
+	}
+	s.callers.setPhase(settling)
+	if err := pause(ctx, settleLength); err != nil {
+		return err
+	}
+	s.callers.setPhase(recovered)
+	return pause(ctx, recoveryLength)
+}
+
+// watch asks every node again and again which version is in force there.
+func (s *scenario) watch(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, m := range s.fleet.Members {
+		c, err := inspector.NewClient(m.AdminURL(), http.DefaultClient)
+		if err != nil {
+			continue
+		}
+		group.Go(func() { s.watchNode(ctx, m.Name, c) })
+	}
+	group.Wait()
+}
+
+func (s *scenario) watchNode(ctx context.Context, name string, c *inspector.Client) {
+	for pause(ctx, watchInterval) == nil {
+		st, err := c.Status(ctx)
+		if err != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.account.sightings = append(s.account.sightings, sighting{
+			node: name, at: s.callers.now(), version: identifier.Version(st.Self.Version),
+		})
+		s.mu.Unlock()
+	}
+}
+
+// close gathers the accounts of callers and backend servers.
+func (s *scenario) close() {
+	a := &s.account
+	a.outcomes = s.callers.outcomes
+	a.duration = s.callers.now()
+	a.runs = make(map[string]int)
+	for _, b := range s.backends {
+		for id, n := range b.Runs() {
+			a.runs[id] += n
+		}
+		if b.SawKey() {
+			a.keySeen = append(a.keySeen, b.Address())
+		}
+	}
+	a.limits = make(map[identifier.Team]limit)
+	for _, p := range s.plan.Presets[:2] {
+		a.allowance = max(a.allowance, int(p.RetryAllowance))
+		for _, t := range p.Teams {
+			l := a.limits[t.Name]
+			l.rate = max(l.rate, float64(t.Rate)/float64(identifier.TokensPerCall))
+			l.burst = max(l.burst, float64(t.Burst)/float64(identifier.TokensPerCall))
+			a.limits[t.Name] = l
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/demonstrator/story.go
@@ -0,0 +1,145 @@
+// Both deployments live through the same day, told with their own services and teams: an urgent lookup, a chain three
+// deep, a booking that must run at most once, a search that can wait, an upload, and one team that asks for far more
+// than it bought.
+//
+// Example: in "kitakaze" the urgent lookup is GET /ice/bulletins, and surveyors are the team over its rate.
+
+package demonstrator
+
+import (
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// request is one kind of request.
+type request struct {
+	method  string
+	service identifier.Service
+	path    string
+	// chain are the services whose parts a whole answer holds.
+	chain []string
+	// maxBody is the size of the largest body sent; sizes vary, so that a crossed answer shows.
+	maxBody int
+}
+
+// stream is one team's steady flow of one kind of request.
+type stream struct {
+	team     identifier.Team
+	request  request
+	rate     float64
+	deadline time.Duration
+	// surge is the rate during the overload; 0 keeps the rate.
+	surge float64
+	// repeats makes the caller send every other request twice with the same idempotency id.
+	repeats bool
+}
+
+// story is a deployment's day.
+type story struct {
+	streams []stream
+	// flooding sends several times its rate, and withdrawn loses its key.
+	flooding  identifier.Team
+	withdrawn identifier.Team
+	// slow is the service that is overloaded, drained the endpoint that leaves, and stopped the node that does.
+	slow    identifier.Service
+	drained string
+	stopped string
+	upload  request
+	// uploader is the team that uploads through the planned stop.
+	uploader identifier.Team
+}
+
+const (
+	patient   = 2 * time.Second
+	impatient = 500 * time.Millisecond
+	smallBody = 2 << 10
+)
+
+// names are what a deployment calls the parts of the day.
+type names struct {
+	urgent, chained, booking, search, listing, upload request
+	urgentTeams                                       [2]identifier.Team
+	bookers, browsers, surging, flooding, withdrawn   identifier.Team
+	drained, stopped                                  string
+}
+
+func storyOf(deployment string) story {
+	n := kitakaze
+	if deployment == "concordia" {
+		n = concordia
+	}
+	return story{
+		streams: []stream{
+			{team: n.urgentTeams[0], request: n.urgent, rate: 30, deadline: patient},
+			{team: n.urgentTeams[1], request: n.urgent, rate: 20, deadline: patient},
+			{team: n.bookers, request: n.booking, rate: 12, deadline: patient, repeats: true},
+			{team: n.browsers, request: n.chained, rate: 40, deadline: patient},
+			{team: n.browsers, request: n.search, rate: 30, deadline: impatient},
+			{team: n.surging, request: n.search, rate: 30, surge: 300, deadline: impatient},
+			{team: n.flooding, request: n.search, rate: 200, deadline: impatient},
+			{team: n.withdrawn, request: n.listing, rate: 20, deadline: patient},
+		},
+		flooding:  n.flooding,
+		withdrawn: n.withdrawn,
+		slow:      n.urgent.service,
+		drained:   n.drained,
+		stopped:   n.stopped,
+		upload:    n.upload,
+		uploader:  n.bookers,
+	}
+}
+
+var kitakaze = names{
+	urgent:      request{method: "GET", service: "ice", path: "/bulletins"},
+	chained:     request{method: "GET", service: "bookings", path: "/mine", chain: []string{"slotBoard", "ice"}},
+	booking:     request{method: "POST", service: "bookings", path: "/escorts", chain: []string{"slotBoard", "ice"}, maxBody: smallBody},
+	search:      request{method: "GET", service: "slotBoard", path: "/search", chain: []string{"ice"}},
+	listing:     request{method: "GET", service: "slotBoard", path: "/slots", chain: []string{"ice"}},
+	upload:      request{method: "POST", service: "manifests", path: "/manifests"},
+	urgentTeams: [2]identifier.Team{"captains", "harbourMasters"},
+	bookers:     "captains",
+	browsers:    "okhotskAgents",
+	surging:     "hokkaidoAgents",
+	flooding:    "surveyors",
+	withdrawn:   "tankerLines",
+	drained:     "slotBoard-2",
+	stopped:     "manifests-1",
+}
+
+var concordia = names{
+	urgent:      request{method: "GET", service: "prayerTimes", path: "/fastTimes"},
+	chained:     request{method: "GET", service: "orders", path: "/mine", chain: []string{"portal", "prayerTimes"}},
+	booking:     request{method: "POST", service: "orders", path: "/orders", chain: []string{"portal", "prayerTimes"}, maxBody: smallBody},
+	search:      request{method: "GET", service: "portal", path: "/search", chain: []string{"prayerTimes"}},
+	listing:     request{method: "GET", service: "portal", path: "/observances", chain: []string{"prayerTimes"}},
+	upload:      request{method: "POST", service: "uploads", path: "/tables"},
+	urgentTeams: [2]identifier.Team{"clergy", "synagogues"},
+	bookers:     "communityGroups",
+	browsers:    "parishes",
+	surging:     "schools",
+	flooding:    "printers",
+	withdrawn:   "mosques",
+	drained:     "portal-2",
+	stopped:     "uploads-1",
+}
+
+// ruleOf returns the class of a request under a preset, and whether it may run twice.
+func ruleOf(p definer.Preset, r request) (class identifier.Priority, idempotent bool) {
+	for _, s := range p.Services {
+		if s.Name != r.service {
+			continue
+		}
+		for _, route := range s.Routes {
+			if route.Method == r.method && isUnder(r.path, route.Prefix) {
+				return route.Priority, route.Idempotent
+			}
+		}
+	}
+	return identifier.Normal, r.method == "GET"
+}
+
+func isUnder(path, prefix string) bool {
+	return prefix == "/" || path == prefix || len(path) > len(prefix) && path[:len(prefix)+1] == prefix+"/"
+}
--- /dev/null
+++ b/internal/demonstrator/traffic.go
@@ -0,0 +1,216 @@
+// Callers send by the clock, not one after the other: a caller who waits for each answer would hide an overload.
+//
+// Example: a stream of 30 a second sends every 33 ms, each request in a goroutine of its own and by another node.
+
+package demonstrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/deliverer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/receiver"
+)
+
+const (
+	// answerSlack is how much later than its deadline an answer may reach a caller on a busy machine.
+	answerSlack   = 500 * time.Millisecond
+	callerTimeout = 10 * time.Second
+	connections   = 512
+	maxAnswer     = 1 << 20
+)
+
+// callers send requests and keep the account of them.
+type callers struct {
+	keys    map[identifier.Team]string
+	client  *http.Client
+	started time.Time
+	phase   atomic.Uint32
+	preset  atomic.Pointer[definer.Preset]
+
+	mu       sync.Mutex
+	entries  []string
+	outcomes []outcome
+	group    sync.WaitGroup
+}
+
+func newCallers(keys map[identifier.Team]string, entries []string) *callers {
+	return &callers{
+		keys:    keys,
+		entries: entries,
+		started: time.Now(),
+		client: &http.Client{
+			Timeout:   callerTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: connections, IdleConnTimeout: callerTimeout},
+		},
+	}
+}
+
+func (c *callers) now() time.Duration { return time.Since(c.started) }
+
+func (c *callers) setPhase(p phase) { c.phase.Store(uint32(p)) }
+
+// avoid takes a node off the callers' list.
+func (c *callers) avoid(entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = slices.DeleteFunc(slices.Clone(c.entries), func(e string) bool { return e == entry })
+}
+
+func (c *callers) entry() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[rand.IntN(len(c.entries))]
+}
+
+func (c *callers) note(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+// run sends a stream's requests until ctx ends, and returns at once; wait waits for the last answers.
+func (c *callers) run(ctx context.Context, s stream) {
+	c.group.Go(func() {
+		next := time.Now()
+		for n := 0; ; n++ {
+			if !sleepUntil(ctx, next) {
+				return
+			}
+			next = next.Add(c.pause(s))
+			c.group.Go(func() { c.send(s, s.repeats && n%2 == 0) })
+		}
+	})
+}
+
+func (c *callers) pause(s stream) time.Duration {
+	rate := s.rate
+	if phase(c.phase.Load()) == overload && s.surge > 0 {
+		rate = s.surge
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
+func (c *callers) wait() { c.group.Wait() }
+
+func (c *callers) send(s stream, twice bool) {
+	o := c.newOutcome(s)
+	if !twice {
+		c.note(c.call(o))
+		return
+	}
+	// The second sending comes while the first is under way, by another node: the worst moment.
+	second := o
+	second.again = true
+	c.group.Go(func() {
+		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		c.note(c.call(second))
+	})
+	c.note(c.call(o))
+}
+
+func (c *callers) newOutcome(s stream) outcome {
+	class, idempotent := ruleOf(*c.preset.Load(), s.request)
+	o := outcome{
+		team:       s.team,
+		class:      class,
+		phase:      phase(c.phase.Load()),
+		request:    s.request,
+		id:         uuid.Must(uuid.NewV7()).String(),
+		idempotent: idempotent,
+		deadline:   s.deadline,
+	}
+	if s.request.maxBody > 0 {
+		o.size = 1 + rand.IntN(s.request.maxBody)
+	}
+	return o
+}
+
+func (c *callers) call(o outcome) outcome {
+	o.sent = c.now()
+	o.status, o.failure = 0, ""
+	resp, err := c.post(&o)
+	if err != nil {
+		o.failure = err.Error()
+		o.ended = c.now()
+		return o
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	o.ended = c.now()
+	if err != nil {
+		o.failure = err.Error()
+		return o
+	}
+	o.take(resp, text)
+	return o
+}
+
+func (c *callers) post(o *outcome) (*http.Response, error) {
+	url := c.entry() + "/" + string(o.request.service) + o.request.path
+	req, err := http.NewRequest(o.request.method, url, bytes.NewReader(make([]byte, o.size)))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.keys[o.team])
+	req.Header.Set(receiver.IdempotencyHeader, o.id)
+	req.Header.Set(deliverer.DeadlineHeader, strconv.FormatInt(o.deadline.Milliseconds(), 10))
+	return c.client.Do(req)
+}
+
+func (o *outcome) take(resp *http.Response, text []byte) {
+	o.status = resp.StatusCode
+	o.requestID = resp.Header.Get(deliverer.RequestIDHeader)
+	o.replayed = resp.Header.Get("Idempotent-Replayed") == "true"
+	o.text = string(text)
+	if resp.Header.Get("Content-Type") != "application/problem+json" {
+		o.takeError()
+		return
+	}
+	var p struct {
+		Reason string
+		NotRun bool
+	}
+	if err := json.Unmarshal(text, &p); err != nil || p.Reason == "" {
+		o.failure = "refusal without a reason: " + o.text
+		return
+	}
+	o.reason, o.notRun = p.Reason, p.NotRun
+}
+
+// backendError is the reason given here to an answer by which a backend server tells that its own nested call failed.
+const (
+	backendError     = "backendServerError"
+	backendErrorText = "nested call failed"
+)
+
+func (o *outcome) takeError() {
+	if o.status != http.StatusOK && strings.HasPrefix(o.text, backendErrorText) {
+		o.reason = backendError
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
