--- /dev/null
+++ b/pkg/announcer/page_test.go
@@ -0,0 +1,19 @@
+package announcer_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A maker of apps copies the example of the page. One that does not compile any more costs them their first hour.
+func TestPageShowsTheExample(t *testing.T) {
+	page, err := os.ReadFile("../../docs/BACKENDS.md")
+	assert.NilError(t, err)
+	code, err := os.ReadFile("example_test.go")
+	assert.NilError(t, err)
+	want := strings.NewReplacer("package announcer_test", "package main", "func Example()", "func main()").Replace(string(code))
+	assert.Assert(t, strings.Contains(string(page), "```go\n"+want+"```\n"), "the page's example differs from example_test.go")
+}
