granter: fair loans, shares that grow only when all others confirm, short waits

Cause: the fuzz found two successive changes of shares adding up to more than the rate (a domain that skipped one preset confirmed it by its version), and a bank with everything lent sending its purses away for 250 ms. Change: a confirmation now states the share in use; loans go by fair parts and are recalled when exceeded; purses of rare calls take no second call in advance.

--- a/internal/encoder/grants.go
+++ b/internal/encoder/grants.go
@@ -88,10 +88,11 @@
 }
 
 type sharesWire struct {
-	_       struct{} `cbor:",toarray"`
-	Slot    int
-	Domain  string
-	Version int64
+	_        struct{} `cbor:",toarray"`
+	Slot     int
+	Domain   string
+	Version  int64
+	PerMille int
 }
 
 func init() {
@@ -194,19 +195,21 @@
 }
 
 func queryToWire(m granter.SharesQuery) sharesWire {
-	return sharesWire{Slot: m.Slot, Domain: string(m.Domain), Version: int64(m.Version)}
+	return sharesWire{Slot: m.Slot, Domain: string(m.Domain), Version: int64(m.Version), PerMille: m.PerMille}
 }
 
 func queryFromWire(w sharesWire) granter.SharesQuery {
 	return granter.SharesQuery{
 		Slot: w.Slot, Domain: identifier.FailureDomain(w.Domain), Version: identifier.Version(w.Version),
+		PerMille: w.PerMille,
 	}
 }
 
 func confirmToWire(m granter.SharesConfirm) sharesWire {
-	return queryToWire(granter.SharesQuery(m))
+	return queryToWire(granter.SharesQuery{Slot: m.Slot, Domain: m.Domain, Version: m.Version})
 }
 
 func confirmFromWire(w sharesWire) granter.SharesConfirm {
-	return granter.SharesConfirm(queryFromWire(w))
+	q := queryFromWire(w)
+	return granter.SharesConfirm{Slot: q.Slot, Domain: q.Domain, Version: q.Version}
 }
--- a/internal/granter/asker.go
+++ b/internal/granter/asker.go
@@ -24,7 +24,7 @@
 )
 
 // orderDomains fixes whom each purse asks. A team whose burst comes to less than two calls in some domain can't be
-// served from shares, so all nodes ask the same domain's bank first, and that borrows from the others. Otherwise
+// served from shares, so all nodes ask the bank with the largest share first, and that borrows from the others. Otherwise
 // two domains with half a call each would wait for one another for ever.
 func (g *Granter) orderDomains() {
 	for _, p := range g.sorted {
@@ -44,6 +44,9 @@
 					return 1
 				}
 			}
+			if d := g.shares.latest(b.name) - g.shares.latest(a.name); d != 0 {
+				return d
+			}
 			return compareScores(p.team, a.name, b.name)
 		})
 	}
@@ -192,9 +195,9 @@
 	if parked == 0 && have >= store/2 {
 		return 0
 	}
-	missing := store + parked - have
-	calls := (missing + identifier.TokensPerCall - 1) / identifier.TokensPerCall
-	return max(calls, 0) * identifier.TokensPerCall
+	// Rounding up would let a node with a rare call take a second one that another node is waiting for.
+	store -= store % identifier.TokensPerCall
+	return max(store+parked-have, 0)
 }
 
 // receiveGrant takes the answer to the latest request only, and nothing from a holder that is known to be replaced.
--- a/internal/granter/bank.go
+++ b/internal/granter/bank.go
@@ -44,7 +44,9 @@
 	number uint64
 	demand identifier.Tokens
 	askAt  clock.Time
-	slices []outstanding
+	// unmetAt is when it last asked and got nothing.
+	unmetAt clock.Time
+	slices  []outstanding
 }
 
 type account struct {
@@ -53,6 +55,8 @@
 	rate   identifier.Tokens
 	cap    identifier.Tokens
 	pooled bool
+	// home tells that all nodes ask this domain's bank for the pooled team.
+	home bool
 
 	bucket      identifier.Tokens
 	fraction    identifier.Tokens
@@ -119,12 +123,13 @@
 }
 
 func (g *Granter) setBase(b *bank, a *account) {
-	a.rate, a.cap, a.pooled = 0, 0, false
+	a.rate, a.cap, a.pooled, a.home = 0, 0, false, false
 	if p := g.purses[a.team]; p != nil {
 		share := identifier.Tokens(g.share(b))
 		a.rate = p.rate * share / 1000
 		a.cap = p.burst * share / 1000
 		a.pooled = p.pooled
+		a.home = p.pooled && p.order[0].name == g.options.Domain
 	}
 }
 
@@ -187,7 +192,7 @@
 		return strings.Compare(string(c.node), string(n))
 	})
 	if !ok {
-		a.clients = slices.Insert(a.clients, i, &client{node: n})
+		a.clients = slices.Insert(a.clients, i, &client{node: n, unmetAt: -clock.Time(hungerTerm)})
 	}
 	return a.clients[i]
 }
@@ -240,7 +245,9 @@
 	amount := min(m.Want, a.bucket, largest)
 	amount -= amount % identifier.TokensPerCall
 	r := Grant{Team: m.Team, Domain: m.Domain, Number: m.Number, Epoch: b.epoch, Amount: amount}
+	c.unmetAt = now
 	if amount > 0 {
+		c.unmetAt = -clock.Time(hungerTerm)
 		a.bucket -= amount
 		a.outstanding += amount
 		c.slices = append(c.slices, outstanding{number: m.Number, amount: amount, until: now.Add(g.options.SliceTerm)})
@@ -259,12 +266,12 @@
 // retryIn spreads the purses that find the bucket empty over the time that it takes to refill.
 func (a *account) retryIn(now clock.Time) clock.Duration {
 	rate := a.refillRate()
-	if rate <= 0 || a.awaitsLoan(now) {
+	if rate <= 0 || a.lentCap() > 0 || a.awaitsLoan(now) {
 		return shortestRetryIn
 	}
 	asking := identifier.Tokens(0)
 	for _, c := range a.clients {
-		if now < c.askAt.Add(hungerTerm) {
+		if now < c.unmetAt.Add(hungerTerm) {
 			asking++
 		}
 	}
@@ -286,7 +293,7 @@
 
 // idle tells that the purses have nothing to ask for: they say so themselves when their calls stop.
 func (a *account) idle(now clock.Time) bool {
-	if a.pooled {
+	if a.home {
 		return now >= a.wantedAt.Add(pooledTerm)
 	}
 	return now >= a.wantedAt.Add(clientTerm) || a.demand(now) == 0 && now >= a.unmetAt.Add(shortestRetryIn)
--- a/internal/granter/borrower.go
+++ b/internal/granter/borrower.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// borrowPeriod is how often a lender is asked while it lends, soonBorrowPeriod while it answered with nothing new.
-	borrowPeriod     = 250 * clock.Millisecond
+	// requestsPerTerm is how often a lender is asked within a loan term; after an answer with nothing new it is asked
+	// again after soonBorrowPeriod if purses need it.
+	requestsPerTerm  = 8
 	soonBorrowPeriod = 20 * clock.Millisecond
 	// loanAnswerBound is how long purses are kept waiting for a lender's answer.
 	loanAnswerBound = 30 * clock.Millisecond
@@ -127,7 +128,7 @@
 	l.number = m.Number
 	l.askAt = now
 	l.asked = want > 0
-	l.nextAt = now.Add(borrowPeriod)
+	l.nextAt = now.Add(g.options.LoanTerm / requestsPerTerm)
 	g.send(l.node, m)
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -46,6 +46,7 @@
 func New(o Options) *Granter {
 	o.setDefaults()
 	g := &Granter{options: o, purses: map[identifier.Team]*purse{}}
+	g.domain(o.Domain)
 	for s := range o.Slots {
 		g.banks = append(g.banks, &bank{
 			slot: s, claim: ClaimName(o.Domain, s), accounts: map[identifier.Team]*account{},
@@ -54,8 +55,8 @@
 	return g
 }
 
-// SetTeams takes the teams and shares of the preset in force. before has the shares in force before the last
-// change of proportions, as far as the configuration still knows them.
+// SetTeams takes the teams and shares of the preset in force. before is for a node's first preset: the least share
+// of each domain in all presets in force within the claims' long term, or nil if the shares were always the same.
 func (g *Granter) SetTeams(teams []definer.Team, now, before []definer.DomainShare, v identifier.Version, at clock.Time) []Effect {
 	g.setShares(now, before, v, at)
 	fresh := make(map[identifier.Team]*purse, len(teams))
--- a/internal/granter/lender.go
+++ b/internal/granter/lender.go
@@ -205,7 +205,8 @@
 }
 
 func (g *Granter) lend(b *bank, a *account, l *lent, m LoanRequest, now clock.Time) {
-	targetCap, targetRate := g.target(a, l, now)
+	fairCap, fairRate := g.target(a, l, now)
+	targetCap, targetRate := fairCap, fairRate
 	heldCap, heldRate := l.held()
 	r := Loan{Team: m.Team, Domain: m.Domain, Number: m.Number, Epoch: b.epoch}
 	until := now.Add(g.options.LoanTerm)
@@ -240,7 +241,8 @@
 		r.Cap, r.Rate, r.Tokens = n.cap, n.rate, n.tokens
 	}
 	g.send(l.node, r)
-	if m.Unmet && (n.cap < targetCap-heldCap || n.rate < targetRate-heldRate) {
+	heldCap, heldRate = l.held()
+	if m.Unmet && (exceeds(fairCap, heldCap, a.cap) || exceeds(fairRate, heldRate, a.rate)) {
 		g.recall(a, now)
 	}
 }
--- a/internal/granter/messages.go
+++ b/internal/granter/messages.go
@@ -86,11 +86,13 @@
 	Rate   identifier.Tokens
 }
 
-// SharesQuery asks another domain's holder whether it goes by the shares of this version.
+// SharesQuery asks another domain's holder whether it uses no more than its share in this version.
 type SharesQuery struct {
 	Slot    int
 	Domain  identifier.FailureDomain
 	Version identifier.Version
+	// PerMille is the share of the domain asked.
+	PerMille int
 }
 
 // SharesConfirm answers a SharesQuery with yes.
--- a/internal/granter/shares.go
+++ b/internal/granter/shares.go
@@ -1,7 +1,7 @@
 // A preset reaches the nodes at different moments. While the domains' shares keep their proportion that does no
 // harm: each domain is at its share of the old or of the new rate. When proportions change, a domain that already
-// has its larger share would add to one that still has its old one, so a share grows only after every domain that
-// must shrink has confirmed, or after its holder has certainly stopped.
+// has its larger share would add to one that still has its old one, so a share grows only after every other domain
+// has confirmed that it uses no more than its new one, or after its holder has certainly stopped.
 //
 // Example: alfa goes from 250 to 500 per mille and bravo from 500 to 250. The holders at alfa ask the holders at
 // bravo every 250 ms; these answer when they are at 250 and nothing lent out of the 500 is left.
@@ -57,56 +57,50 @@
 	return s
 }
 
+// setShares starts from what each bank uses at this moment. A node that begins with this preset can't know that; it
+// takes the least share that the preset's predecessors may have left its domain with.
 func (g *Granter) setShares(now, before []definer.DomainShare, v identifier.Version, at clock.Time) {
-	old := g.shares.domains
-	if !g.shares.known {
-		old = before
-	}
-	first := !g.shares.known && before == nil
+	own := g.options.Domain
+	unchanged := g.shares.known && slices.Equal(g.shares.domains, now)
 	used := make([]int, len(g.banks))
 	for i, b := range g.banks {
-		used[i] = shareOf(old, g.options.Domain)
-		if b.growth != nil {
+		switch {
+		case g.shares.known:
 			used[i] = g.share(b)
+		case before != nil:
+			used[i] = shareOf(before, own)
+		default:
+			used[i] = shareOf(now, own)
 		}
 	}
+	awaiting := otherDomains(own, g.shares.domains, now, before)
 	g.shares = shares{known: true, version: v, domains: slices.Clone(now)}
 	for _, d := range now {
 		g.domain(d.Domain)
 	}
-	shrunk := shrunkDomains(old, now, g.options.Domain)
-	if first || len(shrunk) == 0 {
+	if unchanged {
 		return
 	}
 	for i, b := range g.banks {
-		b.await(used[i], shrunk, v, at)
-	}
-}
-
-// await adds to what the bank waits for already: a change on top of an unconfirmed one waits for both.
-func (b *bank) await(from int, shrunk []identifier.FailureDomain, v identifier.Version, at clock.Time) {
-	if b.growth == nil {
-		b.growth = &growth{}
-	}
-	for _, d := range shrunk {
-		if !slices.Contains(b.growth.awaiting, d) {
-			b.growth.awaiting = append(b.growth.awaiting, d)
+		b.growth = nil
+		if used[i] < shareOf(now, own) {
+			b.growth = &growth{from: used[i], awaiting: slices.Clone(awaiting), version: v, since: at, queryAt: at}
 		}
 	}
-	b.growth.from = from
-	b.growth.version = v
-	b.growth.since = at
-	b.growth.queryAt = at
 }
 
-func shrunkDomains(old, now []definer.DomainShare, own identifier.FailureDomain) []identifier.FailureDomain {
-	var shrunk []identifier.FailureDomain
-	for _, d := range old {
-		if d.Domain != own && shareOf(now, d.Domain) < d.PerMille {
-			shrunk = append(shrunk, d.Domain)
+// otherDomains lists all that may use a share. A domain whose share grows must confirm as well: it may still be at
+// a preset in between, of which this node hasn't heard.
+func otherDomains(own identifier.FailureDomain, lists ...[]definer.DomainShare) []identifier.FailureDomain {
+	var others []identifier.FailureDomain
+	for _, l := range lists {
+		for _, d := range l {
+			if d.Domain != own && !slices.Contains(others, d.Domain) {
+				others = append(others, d.Domain)
+			}
 		}
 	}
-	return shrunk
+	return others
 }
 
 func (g *Granter) tickShares(now clock.Time) {
@@ -126,26 +120,33 @@
 		w.queryAt = now.Add(queryPeriod)
 		for _, d := range w.awaiting {
 			if h := g.domain(d).holders[b.slot]; h.node != "" {
-				g.send(h.node, SharesQuery{Slot: b.slot, Domain: d, Version: w.version})
+				g.send(h.node, SharesQuery{
+					Slot: b.slot, Domain: d, Version: w.version, PerMille: g.shares.latest(d),
+				})
 			}
 		}
 	}
 }
 
 // receiveQuery confirms only as a holder with authority: its successors have then read the change too, since their
-// records come after it on the log. And it confirms only when nothing is left of the larger share.
+// records come after it on the log. And it confirms only when it uses no more than the asker's preset allows, and
+// nothing is left of a larger share. It grows again only by a later preset, which the asker must confirm first.
 func (g *Granter) receiveQuery(from identifier.Node, m SharesQuery, now clock.Time) {
 	known := m.Slot >= 0 && m.Slot < len(g.banks) && m.Domain == g.options.Domain
 	if !known || g.shares.version < m.Version || !g.holds(g.banks[m.Slot], now) {
 		return
 	}
-	for _, a := range g.banks[m.Slot].sorted {
+	b := g.banks[m.Slot]
+	if g.share(b) > m.PerMille {
+		return
+	}
+	for _, a := range b.sorted {
 		g.advance(a, now)
 		if a.lentCap() > a.cap || a.lentRate() > a.rate || a.outstanding > a.limit() {
 			return
 		}
 	}
-	g.send(from, SharesConfirm(m))
+	g.send(from, SharesConfirm{Slot: m.Slot, Domain: m.Domain, Version: m.Version})
 }
 
 func (g *Granter) receiveConfirm(from identifier.Node, m SharesConfirm, now clock.Time) {
