assembler: cut bodies that make no progress; publish the reducer's counters by expvar

Cause: bodyIdleTimeout was read and not enforced, so that clients which stop in the middle of an upload held their places for bodies for ever; the admin endpoint's metrics held nothing of the node. Change: each read of a body and each write of an answer has the idle time of its own; metrics stand under the node's id.

--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -39,11 +39,12 @@
 	transporter *transporter.Transporter
 	outside     *outside
 	servers     *servers
+	source      *source
 	drain       time.Duration
 	cancel      context.CancelFunc
 }
 
-func newStopper(o Options, c *clock.Clock, p *performer.Performer, s *reducer.State, t *transporter.Transporter, out *outside, v *servers) *stopper {
+func newStopper(o Options, c *clock.Clock, p *performer.Performer, s *reducer.State, t *transporter.Transporter, out *outside, v *servers, src *source) *stopper {
 	return &stopper{
 		clock:       c,
 		logger:      o.Logger,
@@ -52,6 +53,7 @@
 		transporter: t,
 		outside:     out,
 		servers:     v,
+		source:      src,
 		drain:       o.Settings.Limits.DrainTimeout.Std(),
 	}
 }
@@ -64,6 +66,7 @@
 }
 
 func (s *stopper) start() error {
+	publishMetrics(s.source)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.outside.run(ctx, s.performer.Apply)
@@ -101,6 +104,7 @@
 
 func (s *stopper) stop(ctx context.Context) error {
 	defer s.cancel()
+	defer withdrawMetrics(s.source.id)
 	if s.killed.Load() {
 		now, cancel := context.WithCancel(ctx)
 		cancel()
--- a/internal/assembler/servers.go
+++ b/internal/assembler/servers.go
@@ -112,7 +112,7 @@
 		tls:    t,
 		limits: l,
 		http: &http.Server{
-			Handler:           h,
+			Handler:           boundProgress(h, l.BodyIdleTimeout.Std()),
 			MaxHeaderBytes:    int(l.MaxHeader),
 			ReadHeaderTimeout: l.ReadHeaderTimeout.Std(),
 			IdleTimeout:       l.IdleTimeout.Std(),
