Make faults happen in a real fleet, and judge callers' and backend servers' records

The verdicts on rate, at most once, 'not run' and versions come from the callers' and backend servers' own records.

--- /dev/null
+++ b/internal/faulter/faults.go
@@ -0,0 +1,260 @@
+// The faults are those that operators meet, made by the switches of the stand-ins and never by luck. Each also makes
+// one change of the configuration, since that is when a fault of its spreading would show.
+//
+// Example: domainCut cuts alfa off for four seconds, changes the preset meanwhile, and heals.
+
+package faulter
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/logkeeper"
+	"github.com/jackdawtide/jackdawtide/internal/publisher"
+)
+
+const (
+	faultTime = 4 * time.Second
+	// changeBound is how long a change may take before the run counts as failed.
+	changeBound = 10 * time.Second
+	// longPause is longer than every lease but the one on the log.
+	longPause = 20 * clock.Second
+)
+
+// change switches the preset and measures how long it takes to be in force.
+func (r *run) change(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
+	v, err := r.fleet.Publisher.Load(ctx)
+	if err != nil {
+		return err
+	}
+	version, err := r.fleet.Publisher.Switch(ctx, v, changedPreset, v.Base(publisher.InForce))
+	if err != nil {
+		return err
+	}
+	accepted := time.Now()
+	d, ok := r.watcher.awaitVersion(ctx, version, accepted)
+	if !ok {
+		return NotInForceError{Version: version, After: time.Since(accepted)}
+	}
+	r.figures.ConfigInForceMs = milliseconds(d)
+	return nil
+}
+
+func milliseconds(d time.Duration) *int64 {
+	ms := d.Milliseconds()
+	return &ms
+}
+
+func healthy(ctx context.Context, r *run) error { return r.change(ctx) }
+
+func (r *run) setLog(set func(*logkeeper.Switches)) {
+	s := r.fleet.Keeper.Switches()
+	set(&s)
+	r.fleet.Keeper.Set(s)
+}
+
+func logOutage(ctx context.Context, r *run) error {
+	r.setLog(func(s *logkeeper.Switches) { s.Outage = true })
+	sleep(ctx, faultTime)
+	r.setLog(func(s *logkeeper.Switches) { s.Outage = false })
+	return r.change(ctx)
+}
+
+func lostAppendAnswers(ctx context.Context, r *run) error {
+	const lost = 20
+	r.setLog(func(s *logkeeper.Switches) { s.LostAnswers = lost })
+	// The operator's own append is among those whose answers get lost.
+	return r.change(ctx)
+}
+
+func domainCut(ctx context.Context, r *run) error {
+	r.cutOff(domains[0], true)
+	began := time.Now()
+	if err := r.change(ctx); err != nil {
+		return err
+	}
+	sleepUntil(ctx, began.Add(faultTime))
+	r.cutOff(domains[0], false)
+	return nil
+}
+
+func nodePaused(ctx context.Context, r *run) error {
+	r.fleet.Members[r.mostClaims()].Clock.Skip(longPause)
+	return r.change(ctx)
+}
+
+func holderCrash(ctx context.Context, r *run) error {
+	const replaceAfter = 2 * time.Second
+	i := r.mostClaims()
+	r.killNode(i)
+	if err := r.change(ctx); err != nil {
+		return err
+	}
+	sleep(ctx, replaceAfter)
+	return r.startNode(ctx, i)
+}
+
+// rollingRestart replaces every VM in turn, as an upgrade does: the backend server leaves, the node stops, and new
+// processes take their places.
+func rollingRestart(ctx context.Context, r *run) error {
+	var longest time.Duration
+	for i, m := range r.fleet.Members {
+		if err := m.Backend.Leave(ctx); err != nil {
+			return err
+		}
+		d, err := r.stopNode(ctx, i)
+		if err != nil {
+			return err
+		}
+		longest = max(longest, d)
+		if err := r.startNode(ctx, i); err != nil {
+			return err
+		}
+		if err := r.startBackend(ctx, i); err != nil {
+			return err
+		}
+		if i == 0 {
+			if err := r.change(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	r.figures.DrainStopMs = milliseconds(longest)
+	return nil
+}
+
+// operatorRace has two operators who have seen the same version change the same thing at once.
+func operatorRace(ctx context.Context, r *run) error {
+	ctx, cancel := context.WithTimeout(ctx, changeBound)
+	defer cancel()
+	v, err := r.fleet.Publisher.Load(ctx)
+	if err != nil {
+		return err
+	}
+	base := v.Base(publisher.InForce)
+	type outcome struct {
+		version identifier.Version
+		err     error
+	}
+	outcomes := make(chan outcome, 2)
+	for _, name := range []identifier.Preset{usualPreset, changedPreset} {
+		own, err := r.fleet.Publisher.Load(ctx)
+		if err != nil {
+			return err
+		}
+		go func() {
+			version, err := r.fleet.Publisher.Switch(ctx, own, name, base)
+			outcomes <- outcome{version, err}
+		}()
+	}
+	var winners, losers int
+	var accepted identifier.Version
+	for range 2 {
+		o := <-outcomes
+		var c configurer.Conflict
+		switch {
+		case o.err == nil:
+			winners++
+			accepted = o.version
+		case errors.As(o.err, &c):
+			losers++
+		default:
+			return o.err
+		}
+	}
+	if winners != 1 || losers != 1 {
+		return RaceError{Winners: winners, Losers: losers}
+	}
+	since := time.Now()
+	d, ok := r.watcher.awaitVersion(ctx, accepted, since)
+	if !ok {
+		return NotInForceError{Version: accepted, After: time.Since(since)}
+	}
+	r.figures.ConfigInForceMs = milliseconds(d)
+	return nil
+}
+
+// keyWithdrawn ends a team's key while its calls come over open connections.
+func keyWithdrawn(ctx context.Context, r *run) error {
+	if err := r.fleet.Withdraw(ctx, r.fleet.Keys[withinTeam]); err != nil {
+		return err
+	}
+	accepted := time.Now()
+	sleep(ctx, faultTime)
+	r.figures.WithdrawnKeyMs = milliseconds(r.lastStart(accepted, func(int) bool { return true }, withinTeam))
+	return nil
+}
+
+// backendLeaving has a backend server leave that goes on listening, so that late work is seen.
+func backendLeaving(ctx context.Context, r *run) error {
+	busiest := r.busiest()
+	began := time.Now()
+	if err := r.fleet.Members[busiest].Backend.Drain(ctx); err != nil {
+		return err
+	}
+	sleep(ctx, faultTime)
+	r.figures.LastNewCallMs = milliseconds(r.lastStart(began, func(i int) bool { return i == busiest }, ""))
+	return nil
+}
+
+// backendDead has a backend server hang: it takes calls, answers none and says nothing.
+func backendDead(ctx context.Context, r *run) error {
+	busiest := r.busiest()
+	began := time.Now()
+	b := r.fleet.Members[busiest].Backend
+	b.SetServiceTime(time.Hour)
+	b.Silence()
+	sleep(ctx, faultTime)
+	r.figures.LastNewCallMs = milliseconds(r.lastStart(began, func(i int) bool { return i == busiest }, ""))
+	return nil
+}
+
+// lastStart returns how long after the moment a call of the team last reached one of the backend servers; an empty
+// team means all.
+func (r *run) lastStart(since time.Time, server func(i int) bool, team identifier.Team) time.Duration {
+	var last time.Duration
+	for i, m := range r.fleet.Members {
+		if !server(i) {
+			continue
+		}
+		for _, s := range m.Backend.Starts() {
+			if team == "" || s.Team == string(team) {
+				last = max(last, s.At.Sub(since))
+			}
+		}
+	}
+	return last
+}
+
+func logOutageAndHolderCrash(ctx context.Context, r *run) error {
+	r.setLog(func(s *logkeeper.Switches) { s.Outage = true })
+	i := r.mostClaims()
+	r.killNode(i)
+	sleep(ctx, faultTime)
+	// The replacement boots while the log is down, through its peers.
+	if err := r.startNode(ctx, i); err != nil {
+		return err
+	}
+	sleep(ctx, time.Second)
+	r.setLog(func(s *logkeeper.Switches) { s.Outage = false })
+	return r.change(ctx)
+}
+
+func domainCutAndNodePaused(ctx context.Context, r *run) error {
+	r.cutOff(domains[0], true)
+	r.fleet.Members[1].Clock.Skip(longPause)
+	r.fleet.Members[0].Clock.Skip(longPause)
+	began := time.Now()
+	if err := r.change(ctx); err != nil {
+		return err
+	}
+	sleepUntil(ctx, began.Add(faultTime))
+	r.cutOff(domains[0], false)
+	return nil
+}
--- /dev/null
+++ b/internal/faulter/load.go
@@ -0,0 +1,230 @@
+// The load is open-loop: calls come when they come, however the fleet fares. A booking that was refused as not run, or
+// whose answer got lost, is sent again with the same id to another node, as a careful caller would; one in ten is sent
+// twice at once, as a careless one would.
+//
+// Example: the first try at VM 2 gets no answer, the second at VM 3 gets the recorded one: one run, two attempts.
+
+package faulter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/jackdawtide/jackdawtide/internal/deliverer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+const (
+	attemptTimeout = 2500 * time.Millisecond
+	tries          = 4
+	firstPause     = 100 * time.Millisecond
+	// crossed is the part of the bookings that are sent twice at once.
+	crossed = 0.1
+)
+
+// attempt is one sending, as its caller saw it.
+type attempt struct {
+	sent     time.Time
+	done     time.Time
+	node     int
+	request  string
+	status   int
+	reason   string
+	notRun   bool
+	replayed bool
+	// notConnected tells that nobody listened, so nothing was sent.
+	notConnected bool
+}
+
+func (a attempt) succeeded() bool { return a.status == http.StatusOK }
+
+// sending is one thing that a caller wants done, with all its attempts.
+type sending struct {
+	team     identifier.Team
+	at       time.Duration
+	id       string
+	attempts []attempt
+}
+
+func (s sending) succeeded() bool {
+	for _, a := range s.attempts {
+		if a.succeeded() {
+			return true
+		}
+	}
+	return false
+}
+
+// spread says at which VM a call comes in.
+type spread func(at time.Duration, r *rand.Rand) int
+
+func anywhere(_ time.Duration, r *rand.Rand) int { return r.IntN(vms) }
+
+func atOneNode(time.Duration, *rand.Rand) int { return 1 }
+
+func atTwoDomains(_ time.Duration, r *rand.Rand) int { return r.IntN(2) }
+
+func moving(at time.Duration, _ *rand.Rand) int { return int(at/time.Second) % vms }
+
+// load sends the calls of all teams for a time and collects what became of them.
+type load struct {
+	run    *run
+	client *http.Client
+	start  time.Time
+	length time.Duration
+
+	mu       sync.Mutex
+	sendings []sending
+	group    sync.WaitGroup
+}
+
+func newLoad(r *run, length time.Duration) *load {
+	return &load{
+		run:    r,
+		length: length,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute}},
+	}
+}
+
+// send returns when the last answer is in.
+func (l *load) send(ctx context.Context) {
+	l.start = time.Now()
+	var streams sync.WaitGroup
+	for i, t := range l.run.scenario.teams {
+		r := rand.New(rand.NewPCG(l.run.seed, uint64(i)))
+		streams.Go(func() { l.stream(ctx, t, r) })
+	}
+	streams.Wait()
+	l.group.Wait()
+	l.client.CloseIdleConnections()
+}
+
+func (l *load) stream(ctx context.Context, t teamPlan, r *rand.Rand) {
+	var at time.Duration
+	for {
+		at += time.Duration(r.ExpFloat64() / (t.rate * t.load) * float64(time.Second))
+		if at >= l.length || !sleepUntil(ctx, l.start.Add(at)) {
+			return
+		}
+		s := sending{team: t.name, at: at}
+		if r.Float64() < t.booking {
+			s.id = uuid.Must(uuid.NewV7()).String()
+		}
+		node := l.run.scenario.spread(at, r)
+		twice := s.id != "" && r.Float64() < crossed
+		l.group.Go(func() { l.pursue(ctx, s, node, twice) })
+	}
+}
+
+func (l *load) pursue(ctx context.Context, s sending, node int, twice bool) {
+	var second attempt
+	var group sync.WaitGroup
+	if twice {
+		from := (node + 1) % vms
+		group.Go(func() { second, _ = l.tryUp(ctx, s, from) })
+	}
+	for i := range tries {
+		var a attempt
+		a, node = l.tryUp(ctx, s, node)
+		s.attempts = append(s.attempts, a)
+		if s.id == "" || a.succeeded() || a.reason == "rateExceeded" {
+			break
+		}
+		time.Sleep(firstPause << i)
+		node = (node + 1) % vms
+	}
+	group.Wait()
+	if twice {
+		s.attempts = append(s.attempts, second)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sendings = append(l.sendings, s)
+}
+
+// tryUp passes over nodes that take no connection, as any client with a list of addresses does.
+func (l *load) tryUp(ctx context.Context, s sending, node int) (attempt, int) {
+	for range vms {
+		a := l.try(ctx, s, node)
+		if !a.notConnected {
+			return a, node
+		}
+		node = (node + 1) % vms
+	}
+	return attempt{node: node}, node
+}
+
+func (l *load) try(ctx context.Context, s sending, node int) attempt {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	a := attempt{sent: time.Now(), node: node}
+	method, path := http.MethodGet, readingPath
+	if s.id != "" {
+		method, path = http.MethodPost, bookingPath
+	}
+	req, err := http.NewRequestWithContext(ctx, method, l.run.callers[node]+path, http.NoBody)
+	if err != nil {
+		return a
+	}
+	if s.id != "" {
+		req.Header.Set(responder.IdempotencyHeader, s.id)
+	}
+	req.Header.Set("Authorization", "Bearer "+l.run.fleet.Keys[s.team])
+	l.exchange(req, &a)
+	a.done = time.Now()
+	return a
+}
+
+func (l *load) exchange(req *http.Request, a *attempt) {
+	resp, err := l.client.Do(req)
+	if err != nil {
+		var o *net.OpError
+		a.notConnected = errors.As(err, &o) && o.Op == "dial"
+		return
+	}
+	defer resp.Body.Close()
+	a.request = resp.Header.Get(deliverer.RequestIDHeader)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	a.status = resp.StatusCode
+	a.replayed = resp.Header.Get("Idempotent-Replayed") != ""
+	if resp.Header.Get("Content-Type") != "application/problem+json" {
+		return
+	}
+	var p struct {
+		Reason string
+		NotRun bool
+	}
+	if json.Unmarshal(body, &p) == nil {
+		a.reason = p.Reason
+		a.notRun = p.NotRun
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool { return sleep(ctx, time.Until(at)) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/faulter/plan.go
@@ -0,0 +1,108 @@
+// The fleet is small enough for one process and large enough for every fault: three failure domains, in each two VMs,
+// so that a claim has a witness in its own domain and one domain can be lost.
+//
+// Example: VM 0 and VM 3 are in domain alfa, VM 1 and VM 4 in bravo, VM 2 and VM 5 in charlie.
+
+package faulter
+
+import (
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/launcher"
+)
+
+const (
+	vms           = 6
+	slots         = 24
+	connections   = 400
+	serviceTime   = 5 * time.Millisecond
+	callTimeout   = 2 * clock.Second
+	maxBody       = 16 << 10
+	service       = "bookings"
+	bookingPath   = "/bookings/escorts"
+	readingPath   = "/bookings/mine"
+	usualPreset   = "ordinary"
+	changedPreset = "peak"
+)
+
+var domains = []identifier.FailureDomain{"alfa", "bravo", "charlie"}
+
+// teamPlan is a team with its rate, in calls a second, and what it sends, as a part of its rate.
+type teamPlan struct {
+	name  identifier.Team
+	rate  float64
+	burst float64
+	load  float64
+	// booking is the part of the calls that must run at most once.
+	booking float64
+}
+
+// entitledTeam sends more than its rate, withinTeam stays within it. The first makes no bookings, so that each call it
+// pays for reaches a backend server and can be counted there.
+const (
+	entitledTeam identifier.Team = "okhotskAgents"
+	withinTeam   identifier.Team = "captains"
+)
+
+var usualTeams = []teamPlan{
+	{name: entitledTeam, rate: 100, burst: 50, load: 1.6},
+	{name: withinTeam, rate: 120, burst: 120, load: 0.6, booking: 0.7},
+}
+
+// Small teams send 70% of their rate as a Poisson stream to nodes at random; their burst is a second of the rate.
+var smallTeams = []teamPlan{
+	{name: "surveyors", rate: 8, burst: 8, load: 0.7, booking: 0.3},
+	{name: "ferryLines", rate: 15, burst: 15, load: 0.7, booking: 0.3},
+	{name: "harbourMasters", rate: 30, burst: 30, load: 0.7, booking: 0.3},
+}
+
+func planOf(teams []teamPlan) launcher.Plan {
+	p := launcher.Plan{
+		Deployment: "faults",
+		Services: []launcher.Service{{
+			Name: service, Endpoints: vms, Slots: slots, Connections: connections, ServiceTime: serviceTime,
+		}},
+		Presets: []definer.Preset{presetOf(usualPreset, teams), presetOf(changedPreset, teams)},
+	}
+	for _, d := range domains {
+		p.Domains = append(p.Domains, string(d))
+	}
+	return p
+}
+
+func presetOf(name identifier.Preset, teams []teamPlan) definer.Preset {
+	p := definer.Preset{
+		Name:           name,
+		RetryAllowance: 2,
+		Services: []definer.Service{{
+			Name: service, Timeout: callTimeout, MaxBody: maxBody,
+			Routes: []definer.Route{
+				{Method: "POST", Prefix: "/escorts", Priority: identifier.High},
+				{Method: "GET", Prefix: "/", Priority: identifier.Normal, Idempotent: true},
+			},
+		}},
+	}
+	for i, d := range domains {
+		share := definer.DomainShare{Domain: d, PerMille: 333}
+		if i == 0 {
+			share.PerMille = 334
+		}
+		p.Domains = append(p.Domains, share)
+	}
+	for _, t := range teams {
+		p.Teams = append(p.Teams, definer.Team{
+			Name:   t.name,
+			Rate:   tokens(t.rate),
+			Burst:  tokens(t.burst),
+			Weight: 1,
+		})
+	}
+	return p
+}
+
+func tokens(calls float64) identifier.Tokens {
+	return identifier.Tokens(calls * float64(identifier.TokensPerCall))
+}
--- /dev/null
+++ b/internal/faulter/run.go
@@ -0,0 +1,260 @@
+// A run is one scenario on a fleet of its own: the load goes on from beginning to end, and the fault comes and goes
+// beside it. The nodes and backend servers that were replaced stay in the account.
+//
+// Example: r.stopNode(ctx, 2) is a planned stop of VM 2; r.startNode(ctx, 2) puts a new process at its addresses.
+
+package faulter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/launcher"
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+const (
+	// settling is the time in which the overloading team uses up its burst.
+	settling = 1500 * time.Millisecond
+	// filling is the time after a fleet's start in which buckets fill and owners of ids come of age: what was asked
+	// for before an owner took over could have run under another.
+	filling = 2500 * time.Millisecond
+)
+
+type run struct {
+	scenario scenario
+	seed     uint64
+	fleet    *launcher.Fleet
+	// callers are the addresses of the VMs' nodes, which stay the same over restarts.
+	callers []string
+	watcher *watcher
+	load    *load
+	began   time.Time
+
+	mu sync.Mutex
+	// down are the VMs whose node doesn't run, cut those that nothing reaches.
+	down    map[int]bool
+	cut     map[identifier.FailureDomain]bool
+	retired []*responder.Server
+	figures Figures
+	failure error
+}
+
+func newRun(ctx context.Context, s scenario, seed uint64) (*run, error) {
+	f, err := launcher.Start(ctx, launcher.Options{Plan: planOf(s.teams), Seed: seed})
+	if err != nil {
+		return nil, fmt.Errorf("launch the fleet: %w", err)
+	}
+	r := &run{
+		scenario: s,
+		seed:     seed,
+		fleet:    f,
+		down:     make(map[int]bool),
+		cut:      make(map[identifier.FailureDomain]bool),
+		figures:  Figures{Scenario: s.name, Seed: seed},
+	}
+	for _, m := range f.Members {
+		r.callers = append(r.callers, m.CallerURL())
+	}
+	r.watcher = newWatcher(r)
+	r.load = newLoad(r, s.length)
+	return r, nil
+}
+
+// do runs the scenario and returns its figures.
+func (r *run) do(ctx context.Context) (Figures, error) {
+	sleep(ctx, filling)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.watcher.watch(ctx)
+	before := r.meters()
+	r.began = time.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if sleep(ctx, settling) && r.scenario.fault != nil {
+			r.fail(r.scenario.fault(ctx, r))
+		}
+	}()
+	r.load.send(ctx)
+	after := r.meters()
+	<-done
+	if r.failure != nil {
+		return Figures{}, r.failure
+	}
+	r.judge(before, after)
+	return r.figures, ctx.Err()
+}
+
+func (r *run) fail(err error) {
+	if err != nil && r.failure == nil {
+		r.failure = err
+	}
+}
+
+func (r *run) judge(before, after meters) {
+	a := account{
+		teams:    r.scenario.teams,
+		start:    r.load.start,
+		length:   r.load.length,
+		sendings: r.load.sendings,
+		starts:   r.starts(),
+	}
+	f := &r.figures
+	f.Calls = len(a.sendings)
+	f.RateExceeded = a.rateExceeded()
+	f.DoubleRuns = a.doubleRuns()
+	f.FalseNotRun = a.falseNotRun()
+	f.Reverted = r.watcher.reversals()
+	f.RateServedRatio = optional(a.rateServed())
+	f.BookingsServedRatio = optional(a.bookingsServed())
+	wrongful, reasons, ok := a.wrongful()
+	f.WrongfulRefusalRatio = optional(wrongful, ok)
+	f.Reasons = reasons
+	seconds := after.at.Sub(before.at).Seconds()
+	f.AppendsPerSecond = float64(after.appends-before.appends) / seconds
+	f.ControlBytesPerNodeSecond = float64(after.bytes-before.bytes) / seconds / vms
+}
+
+func optional(v float64, ok bool) *float64 {
+	if !ok {
+		return nil
+	}
+	return &v
+}
+
+// meters are counts at one moment. The bytes of nodes that were replaced are lost with them, so the figure is a lower
+// bound where nodes are restarted.
+type meters struct {
+	at      time.Time
+	appends uint64
+	bytes   uint64
+}
+
+func (r *run) meters() meters {
+	m := meters{at: time.Now(), appends: uint64(r.fleet.Keeper.Next())}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, v := range r.fleet.Members {
+		if !r.down[i] {
+			m.bytes += v.Node.Carried().ControlBytes
+		}
+	}
+	return m
+}
+
+// starts are the records of all backend servers that there were, each call once in order of time within a server.
+func (r *run) starts() []responder.RunStart {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []responder.RunStart
+	for _, b := range r.retired {
+		list = append(list, b.Starts()...)
+	}
+	for _, m := range r.fleet.Members {
+		list = append(list, m.Backend.Starts()...)
+	}
+	return list
+}
+
+func (r *run) versionAt(i int) (identifier.Node, identifier.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down[i] {
+		return "", 0, false
+	}
+	n := r.fleet.Members[i].Node
+	return n.ID(), n.Dump().Status.Version, true
+}
+
+// allHave tells whether the version is in force at every node that runs and isn't cut off.
+func (r *run) allHave(v identifier.Version) bool {
+	for i, m := range r.fleet.Members {
+		r.mu.Lock()
+		cut := r.cut[m.Domain]
+		r.mu.Unlock()
+		if cut {
+			continue
+		}
+		if _, have, ok := r.versionAt(i); ok && have < v {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) setDown(i int, down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down[i] = down
+}
+
+// stopNode is a planned stop; it returns how long that took.
+func (r *run) stopNode(ctx context.Context, i int) (time.Duration, error) {
+	began := time.Now()
+	r.setDown(i, true)
+	err := r.fleet.Members[i].Node.Stop(ctx)
+	return time.Since(began), err
+}
+
+func (r *run) killNode(i int) {
+	r.setDown(i, true)
+	r.fleet.Members[i].Node.Kill()
+}
+
+func (r *run) startNode(ctx context.Context, i int) error {
+	if err := r.fleet.StartNode(ctx, r.fleet.Members[i]); err != nil {
+		return err
+	}
+	r.setDown(i, false)
+	return nil
+}
+
+func (r *run) startBackend(ctx context.Context, i int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retired = append(r.retired, r.fleet.Members[i].Backend)
+	return r.fleet.StartBackend(ctx, r.fleet.Members[i])
+}
+
+func (r *run) cutOff(d identifier.FailureDomain, cut bool) {
+	r.mu.Lock()
+	r.cut[d] = cut
+	r.mu.Unlock()
+	if cut {
+		r.fleet.Cut(d)
+		return
+	}
+	r.fleet.Heal(d)
+}
+
+// busiest returns the VM whose backend server got most calls so far.
+func (r *run) busiest() int {
+	best, most := 0, int64(-1)
+	for i, m := range r.fleet.Members {
+		if n := m.Backend.Arrived(); n > most {
+			best, most = i, n
+		}
+	}
+	return best
+}
+
+// mostClaims returns the VM whose node has authority for most claims.
+func (r *run) mostClaims() int {
+	best, most := 0, -1
+	for i, m := range r.fleet.Members {
+		held := 0
+		for _, c := range m.Node.Dump().Claims {
+			if c.Authority {
+				held++
+			}
+		}
+		if held > most {
+			best, most = i, held
+		}
+	}
+	return best
+}
