transporter: watch only links with calls under way

Cause: each idle connection sent a probe each 2 s; the slopes foretold some 160 B/s a connection, which with the hundred connections of a large domain is most of a node's control budget of 24 KB/s. Change: no keep-alive by QUIC; a link with calls under way is probed after PeerTimeout/8 of silence and given up after PeerTimeout.

--- a/internal/transporter/control.go
+++ b/internal/transporter/control.go
@@ -20,6 +20,8 @@
 	frameMessage byte = iota
 	frameGoodbye
 	frameFinished
+	// frameProbe only makes the peer acknowledge it.
+	frameProbe
 )
 
 // SendControl queues a message, whose bytes it then owns, for the peer and returns at once; nil does not mean
@@ -126,6 +128,10 @@
 func (l *link) sendControl(kind byte, body []byte) error {
 	l.controlMu.Lock()
 	defer l.controlMu.Unlock()
+	return l.writeFrame(kind, body)
+}
+
+func (l *link) writeFrame(kind byte, body []byte) error {
 	b := getBuffer()
 	defer putBuffer(b)
 	b.WriteByte(kind)
@@ -146,7 +152,7 @@
 			l.heardGoodbye()
 		case frameFinished:
 			l.heardFinished()
-		default:
+		case frameMessage:
 			l.takeMessage(body)
 		}
 	}
@@ -165,7 +171,7 @@
 	if err != nil {
 		return 0, nil, noCleanEnd(err)
 	}
-	if kind > frameFinished {
+	if kind > frameProbe {
 		return 0, nil, MalformedError{What: "control frame", Err: errLength}
 	}
 	size, err := readLength(r, "control message", limit)
--- a/internal/transporter/dialer.go
+++ b/internal/transporter/dialer.go
@@ -144,9 +144,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("address of node %s: %w", to.Node, err)
 	}
-	config := t.config.Clone()
-	config.KeepAlivePeriod = t.options.PeerTimeout.Std() / 2
-	conn, err := t.transport.Dial(ctx, address, withProtocol(t.options.ClientTLS), config)
+	conn, err := t.transport.Dial(ctx, address, withProtocol(t.options.ClientTLS), t.config)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/transporter/failure_test.go
+++ b/internal/transporter/failure_test.go
@@ -400,3 +400,28 @@
 	_, _, err = callText(ctx, a, again, "after")
 	assert.NilError(t, err)
 }
+
+// Hundreds of idle connections are a node's normal state. Were each kept alive by probes, these alone would use up
+// what control may cost.
+func TestIdleLinksSendNothingAndSlowCallsLive(t *testing.T) {
+	f := newFleet(t)
+	release := make(chan struct{})
+	a, _ := f.start("a", funcHandler{}, quick)
+	b, to := f.start("b", funcHandler{call: func(
+		ctx context.Context, n identifier.Node, h CallHead, r io.Reader, w AnswerWriter,
+	) {
+		<-release
+		echo(ctx, n, h, r, w)
+	}}, quick)
+	time.AfterFunc(4*a.options.PeerTimeout.Std(), func() { close(release) })
+	got, _, err := callText(context.Background(), a, to, "slow")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "slow")
+	time.Sleep(200 * time.Millisecond)
+	before := a.Stats()
+	time.Sleep(4 * a.options.PeerTimeout.Std())
+	after := a.Stats()
+	assert.Equal(t, after.Links, 1)
+	assert.Assert(t, after.PacketsSent <= before.PacketsSent+2, "%d packets on an idle link", after.PacketsSent-before.PacketsSent)
+	assert.Equal(t, b.Stats().Links, 1)
+}
--- a/internal/transporter/link.go
+++ b/internal/transporter/link.go
@@ -29,6 +29,8 @@
 	codeNotTaken
 	codeCut
 	codeMalformed
+	// codeSilent says that the peer was not heard for PeerTimeout while calls were under way.
+	codeSilent
 )
 
 // Codes of reset streams.
@@ -56,6 +58,8 @@
 	idleMu sync.Mutex
 	idle   []*quic.Stream
 
+	watcher watcher
+
 	controlMu sync.Mutex
 	control   *quic.SendStream
 
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -54,10 +54,12 @@
 	}
 }
 
+// quicConfig sends no probes on idle connections: with a hundred of them they alone would take a node's whole control
+// budget. What must be noticed early, the death of a peer with calls under way, is the matter of watcher.go.
 func quicConfig(o Options) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           o.DialTimeout.Std(),
-		MaxIdleTimeout:                 o.PeerTimeout.Std(),
+		MaxIdleTimeout:                 2 * o.IdleAfter.Std(),
 		InitialStreamReceiveWindow:     o.StreamWindow,
 		MaxStreamReceiveWindow:         o.MaxStreamWindow,
 		InitialConnectionReceiveWindow: o.LinkWindow,
@@ -157,7 +159,7 @@
 
 // tend lets idle connections go and, in tests, kills those that are cut off.
 func (t *Transporter) tend(ctx context.Context) {
-	period := t.options.IdleAfter.Std() / 4
+	period := min(t.options.IdleAfter, t.options.PeerTimeout).Std() / 4
 	if t.options.Cut != nil {
 		period = min(period, 20*time.Millisecond)
 	}
@@ -180,6 +182,7 @@
 			l.shut(codeCut)
 			continue
 		}
+		l.watch(now)
 		if l.dialled && l.idleSince(now) > t.options.IdleAfter.Std() {
 			l.leave()
 		}
