--- a/internal/deduplicator/fuzz_test.go
+++ b/internal/deduplicator/fuzz_test.go
@@ -183,6 +183,51 @@
 	assert.Equal(t, begin(w.newID(0, 0), 6), deduplicator.Run)
 }
 
+// An owner whose clock is fast allows an id that is ahead of its time, and crashes; the next owner's clock is
+// slow. A line drawn without the difference of clocks would let the id run again.
+func TestClockSkewBetweenOwners(t *testing.T) {
+	for name, ahead := range map[string]clock.Duration{"callers ahead": deduplicator.DefaultCallerSkew, "on time": 0} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 2, 10)
+			w.machines[0].skew, w.machines[1].skew = 250, -250
+			id := w.newID(250+ahead, 0)
+			h := w.holding(deduplicator.ClaimOf("team", id))
+			first := w.call(w.machines[0], id, 1)
+			request := w.mail[0]
+			w.mail = nil
+			w.deliver(request)
+			w.take(h, w.machines[1])
+			w.wait(200)
+			assert.Equal(t, w.verdicts[first], "permit")
+			again := w.call(w.machines[1], id, 1)
+			w.wait(clock.Second)
+			assert.Equal(t, w.verdicts[again], "outcomeUnknown")
+		})
+	}
+}
+
+// A handover is complete, but another node takes the claim first and lets an id run. The records handed over
+// lack that id, and using them at a later epoch would run it again.
+func TestHandoverOfOlderEpochIsNotUsed(t *testing.T) {
+	w := newWorld(1, 3, 10)
+	id := w.newID(0, 0)
+	h := w.holding(deduplicator.ClaimOf("team", id))
+	for _, part := range h.holder.owner.Export(h.hold, w.now) {
+		_, complete := w.machines[1].owner.Import(part, w.now)
+		assert.Assert(t, complete)
+	}
+	w.take(h, w.machines[2])
+	w.wait(3 * clock.Second)
+	id = w.newIDFor(h.hold.Claim, 0)
+	first := w.call(w.machines[0], id, 1)
+	w.wait(clock.Second)
+	assert.Equal(t, w.verdicts[first], "permit")
+	w.take(h, w.machines[1])
+	again := w.call(w.machines[0], id, 1)
+	w.wait(clock.Second)
+	assert.Equal(t, w.verdicts[again], "outcomeUnknown")
+}
+
 // A wrong reading of the text would give one request two owners, or take an opaque id's colon for a home.
 func TestParseID(t *testing.T) {
 	const plain = "0193842f-5c00-7abc-8def-0123456789ab"
