--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -35,7 +35,7 @@
 	e, ok := s.router.Pick(c.service, s.now, c.excluded)
 	if !ok {
 		s.abandonID(c)
-		s.refuse(c, Refusal{Reason: NoBackend, RetryAfter: s.backOff()})
+		s.refuse(c, Refusal{Reason: c.noneLeft(), RetryAfter: s.backOff()})
 		return
 	}
 	c.attempt++
@@ -66,6 +66,15 @@
 	})
 }
 
+// noneLeft is the reason where no endpoint can be tried. After an attempt that may have run it is the lost answer that
+// the caller has to know of; "no backend server" would read as if nothing had happened.
+func (c *call) noneLeft() Reason {
+	if c.maybeRun {
+		return LostAnswer
+	}
+	return NoBackend
+}
+
 func (s *State) answerEnded(e *AnswerEnded) {
 	s.wall = e.Wall
 	c, ok := s.calls[e.Call]
