Try claims under more faults, and the moments from which terms count

Cause: planted faults (promise counted from its answer, no wait-out, stale epochs) passed the fuzz unseen.

--- /dev/null
+++ b/internal/claimer/claimer_test.go
@@ -0,0 +1,100 @@
+// The rules by which all readers judge the records of a claim alike, and the moments from which leases count. The
+// claims under faults are fuzzed together with the rates, in package granter.
+
+package claimer
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+func newClaimer(self identifier.Node) *Claimer {
+	c := New(Options{Self: self, Names: []Name{"n"}, Rand: rand.New(rand.NewPCG(1, 1))})
+	c.SetMembers([]identifier.Node{"a", "b", "c"}, 0)
+	c.SetLog(true, 0, 0)
+	return c
+}
+
+// Two operators' screens, or two nodes, that name different holders for one claim: each reader must fold the same
+// records to the same holder, whatever was appended late, twice, or by a node that had missed something.
+func TestReadersJudgeByTheOrderOfTheLog(t *testing.T) {
+	found := Claim{Name: "n", Kind: Found, Epoch: 1, Holder: "x", Witness: "y", By: "x"}
+	second := Claim{Name: "n", Kind: Takeover, Epoch: 2, Holder: "y", Witness: "z", By: "y"}
+	tables := map[string]struct {
+		records []Claim
+		holder  identifier.Node
+		epoch   identifier.Epoch
+	}{
+		"witness takes over":   {[]Claim{found, second}, "y", 2},
+		"second of an epoch":   {[]Claim{found, second, {Kind: Continuation, Epoch: 2, Holder: "x", By: "x"}}, "y", 2},
+		"continuation first":   {[]Claim{found, {Kind: Continuation, Epoch: 2, Holder: "x", Witness: "z", By: "x"}, second}, "x", 2},
+		"takeover by another":  {[]Claim{found, {Kind: Takeover, Epoch: 2, Holder: "z", By: "z"}}, "x", 1},
+		"renewal by a loser":   {[]Claim{found, second, {Kind: Renew, Epoch: 1, Holder: "x", By: "x"}}, "y", 2},
+		"epoch skipped":        {[]Claim{found, {Kind: Takeover, Epoch: 3, Holder: "y", By: "y"}}, "x", 1},
+		"repeated takeover":    {[]Claim{found, second, second}, "y", 2},
+		"handover":             {[]Claim{found, {Kind: Handover, Epoch: 2, Holder: "z", By: "x"}}, "z", 2},
+		"handover by another":  {[]Claim{found, {Kind: Handover, Epoch: 2, Holder: "z", By: "y"}}, "x", 1},
+		"seizure":              {[]Claim{found, {Kind: Seizure, Epoch: 2, Holder: "z", By: "z", After: 0}}, "z", 2},
+		"seizure, but renewed": {[]Claim{found, {Kind: Renew, Epoch: 1, Holder: "x", Witness: "y", By: "x"}, {Kind: Seizure, Epoch: 2, Holder: "z", By: "z", After: 0}}, "x", 1},
+		"found again":          {[]Claim{found, {Kind: Found, Epoch: 1, Holder: "z", By: "z"}}, "x", 1},
+		"found, log forgot":    {[]Claim{found, {Kind: Found, Epoch: 9, Holder: "z", By: "z", Start: 8}}, "z", 9},
+	}
+	for name, c := range tables {
+		t.Run(name, func(t *testing.T) {
+			r := newClaimer("a")
+			for i, record := range c.records {
+				record.Name = "n"
+				r.ReadRecord(identifier.Offset(i), record, 0)
+				r.ReadRecord(0, second, 0) // repeated by a peer's tail
+			}
+			holder, epoch, _ := r.HolderOf("n")
+			assert.Equal(t, holder, c.holder)
+			assert.Equal(t, epoch, c.epoch)
+		})
+	}
+}
+
+// The answer of a busy witness comes late. Its promise may be over soon by then, and the witness will act on the
+// claim; a holder that counted from the answer would act beside it.
+func TestPromiseCountsFromItsRequest(t *testing.T) {
+	for answered, held := range map[clock.Time]bool{2000: true, 9000: false} {
+		c := newClaimer("a")
+		var record Claim
+		for now := clock.Time(0); record.Name == ""; now += 100 {
+			for _, e := range c.Tick(now) {
+				record = e.(Append).Record
+			}
+			assert.Check(t, now < 20_000)
+		}
+		q := c.ReadRecord(0, record, 1000)[0].(Send)
+		p := Promise{Name: "n", Epoch: 1, Number: q.Message.(PromiseRequest).Number, Given: true}
+		c.Receive(q.To, p, answered)
+		_, ok := c.Holds("n", answered)
+		assert.Equal(t, ok, held)
+		_, ok = c.Holds("n", 8799)
+		assert.Check(t, ok, "7.8 s from the request at 1 s")
+		_, ok = c.Holds("n", 8800)
+		assert.Check(t, !ok)
+	}
+}
+
+// A node that begins to read in the middle of the log takes the loser of an epoch for the winner, until the winner
+// renews. It must not act, or promise wrongly, on what it is not sure of.
+func TestUnsureReaderActsOnNothing(t *testing.T) {
+	c := newClaimer("a")
+	c.ReadRecord(0, Claim{Name: "n", Kind: Found, Epoch: 1, Holder: "x", Witness: "a", By: "x"}, 0)
+	take := c.Tick(20_000)[0].(Append).Record
+	c.SkipRecords(50, 20_100)
+	assert.Equal(t, len(c.ReadRecord(50, take, 20_200)), 0)
+	c.Receive(take.Witness, Promise{Name: "n", Epoch: 2, Number: 1, Given: true}, 20_300)
+	_, ok := c.Holds("n", 24_000)
+	assert.Check(t, !ok)
+	c.ReadRecord(51, Claim{Name: "n", Kind: Renew, Epoch: 2, Holder: "x", Witness: "b", By: "x"}, 24_100)
+	holder, _, _ := c.HolderOf("n")
+	assert.Equal(t, holder, identifier.Node("x"))
+}
--- a/internal/granter/fleet_test.go
+++ b/internal/granter/fleet_test.go
@@ -81,24 +81,29 @@
 	logDown bool
 	// loss, repeat and late are per mille of messages and appends.
 	loss, repeat, late int
-	cut                map[[2]identifier.FailureDomain]bool
-	cutLog             map[identifier.FailureDomain]bool
-	terms              claimer.Options
-	grantTerms         granter.Options
-	teams              []definer.Team
-	shareHistory       []pastShares
-	version            identifier.Version
-	oracle             oracle
-	appends            int
-	faults             []string
+	// cut and cutLog name failure domains or single nodes.
+	cut    map[[2]string]bool
+	cutLog map[string]bool
+	// quiet fleets have claims only, and tick seldom.
+	quiet        bool
+	held         map[claimer.Name]held
+	terms        claimer.Options
+	grantTerms   granter.Options
+	teams        []definer.Team
+	shareHistory []pastShares
+	version      identifier.Version
+	oracle       oracle
+	appends      int
+	faults       []string
 }
 
 // newFleet founds domains of the given number of nodes with terms ten times shorter than the defaults when hasty.
 func newFleet(seed uint64, domains, nodes int, hasty bool) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 7)),
-		cut:    map[[2]identifier.FailureDomain]bool{},
-		cutLog: map[identifier.FailureDomain]bool{},
+		cut:    map[[2]string]bool{},
+		cutLog: map[string]bool{},
+		held:   map[claimer.Name]held{},
 		oracle: oracle{},
 	}
 	if hasty {
@@ -222,6 +227,13 @@
 }
 
 func (f *fleet) tick(n *node) {
+	if f.quiet {
+		f.whenAwake(n, 40, func() {
+			f.claimed(n, n.claims.Tick(f.local(n)))
+			f.tick(n)
+		})
+		return
+	}
 	f.whenAwake(n, 10, func() {
 		f.claimed(n, n.claims.Tick(f.local(n)))
 		f.granted(n, n.grants.Tick(f.local(n)))
@@ -329,7 +341,7 @@
 			delay += f.random.Int64N(2000)
 		}
 		f.whenAwake(n, delay, func() {
-			if f.cut[[2]identifier.FailureDomain{from.domain, n.domain}] {
+			if f.cut[[2]string{string(from.domain), string(n.domain)}] || f.cut[[2]string{string(from.id), string(n.id)}] {
 				return
 			}
 			f.claimed(n, n.claims.Receive(from.id, message, f.local(n)))
@@ -341,7 +353,7 @@
 // append may take effect late or never; the appender is told nothing either way.
 func (f *fleet) append(n *node, r claimer.Claim) {
 	f.appends++
-	if f.chance(f.loss) || f.cutLog[n.domain] {
+	if f.chance(f.loss) || f.logless(n) {
 		return
 	}
 	delay := 2 + f.random.Int64N(20)
@@ -355,9 +367,13 @@
 	})
 }
 
+func (f *fleet) logless(n *node) bool {
+	return f.cutLog[string(n.domain)] || f.cutLog[string(n.id)]
+}
+
 func (f *fleet) poll(n *node) {
 	f.whenAwake(n, 10+f.random.Int64N(20), func() {
-		up := !f.logDown && !f.cutLog[n.domain] && !f.chance(f.loss)
+		up := !f.logDown && !f.logless(n) && !f.chance(f.loss)
 		for up && n.read < len(f.records) {
 			r := f.records[n.read]
 			f.claimed(n, n.claims.ReadRecord(identifier.Offset(n.read), r, f.local(n)))
@@ -385,10 +401,31 @@
 
 func (f *fleet) checkClaims() {
 	for _, name := range f.names {
-		if h := f.withAuthority(name); len(h) > 1 {
+		h := f.withAuthority(name)
+		if len(h) > 1 {
 			f.faults = append(f.faults, fmt.Sprintf("%d: authority over %s at %v", f.now, name, h))
 		}
+		if len(h) == 1 {
+			f.checkWaitOut(name, h[0])
+		}
+	}
+}
+
+// held is who had authority over a name last, and when.
+type held struct {
+	node  identifier.Node
+	until int64
+}
+
+// checkWaitOut requires that a new holder has waited out what the one before may have granted to its last moment.
+// Without it the wait would hide a successor that began too early, unless the old holder granted just then.
+func (f *fleet) checkWaitOut(name claimer.Name, n identifier.Node) {
+	const waitOut = 600 * 98 / 100
+	last, ok := f.held[name]
+	if ok && f.terms.WaitOut > 0 && last.node != n && f.now-last.until < waitOut {
+		f.faults = append(f.faults, fmt.Sprintf("%d: %s at %s only %d ms after %s", f.now, name, n, f.now-last.until, last.node))
 	}
+	f.held[name] = held{node: n, until: f.now}
 }
 
 // withAuthority lists the nodes that could act now, also a paused one that would wake up at this moment.
--- a/internal/granter/fuzz_test.go
+++ b/internal/granter/fuzz_test.go
@@ -37,15 +37,20 @@
 	os.Exit(m.Run())
 }
 
+var (
+	claimActions = []string{
+		"weather", "log", "cut", "cutNodes", "cutNodes", "cutLog", "cutNodeLog", "cutNodeLog", "pause", "pauseLong",
+		"crash", "leave", "heal",
+	}
+	rateActions = append([]string{"load", "load", "load", "rush", "rush", "rush", "rates", "shares"}, claimActions...)
+)
+
 // act draws something that happens to the fleet.
-func act(t *rapid.T, f *fleet) {
+func act(t *rapid.T, f *fleet, actions []string) {
 	n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
 	a := rapid.SampledFrom(f.domains).Draw(t, "domain").Domain
 	b := rapid.SampledFrom(f.domains).Draw(t, "other").Domain
-	switch rapid.SampledFrom([]string{
-		"load", "load", "load", "weather", "log", "cut", "cutLog", "pause", "pauseLong", "crash", "leave", "rates",
-		"shares", "heal",
-	}).Draw(t, "action") {
+	switch rapid.SampledFrom(actions).Draw(t, "action") {
 	case "load":
 		team := rapid.SampledFrom(f.teams).Draw(t, "team")
 		n.load[team.Name] = int64(team.Rate) / 1000 * rapid.SampledFrom([]int64{0, 1, 1, 3, 10}).Draw(t, "times")
@@ -56,13 +61,16 @@
 	case "log":
 		f.logDown = !f.logDown
 	case "cut":
-		if a != b {
-			c := !f.cut[[2]identifier.FailureDomain{a, b}]
-			f.cut[[2]identifier.FailureDomain{a, b}] = c
-			f.cut[[2]identifier.FailureDomain{b, a}] = c || rapid.Bool().Draw(t, "oneWay")
-		}
+		f.cutBetween(t, string(a), string(b))
+	case "cutNodes":
+		m := rapid.SampledFrom(f.nodes).Draw(t, "node")
+		f.cutBetween(t, string(n.id), string(m.id))
 	case "cutLog":
-		f.cutLog[a] = !f.cutLog[a]
+		f.cutLog[string(a)] = !f.cutLog[string(a)]
+	case "cutNodeLog":
+		f.cutLog[string(n.id)] = !f.cutLog[string(n.id)]
+	case "rush":
+		f.rush(t)
 	case "pause":
 		n.pausedTo = f.now + rapid.Int64Range(50, 700).Draw(t, "pause")
 	case "pauseLong":
@@ -81,6 +89,27 @@
 	}
 }
 
+func (f *fleet) cutBetween(t *rapid.T, a, b string) {
+	if a != b {
+		c := !f.cut[[2]string{a, b}]
+		f.cut[[2]string{a, b}] = c
+		f.cut[[2]string{b, a}] = c || rapid.Bool().Draw(t, "oneWay")
+	}
+}
+
+// rush lets all buckets fill up, and then brings all that any node would take.
+func (f *fleet) rush(t *rapid.T) {
+	team := rapid.SampledFrom(f.teams).Draw(t, "team")
+	times := make([]int64, len(f.nodes))
+	f.setLoad(team.Name, times...)
+	f.run(rapid.Int64Range(0, 1500).Draw(t, "rest"))
+	for i := range times {
+		times[i] = int64(team.Rate) / 100 * rapid.Int64Range(0, 2).Draw(t, "rush")
+	}
+	f.setLoad(team.Name, times...)
+	f.run(rapid.Int64Range(20, 600).Draw(t, "rushing"))
+}
+
 func (f *fleet) drawShares(t *rapid.T) []definer.DomainShare {
 	rest := 1000
 	var domains []definer.DomainShare
@@ -154,12 +183,31 @@
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "domains"), 2, true)
 		f.run(2000)
 		for range rapid.IntRange(1, 20).Draw(t, "actions") {
-			act(t, f)
+			act(t, f, rateActions)
+			f.run(rapid.Int64Range(1, 2500).Draw(t, "span"))
+			if len(f.faults) > 0 {
+				t.Fatal(f.faults[0])
+			}
+		}
+		f.recover(t)
+	})
+}
+
+// The same for claims alone, which allows many more faults in the same time: an order would be run by two nodes, or
+// by one before the other's last run has ended.
+func TestFuzzClaims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), 1, 4, true)
+		f.quiet = true
+		f.run(2000)
+		for range rapid.IntRange(50, 250).Draw(t, "actions") {
+			act(t, f, claimActions)
 			f.run(rapid.Int64Range(1, 2500).Draw(t, "span"))
 			if len(f.faults) > 0 {
 				t.Fatal(f.faults[0])
 			}
 		}
+		f.quiet = false
 		f.recover(t)
 	})
 }
