Keep what an owner allowed when it names a new witness: ids ran twice in rolling restarts

An owner whose witness had gone continued its claim in the next epoch; it dropped its records there, while the line below which ids count as unknown stayed at the first epoch's beginning. Besides, a request between the begin of the authority and the next tick found no begin of the hold at all. Change: a hold tells the first epoch that it has held without a break; records stay over its epochs; a gap in the epochs begins a new hold; a claim not yet gained is not held.

--- a/internal/deduplicator/handover.go
+++ b/internal/deduplicator/handover.go
@@ -94,13 +94,13 @@
 }
 
 // adoptStaged takes a complete handover of the epoch just before; any other one lacks what happened between.
-func (o *Owner) adoptStaged(s *slot) bool {
+func (o *Owner) adoptStaged(s *slot, begin identifier.Epoch) bool {
 	g := o.staged[s.claim]
-	if g == nil || g.epoch+1 > s.epoch {
+	if g == nil || g.epoch+1 > begin {
 		return false
 	}
 	delete(o.staged, s.claim)
-	if g.epoch+1 != s.epoch || len(g.parts) != g.count {
+	if g.epoch+1 != begin || len(g.parts) != g.count {
 		return false
 	}
 	for i := range g.count {
--- a/internal/deduplicator/owner.go
+++ b/internal/deduplicator/owner.go
@@ -110,11 +110,13 @@
 	return v
 }
 
-// slotOf returns the state for a hold, and starts anew where the epoch has changed: in between another node
-// may have allowed ids that this one knows nothing of.
+// slotOf returns the state for a hold, and starts anew where the hold was broken: in between another node may have
+// allowed ids that this one knows nothing of. Epochs of one hold keep the state, for else the ids that this very owner
+// allowed in the epoch before would be forgotten and run again.
 func (o *Owner) slotOf(h Hold) *slot {
 	s := o.slots[h.Claim]
-	if s != nil && s.epoch == h.Epoch {
+	if s != nil && s.epoch >= h.begin() && s.epoch <= h.Epoch {
+		s.epoch = h.Epoch
 		return s
 	}
 	if s != nil {
@@ -122,7 +124,7 @@
 	}
 	s = &slot{claim: h.Claim, epoch: h.Epoch, records: map[recordKey]*record{}}
 	o.slots[h.Claim] = s
-	if o.adoptStaged(s) {
+	if o.adoptStaged(s, h.begin()) {
 		return s
 	}
 	if !h.First {
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -163,9 +163,7 @@
 }
 
 func (s *State) claimGained(e claimer.Gained) {
-	if s.gained[e.Name].epoch == 0 {
-		s.gained[e.Name] = gained{epoch: e.Epoch, wall: s.wall}
-	}
+	s.noteGained(e.Name, e.Epoch)
 	if _, slot, ok := granter.ParseClaimName(e.Name); ok {
 		s.grant(s.granter.Own(slot, e.Epoch, s.now))
 	}
--- /dev/null
+++ b/internal/reducer/hold_test.go
@@ -0,0 +1,31 @@
+package reducer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// A hold that seems older than it is makes an owner allow ids that another node allowed before it. So a hold goes on
+// only from one epoch to the next, and a gap in the epochs begins a new one.
+func TestHoldIsUnbroken(t *testing.T) {
+	const name claimer.Name = "ids/0"
+	s := New(Options{Self: "a", Domain: "alfa"})
+	_, held := s.hold("ids/0")
+	assert.Assert(t, !held, "a claim not gained yet")
+	steps := []struct{ epoch, first identifier.Epoch }{{4, 4}, {5, 4}, {5, 4}, {7, 7}, {8, 7}}
+	for i, step := range steps {
+		s.wall += 1000
+		s.noteGained(name, step.epoch)
+		g := s.gained[name]
+		assert.Equal(t, g.first, step.first, "step %d", i)
+		assert.Equal(t, g.last, step.epoch, "step %d", i)
+	}
+	assert.Equal(t, int64(s.gained[name].wall), int64(4000))
+	s.claimLost(name)
+	s.noteGained(name, 9)
+	assert.Equal(t, s.gained[name].first, identifier.Epoch(9), "after a loss")
+}
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -9,17 +9,9 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/jackdawtide/jackdawtide/internal/claimer"
-	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
-	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
-// gained is when this node's present hold on a claim began.
-type gained struct {
-	epoch identifier.Epoch
-	wall  clock.Wall
-}
-
 func (s *State) claimID(c *call) {
 	if c.idempotent || c.idempotency == "" {
 		s.forward(c)
@@ -130,7 +122,8 @@
 	s.ask(s.asker.Finish(deduplicator.CallID(c.id), fromRecorded(o), s.now))
 }
 
-// abandonID frees the id of a call of which nothing was sent, so that the caller's next try may run.
+// abandonID frees the id of a call of which nothing was sent, so that the caller's next try may run. Where something may
+// have run, the owner is told so at once: left to itself it would answer "in progress" until its own patience ends.
 func (s *State) abandonID(c *call) {
 	if c.maybeRun {
 		s.finishID(c, nil)
@@ -162,13 +155,3 @@
 	}
 	return o
 }
-
-// hold is this node's hold on a claim at this very moment.
-func (s *State) hold(c deduplicator.Claim) (deduplicator.Hold, bool) {
-	epoch, ok := s.claimer.Holds(claimer.Name(c), s.now)
-	if !ok {
-		return deduplicator.Hold{}, false
-	}
-	g := s.gained[claimer.Name(c)]
-	return deduplicator.Hold{Claim: c, Epoch: epoch, Gained: g.wall, First: epoch == 1}, true
-}
