--- a/internal/encoder/membership.go
+++ b/internal/encoder/membership.go
@@ -134,6 +134,7 @@
 type joinWire struct {
 	_    struct{} `cbor:",toarray"`
 	Self memberWire
+	Hash uint64
 }
 
 type joinAnswerWire struct {
@@ -150,6 +151,7 @@
 
 type subscriptionWire struct {
 	_        struct{} `cbor:",toarray"`
+	Answer   bool
 	Same     bool
 	Members  []memberWire
 	Contacts []contactWire
@@ -388,11 +390,11 @@
 }
 
 func joinToWire(j gossiper.Join) joinWire {
-	return joinWire{Self: memberToWire(j.Self)}
+	return joinWire{Self: memberToWire(j.Self), Hash: j.Hash}
 }
 
 func joinFromWire(w joinWire) gossiper.Join {
-	return gossiper.Join{Self: memberFromWire(w.Self)}
+	return gossiper.Join{Self: memberFromWire(w.Self), Hash: w.Hash}
 }
 
 func joinAnswerToWire(a gossiper.JoinAnswer) joinAnswerWire {
@@ -416,6 +418,7 @@
 
 func subscriptionToWire(s gossiper.Subscription) subscriptionWire {
 	return subscriptionWire{
+		Answer:   s.Answer,
 		Same:     s.Same,
 		Members:  mapSlice(s.Members, memberToWire),
 		Contacts: mapSlice(s.Contacts, contactToWire),
@@ -425,6 +428,7 @@
 
 func subscriptionFromWire(w subscriptionWire) gossiper.Subscription {
 	return gossiper.Subscription{
+		Answer:   w.Answer,
 		Same:     w.Same,
 		Members:  mapSlice(w.Members, memberFromWire),
 		Contacts: mapSlice(w.Contacts, contactFromWire),
--- a/internal/gossiper/follower.go
+++ b/internal/gossiper/follower.go
@@ -10,6 +10,8 @@
 import (
 	"slices"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
@@ -18,8 +20,10 @@
 	renewInterval = 3 * clock.Second
 	// firstRetry is the wait before asking again while nothing was answered yet.
 	firstRetry = 300 * clock.Millisecond
-	// confirmTerm is how long a remote member is used that no relay has confirmed.
+	// confirmTerm is how long a remote member is used that no relay has confirmed, relayTerm how long a relay
+	// uses one that its own table lacks.
 	confirmTerm = 15 * clock.Second
+	relayTerm   = 4 * clock.Second
 )
 
 type follower struct {
@@ -84,10 +88,12 @@
 	}
 	if g.relayer.active {
 		f.answered = true
-		g.confirmAll(now)
-		return g.seeTables(now)
+		f.next = now.Add(clock.Second)
+		effects := g.seeTables(now)
+		effects = append(effects, g.seeHeld(now)...)
+		return append(effects, g.dropUnconfirmed(now, relayTerm)...)
 	}
-	effects := g.dropUnconfirmed(now)
+	effects := g.dropUnconfirmed(now, confirmTerm)
 	relays := g.relayer.relays
 	first := g.options.Rand.IntN(len(relays))
 	message := Subscribe{Services: f.interests, Hash: g.heldHash()}
@@ -105,6 +111,16 @@
 			h ^= heldHash(n, s.Member)
 		}
 	}
+	return h ^ g.contactsHash()
+}
+
+func (g *Gossiper) contactsHash() uint64 {
+	h := uint64(0)
+	for _, d := range g.relayer.domains() {
+		for _, c := range g.relayer.remotes[d].contacts {
+			h = h*31 + xxh3.HashString(string(c.Node))
+		}
+	}
 	return h
 }
 
@@ -120,11 +136,28 @@
 	}
 }
 
-func (g *Gossiper) dropUnconfirmed(now clock.Time) []Effect {
+// seeHeld confirms what a relay's view holds by its tables, down members too: one that died while this node
+// was no relay yet is in no list of living ones.
+func (g *Gossiper) seeHeld(now clock.Time) []Effect {
 	var effects []Effect
 	for _, n := range g.view.sorted() {
 		s := g.view.members[n]
-		if s.Domain != g.self.Domain && now.Sub(s.confirmed) > confirmTerm {
+		t := g.relayer.tables[s.Domain]
+		if t == nil || !s.up() {
+			continue
+		}
+		if e := t.members[n]; e != nil {
+			effects = append(effects, g.seeRemote(e.Member, now)...)
+		}
+	}
+	return effects
+}
+
+func (g *Gossiper) dropUnconfirmed(now clock.Time, term clock.Duration) []Effect {
+	var effects []Effect
+	for _, n := range g.view.sorted() {
+		s := g.view.members[n]
+		if s.Domain != g.self.Domain && now.Sub(s.confirmed) > term {
 			effects = append(effects, g.view.drop(n)...)
 		}
 	}
@@ -136,8 +169,8 @@
 		return nil
 	}
 	g.relayer.subscribers[from] = &subscriber{services: m.Services, until: now.Add(subscribeTerm)}
-	answer := Subscription{Contacts: g.Contacts()}
-	hash := uint64(0)
+	answer := Subscription{Answer: true, Contacts: g.Contacts()}
+	hash := g.contactsHash()
 	for _, d := range g.relayer.domains() {
 		if g.relayer.remotes[d].silent {
 			answer.Silent = append(answer.Silent, d)
@@ -157,11 +190,12 @@
 	if hash == m.Hash {
 		answer.Same = true
 		answer.Members = nil
+		answer.Contacts = nil
 	}
 	return []Effect{g.send(from, answer)}
 }
 
-func (g *Gossiper) receiveSubscription(m Subscription, now clock.Time) []Effect {
+func (g *Gossiper) receiveSubscription(from identifier.Node, m Subscription, now clock.Time) []Effect {
 	effects := g.setContacts(m.Contacts, now)
 	if m.Same {
 		g.confirmAll(now)
@@ -171,8 +205,11 @@
 			effects = append(effects, g.seeRemote(record, now)...)
 		}
 	}
-	// A push of changes alone carries no contacts and says nothing about silence.
-	if len(m.Contacts) == 0 {
+	if m.Answer && !m.Same {
+		effects = append(effects, g.askMissing(from, m.Members)...)
+	}
+	// A push of changes says nothing about silence.
+	if !m.Answer {
 		return effects
 	}
 	g.follower.answered = true
@@ -183,3 +220,26 @@
 	}
 	return effects
 }
+
+// askMissing asks for the records that are held here and weren't in a relay's answer. They may be gone or have
+// lost their endpoints; or the relay is a new one that doesn't know them yet, and then nothing comes back.
+func (g *Gossiper) askMissing(relay identifier.Node, answer []Member) []Effect {
+	told := map[identifier.Node]bool{}
+	for _, m := range answer {
+		told[m.Node] = true
+	}
+	missing := map[identifier.FailureDomain][]identifier.Node{}
+	for _, n := range g.view.sorted() {
+		s := g.view.members[n]
+		if s.Domain != g.self.Domain && s.up() && !told[n] {
+			missing[s.Domain] = append(missing[s.Domain], n)
+		}
+	}
+	var effects []Effect
+	for _, d := range g.relayer.domains() {
+		if len(missing[d]) > 0 {
+			effects = append(effects, g.send(relay, Members{Domain: d, Wanted: missing[d]}))
+		}
+	}
+	return effects
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -132,7 +132,7 @@
 func (g *Gossiper) Tick(now clock.Time) []Effect {
 	g.excusePause(now)
 	if g.self.State == Left {
-		return g.spread(now)
+		return append(g.spread(now), g.flushOwn()...)
 	}
 	effects := g.tickJoin(now)
 	effects = append(effects, g.tickProbes(now)...)
@@ -207,7 +207,7 @@
 	case Subscribe:
 		return g.receiveSubscribe(from, m, now)
 	case Subscription:
-		return g.receiveSubscription(m, now)
+		return g.receiveSubscription(from, m, now)
 	}
 	return nil
 }
@@ -262,7 +262,8 @@
 	g.self.State = state
 	g.self.Incarnation++
 	effects := g.take(g.self, now)
-	return append(effects, g.spread(now)...)
+	effects = append(effects, g.spread(now)...)
+	return append(effects, g.flushOwn()...)
 }
 
 // learn takes in records of the own domain.
@@ -299,7 +300,9 @@
 	}
 	m = g.own.members[m.Node].Member
 	g.spreader.add(m.Node)
-	g.relayer.changedOwn(m.Node)
+	if g.relayer.active || m.Node == g.self.Node {
+		g.relayer.changedOwn(m.Node)
+	}
 	if m.State == Suspect {
 		g.suspected(m.Node, now)
 	}
--- a/internal/gossiper/joiner.go
+++ b/internal/gossiper/joiner.go
@@ -48,14 +48,22 @@
 		j.next = now.Add(rejoinInterval/2 + g.jitter(rejoinInterval))
 		fanout = 1
 	}
+	message := Join{Self: g.self, Hash: g.joinHash()}
 	targets := g.joinTargets()
 	g.options.Rand.Shuffle(len(targets), func(a, b int) { targets[a], targets[b] = targets[b], targets[a] })
 	for _, t := range targets[:min(fanout, len(targets))] {
-		effects = append(effects, Send{To: t.Node, Address: t.Address, Message: Join{Self: g.self}})
+		effects = append(effects, Send{To: t.Node, Address: t.Address, Message: message})
 	}
 	return effects
 }
 
+func (g *Gossiper) joinHash() uint64 {
+	if len(g.own.up) == 1 {
+		return 0
+	}
+	return g.own.hash()
+}
+
 func (g *Gossiper) joinTargets() []Contact {
 	var targets []Contact
 	for _, s := range g.options.Seeds {
@@ -132,6 +140,11 @@
 		return append(g.addContact(contactOf(m.Self), now), answer)
 	}
 	effects := g.learn([]Member{m.Self}, now)
+	if e := g.own.members[m.Self.Node]; m.Hash != 0 && e != nil && e.up() {
+		// It asks now and then whether it knows all; the whole table each time would be most of its traffic.
+		effects = append(effects, reply(JoinAnswer{Contacts: g.Contacts()}))
+		return append(effects, g.compare(m.Self.Node, m.Hash, now)...)
+	}
 	// A node that was taken for dead while it was cut off gets told, so that it writes a newer record.
 	var members []Member
 	for _, n := range g.own.up {
@@ -159,7 +172,7 @@
 		known := g.own.members[c.Node] != nil || c.Node == g.self.Node
 		if !known {
 			effects = append(effects, g.addCandidate(c, now)...)
-			effects = append(effects, Send{To: c.Node, Address: c.Address, Message: Join{Self: g.self}})
+			effects = append(effects, Send{To: c.Node, Address: c.Address, Message: Join{Self: g.self, Hash: g.joinHash()}})
 		}
 	}
 	return effects
--- a/internal/gossiper/messages.go
+++ b/internal/gossiper/messages.go
@@ -85,6 +85,8 @@
 // Join announces the sender to a node that may not know it.
 type Join struct {
 	Self Member
+	// Hash is of the sender's member table, 0 where it knows nobody else.
+	Hash uint64
 }
 
 // JoinAnswer gives the members of the answering node's domain to one of its own, and contacts elsewhere.
@@ -100,8 +102,10 @@
 	Hash uint64
 }
 
-// Subscription answers Subscribe; Same tells that the sender holds all of it.
+// Subscription answers Subscribe, or pushes changes unasked.
 type Subscription struct {
+	Answer bool
+	// Same tells that the subscriber holds all members and contacts, so that neither is repeated.
 	Same     bool
 	Members  []Member
 	Contacts []Contact
--- a/internal/gossiper/prober.go
+++ b/internal/gossiper/prober.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// indirectAfter is how long an answer may take before others are asked to ping too.
-	indirectAfter  = 200 * clock.Millisecond
+	// repeatInterval is how long an answer may take before the ping is repeated and others are asked to ping
+	// too. With one message in five lost, a single ping misses more than a third of all answers; the domain
+	// would be busy with suspecting and refuting, and the queue of changes would outgrow what is sent.
+	repeatInterval = 100 * clock.Millisecond
 	indirectFanout = 2
 	// confirmInterval is how often a suspect member is pinged by those who confirm the suspicion.
 	confirmInterval = 300 * clock.Millisecond
@@ -31,7 +33,7 @@
 	sequence uint32
 	target   identifier.Node
 	sent     clock.Time
-	indirect bool
+	repeat   clock.Time
 	// requester is the node that asked for this ping, and requested its sequence.
 	requester identifier.Node
 	requested uint32
@@ -43,6 +45,8 @@
 	nextProbe clock.Time
 	nextHeal  clock.Time
 	random    bool
+	// suspects lists the members that were suspected last.
+	suspects []identifier.Node
 }
 
 func (p *prober) forget() {
@@ -103,6 +107,7 @@
 		sequence:  g.prober.sequence,
 		target:    target,
 		sent:      now,
+		repeat:    now.Add(repeatInterval),
 		requester: requester,
 		requested: requested,
 	})
@@ -135,11 +140,9 @@
 			}
 			continue
 		}
-		if age >= indirectAfter && !p.indirect && p.requester == "" {
-			p.indirect = true
-			for _, n := range g.somePeers(indirectFanout, p.target) {
-				effects = append(effects, g.send(n, PingRequest{Sequence: p.sequence, Target: p.target}))
-			}
+		if now >= p.repeat && p.requester == "" {
+			p.repeat = now.Add(repeatInterval)
+			effects = append(effects, g.insist(p)...)
 		}
 		kept = append(kept, p)
 	}
@@ -150,6 +153,15 @@
 	return effects
 }
 
+func (g *Gossiper) insist(p probe) []Effect {
+	again := Ping{Sequence: p.sequence, News: g.news, Hash: g.own.hash()}
+	effects := []Effect{g.send(p.target, again)}
+	for _, n := range g.somePeers(indirectFanout, p.target) {
+		effects = append(effects, g.send(n, PingRequest{Sequence: p.sequence, Target: p.target}))
+	}
+	return effects
+}
+
 func (g *Gossiper) suspect(n identifier.Node, now clock.Time) []Effect {
 	e := g.own.members[n]
 	if e == nil || e.State != Alive {
@@ -169,15 +181,20 @@
 	e.deadline = now.Add(g.options.Suspicion)
 	e.confirming = g.options.Rand.IntN(len(g.own.up)) < confirmers
 	e.nextPing = now
+	if !slices.Contains(g.prober.suspects, n) {
+		g.prober.suspects = append(g.prober.suspects, n)
+	}
 }
 
 func (g *Gossiper) tickSuspects(now clock.Time) []Effect {
 	var effects []Effect
-	for _, n := range g.own.up {
+	isSettled := func(n identifier.Node) bool {
+		e := g.own.members[n]
+		return e == nil || e.State != Suspect
+	}
+	g.prober.suspects = slices.DeleteFunc(g.prober.suspects, isSettled)
+	for _, n := range g.prober.suspects {
 		e := g.own.members[n]
-		if e.State != Suspect {
-			continue
-		}
 		if now >= e.deadline {
 			m := e.Member
 			m.State = Dead
--- a/internal/gossiper/relayer.go
+++ b/internal/gossiper/relayer.go
@@ -19,13 +19,19 @@
 )
 
 const (
-	relayCount    = 3
-	probeRemote   = clock.Second
-	maxContacts   = 4
-	silenceLimit  = 4 * clock.Second
+	relayCount   = 3
+	probeRemote  = clock.Second
+	maxContacts  = 4
+	silenceLimit = 4 * clock.Second
+	// urgentAfter is the silence after which all contacts of a domain are probed, every urgentProbe: taking a
+	// whole domain out of use because a few probes got lost would be worse than the fault it guards against.
+	urgentAfter   = 1200 * clock.Millisecond
+	urgentProbe   = 300 * clock.Millisecond
 	subscribeTerm = 12 * clock.Second
-	// pushCopies is how often a change is pushed to a subscriber, as pushes are not acknowledged.
-	pushCopies = 2
+	// pushCopies is how often a change is pushed to a subscriber, and to relayFanout relays of each other
+	// domain, as pushes are not acknowledged and a comparison may come too late for a leaving server.
+	pushCopies  = 3
+	relayFanout = 2
 )
 
 type subscriber struct {
@@ -37,7 +43,10 @@
 	contacts []Contact
 	// heard is when a node of that domain, or a relay of the own one on its behalf, was last heard.
 	heard  clock.Time
+	urgent clock.Time
 	silent bool
+	// named tells that the domain itself has named the contacts.
+	named bool
 }
 
 type relayer struct {
@@ -46,8 +55,9 @@
 	tables      map[identifier.FailureDomain]*table
 	remotes     map[identifier.FailureDomain]*remote
 	subscribers map[identifier.Node]*subscriber
-	// own and pushes are the members changed since the last flush, of the own domain and of others.
-	own       []identifier.Node
+	// own and pushes are the members changed since the last flush, of the own domain and of others. A node that
+	// is no relay has only itself in own: it tells other domains of its own changes, as its relays may be dead.
+	own       []push
 	pushes    []push
 	nextProbe clock.Time
 }
@@ -98,9 +108,8 @@
 }
 
 func (r *relayer) changedOwn(n identifier.Node) {
-	if r.active && !slices.Contains(r.own, n) {
-		r.own = append(r.own, n)
-	}
+	r.own = slices.DeleteFunc(r.own, func(p push) bool { return p.node == n })
+	r.own = append(r.own, push{node: n})
 }
 
 // Contacts returns a few nodes of each other domain, by domain.
@@ -119,11 +128,26 @@
 
 // elect chooses the members with the highest hashes of their names.
 func (g *Gossiper) elect() {
-	names := slices.Clone(g.own.up)
-	slices.SortFunc(names, func(a, b identifier.Node) int {
-		return cmp.Or(cmp.Compare(xxh3.HashString(string(b)), xxh3.HashString(string(a))), cmp.Compare(b, a))
-	})
-	g.relayer.relays = names[:min(relayCount, len(names))]
+	var best []candidate
+	for _, n := range g.own.up {
+		c := candidate{node: n, hash: xxh3.HashString(string(n))}
+		i, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+		if i < relayCount {
+			best = slices.Insert(best, i, c)
+			best = best[:min(relayCount, len(best))]
+		}
+	}
+	var relays []identifier.Node
+	for _, c := range best {
+		relays = append(relays, c.node)
+	}
+	if slices.Equal(relays, g.relayer.relays) {
+		return
+	}
+	g.relayer.relays = relays
+	// A new relay knows no subscribers, and one that is none any more hears nothing from other domains.
+	g.follower.next = 0
+	g.follower.answered = false
 	active := slices.Contains(g.relayer.relays, g.self.Node)
 	if g.relayer.active && !active {
 		clear(g.relayer.tables)
@@ -134,6 +158,15 @@
 	g.relayer.active = active
 }
 
+type candidate struct {
+	node identifier.Node
+	hash uint64
+}
+
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.hash, c.hash), cmp.Compare(o.node, c.node))
+}
+
 func (g *Gossiper) ownRelays() []Contact {
 	contacts := make([]Contact, 0, relayCount)
 	for _, n := range g.relayer.relays {
@@ -166,6 +199,7 @@
 	var effects []Effect
 	for d, list := range byDomain {
 		r := g.remoteOf(d, now)
+		r.named = true
 		list = list[:min(len(list), maxContacts)]
 		if !slices.Equal(r.contacts, list) {
 			r.contacts = list
@@ -182,7 +216,7 @@
 func (g *Gossiper) addContact(c Contact, now clock.Time) []Effect {
 	r := g.remoteOf(c.Domain, now)
 	known := slices.ContainsFunc(r.contacts, func(o Contact) bool { return o.Node == c.Node })
-	if known || len(r.contacts) >= maxContacts {
+	if known || len(r.contacts) >= maxContacts || (r.named && !r.silent) {
 		return nil
 	}
 	r.contacts = append(r.contacts, c)
@@ -191,11 +225,14 @@
 
 func (g *Gossiper) tickRelay(now clock.Time) []Effect {
 	r := &g.relayer
+	effects := g.flushOwn()
 	if !r.active {
-		return nil
+		return effects
 	}
-	effects := g.flushOwn()
 	effects = append(effects, g.flushPushes(now)...)
+	for _, d := range r.domains() {
+		effects = append(effects, g.probeUrgently(d, now)...)
+	}
 	if now < r.nextProbe {
 		return effects
 	}
@@ -231,6 +268,21 @@
 	return append(effects, Send{To: c.Node, Address: c.Address, Message: message})
 }
 
+func (g *Gossiper) probeUrgently(d identifier.FailureDomain, now clock.Time) []Effect {
+	o := g.relayer.remotes[d]
+	t := g.relayer.tables[d]
+	if t == nil || now.Sub(o.heard) < urgentAfter || now < o.urgent {
+		return nil
+	}
+	o.urgent = now.Add(urgentProbe)
+	var effects []Effect
+	for _, c := range o.contacts {
+		message := Probe{Domain: d, Hash: t.hash(), Relays: g.ownRelays()}
+		effects = append(effects, Send{To: c.Node, Address: c.Address, Message: message})
+	}
+	return effects
+}
+
 // noteSilence takes a domain out of use that hasn't been heard for a while: when it dies whole, no member of
 // it is left to tell that the others are dead.
 func (g *Gossiper) noteSilence(d identifier.FailureDomain, now clock.Time) []Effect {
@@ -287,24 +339,42 @@
 	if len(g.relayer.own) == 0 {
 		return nil
 	}
-	names := g.relayer.own
-	g.relayer.own = nil
+	var names []identifier.Node
+	for _, p := range g.relayer.own {
+		names = append(names, p.node)
+	}
+	g.relayer.own = repeated(g.relayer.own)
 	var effects []Effect
 	for _, d := range g.relayer.domains() {
 		contacts := g.relayer.remotes[d].contacts
 		if len(contacts) == 0 {
 			continue
 		}
-		c := contacts[g.options.Rand.IntN(len(contacts))]
-		effects = append(effects, g.sendMembers(c.Node, g.own, names, nil)...)
+		first := g.options.Rand.IntN(len(contacts))
+		for i := range min(relayFanout, len(contacts)) {
+			c := contacts[(first+i)%len(contacts)]
+			effects = append(effects, g.sendMembers(c.Node, g.own, names, nil)...)
+		}
 	}
 	return effects
 }
 
-// learnRemote takes in records of another domain; only a relay keeps them.
+// repeated returns the pushes that are to go out once more.
+func repeated(pushes []push) []push {
+	var again []push
+	for _, p := range pushes {
+		p.copies++
+		if p.copies < pushCopies {
+			again = append(again, p)
+		}
+	}
+	return again
+}
+
+// learnRemote takes in records of another domain; only a relay keeps those of no interest to itself.
 func (g *Gossiper) learnRemote(m Members, now clock.Time) []Effect {
 	if !g.relayer.active {
-		return nil
+		return g.seeAll(m.Members, now)
 	}
 	t := g.relayer.tables[m.Domain]
 	if t == nil {
@@ -334,6 +404,16 @@
 	return effects
 }
 
+func (g *Gossiper) seeAll(members []Member, now clock.Time) []Effect {
+	var effects []Effect
+	for _, m := range members {
+		if m.Domain != g.self.Domain {
+			effects = append(effects, g.seeRemote(m, now)...)
+		}
+	}
+	return effects
+}
+
 func (g *Gossiper) flushPushes(now clock.Time) []Effect {
 	pushes := g.relayer.pushes
 	if len(pushes) == 0 {
@@ -355,14 +435,7 @@
 			effects = append(effects, g.send(n, Subscription{Members: records}))
 		}
 	}
-	var again []push
-	for _, p := range pushes {
-		p.copies++
-		if p.copies < pushCopies {
-			again = append(again, p)
-		}
-	}
-	g.relayer.pushes = again
+	g.relayer.pushes = repeated(pushes)
 	return effects
 }
 
--- a/internal/gossiper/repairer.go
+++ b/internal/gossiper/repairer.go
@@ -17,8 +17,10 @@
 const (
 	// repairInterval is the least time between two comparisons that a node starts.
 	repairInterval = 500 * clock.Millisecond
-	// settleTime is how long a table must be unchanged before a difference counts.
-	settleTime = 300 * clock.Millisecond
+	// settleTime is how long a table must be unchanged before a difference counts; in a table that never comes
+	// to rest, one difference in unsettledOdds does.
+	settleTime    = 300 * clock.Millisecond
+	unsettledOdds = 4
 	// maxMembers bounds the records in one Members.
 	maxMembers = 64
 )
@@ -28,7 +30,10 @@
 }
 
 func (g *Gossiper) compare(with identifier.Node, hash uint64, now clock.Time) []Effect {
-	if hash == g.own.hash() || now < g.repairer.next || now.Sub(g.own.changed) < settleTime {
+	if hash == g.own.hash() || now < g.repairer.next {
+		return nil
+	}
+	if now.Sub(g.own.changed) < settleTime && g.options.Rand.IntN(unsettledOdds) > 0 {
 		return nil
 	}
 	g.repairer.next = now.Add(repairInterval)
--- a/internal/gossiper/spreader.go
+++ b/internal/gossiper/spreader.go
@@ -22,6 +22,9 @@
 	// maxUpdates and maxUpdateBytes bound the records in one message.
 	maxUpdates     = 16
 	maxUpdateBytes = 1200
+	// maxRumors bounds the changes under way; when a whole domain boots at once, most of it is left to the
+	// comparison of tables.
+	maxRumors = 64
 )
 
 type rumor struct {
@@ -38,6 +41,20 @@
 func (s *spreader) add(n identifier.Node) {
 	s.rumors = slices.DeleteFunc(s.rumors, func(r rumor) bool { return r.node == n })
 	s.rumors = append(s.rumors, rumor{node: n})
+	if len(s.rumors) > maxRumors {
+		s.dropOldest()
+	}
+}
+
+// dropOldest ends the spreading of the record that was sent most often.
+func (s *spreader) dropOldest() {
+	oldest := 0
+	for i, r := range s.rumors {
+		if r.sent > s.rumors[oldest].sent {
+			oldest = i
+		}
+	}
+	s.rumors = slices.Delete(s.rumors, oldest, oldest+1)
 }
 
 func (g *Gossiper) transmitLimit() int {
