reducer: pay before rank; fuzz the composed reducer against an account of its calls

Cause: a root call was ranked and asked the board before it paid with its team's rate. A team far above its rate had its unimportant calls shed for nothing and spent its whole rate on urgent ones. An attempt that never left the node forfeited the allowance that was to go with it; it is given back now. A call given up after it may have run left its idempotency id in progress until the owner's patience ended; the owner is told at once now. Change: those three, and a stateful test with rapid in which callers, backend servers, the network and an operator act in any order.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -82,6 +82,10 @@
 		return
 	}
 	s.learn(c, e.Tail)
+	if e.Phase == NotSent {
+		// What never left this node cannot have spent any of the allowance that was to go with it.
+		c.budget.Return(c.carried, c.carried)
+	}
 	s.endAttempt(c, attemptOutcome(e), e.Tail)
 	if e.Relayed && e.Whole {
 		s.finishID(c, e.Outcome)
@@ -208,9 +212,7 @@
 
 // giveUp ends a call whose last attempt failed. The refusal is "not run" only if no attempt at all may have run.
 func (s *State) giveUp(c *call, e *AnswerEnded) {
-	if !c.maybeRun {
-		s.abandonID(c)
-	}
+	s.abandonID(c)
 	r := Refusal{RetryAfter: s.backOff()}
 	switch {
 	case e.TooLarge:
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -33,6 +33,7 @@
 	method      string
 	path        string
 	route       admitter.Route
+	priority    identifier.Priority
 	rank        identifier.Rank
 	deadline    clock.Time
 	idempotent  bool
@@ -60,7 +61,7 @@
 	asking bool
 	// searchUntil is set once the call has waited for endpoints of its service.
 	searchUntil clock.Time
-	paid        granter.Paid
+	payment     granter.Paid
 }
 
 func (s *State) callArrived(e *CallArrived) {
@@ -90,14 +91,20 @@
 		return
 	}
 	c.budget = retrier.NewBudget(s.rules.preset.RetryAllowance)
+	s.spend(c)
+}
+
+// paid goes on with a root call that its team's rate has paid for. Paying comes first: were calls ranked before, a team
+// far above its rate would have its unimportant calls shed for nothing and spend all of its rate on urgent ones, at the
+// cost of the teams that keep to theirs.
+func (s *State) paid(c *call) {
 	s.fairness.Note(c.team, s.now)
-	m := s.rules.services[c.service].match(c.method, c.path)
-	c.rank = identifier.MakeRank(m.priority, s.fairness.Overuse(c.team, s.now), rootHash(c))
+	c.rank = identifier.MakeRank(c.priority, s.fairness.Overuse(c.team, s.now), rootHash(c))
 	if !s.board.AdmitRoute(c.service, c.route, c.rank, s.now) {
 		s.refuse(c, Refusal{Reason: Shed, RetryAfter: s.backOff()})
 		return
 	}
-	s.spend(c)
+	s.claimID(c)
 }
 
 // A caller's retry with the same id gets the same place within its class, so asking again earns nothing.
@@ -183,6 +190,7 @@
 	}
 	m := r.match(c.method, c.path)
 	c.route = m.route
+	c.priority = m.priority
 	c.idempotent = m.idempotent
 	c.maxBody = r.maxBody
 	if deadline == 0 || deadline > r.timeout {
--- /dev/null
+++ b/internal/reducer/fuzz_test.go
@@ -0,0 +1,288 @@
+package reducer
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/retrier"
+)
+
+// machine draws what callers, backend servers, the network and an operator do, in any order.
+type machine struct {
+	*world
+	withdrawn bool
+	booked    []booking
+}
+
+// booking is a request that a caller may send again with the same id.
+type booking struct {
+	service identifier.Service
+	id      identifier.Idempotency
+}
+
+func (m *machine) callRoot(t *rapid.T) {
+	service := rapid.SampledFrom([]identifier.Service{"ice", "board", "nowhere"}).Draw(t, "service")
+	method := rapid.SampledFrom([]string{"GET", "POST"}).Draw(t, "method")
+	key := rapid.SampledFrom([]identifier.KeyHash{testKey, otherKey, "unknown"}).Draw(t, "key")
+	deadline := rapid.SampledFrom([]clock.Duration{0, 50, 1000}).Draw(t, "deadline")
+	m.call(key, service, method, "", deadline)
+}
+
+func (m *machine) book(*rapid.T) {
+	b := booking{service: "ice", id: identifier.Idempotency("id-" + string(requestOf(m.nextCall)))}
+	m.booked = append(m.booked, b)
+	m.call(testKey, b.service, "POST", b.id, 0)
+}
+
+// bookAgain is a caller that got no answer, or does not believe the one it got.
+func (m *machine) bookAgain(t *rapid.T) {
+	if len(m.booked) == 0 {
+		t.Skip("nothing booked")
+	}
+	b := rapid.SampledFrom(m.booked).Draw(t, "booking")
+	m.call(testKey, b.service, "POST", b.id, 0)
+}
+
+func (m *machine) callNested(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	d := m.deliveries[rapid.SampledFrom(m.running).Draw(t, "parent")]
+	method := rapid.SampledFrom([]string{"GET", "POST"}).Draw(t, "method")
+	m.nestedCall(d.token, d.root, "ice", method)
+}
+
+// forgedToken is a backend server that goes on calling in the name of a call that is over, or invents one.
+func (m *machine) forgedToken(t *rapid.T) {
+	token := Token("")
+	for _, d := range m.deliveries {
+		if d.ended {
+			token = d.token
+		}
+	}
+	c := m.nestedCall(token, 0, "ice", "GET")
+	a := m.calls[c]
+	if a.refusal == nil || a.refusal.Reason != UnknownToken {
+		t.Fatalf("a dead token was taken")
+	}
+}
+
+func (m *machine) takeForward(t *rapid.T) Forward {
+	if len(m.forwards) == 0 {
+		t.Skip("nothing is under way")
+	}
+	i := rapid.IntRange(0, len(m.forwards)-1).Draw(t, "forward")
+	f := m.forwards[i]
+	m.forwards = append(m.forwards[:i], m.forwards[i+1:]...)
+	return f
+}
+
+func (m *machine) deliverCall(t *rapid.T) {
+	f := m.takeForward(t)
+	service := identifier.Service("ice")
+	if slices.Contains(boardEndpoints, f.Endpoint) {
+		service = "board"
+	}
+	method := "POST"
+	if m.calls[f.Call].idempotent {
+		method = "GET"
+	}
+	m.deliver(f, service, method)
+}
+
+// neverSent is a node that cannot be dialled.
+func (m *machine) neverSent(t *rapid.T) {
+	f := m.takeForward(t)
+	m.apply(&AnswerEnded{Call: f.Call, Phase: NotSent, Replayable: true, Wall: m.wall()})
+}
+
+func (m *machine) takeRunning(t *rapid.T) CallID {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "running")
+	d := m.running[i]
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	return d
+}
+
+func (m *machine) answer(t *rapid.T) {
+	m.apply(&DeliveryEnded{Delivery: m.takeRunning(t)})
+}
+
+// loseAnswer is a connection between two nodes that breaks after the call has run.
+func (m *machine) loseAnswer(t *rapid.T) {
+	id := m.takeRunning(t)
+	d := m.deliveries[id]
+	d.ended = true
+	replayable := rapid.Bool().Draw(t, "replayable")
+	m.apply(&DeliveryCancelled{Delivery: id})
+	m.apply(&AnswerEnded{Call: d.call, Phase: Sent, Replayable: replayable, Wall: m.wall()})
+}
+
+func (m *machine) callerLeaves(t *rapid.T) {
+	var open []CallID
+	for c := CallID(1); c <= m.nextCall; c++ {
+		if a, ok := m.calls[c]; ok && a.finals == 0 {
+			open = append(open, c)
+		}
+	}
+	if len(open) == 0 {
+		t.Skip("no caller waits")
+	}
+	c := rapid.SampledFrom(open).Draw(t, "call")
+	m.apply(&CallCancelled{Call: c})
+	m.calls[c].finals++
+}
+
+func (m *machine) wait(t *rapid.T) {
+	m.pass(clock.Duration(rapid.SampledFrom([]int{10, 100, 600}).Draw(t, "ms")))
+}
+
+func (m *machine) withdrawKey(t *rapid.T) {
+	if m.withdrawn {
+		t.Skip("withdrawn already")
+	}
+	m.withdrawn = true
+	m.world.withdraw()
+	m.pass(clock.Second)
+	if _, ok := m.state.configurer.Resolve(otherKey); ok {
+		t.Fatalf("the withdrawn key still resolves")
+	}
+}
+
+// check looks at what must hold at every moment, beyond what the world checks at each effect.
+func (m *machine) check(t *rapid.T) {
+	if !m.withdrawn {
+		return
+	}
+	for _, f := range m.forwards {
+		if f.KeyHash != otherKey {
+			continue
+		}
+		// It was sent before the withdrawal; its delivery must now be turned away, which deliverCall brings about.
+		if d := m.state.calls[f.Call]; d != nil && d.sentAt > m.now {
+			t.Fatalf("call %d was forwarded for a withdrawn key", f.Call)
+		}
+	}
+}
+
+// Requests, lost answers, unreachable nodes, callers that leave, and a key that is withdrawn come in any order. A fault
+// shows as a caller that gets two answers or none, a booking made twice, a "not run" that is a lie, or a storm of
+// retries.
+func TestCallsAgainstAccount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{world: newWorld(t.Fatalf)}
+		t.Repeat(map[string]func(*rapid.T){
+			"callRoot":     m.callRoot,
+			"book":         m.book,
+			"bookAgain":    m.bookAgain,
+			"callNested":   m.callNested,
+			"forgedToken":  m.forgedToken,
+			"deliverCall":  m.deliverCall,
+			"neverSent":    m.neverSent,
+			"answer":       m.answer,
+			"loseAnswer":   m.loseAnswer,
+			"callerLeaves": m.callerLeaves,
+			"wait":         m.wait,
+			"withdraw":     m.withdrawKey,
+			"":             m.check,
+		})
+		m.settle(t)
+	})
+}
+
+// settle lets everything under way end, after which every caller has its answer and the node has forgotten all calls.
+func (m *machine) settle(t *rapid.T) {
+	for quiet := false; !quiet; quiet = len(m.forwards) == 0 && len(m.running) == 0 {
+		for len(m.forwards) > 0 {
+			f := m.forwards[0]
+			m.forwards = m.forwards[1:]
+			m.apply(&AnswerEnded{Call: f.Call, Phase: NotSent, Replayable: true, Wall: m.wall()})
+		}
+		for len(m.running) > 0 {
+			id := m.running[0]
+			m.running = m.running[1:]
+			m.apply(&DeliveryEnded{Delivery: id})
+		}
+		// A call that waits for another with the same id may be let go only now.
+		m.pass(10 * clock.Second)
+	}
+	for c, a := range m.calls {
+		if a.finals != 1 {
+			t.Fatalf("call %d got %d final answers", c, a.finals)
+		}
+	}
+	assert.Equal(t, len(m.state.calls), 0)
+	assert.Equal(t, len(m.state.deliveries), 0)
+	assert.Equal(t, len(m.state.tokens), 0)
+	for _, b := range m.state.backends {
+		assert.Equal(t, b.limiter.InFlight(), 0)
+	}
+}
+
+// Everything that one request needs breaks, again and again, at every hop. Without a bound over the whole chain each hop
+// would try its own few times, the deepest service would be asked a power of that, and a short fault would become an
+// outage that lasts.
+func TestRetriesOfOneRequestAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{world: newWorld(t.Fatalf)}
+		// The damper would stop the retries before the allowance does.
+		m.state.damper = retrier.NewDamper(retrier.DamperOptions{PerMille: 1_000_000, Burst: 1000})
+		m.call(testKey, "board", "GET", "", 0)
+		t.Repeat(map[string]func(*rapid.T){
+			"callNested":  m.callNested,
+			"deliverCall": m.deliverCall,
+			"neverSent":   m.neverSent,
+			"loseAnswer":  m.loseAnswer,
+			"answer":      m.answer,
+			"refuse":      m.refuseForward,
+			"wait":        m.wait,
+		})
+	})
+}
+
+// refuseForward is another node whose endpoint is full.
+func (m *machine) refuseForward(t *rapid.T) {
+	f := m.takeForward(t)
+	unused := rapid.Uint8Range(0, f.Allowance).Draw(t, "unused")
+	m.apply(&AnswerEnded{
+		Call: f.Call, Phase: Answered, Replayable: true, Wall: m.wall(), Tail: &Tail{Allowance: unused, Threshold: identifier.MaxRank},
+		Refusal: &RemoteRefusal{Reason: EndpointFull, NotRun: true},
+	})
+}
+
+// A withdrawn key's call waits in a queue while the withdrawal is read. Were the key not looked up again when the slot
+// comes free, the caller would go on being served for as long as it keeps the queue full.
+func TestWithdrawnKeyLeavesQueue(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	for range 2 * len(iceEndpoints) {
+		w.call(testKey, "ice", "GET", "", 0)
+	}
+	queued := w.call(otherKey, "ice", "POST", "", 0)
+	for _, f := range w.forwards {
+		method := "GET"
+		if f.Call == queued {
+			method = "POST"
+		}
+		w.deliver(f, "ice", method)
+	}
+	w.forwards = nil
+	assert.Equal(t, w.calls[queued].runs, 0)
+	w.withdraw()
+	w.pass(clock.Second)
+	for len(w.running) > 0 {
+		id := w.running[0]
+		w.running = w.running[1:]
+		w.apply(&DeliveryEnded{Delivery: id})
+	}
+	a := w.calls[queued]
+	assert.Equal(t, a.runs, 0)
+	assert.Equal(t, a.refusal.Reason, UnknownKey)
+	assert.Assert(t, a.refusal.NotRun)
+}
--- a/internal/reducer/spend.go
+++ b/internal/reducer/spend.go
@@ -14,8 +14,8 @@
 	d := s.granter.Spend(c.team, granter.Call(c.id), s.now)
 	switch d.Verdict {
 	case granter.Spent:
-		c.paid = d.Paid
-		s.claimID(c)
+		c.payment = d.Paid
+		s.paid(c)
 	case granter.Wait:
 		s.grant(s.granter.Tick(s.now))
 	case granter.Refused:
@@ -34,8 +34,8 @@
 			s.send(e.To, "", e.Message)
 		case granter.Resume:
 			if c, ok := s.calls[CallID(e.Call)]; ok {
-				c.paid = e.Paid
-				s.claimID(c)
+				c.payment = e.Paid
+				s.paid(c)
 			}
 		case granter.Refuse:
 			if c, ok := s.calls[CallID(e.Call)]; ok {
--- a/internal/reducer/trail.go
+++ b/internal/reducer/trail.go
@@ -73,7 +73,7 @@
 		Version:   s.configurer.Version(),
 		Rank:      c.rank,
 		Attempts:  c.attempt,
-		Paid:      c.paid,
+		Paid:      c.payment,
 		Wall:      s.wall,
 	}
 	if s.rules != nil {
