Hand ids over in planned stops: the heir never took the records

The reducer dropped every Handover, since it looked for the claim's holder first, so the leaving node waited out its bound with its claims frozen; the heir then waited 2.5 s for what an owner of ids never gives away; and the records went to the witness even where the claim went to another node. Change: a Handover is taken in without a hold; it goes to the node that the claim will go to, and again if epoch or heir change; claims of ids are instant, so that a successor acts at once; a leaving node stays until its outcomes are reported.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -98,3 +98,65 @@
 	holder, _, _ := c.HolderOf("n")
 	assert.Equal(t, holder, identifier.Node("x"))
 }
+
+// holding returns a claimer at a that took n over and has a promise counted from 9100.
+func holding(t *testing.T) (c *Claimer, witness identifier.Node, number uint64) {
+	c = newClaimer("a")
+	c.ReadRecord(0, Claim{Name: "n", Kind: Found, Epoch: 1, Holder: "x", Witness: "a", By: "x"}, 0)
+	take := c.Tick(9000)[0].(Append).Record
+	q := c.ReadRecord(1, take, 9100)[0].(Send)
+	number = q.Message.(PromiseRequest).Number
+	c.Receive(q.To, Promise{Name: "n", Epoch: 2, Number: number, Given: true}, 9110)
+	_, ok := c.Holds("n", 13_000)
+	assert.Check(t, ok, "after the wait-out")
+	return c, q.To, number
+}
+
+// The witness is slow, so the holder names another one, but its record is slow as well. The new witness may read the
+// record first and take over eight seconds later, while the old witness answers again; two nodes would act.
+func TestPromisesOfTheOldWitnessEndWithTheContinuation(t *testing.T) {
+	c, witness, old := holding(t)
+	var named clock.Time
+	for now := clock.Time(13_000); now < 30_000; now += 100 {
+		for _, e := range c.Tick(now) {
+			s, ok := e.(Send)
+			switch {
+			case !ok && named == 0 && e.(Append).Record.Kind == Continuation:
+				named = now
+			case ok && s.To == witness && now > 13_500:
+				c.Receive(witness, Promise{Name: "n", Epoch: 2, Number: s.Message.(PromiseRequest).Number, Given: true}, now)
+			}
+		}
+		c.Receive(witness, Promise{Name: "n", Epoch: 2, Number: old, Given: true}, now)
+		_, ok := c.Holds("n", now)
+		assert.Equal(t, ok, named == 0 || now < named+7800, "at %d, named at %d", now, named)
+	}
+	assert.Check(t, named > 0)
+}
+
+// A late answer to an earlier request must not count from a later one.
+func TestOnlyTheLatestRequestIsAnswered(t *testing.T) {
+	c, witness, old := holding(t)
+	c.Tick(14_000)
+	c.Receive(witness, Promise{Name: "n", Epoch: 2, Number: old, Given: true}, 14_010)
+	_, ok := c.Holds("n", 17_000)
+	assert.Check(t, !ok)
+}
+
+// An heir that read the handover late would count its long term from a later moment than the nodes that may seize
+// the claim; without a notice from before the record it has to append one of its own.
+func TestHeirCountsFromItsNotice(t *testing.T) {
+	for _, noticed := range []bool{true, false} {
+		c := newClaimer("a")
+		c.ReadRecord(0, Claim{Name: "n", Kind: Found, Epoch: 1, Holder: "x", Witness: "a", By: "x"}, 0)
+		c.Receive("x", PromiseRequest{Name: "n", Epoch: 1, Number: 1, Leaving: noticed}, 500)
+		e := c.ReadRecord(1, Claim{Name: "n", Kind: Handover, Epoch: 2, Holder: "a", By: "x"}, 5000)
+		_, ok := c.Holds("n", 5000)
+		assert.Equal(t, ok, noticed)
+		if noticed {
+			assert.Equal(t, c.Dump(5000)[0].RecordUntil, clock.Time(500+3_510_000))
+		} else {
+			assert.Equal(t, e[len(e)-1].(Append).Record.Kind, Renew)
+		}
+	}
+}
--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -185,7 +185,27 @@
 	}
 	r := Claim{
 		Kind: Handover, Epoch: l.epoch + 1, Holder: l.heir.witness,
-		Witness: c.pickWitness(l, l.heir.witness, ""), Outstanding: c.outstanding + max(0, l.actFrom.Sub(now)),
+		Witness: c.pickWitness(l, l.heir.witness, ""), Outstanding: c.outstandingOf(l) + max(0, l.actFrom.Sub(now)),
 	}
 	return c.appendRecord(l, r, now, effects)
 }
+
+func (c *Claimer) outstandingOf(l *claim) clock.Duration {
+	if c.options.isInstant(l.name) {
+		return 0
+	}
+	return c.outstanding
+}
+
+// HeirOf returns the node that a claim of this node goes to when this node leaves, as far as is known now.
+func (c *Claimer) HeirOf(n Name) (identifier.Node, bool) {
+	l := c.byName[n]
+	if l == nil || l.holder != c.options.Self {
+		return "", false
+	}
+	if l.heir.witness != "" {
+		return l.heir.witness, true
+	}
+	heir := c.pickHeir(l)
+	return heir, heir != ""
+}
--- a/internal/claimer/judge.go
+++ b/internal/claimer/judge.go
@@ -129,6 +129,8 @@
 		return r.Outstanding
 	case r.Kind == Found && r.Start == 0:
 		return 0 // the log has never forgotten anything, so nobody ever held the name
+	case c.options.isInstant(r.Name):
+		return c.options.Margin
 	}
 	return c.options.WaitOut + c.options.Margin
 }
--- a/internal/faulter/load.go
+++ b/internal/faulter/load.go
@@ -137,7 +137,7 @@
 		var a attempt
 		a, node = l.tryUp(ctx, s, node)
 		s.attempts = append(s.attempts, a)
-		if s.id == "" || a.succeeded() || a.reason == "rateExceeded" {
+		if s.id == "" || a.succeeded() || isFinal(a.reason) {
 			break
 		}
 		time.Sleep(firstPause << i)
@@ -152,6 +152,9 @@
 	l.sendings = append(l.sendings, s)
 }
 
+// isFinal tells that a careful caller doesn't ask again: it is over its rate, or no answer can tell more.
+func isFinal(reason string) bool { return reason == "rateExceeded" || reason == "outcomeUnknown" }
+
 // tryUp passes over nodes that take no connection, as any client with a list of addresses does.
 func (l *load) tryUp(ctx context.Context, s sending, node int) (attempt, int) {
 	for range vms {
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -46,8 +46,11 @@
 	case deduplicator.BeginAnswer, deduplicator.ReportAnswer:
 		s.ask(s.asker.Receive(m, s.now))
 	case deduplicator.HandoverAnswer:
-		s.handedOver(m)
-	case deduplicator.BeginRequest, deduplicator.FinishReport, deduplicator.AbandonReport, deduplicator.Handover:
+		s.handedOver(from, m)
+	case deduplicator.Handover:
+		// It comes before the claim does, so there is no hold yet.
+		s.ask(s.owner.Receive(from, m, deduplicator.Hold{}, false, s.now, s.wall))
+	case deduplicator.BeginRequest, deduplicator.FinishReport, deduplicator.AbandonReport:
 		s.receiveAsOwner(from, m)
 	case configurer.Tail, configurer.TailRequest, configurer.State, configurer.Hint:
 		s.configure(s.configurer.Receive(from, m, s.now, s.wall))
--- a/internal/reducer/leave.go
+++ b/internal/reducer/leave.go
@@ -6,11 +6,10 @@
 package reducer
 
 import (
-	"strings"
-
 	"github.com/jackdawtide/jackdawtide/internal/claimer"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 const (
@@ -21,11 +20,20 @@
 	outstandingBound = 2500 * clock.Millisecond
 	// goodbyeBound gives the news of a leaving node time to spread.
 	goodbyeBound = clock.Second
+	// reportBound is how long a leaving node goes on telling the owners of ids how its calls ended.
+	reportBound = 4 * clock.Second
 )
 
+// handing is a claim's records on their way to the heir.
+type handing struct {
+	epoch identifier.Epoch
+	heir  identifier.Node
+	done  bool
+}
+
 type leave struct {
 	since     clock.Time
-	pending   map[deduplicator.Claim]bool
+	pending   map[deduplicator.Claim]handing
 	claimsAt  clock.Time
 	goodbyeAt clock.Time
 }
@@ -34,7 +42,7 @@
 	if s.leaving != nil {
 		return
 	}
-	s.leaving = &leave{since: s.now, pending: make(map[deduplicator.Claim]bool)}
+	s.leaving = &leave{since: s.now, pending: make(map[deduplicator.Claim]handing)}
 	for _, b := range s.sortedBackends() {
 		s.startLeaving(b)
 	}
@@ -43,31 +51,42 @@
 
 func (s *State) sendHandovers() {
 	for _, c := range s.claimer.Dump(s.now) {
-		if !c.Authority || !strings.HasPrefix(string(c.Name), idClaimPrefix) || c.Witness == "" {
-			continue
+		if c.Authority && isIDClaim(c.Name) {
+			s.handOver(c.Name)
 		}
-		s.handOver(c)
 	}
 }
 
-func (s *State) handOver(c claimer.State) {
-	name := deduplicator.Claim(c.Name)
+// handOver sends the records to the node that the claim will go to. A heir uses those of the epoch just before its own
+// only, so they are sent again where the claim went on to another epoch, or another heir, since.
+func (s *State) handOver(n claimer.Name) {
+	name := deduplicator.Claim(n)
+	heir, known := s.claimer.HeirOf(n)
 	h, held := s.hold(name)
-	if !held {
+	if !held || !known {
 		return
 	}
-	if done, asked := s.leaving.pending[name]; asked && done {
+	p := s.leaving.pending[name]
+	if p.epoch != h.Epoch || p.heir != heir {
+		p = handing{epoch: h.Epoch, heir: heir}
+	}
+	s.leaving.pending[name] = p
+	if p.done {
 		return
 	}
-	s.leaving.pending[name] = false
 	for _, part := range s.owner.Export(h, s.now) {
-		s.send(c.Witness, "", part)
+		s.send(heir, "", part)
 	}
 }
 
-func (s *State) handedOver(m deduplicator.HandoverAnswer) {
-	if s.leaving != nil {
-		s.leaving.pending[m.Claim] = true
+func (s *State) handedOver(from identifier.Node, m deduplicator.HandoverAnswer) {
+	if s.leaving == nil {
+		return
+	}
+	p, asked := s.leaving.pending[m.Claim]
+	if asked && p.epoch == m.Epoch && p.heir == from {
+		p.done = true
+		s.leaving.pending[m.Claim] = p
 	}
 }
 
@@ -76,8 +95,8 @@
 	if l == nil {
 		return
 	}
+	s.sendHandovers()
 	if l.claimsAt == 0 {
-		s.sendHandovers()
 		if !l.allHandedOver() && s.now.Sub(l.since) < handoverBound {
 			return
 		}
@@ -92,8 +111,8 @@
 }
 
 func (l *leave) allHandedOver() bool {
-	for _, done := range l.pending {
-		if !done {
+	for _, p := range l.pending {
+		if !p.done {
 			return false
 		}
 	}
@@ -106,7 +125,9 @@
 	if l == nil || l.goodbyeAt == 0 || now.Sub(l.goodbyeAt) < goodbyeBound {
 		return false
 	}
-	return len(s.calls) == 0 && len(s.deliveries) == 0
+	// An outcome that nobody was told of would be unknown for ever.
+	reported := s.asker.Reports() == 0 || now.Sub(l.goodbyeAt) > reportBound
+	return len(s.calls) == 0 && len(s.deliveries) == 0 && reported
 }
 
 // Leaving tells whether the node was asked to stop.
--- a/internal/reducer/new.go
+++ b/internal/reducer/new.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 
 	"github.com/jackdawtide/jackdawtide/internal/admitter"
 	"github.com/jackdawtide/jackdawtide/internal/claimer"
@@ -66,10 +67,11 @@
 		Rand:  o.stream(streamGossiper),
 	})
 	s.claimer = claimer.New(claimer.Options{
-		Self:   o.Self,
-		Domain: o.Domain,
-		Names:  claimNames(o.Domain),
-		Rand:   o.stream(streamClaimer),
+		Self:    o.Self,
+		Domain:  o.Domain,
+		Names:   claimNames(o.Domain),
+		Rand:    o.stream(streamClaimer),
+		Instant: isIDClaim,
 	})
 	s.granter = granter.New(granter.Options{Self: o.Self, Domain: o.Domain, Slots: RateSlots, Authority: s.claimer})
 	s.asker = deduplicator.NewAsker(deduplicator.AskerOptions{Node: o.Self})
@@ -96,3 +98,7 @@
 	}
 	return names
 }
+
+// isIDClaim tells the claims of ids' owners. An owner gives nothing away that is used after its authority: a later one
+// takes whatever was allowed before for unknown, or has its record.
+func isIDClaim(n claimer.Name) bool { return strings.HasPrefix(string(n), idClaimPrefix) }
