--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -150,8 +150,10 @@
 		c := newClaimer("a")
 		c.ReadRecord(0, Claim{Name: "n", Kind: Found, Epoch: 1, Holder: "x", Witness: "a", By: "x"}, 0)
 		c.Receive("x", PromiseRequest{Name: "n", Epoch: 1, Number: 1, Leaving: noticed}, 500)
-		e := c.ReadRecord(1, Claim{Name: "n", Kind: Handover, Epoch: 2, Holder: "a", By: "x"}, 5000)
-		_, ok := c.Holds("n", 5000)
+		e := c.ReadRecord(1, Claim{Name: "n", Kind: Handover, Epoch: 2, Holder: "a", Witness: "b", By: "x"}, 5000)
+		number := e[0].(Send).Message.(PromiseRequest).Number
+		c.Receive("b", Promise{Name: "n", Epoch: 2, Number: number, Given: true}, 5001)
+		_, ok := c.Holds("n", 5002)
 		assert.Equal(t, ok, noticed)
 		if noticed {
 			assert.Equal(t, c.Dump(5000)[0].RecordUntil, clock.Time(500+3_510_000))
