--- a/internal/reducer/world_test.go
+++ b/internal/reducer/world_test.go
@@ -57,11 +57,10 @@
 }
 
 type deliveryAccount struct {
-	call   CallID
-	token  Token
-	root   CallID
-	nested map[CallID]bool
-	ended  bool
+	call  CallID
+	token Token
+	root  CallID
+	ended bool
 }
 
 func newWorld(fail func(string, ...any)) *world {
