granter: end lending before a planned stop, so that a successor waits for slices only

Cause: a handover waited out two seconds of loans, a gap in the domain's share at each planned stop. Change: Leave recalls what is lent, Outstanding tells what is still to be waited out.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -40,6 +40,7 @@
 	number  uint64
 	out     []Effect
 	local   []any
+	leaving bool
 }
 
 // New returns a Granter that knows of no team and no holder.
@@ -115,6 +116,35 @@
 	b.sorted = nil
 }
 
+// Leave ends lending and calls back what is lent, while purses go on getting slices. The claims can be handed over
+// when Outstanding has fallen to a slice term, so that the successors have little to wait out.
+func (g *Granter) Leave(now clock.Time) []Effect {
+	g.leaving = true
+	for _, b := range g.banks {
+		for _, a := range b.sorted {
+			a.recallAt = now
+			g.recall(a, now)
+		}
+	}
+	return g.finish(now)
+}
+
+// Outstanding is how long anything that the banks here gave away can still be used: at least a slice term, for what
+// they may grant until they stop.
+func (g *Granter) Outstanding(now clock.Time) clock.Duration {
+	longest := g.options.SliceTerm
+	for _, b := range g.banks {
+		for _, a := range b.sorted {
+			for _, l := range a.lent {
+				for _, n := range l.loans {
+					longest = max(longest, n.until.Sub(now))
+				}
+			}
+		}
+	}
+	return longest
+}
+
 // Receive takes a message from another node.
 func (g *Granter) Receive(from identifier.Node, message any, now clock.Time) []Effect {
 	g.dispatch(from, message, now)
--- a/internal/granter/lender.go
+++ b/internal/granter/lender.go
@@ -140,6 +140,9 @@
 
 // surplus is what the own domain leaves of its share.
 func (g *Granter) surplus(a *account, now clock.Time) (capacity, rate identifier.Tokens) {
+	if g.leaving {
+		return 0, 0
+	}
 	if a.idle(now) {
 		return a.cap - a.reserve(), a.idleRate()
 	}
