--- a/internal/granter/fuzz_test.go
+++ b/internal/granter/fuzz_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/definer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
@@ -163,11 +164,15 @@
 
 // leave stops a node in the planned way: it hands its claims over, and goes when it has read that it holds none.
 func (f *fleet) leave(n *node) {
+	sliceTerm := f.grantTerms.SliceTerm
+	if sliceTerm == 0 {
+		sliceTerm = 500 * clock.Millisecond // the default
+	}
 	f.whenAwake(n, 0, func() { f.granted(n, n.grants.Leave(f.local(n))) })
 	var wait func()
 	wait = func() {
-		if o := n.grants.Outstanding(f.local(n)); o <= leastOutstanding {
-			f.claimed(n, n.claims.Leave(leastOutstanding, f.local(n)))
+		if o := n.grants.Outstanding(f.local(n)); o <= sliceTerm {
+			f.claimed(n, n.claims.Leave(sliceTerm, f.local(n)))
 		}
 		if n.claims.Left() {
 			f.kill(n)
@@ -179,12 +184,10 @@
 	f.add(n.domain)
 }
 
-// leastOutstanding is the slice term of hasty fleets.
-const leastOutstanding = 150
-
 // Two nodes that act for one claim run an order twice and double a team's rate; a team over its rate takes the slots
 // that other teams bought. Nobody notices before a bill or a queue tells. Afterwards all must go on by itself.
 func TestFuzzFleet(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "domains"), 2, true)
 		f.run(2000)
@@ -202,6 +205,7 @@
 // The same for claims alone, which allows many more faults in the same time: an order would be run by two nodes, or
 // by one before the other's last run has ended.
 func TestFuzzClaims(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), 1, 4, true)
 		f.quiet = true
--- a/internal/granter/measure_test.go
+++ b/internal/granter/measure_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -38,6 +39,7 @@
 	const warmUp, seconds = 5, 30
 	for name, spread := range tables {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for _, percent := range []int64{95, 300} {
 				f := newFleet(1, 4, 2, false)
 				f.run(6000)
@@ -71,6 +73,79 @@
 	}
 }
 
+// A fault costs a team some of its rate, in one domain at most, and never all of it. The floors are those of the
+// operators' page; whoever lowers one changes what users were told.
+func TestFaultsLeaveMostOfTheRate(t *testing.T) {
+	tables := map[string]struct {
+		floor float64
+		fault func(f *fleet, second int)
+	}{
+		"none":         {0.99, func(*fleet, int) {}},
+		"holder dies":  {0.93, func(f *fleet, s int) { f.once(s, func() { f.replace(f.holderOf("rates/alfa/0")) }) }},
+		"holder stops": {0.95, func(f *fleet, s int) { f.once(s, func() { f.leave(f.holderOf("rates/alfa/0")) }) }},
+		"log down":     {0.99, func(f *fleet, s int) { f.logDown = s < 30 }},
+		"domain cut off": {0.99, func(f *fleet, s int) {
+			f.once(s, func() {
+				f.cutLog["alfa"] = true
+				for _, d := range f.domains[1:] {
+					f.cut[[2]string{"alfa", string(d.Domain)}] = true
+					f.cut[[2]string{string(d.Domain), "alfa"}] = true
+				}
+			})
+		}},
+		"5% lost": {0.90, func(f *fleet, _ int) { f.loss = 50 }},
+		"holder paused past its lease": {0.95, func(f *fleet, s int) {
+			f.once(s, func() { f.holderOf("rates/alfa/0").pausedTo = f.now + 15_000 })
+		}},
+		"log down and holder dies": {0.80, func(f *fleet, s int) {
+			f.logDown = s < 30
+			f.once(s, func() { f.replace(f.holderOf("rates/alfa/0")) })
+		}},
+	}
+	for name, c := range tables {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(1, 4, 3, false)
+			f.run(20_000)
+			f.oracle.forget()
+			for s := range 40 {
+				c.fault(f, s)
+				for _, team := range f.teams {
+					loads := make([]int64, len(f.nodes))
+					for i := range loads {
+						loads[i] = int64(team.Rate) / 1000 * 95 / 100 / int64(len(loads))
+					}
+					f.setLoad(team.Name, loads...)
+				}
+				f.run(1000)
+			}
+			for _, team := range []identifier.Team{"large", "tight"} {
+				b := f.oracle[team]
+				ratio := float64(b.served) / float64(b.offered)
+				t.Logf("%s, %s: served ÷ entitled %.3f", name, team, ratio)
+				assert.Check(t, ratio >= c.floor, "%s: %.3f", team, ratio)
+			}
+			assert.DeepEqual(t, f.faults, []string(nil))
+		})
+	}
+}
+
+// once does something in the third second only.
+func (f *fleet) once(second int, do func()) {
+	if second == 2 {
+		do()
+	}
+}
+
+func (f *fleet) holderOf(name claimer.Name) *node {
+	return f.node(f.withAuthority(name)[0])
+}
+
+func (f *fleet) replace(n *node) {
+	f.kill(n)
+	f.add(n.domain)
+}
+
 func (f *fleet) sent() (sum int) {
 	for _, n := range f.nodes {
 		sum += n.sent
