gossiper: count silence from real contact, reach a domain whose named relays all died

Cause: longer runs of the fuzz found domains that stayed hidden or in use when all their relays died within seconds, or when a new relay took over whose clock of silence began anew. Change: relays tell which domains they have heard; a new one waits 1.5 s for the first word; beside the named relays other members are probed; a change goes out at least eight times in small domains.

--- a/internal/deduplicator/fuzz_test.go
+++ b/internal/deduplicator/fuzz_test.go
@@ -275,3 +275,40 @@
 		})
 	}
 }
+
+// A request that was permitted but never sent must not leave its id unusable: the caller's retry has to run.
+func TestAbandonedIDRunsAgain(t *testing.T) {
+	w := newWorld(1, 2, 10)
+	id := w.newID(0, 0)
+	first := w.call(w.machines[0], id, 1)
+	w.wait(clock.Second)
+	assert.Equal(t, w.verdicts[first], "permit")
+	w.perform(w.machines[0], w.machines[0].asker.Abandon(first, w.now))
+	w.wait(clock.Second)
+	again := w.call(w.machines[1], id, 1)
+	w.wait(clock.Second)
+	assert.Equal(t, w.verdicts[again], "permit")
+}
+
+// An attempt is held up on its way; the caller's retry elsewhere is refused as not run, as there is no room.
+// When there is room again the first attempt arrives, and running it would make that refusal untrue.
+func TestDelayedAttemptStaysOutAfterNotRun(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	o := w.machines[0].owner
+	begin := func(id deduplicator.ID, attempt uint64, asked clock.Wall) deduplicator.Judgement {
+		h := deduplicator.Hold{Claim: "ids/0", Epoch: 1, First: true}
+		a := deduplicator.Attempt{Node: "n1", Number: attempt}
+		return o.Begin(h, "team", id, 1, a, asked, w.now, w.wall(w.machines[0]))
+	}
+	asked := w.wall(w.machines[0])
+	old := w.newID(-window+2*clock.Second, 0)
+	id := w.newID(0, 0)
+	assert.Equal(t, begin(old, 1, asked).Verdict, deduplicator.Run)
+	w.now += 1000
+	refused := begin(id, 3, w.wall(w.machines[0]))
+	assert.Assert(t, refused.Verdict == deduplicator.Full && refused.NotRun)
+	w.now += 2000
+	delayed := begin(id, 2, asked)
+	assert.Assert(t, delayed.Verdict == deduplicator.Full && !delayed.NotRun)
+	assert.Equal(t, begin(id, 4, w.wall(w.machines[0])).Verdict, deduplicator.Run)
+}
--- a/internal/encoder/membership.go
+++ b/internal/encoder/membership.go
@@ -156,6 +156,7 @@
 	Members  []memberWire
 	Contacts []contactWire
 	Silent   []string
+	Heard    []string
 }
 
 type joinedWire struct {
@@ -423,6 +424,7 @@
 		Members:  mapSlice(s.Members, memberToWire),
 		Contacts: mapSlice(s.Contacts, contactToWire),
 		Silent:   mapSlice(s.Silent, toText[identifier.FailureDomain]),
+		Heard:    mapSlice(s.Heard, toText[identifier.FailureDomain]),
 	}
 }
 
@@ -433,6 +435,7 @@
 		Members:  mapSlice(w.Members, memberFromWire),
 		Contacts: mapSlice(w.Contacts, contactFromWire),
 		Silent:   mapSlice(w.Silent, fromText[identifier.FailureDomain]),
+		Heard:    mapSlice(w.Heard, fromText[identifier.FailureDomain]),
 	}
 }
 
--- a/internal/gossiper/follower.go
+++ b/internal/gossiper/follower.go
@@ -172,8 +172,10 @@
 	answer := Subscription{Answer: true, Contacts: g.Contacts()}
 	hash := g.contactsHash()
 	for _, d := range g.relayer.domains() {
-		if g.relayer.remotes[d].silent {
+		if o := g.relayer.remotes[d]; o.silent {
 			answer.Silent = append(answer.Silent, d)
+		} else if o.known {
+			answer.Heard = append(answer.Heard, d)
 		}
 		t := g.relayer.tables[d]
 		if t == nil {
@@ -213,10 +215,21 @@
 		return effects
 	}
 	g.follower.answered = true
-	for _, d := range g.relayer.domains() {
-		silent := slices.Contains(m.Silent, d)
-		g.relayer.remotes[d].silent = silent
-		effects = append(effects, g.view.hide(d, silent)...)
+	return append(effects, g.noteHeard(m, now)...)
+}
+
+// noteHeard believes a relay that heard a domain before one that didn't.
+func (g *Gossiper) noteHeard(m Subscription, now clock.Time) []Effect {
+	var effects []Effect
+	for _, d := range m.Heard {
+		effects = append(effects, g.hearDomain(d, now)...)
+	}
+	for _, d := range m.Silent {
+		o := g.remoteOf(d, now)
+		if !o.silent && now.Sub(o.heard) >= clock.Second {
+			o.silent = true
+			effects = append(effects, g.view.hide(d, true)...)
+		}
 	}
 	return effects
 }
--- a/internal/gossiper/messages.go
+++ b/internal/gossiper/messages.go
@@ -109,8 +109,10 @@
 	Same     bool
 	Members  []Member
 	Contacts []Contact
-	// Silent lists the domains that no relay of this one has heard from for a while.
+	// Silent lists the domains that the relay hasn't heard for a while, Heard those that it has. A new relay
+	// lists a domain in neither until it knows.
 	Silent []identifier.FailureDomain
+	Heard  []identifier.FailureDomain
 }
 
 // Joined is the log's record of a node that has started.
--- a/internal/gossiper/relayer.go
+++ b/internal/gossiper/relayer.go
@@ -22,7 +22,9 @@
 	relayCount   = 3
 	probeRemote  = clock.Second
 	maxContacts  = 4
-	silenceLimit = 4 * clock.Second
+	silenceLimit = 3 * clock.Second
+	// unknownLimit is the same for a domain that a new relay has not heard yet.
+	unknownLimit = 1500 * clock.Millisecond
 	// urgentAfter is the silence after which all contacts of a domain are probed, every urgentProbe: taking a
 	// whole domain out of use because a few probes got lost would be worse than the fault it guards against.
 	urgentAfter   = 1200 * clock.Millisecond
@@ -30,7 +32,7 @@
 	subscribeTerm = 12 * clock.Second
 	// pushCopies is how often a change is pushed to a subscriber, and to relayFanout relays of each other
 	// domain, as pushes are not acknowledged and a comparison may come too late for a leaving server.
-	pushCopies  = 3
+	pushCopies  = 4
 	relayFanout = 2
 )
 
@@ -45,6 +47,8 @@
 	heard  clock.Time
 	urgent clock.Time
 	silent bool
+	// known tells that heard is of a real message, not of when this node began to listen.
+	known bool
 	// named tells that the domain itself has named the contacts.
 	named bool
 }
@@ -52,6 +56,7 @@
 type relayer struct {
 	relays      []identifier.Node
 	active      bool
+	listening   bool
 	tables      map[identifier.FailureDomain]*table
 	remotes     map[identifier.FailureDomain]*remote
 	subscribers map[identifier.Node]*subscriber
@@ -149,6 +154,7 @@
 	g.follower.next = 0
 	g.follower.answered = false
 	active := slices.Contains(g.relayer.relays, g.self.Node)
+	g.relayer.listening = g.relayer.listening && active
 	if g.relayer.active && !active {
 		clear(g.relayer.tables)
 		clear(g.relayer.subscribers)
@@ -230,24 +236,37 @@
 		return effects
 	}
 	effects = append(effects, g.flushPushes(now)...)
+	g.listen(now)
 	for _, d := range r.domains() {
 		effects = append(effects, g.probeUrgently(d, now)...)
+		effects = append(effects, g.noteSilence(d, now)...)
 	}
 	if now < r.nextProbe {
 		return effects
 	}
 	r.nextProbe = now.Add(probeRemote*3/4 + g.jitter(probeRemote/2))
 	for _, d := range r.domains() {
-		effects = append(effects, g.probeDomain(d, now)...)
+		effects = append(effects, g.probeDomain(d)...)
 	}
 	return effects
 }
 
+// listen begins to count silence when this node becomes a relay, as before it was told by others.
+func (g *Gossiper) listen(now clock.Time) {
+	if g.relayer.listening {
+		return
+	}
+	g.relayer.listening = true
+	for _, o := range g.relayer.remotes {
+		o.heard = now
+		o.known = false
+	}
+}
+
 // probeDomain compares the table of a domain with one of its relays, or now and then with a relay of the own
 // domain, which may have been reached by what this one missed.
-func (g *Gossiper) probeDomain(d identifier.FailureDomain, now clock.Time) []Effect {
+func (g *Gossiper) probeDomain(d identifier.FailureDomain) []Effect {
 	o := g.relayer.remotes[d]
-	effects := g.noteSilence(d, now)
 	t := g.relayer.tables[d]
 	if t == nil {
 		t = newTable(d)
@@ -257,29 +276,33 @@
 	if g.options.Rand.IntN(4) == 0 {
 		for _, n := range g.relayer.relays {
 			if n != g.self.Node {
-				return append(effects, g.send(n, message))
+				return []Effect{g.send(n, message)}
 			}
 		}
 	}
 	if len(o.contacts) == 0 {
-		return effects
+		return nil
 	}
 	c := o.contacts[g.options.Rand.IntN(len(o.contacts))]
-	return append(effects, Send{To: c.Node, Address: c.Address, Message: message})
+	return []Effect{Send{To: c.Node, Address: c.Address, Message: message}}
 }
 
 func (g *Gossiper) probeUrgently(d identifier.FailureDomain, now clock.Time) []Effect {
 	o := g.relayer.remotes[d]
 	t := g.relayer.tables[d]
-	if t == nil || now.Sub(o.heard) < urgentAfter || now < o.urgent {
+	if t == nil || now.Sub(o.heard) < o.patience(urgentAfter, 0) || now < o.urgent {
 		return nil
 	}
 	o.urgent = now.Add(urgentProbe)
 	var effects []Effect
+	message := Probe{Domain: d, Hash: t.hash(), Relays: g.ownRelays()}
 	for _, c := range o.contacts {
-		message := Probe{Domain: d, Hash: t.hash(), Relays: g.ownRelays()}
 		effects = append(effects, Send{To: c.Node, Address: c.Address, Message: message})
 	}
+	// All the relays that it named may have died at once, and its others live.
+	for range min(relayFanout, len(t.up)) {
+		effects = append(effects, g.send(t.up[g.options.Rand.IntN(len(t.up))], message))
+	}
 	return effects
 }
 
@@ -287,12 +310,27 @@
 // it is left to tell that the others are dead.
 func (g *Gossiper) noteSilence(d identifier.FailureDomain, now clock.Time) []Effect {
 	o := g.relayer.remotes[d]
-	silent := now.Sub(o.heard) > silenceLimit
+	silent := now.Sub(o.heard) > o.patience(silenceLimit, unknownLimit)
 	if silent == o.silent {
 		return nil
 	}
 	o.silent = silent
-	return g.view.hide(d, silent)
+	effects := g.view.hide(d, silent)
+	if !silent {
+		return effects
+	}
+	for _, n := range g.activeSubscribers(now) {
+		push := Subscription{Answer: true, Same: true, Silent: []identifier.FailureDomain{d}}
+		effects = append(effects, g.send(n, push))
+	}
+	return effects
+}
+
+func (r *remote) patience(known, unknown clock.Duration) clock.Duration {
+	if r.known {
+		return known
+	}
+	return unknown
 }
 
 func (g *Gossiper) hearDomain(d identifier.FailureDomain, now clock.Time) []Effect {
@@ -301,6 +339,7 @@
 	}
 	o := g.remoteOf(d, now)
 	o.heard = max(o.heard, now)
+	o.known = true
 	if !o.silent {
 		return nil
 	}
--- a/internal/gossiper/spreader.go
+++ b/internal/gossiper/spreader.go
@@ -25,6 +25,8 @@
 	// maxRumors bounds the changes under way; when a whole domain boots at once, most of it is left to the
 	// comparison of tables.
 	maxRumors = 64
+	// minTransmits keeps a change from being lost in a domain of two or three members.
+	minTransmits = 8
 )
 
 type rumor struct {
@@ -58,7 +60,7 @@
 }
 
 func (g *Gossiper) transmitLimit() int {
-	return int(math.Ceil(3 * math.Log(float64(len(g.own.up)+1))))
+	return max(minTransmits, int(math.Ceil(3*math.Log(float64(len(g.own.up)+1)))))
 }
 
 // updates returns the records spread least so far, and counts them as sent to that many members.
