--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -7,6 +7,8 @@
 package claimer
 
 import (
+	"slices"
+
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
@@ -97,8 +99,9 @@
 	return c.tickHolder(l, now, nil)
 }
 
-// continueClaim names a new witness when the old one has been silent for half of the promise term. It names no
-// third one before the log has shown what became of the second: each witness named may take over.
+// continueClaim names a new witness when the old one has been silent for half of the promise term, or has left: in a
+// rolling restart the next planned stop would come before the term's half, and its claims would have no heir at hand.
+// It names no third one before the log has shown what became of the second: each witness named may take over.
 func (c *Claimer) continueClaim(l *claim, now clock.Time, effects []Effect) []Effect {
 	if !c.mayAppend(l, now) {
 		return effects
@@ -108,7 +111,8 @@
 		w := c.pickWitness(l, c.options.Self, l.witness)
 		silent := l.witness != "" && now >= l.patienceUntil
 		missing := l.witness == "" && w != ""
-		if !silent && !missing {
+		left := w != "" && w != l.witness && !slices.Contains(c.members, l.witness)
+		if !silent && !missing && !left {
 			return effects
 		}
 		l.next = ask{witness: w, epoch: l.epoch + 1}
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/admitter"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
 	"github.com/jackdawtide/jackdawtide/internal/granter"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/retrier"
@@ -80,7 +81,7 @@
 	s.calls[c.id] = c
 	team, ok := s.configurer.Resolve(e.KeyHash)
 	if !ok {
-		s.refuse(c, Refusal{Reason: UnknownKey})
+		s.refuseKey(c)
 		return
 	}
 	c.team = team
@@ -165,6 +166,15 @@
 	d.nested++
 }
 
+// refuseKey must not call a key unknown that this node, just started, has not read of yet: a caller takes that for final.
+func (s *State) refuseKey(c *call) {
+	if s.configurer.Freshness(s.now) >= configurer.NeverHeard {
+		s.refuse(c, Refusal{Reason: NoPreset, RetryAfter: s.backOff(), Detail: "this node is still reading the configuration"})
+		return
+	}
+	s.refuse(c, Refusal{Reason: UnknownKey})
+}
+
 func (s *State) refuseUnready(c *call) bool {
 	switch {
 	case s.rules == nil:
--- a/internal/reducer/hold_test.go
+++ b/internal/reducer/hold_test.go
@@ -29,3 +29,21 @@
 	s.noteGained(name, 9)
 	assert.Equal(t, s.gained[name].first, identifier.Epoch(9), "after a loss")
 }
+
+// A caller takes "key unknown" for final. A node that has just started knows no key yet, so it must not say so before it
+// has once read to the end of what there is.
+func TestNoKeyIsUnknownBeforeTheLogWasRead(t *testing.T) {
+	s := New(Options{Self: "a", Domain: "alfa", Decode: func([]byte) (any, error) { return nil, nil }})
+	refusal := func(id CallID) Refusal {
+		effects := s.Reduce(&CallArrived{Call: id, KeyHash: "unread", Service: "ice", Method: "GET", Path: "/"}, 10, nil)
+		for _, e := range effects {
+			if r, ok := e.(Refuse); ok && r.Call == id {
+				return r.Refusal
+			}
+		}
+		return Refusal{}
+	}
+	assert.Equal(t, refusal(1).Reason, NoPreset)
+	s.Reduce(&RecordsRead{Earliest: 1, Next: 1, Asked: 5}, 20, nil)
+	assert.Equal(t, refusal(2).Reason, UnknownKey)
+}
