--- a/internal/gossiper/world_test.go
+++ b/internal/gossiper/world_test.go
@@ -23,6 +23,10 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "20261203")
 	}
+	// Each sequence runs minutes of a fleet's life.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "30")
+	}
 	os.Exit(m.Run())
 }
 
