Measure slopes; docs/CAPACITY.md from them

Cause: the users ask what a node costs at the two-year target, from slopes measured here. Change: measurer.Slopes varies one thing at a time and writes points, fits and a check as JSON lines; the page's tables are made from the committed file, and a test compares the two.

--- /dev/null
+++ b/internal/measurer/burst.go
@@ -0,0 +1,125 @@
+// Two events come all at once: operators publish a batch of changes, and a whole failure domain comes back. What
+// counts is how long until every node is there, and what that costs the log.
+//
+// Example: burst of 100 changes over 3 domains of 20: every node goes by the last one some hundreds of ms later.
+
+package measurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/gossiper"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+)
+
+// burstBound ends a measurement whose fleet never gets there.
+const burstBound = 5 * clock.Minute
+
+var errNotThere = errors.New("the fleet did not get there in time")
+
+func burstPlans(seed uint64) []plan {
+	return []plan{
+		{
+			variable: "changes at once, 3 domains of 20", xs: []int{10, 100, 300, 1000},
+			series:  [][2]string{{"burst.time", "ms"}, {"burst.bytes", "B a node"}},
+			measure: func(_ context.Context, x int) ([]float64, error) { return burst(x, seed) },
+		},
+		{
+			variable: "nodes of one of 3 domains that return at once", xs: []int{10, 20, 40, 80},
+			series:  [][2]string{{"storm.time", "ms"}, {"storm.bytes", "B a node"}, {"storm.appends", "1"}},
+			measure: func(_ context.Context, x int) ([]float64, error) { return storm(x, seed) },
+		},
+	}
+}
+
+// runUntil runs the fleet until done, and returns how long that took.
+func (f *fleet) runUntil(done func() bool) (clock.Duration, error) {
+	start := f.now
+	for !done() {
+		f.run(step)
+		if f.err != nil {
+			return 0, f.err
+		}
+		if f.now.Sub(start) > burstBound {
+			return 0, errNotThere
+		}
+	}
+	return f.now.Sub(start), nil
+}
+
+// all tells whether every node goes by the version.
+func (f *fleet) all(v identifier.Version) bool {
+	for _, m := range f.members {
+		if m.state.Status(f.now).Version < v {
+			return false
+		}
+	}
+	return true
+}
+
+func burst(changes int, seed uint64) ([]float64, error) {
+	f := newFleet(3, 20, seed)
+	f.publish(1)
+	f.run(warmUp)
+	f.startCounting()
+	want := f.members[0].state.Status(f.now).Version + identifier.Version(changes)
+	for i := range changes {
+		f.issueKey(fmt.Sprintf("%064x", 1<<20+i))
+	}
+	took, err := f.runUntil(func() bool { return f.all(want) })
+	bytes := f.outcome(0).mean.bytes * float64(took) / float64(clock.Second)
+	return []float64{float64(took), bytes}, err
+}
+
+func storm(nodes int, seed uint64) ([]float64, error) {
+	f := newFleet(3, nodes, seed)
+	f.publish(8)
+	f.run(warmUp)
+	gone := domainName(2)
+	for i := len(f.members) - 1; i >= 0; i-- {
+		if f.members[i].domain == gone {
+			f.kill(i)
+		}
+	}
+	f.run(clock.Minute)
+	f.startCounting()
+	var returned []*member
+	for i := range nodes {
+		m := f.join(gone, false)
+		f.announce(m, i)
+		returned = append(returned, m)
+	}
+	took, err := f.runUntil(func() bool { return allKnow(f, returned) })
+	bytes := 0
+	for _, m := range returned {
+		bytes += m.sentBytes + m.receivedBytes
+	}
+	return []float64{float64(took), float64(bytes) / float64(nodes), float64(f.appends[joinedType])}, err
+}
+
+var joinedType = fmt.Sprintf("%T", gossiper.Joined{})
+
+// allKnow tells whether the returned nodes know each other, their preset, and who keeps their claims.
+func allKnow(f *fleet, returned []*member) bool {
+	for _, m := range returned {
+		d := m.state.Dump(f.now)
+		if d.Status.Preset == "" || len(d.Members) < len(returned) || !knowsBanks(d) {
+			return false
+		}
+	}
+	return true
+}
+
+func knowsBanks(d reducer.Dump) bool {
+	known := 0
+	for _, h := range d.Rates.Holders {
+		if h.Domain == d.Domain && !h.Silent {
+			known++
+		}
+	}
+	return known == reducer.RateSlots
+}
--- /dev/null
+++ b/internal/measurer/memory.go
@@ -0,0 +1,287 @@
+// A node's memory is read from the heap before and after its state was filled through its own events, so that maps,
+// indexes and slack count too. Each filling stands alone, for the slope of one variable.
+//
+// Example: fillKeys(4000) gives a reducer that has read 4,000 keys from the log.
+
+package measurer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/admitter"
+	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
+	"github.com/jackdawtide/jackdawtide/internal/gossiper"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+	"github.com/jackdawtide/jackdawtide/internal/router"
+)
+
+// heapOf returns the bytes that what fill returns keeps alive.
+func heapOf(fill func() any) float64 {
+	before := heapNow()
+	kept := fill()
+	after := heapNow()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func heapNow() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// alone returns one of two nodes, which reads the log itself and is its domain's relay.
+func alone() (*fleet, *member) {
+	f := newFleet(1, 2, 1)
+	f.run(5 * clock.Second)
+	return f, f.members[0]
+}
+
+func memberOf(i int, domain identifier.FailureDomain, service identifier.Service) gossiper.Member {
+	id := fmt.Sprintf("%s-%08x", domain[len(domain)-2:], i*2654435761+1)
+	return gossiper.Member{
+		Node: identifier.Node(id), Domain: domain, Address: fmt.Sprintf("10.%d.%d.%d:7400", i>>16&255, i>>8&255, i&255),
+		AdminAddress: fmt.Sprintf("10.%d.%d.%d:7401", i>>16&255, i>>8&255, i&255), Incarnation: 2, State: gossiper.Alive,
+		Endpoints: []gossiper.Endpoint{{
+			ID: identifier.Endpoint("server-" + id), Service: service, Slots: 20, ConnectionLimit: 230, State: gossiper.Ready,
+		}},
+	}
+}
+
+// tellMembers lets the node hear of n members of a domain.
+func (f *fleet) tellMembers(m *member, domain identifier.FailureDomain, from, n int) {
+	const batch = 64
+	var list []gossiper.Member
+	for j := from; n > 0; j++ {
+		other := memberOf(j, domain, serviceName(j%targetServices))
+		if domain == m.domain && outranks(other.Node, m.id) {
+			continue
+		}
+		n--
+		list = append(list, other)
+		if len(list) < batch && n > 0 {
+			continue
+		}
+		message := any(gossiper.Members{Domain: domain, Members: list})
+		if domain == m.domain {
+			message = gossiper.Gossip{Updates: list}
+		}
+		f.apply(m, &reducer.MessageReceived{From: list[0].Node, Message: message, Wall: f.wall()})
+		list = nil
+	}
+}
+
+// outranks tells which of two nodes is sooner a relay. A node that hears of three that outrank it stops being one and
+// forgets all other domains, and its memory would be measured without them.
+func outranks(a, b identifier.Node) bool {
+	return xxh3.HashString(string(a)) > xxh3.HashString(string(b))
+}
+
+func fillOwnMembers(n int) any {
+	f, m := alone()
+	f.tellMembers(m, m.domain, 0, n)
+	return m.state
+}
+
+func fillRemoteMembers(n int) any {
+	f, m := alone()
+	const domains = 10
+	for d := range domains {
+		f.tellMembers(m, domainName(d+1), d*n/domains, n/domains)
+	}
+	return m.state
+}
+
+type followed struct {
+	gossiper *gossiper.Gossiper
+	router   *router.Router
+}
+
+// fillFollowed holds n endpoints of other domains whose services the node calls.
+func fillFollowed(n int) any {
+	self := memberOf(1<<20, domainName(0), serviceName(0))
+	k := followed{
+		gossiper: gossiper.New(gossiper.Options{Self: self, Rand: rand.New(rand.NewPCG(1, 1))}),
+		router:   router.New(router.Options{Domain: self.Domain, Rand: rand.New(rand.NewPCG(1, 2))}),
+	}
+	k.gossiper.AddInterest(serviceName(1), 0)
+	for i := range n {
+		list := []gossiper.Member{memberOf(i, domainName(1+i%10), serviceName(1))}
+		for _, e := range k.gossiper.Receive("relay", gossiper.Subscription{Members: list}, 1) {
+			c, ok := e.(gossiper.EndpointChanged)
+			if !ok {
+				continue
+			}
+			k.router.Put(router.Endpoint{
+				ID: c.Endpoint.ID, Node: c.Endpoint.Node, Service: c.Endpoint.Service, Domain: c.Endpoint.Domain,
+				Slots: c.Endpoint.Slots, ConnectionLimit: c.Endpoint.ConnectionLimit, State: router.Ready,
+			}, 1)
+		}
+	}
+	return k
+}
+
+type teamState struct {
+	granter  *granter.Granter
+	fairness *admitter.Fairness
+}
+
+type noAuthority struct{}
+
+// Holds tells that this node holds no claim.
+func (noAuthority) Holds(claimer.Name, clock.Time) (identifier.Epoch, bool) {
+	return 0, false
+}
+
+type fullAuthority struct{}
+
+// Holds tells that this node holds every claim.
+func (fullAuthority) Holds(claimer.Name, clock.Time) (identifier.Epoch, bool) {
+	return 1, true
+}
+
+// fillPurses is an ordinary node through which n teams call.
+func fillPurses(n int) any {
+	k := teamsWith(n, noAuthority{})
+	for i := range n {
+		k.granter.Spend(teamName(i), granter.Call(i), 1)
+		k.fairness.Note(teamName(i), 1)
+	}
+	return k
+}
+
+// fillBanks is a node that keeps the banks of n teams, with 20 nodes asking each.
+func fillBanks(n int) any {
+	k := teamsWith(n, fullAuthority{})
+	for slot := range reducer.RateSlots {
+		k.granter.Own(slot, 1, 1)
+	}
+	const asking = 20
+	for i := range n {
+		for j := range asking {
+			ask := granter.Ask{
+				Team: teamName(i), Domain: domainName(0), Number: 1, Want: identifier.TokensPerCall,
+				Demand: 10 * identifier.TokensPerCall,
+			}
+			k.granter.Receive(identifier.Node(fmt.Sprintf("01-%08x", j)), ask, clock.Time(2*clock.Minute))
+		}
+	}
+	return k
+}
+
+func teamsWith(n int, a granter.Authority) teamState {
+	domains := []identifier.FailureDomain{domainName(0), domainName(1), domainName(2)}
+	p := presetOf(1, n, domains)
+	k := teamState{
+		granter: granter.New(granter.Options{
+			Self: "self", Domain: domains[0], Slots: reducer.RateSlots, Authority: a,
+		}),
+		fairness: admitter.NewFairness(admitter.FairnessOptions{}),
+	}
+	k.granter.SetTeams(p.Teams, p.Domains, nil, 1, 1)
+	for _, t := range p.Teams {
+		k.fairness.SetTeam(t.Name, t.Weight)
+	}
+	return k
+}
+
+func fillKeys(n int) any {
+	f, m := alone()
+	for i := range n {
+		f.issueTeamKey(keyOf(i), teamName(i%8))
+	}
+	f.run(clock.Duration(n/logRead+5) * clock.Second / 4)
+	f.log = nil
+	return m.state
+}
+
+func fillPreset(services int) any {
+	f, m := alone()
+	f.append(presetRecord(f, services, 8))
+	f.append(switchRecord(f))
+	f.run(2 * clock.Second)
+	f.log = nil
+	return m.state
+}
+
+func fillPresetTeams(teams int) any {
+	f, m := alone()
+	f.append(presetRecord(f, 10, teams))
+	f.append(switchRecord(f))
+	f.run(2 * clock.Second)
+	f.log = nil
+	return m.state
+}
+
+type owned struct {
+	owner *deduplicator.Owner
+}
+
+// fillIDs remembers n idempotency ids with their answers.
+func fillIDs(n int) any {
+	o := deduplicator.NewOwner(deduplicator.OwnerOptions{})
+	random := rand.New(rand.NewPCG(1, 3))
+	wall := wallStart
+	f := &fleet{random: random}
+	for i := range n {
+		id := f.uuid()
+		parsed, err := deduplicator.ParseID(string(id))
+		if err != nil {
+			panic(err)
+		}
+		claim := deduplicator.ClaimOf(teamName(0), parsed)
+		hold := deduplicator.Hold{Claim: claim, Epoch: 1, Gained: wall - clock.Wall(clock.Hour), First: true}
+		a := deduplicator.Attempt{Node: identifier.Node(fmt.Sprintf("01-%08x", i%64)), Number: uint64(i)}
+		begin := deduplicator.BeginRequest{
+			Claim: claim, Team: teamName(0), ID: id, Fingerprint: deduplicator.Fingerprint(i), Attempt: a,
+		}
+		o.Receive(a.Node, begin, hold, true, 1, wall)
+		report := deduplicator.FinishReport{
+			Claim: claim, Team: teamName(0), ID: id, Fingerprint: begin.Fingerprint, Attempt: a,
+			Outcome: deduplicator.Outcome{
+				Status: 201, Headers: []deduplicator.Header{{Name: "Content-Type", Value: "application/json"}},
+				Body: make([]byte, answerBody),
+			},
+		}
+		o.Receive(a.Node, report, hold, true, 2, wall)
+	}
+	return owned{owner: o}
+}
+
+// fillCalls has n calls under way, forwarded and not answered.
+func fillCalls(n int) any {
+	f, m := readyNode()
+	// Slices follow demand, so calls must come over some time; the bound is far above what that needs.
+	for round := 0; len(m.answers) < n && round < 1000; round++ {
+		f.heartbeats()
+		for range min(20, n-len(m.answers)) {
+			f.call(m, 0, 0, false)
+		}
+		f.run(100 * clock.Millisecond)
+	}
+	return m.state
+}
+
+// readyNode is a node that serves calls itself, and whose own answers are held back.
+func readyNode() (*fleet, *member) {
+	f := newFleet(1, 3, 1)
+	f.publish(1)
+	f.run(warmUp)
+	m := f.members[0]
+	f.apply(m, &reducer.BackendAnnounced{
+		Endpoint: endpointOf(m), Service: serviceName(0), Slots: 10_000, ConnectionLimit: 10_000,
+	})
+	f.run(clock.Second)
+	f.withheld = true
+	return f, m
+}
--- /dev/null
+++ b/internal/measurer/page.go
@@ -0,0 +1,224 @@
+// The page's tables stand between marks in docs/CAPACITY.md; everything outside of them is written by hand.
+//
+// Example: between "<!-- table: slopes -->" and "<!-- end -->" stands the table of all fits.
+
+package measurer
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+const (
+	tableMark = "<!-- table: "
+	markEnd   = " -->\n"
+	endMark   = "<!-- end -->"
+)
+
+// PageError reports marks of a page that do not fit together.
+type PageError struct {
+	Problem string
+}
+
+// Error says what is wrong.
+func (e PageError) Error() string {
+	return "capacity page: " + e.Problem
+}
+
+// Page returns the page with its tables made anew from the results.
+func Page(page string, r Results) (string, error) {
+	if err := r.complete(); err != nil {
+		return "", err
+	}
+	tables := map[string]func(Results) string{
+		"slopes": slopeTable, "budget": budgetTable, "sums": sumTable, "checks": checkTable, "points": pointTable,
+		"appends": appendTable,
+	}
+	var out strings.Builder
+	for {
+		before, rest, found := strings.Cut(page, tableMark)
+		out.WriteString(before)
+		if !found {
+			return out.String(), nil
+		}
+		name, rest, named := strings.Cut(rest, markEnd)
+		_, after, ended := strings.Cut(rest, endMark)
+		table := tables[name]
+		if !named || !ended || table == nil {
+			return "", PageError{Problem: fmt.Sprintf("table %q is unknown or has no end", name)}
+		}
+		out.WriteString(tableMark + name + markEnd + table(r) + endMark)
+		page = after
+	}
+}
+
+// complete tells whether the results hold every series that the rows name.
+func (r Results) complete() error {
+	for _, s := range usedSeries {
+		if _, ok := r.Fits[s]; !ok {
+			return MissingError{Series: s}
+		}
+	}
+	return nil
+}
+
+// usedSeries are those that the formulas use.
+var usedSeries = []string{
+	"memory.ownMembers", "memory.remoteMembers", "memory.followed", "memory.services", "memory.purses",
+	"memory.keys", "memory.banks", "memory.ids", "memory.links", "wire.message", "cpu.message", "wire.links",
+	"wire.dials", "cpu.dials", "cpu.domains", "cpu.nodes", "traffic.domains.messages", "traffic.domains.bytes",
+	"traffic.domains.busiest", "traffic.domains.busiestMessages", "traffic.nodes.busiest",
+	"traffic.changes.messages", "traffic.changes.bytes", "traffic.churn.messages", "traffic.churn.bytes",
+	"traffic.teams.messages", "traffic.teams.bytes", "traffic.bookings.messages", "traffic.bookings.bytes",
+	"traffic.holders.busiest", "traffic.holders.busiestMessages",
+}
+
+func slopeTable(r Results) string {
+	var b strings.Builder
+	b.WriteString("| series | variable | range, points | slope | at 0 | R² |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, name := range slices.Sorted(maps.Keys(r.Fits)) {
+		f := r.Fits[name]
+		fmt.Fprintf(&b, "| %s | %s | %s to %s, %d | %s ± %s %s | %s | %.2f |\n", name, f.Variable,
+			number(f.From), number(f.To), f.Count, number(f.Slope), number(f.SlopeError), f.Unit,
+			number(f.Intercept), f.RSquared)
+	}
+	return b.String()
+}
+
+func budgetTable(r Results) string {
+	var b strings.Builder
+	b.WriteString("| role | mechanism | formula | Concordia | Kitakaze | target: state | messages/s | KB/s | core |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, line := range rows {
+		costs := make([]usage, len(deployments))
+		for i, d := range deployments {
+			costs[i] = line.cost(model{d, r})
+		}
+		target := costs[len(costs)-1]
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s | %s | %s |\n", line.role, line.mechanism, line.formula,
+			brief(costs[0]), brief(costs[1]), megabytes(target.state), number(target.messages),
+			number(target.bytes/1e3), percent(target.core))
+	}
+	return b.String()
+}
+
+// brief writes a cost at today's sizes in one cell.
+func brief(u usage) string {
+	if u.state > 0 && u.bytes == 0 {
+		return megabytes(u.state)
+	}
+	return fmt.Sprintf("%s KB/s, %s", number(u.bytes/1e3), percent(u.core))
+}
+
+// sumTable adds up what one node of each role costs, and how much of the budget that is.
+func sumTable(r Results) string {
+	var b strings.Builder
+	b.WriteString("| deployment | role | memory | of 64 MB | KB/s | of 24 KB/s | core | of 1.1% |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, d := range deployments {
+		for _, role := range []string{everyNode, relayNode, bankNode, ownerNode} {
+			u := sumOf(model{d, r}, role)
+			memory := u.state * heapToMemory
+			fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", d.name, role, megabytes(memory),
+				times(memory/budgetMemory), number(u.bytes/1e3), times(u.bytes/budgetBytes), percent(u.core),
+				times(u.core/budgetCore))
+		}
+	}
+	return b.String()
+}
+
+func sumOf(m model, role string) usage {
+	var sum usage
+	for _, line := range rows {
+		if line.role == everyNode || line.role == role {
+			sum = sum.plus(line.cost(m))
+		}
+	}
+	return sum
+}
+
+func checkTable(r Results) string {
+	var b strings.Builder
+	b.WriteString("| check | foretold by the slopes | measured |\n| --- | --- | --- |\n")
+	for _, c := range r.Checks {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", c.Name, megabytes(c.Foretold), megabytes(c.Measured))
+	}
+	return b.String()
+}
+
+// pointTable shows the single measurements where a line alone would mislead.
+func pointTable(r Results) string {
+	var b strings.Builder
+	b.WriteString("| series | measurements |\n| --- | --- |\n")
+	for _, name := range []string{
+		"burst.time", "burst.bytes", "storm.time", "storm.bytes", "storm.appends", "latency.p50", "latency.p99",
+		"cpu.chain", "traffic.calls.messages", "traffic.holders.busiestMessages", "traffic.nodes.busiest",
+	} {
+		var cells []string
+		for _, p := range r.Points[name] {
+			cells = append(cells, fmt.Sprintf("%s: %s", number(p.X), number(p.Y)))
+		}
+		f := r.Fits[name]
+		fmt.Fprintf(&b, "| %s (%s, by %s) | %s |\n", name, f.Unit, f.Variable, strings.Join(cells, "; "))
+	}
+	return b.String()
+}
+
+// appendTable counts what a fleet puts on the log.
+func appendTable(Results) string {
+	var b strings.Builder
+	b.WriteString("| cause | formula | Concordia, a day | Kitakaze, a day | target, a day | target, a second |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- |\n")
+	sums := make([]float64, len(deployments))
+	line := func(cause, formula string, values []float64) {
+		fmt.Fprintf(&b, "| %s | %s |", cause, formula)
+		for _, v := range values {
+			fmt.Fprintf(&b, " %s |", number(v))
+		}
+		fmt.Fprintf(&b, " %s |\n", number(values[len(values)-1]/secondsADay))
+	}
+	for _, c := range appendCauses {
+		values := make([]float64, len(deployments))
+		for i, d := range deployments {
+			values[i] = c.daily(d)
+			sums[i] += values[i]
+		}
+		line(c.cause, c.formula, values)
+	}
+	line("sum", "", sums)
+	return b.String()
+}
+
+// negligible is what a table shows as nothing.
+const negligible = 0.0005
+
+// number writes three significant digits, and no exponent.
+func number(v float64) string {
+	if math.Abs(v) < negligible {
+		return "0"
+	}
+	digits := 2 - int(math.Floor(math.Log10(math.Abs(v))))
+	if digits <= 0 {
+		scale := math.Pow(10, float64(-digits))
+		return fmt.Sprintf("%.0f", math.Round(v/scale)*scale)
+	}
+	return fmt.Sprintf("%.*f", digits, v)
+}
+
+func megabytes(v float64) string {
+	if v == 0 {
+		return "0"
+	}
+	return number(v/1e6) + " MB"
+}
+
+func percent(v float64) string {
+	return number(v*100) + "%"
+}
+
+func times(v float64) string {
+	return number(v) + " ×"
+}
