Judge callers' and backend servers' records of real nodes under four faults

Change: a test of internal/faulter puts real nodes through a log outage, a cut domain, a node paused past its lease and the restart of every VM, under load, and asserts rate, at most once, 'not run' and versions; a second one plants each fault in an account and requires the judge to see it.

--- /dev/null
+++ b/internal/faulter/faulter_test.go
@@ -0,0 +1,86 @@
+package faulter
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/responder"
+)
+
+// Everything that can go wrong with the fleet's agreement shows in the end at a caller: a team gets more than it
+// bought, a booking is made twice, a "not run" is believed and wrong, or an old preset comes back. So real nodes are put
+// through the faults under load, and the callers' and backend servers' own records must show none of it. The figures
+// of speed are logged and not judged, since they hang on the machine.
+func TestFaultsBreakNoPromise(t *testing.T) {
+	judged := []string{"logOutage", "domainCut", "nodePaused", "rollingRestart"}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+	defer cancel()
+	names := slices.Clone(judged)
+	err := Run(ctx, Options{Scenarios: judged, Seed: 1}, func(f Figures) error {
+		names = slices.DeleteFunc(names, func(n string) bool { return n == f.Scenario })
+		t.Logf("%s: %d calls, reasons %v", f.Scenario, f.Calls, f.Reasons)
+		assert.Check(t, f.Calls > 100, "%s: the load did not run", f.Scenario)
+		assert.Check(t, f.RateExceeded <= 0, "%s: a team got %.2f calls too many", f.Scenario, f.RateExceeded)
+		assert.Check(t, f.DoubleRuns == 0, "%s: %d ids ran again", f.Scenario, f.DoubleRuns)
+		assert.Check(t, f.FalseNotRun == 0, "%s: %d refusals said untruly that nothing ran", f.Scenario, f.FalseNotRun)
+		assert.Check(t, f.Reverted == 0, "%s: the configuration went back %d times", f.Scenario, f.Reverted)
+		assert.Check(t, f.ConfigInForceMs != nil, "%s: no change came in force", f.Scenario)
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 0, "not run: %v", names)
+}
+
+// A judge that overlooks a fault makes every run above look good. Each kind of fault is written into an account by
+// hand, and the judge must find it, and find nothing in the same account without it.
+func TestJudgeFindsEachFault(t *testing.T) {
+	begin := time.Now()
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	team := teamPlan{name: "captains", rate: 10, burst: 2, load: 0.5}
+	good := func() account {
+		return account{
+			teams: []teamPlan{team}, start: begin, length: time.Second,
+			starts: []responder.RunStart{
+				{At: at(0), Team: "captains", Request: "r1", Idempotency: "a"},
+				{At: at(10), Team: "captains", Request: "r2"},
+				{At: at(100), Team: "captains", Request: "r3", Idempotency: "b"},
+			},
+			sendings: []sending{{team: "captains", id: "c", attempts: []attempt{{request: "r9", notRun: true, status: 429}}}},
+		}
+	}
+	faults := map[string]func(*account){
+		"one call too many in the burst": func(a *account) {
+			a.starts = append(a.starts, responder.RunStart{At: at(20), Team: "captains", Request: "r4"})
+		},
+		"an id that ran at two backend servers": func(a *account) {
+			a.starts[2].Idempotency = "a"
+		},
+		"a refused request that ran": func(a *account) {
+			a.sendings[0].attempts[0].request = "r2"
+		},
+	}
+	broken := func(a account) bool {
+		return a.rateExceeded() > 0 || a.doubleRuns() > 0 || a.falseNotRun() > 0
+	}
+	assert.Assert(t, !broken(good()))
+	for name, plant := range faults {
+		t.Run(name, func(t *testing.T) {
+			a := good()
+			plant(&a)
+			assert.Assert(t, broken(a))
+		})
+	}
+	w := newWatcher(nil)
+	w.note("n1", 5)
+	w.everyone = 5
+	w.note("n2", 5)
+	assert.Equal(t, w.reversals(), 0)
+	w.note("n1", 4)
+	assert.Equal(t, w.reversals(), 1, "a node that goes back")
+	w.note("n3", 4)
+	assert.Equal(t, w.reversals(), 2, "a new node that starts with what is out of force everywhere")
+}
