--- a/internal/gossiper/relayer.go
+++ b/internal/gossiper/relayer.go
@@ -46,7 +46,10 @@
 	// heard is when a node of that domain, or a relay of the own one on its behalf, was last heard.
 	heard  clock.Time
 	urgent clock.Time
-	silent bool
+	// differs tells that a table was found to differ since the last probe. The exchange takes four messages, and
+	// with a fifth of them lost the next regular probe would often come too late.
+	differs bool
+	silent  bool
 	// known tells that heard is of a real message, not of when this node began to listen.
 	known bool
 	// named tells that the domain itself has named the contacts.
@@ -290,10 +293,15 @@
 func (g *Gossiper) probeUrgently(d identifier.FailureDomain, now clock.Time) []Effect {
 	o := g.relayer.remotes[d]
 	t := g.relayer.tables[d]
-	if t == nil || now.Sub(o.heard) < o.patience(urgentAfter, 0) || now < o.urgent {
+	quiet := now.Sub(o.heard) >= o.patience(urgentAfter, 0)
+	if t == nil || now < o.urgent || !(quiet || o.differs) {
 		return nil
 	}
 	o.urgent = now.Add(urgentProbe)
+	if o.differs && !quiet {
+		o.differs = false
+		return g.probeDomain(d)
+	}
 	var effects []Effect
 	message := Probe{Domain: d, Hash: t.hash(), Relays: g.ownRelays()}
 	for _, c := range o.contacts {
--- a/internal/gossiper/repairer.go
+++ b/internal/gossiper/repairer.go
@@ -66,6 +66,9 @@
 	if mask == 0 {
 		return nil
 	}
+	if o := g.relayer.remotes[m.Domain]; o != nil {
+		o.differs = true
+	}
 	s := Summary{Domain: m.Domain, Mask: mask}
 	for _, n := range t.sorted(mask) {
 		e := t.members[n]
