--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -100,12 +100,6 @@
 	for _, n := range o.Names {
 		c.add(n, false)
 	}
-	for _, n := range o.Watched {
-		c.add(n, true)
-	}
-	slices.SortFunc(c.claims, func(a, b *claim) int {
-		return strings.Compare(string(a.name), string(b.name))
-	})
 	for _, l := range c.claims {
 		l.jitter = clock.Duration(o.Rand.Int64N(int64(jitterBound)))
 	}
@@ -120,7 +114,10 @@
 	}
 	l := &claim{name: n, watched: watched, lastOffset: -1, seenOffset: -1, candidateAt: clock.Never}
 	c.byName[n] = l
-	c.claims = append(c.claims, l)
+	i, _ := slices.BinarySearchFunc(c.claims, n, func(l *claim, n Name) int {
+		return strings.Compare(string(l.name), string(n))
+	})
+	c.claims = slices.Insert(c.claims, i, l)
 	return l
 }
 
--- a/internal/claimer/options.go
+++ b/internal/claimer/options.go
@@ -19,8 +19,6 @@
 	Domain identifier.FailureDomain
 	// Names are the claims for which the members of the own domain are candidates.
 	Names []Name
-	// Watched are claims that this node never takes, such as the rates of other domains: it only knows who holds them.
-	Watched []Name
 	// PromiseTerm is how long a witness keeps still after a promise.
 	PromiseTerm clock.Duration
 	// LongTerm is how long a holder may act after its last record on the log.
--- a/internal/granter/fleet_test.go
+++ b/internal/granter/fleet_test.go
@@ -149,8 +149,6 @@
 		own := name == "ids/0" || slices.Contains([]claimer.Name{granter.ClaimName(d, 0), granter.ClaimName(d, 1)}, name)
 		if own {
 			o.Names = append(o.Names, name)
-		} else {
-			o.Watched = append(o.Watched, name)
 		}
 	}
 	n.claims = claimer.New(o)
