--- a/cmd/jackdawtide/hooks.go
+++ b/cmd/jackdawtide/hooks.go
@@ -12,5 +12,10 @@
 		Node:    runner.Node,
 		Backend: runner.Backend,
 		Demo:    runner.Demo,
+		Measures: []commander.Measure{
+			runner.Overload(),
+			runner.Fleet(),
+			runner.Path(),
+		},
 	}
 }
