explain: ask several nodes, to follow nested calls

Cause: a node knows only its own decisions, so that a chain's deeper calls could not be seen from one. The test with separate processes finds each service of a chain once.

--- a/cmd/jackdawtide/process_test.go
+++ b/cmd/jackdawtide/process_test.go
@@ -275,6 +275,7 @@
 		assert.Assert(t, strings.Contains(text, "[slotBoard GET /slots") && strings.Contains(text, "[ice GET /bulletins"), text)
 		p.awaitStatus(n.caller+"/ice/bulletins", leaked, http.StatusOK, 20*time.Second)
 	}
+	p.checkExplained(key, first, second, third)
 	p.run("preset", "switch", "peak")
 	p.run("key", "withdraw", hash)
 	withdrawn := time.Now()
@@ -294,6 +295,24 @@
 	}
 }
 
+// checkExplained asks all nodes about one request: each service of its chain was decided on by the node that it left by.
+func (p *program) checkExplained(key string, nodes ...runningNode) {
+	p.t.Helper()
+	status, text, err := p.call(http.MethodGet, nodes[0].caller+"/bookings/mine", key, http.NoBody)
+	assert.NilError(p.t, err)
+	assert.Equal(p.t, status, http.StatusOK, text)
+	_, id, _ := strings.Cut(text, " for ")
+	args := []string{"explain"}
+	for _, n := range nodes {
+		args = append(args, "--admin", n.admin)
+	}
+	explained := p.run(append(args, strings.Fields(id)[0])...)
+	for _, service := range []string{"bookings", "slotBoard", "ice"} {
+		assert.Equal(p.t, strings.Count(explained, ".service: "+service+"\n"), 1, explained)
+	}
+	assert.Equal(p.t, strings.Count(explained, ".verdict: answered\n"), 3, explained)
+}
+
 func (p *program) uploadThroughStops(delivery, entry runningNode, key string) {
 	p.t.Helper()
 	r, w := io.Pipe()
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -51,23 +51,71 @@
 	return err
 }
 
+// explanations are those of several nodes: each node a call passes through decides for itself, and knows only that.
+type explanations []nodeExplanation
+
+type nodeExplanation struct {
+	Admin       string          `json:"admin"`
+	Explanation json.RawMessage `json:"explanation"`
+}
+
+func (r explanations) writeText(w io.Writer) error {
+	for i, e := range r {
+		if i > 0 {
+			if _, err := fmt.Fprintln(w); err != nil {
+				return err
+			}
+		}
+		if _, err := fmt.Fprintf(w, "admin: %s\n", e.Admin); err != nil {
+			return err
+		}
+		if err := (explanation{e.Explanation}).writeText(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func addExplain(c *cli) {
 	var request string
 	clause := c.add(c.app, "explain", "Tell why a request was answered as it was: who decided, by which rule and version.",
 		"jackdawtide explain --admin http://127.0.0.1:8082 01990c2e-5b1e-7c3a-9f00-2d1f6a7be001", nil)
-	address, flags := bindAdminAddress(clause), bindAdmin(clause)
+	flags := bindAdmin(clause)
+	addresses := clause.Flag("admin", "URL of a node's admin endpoint; may be repeated, to follow nested calls.").
+		Envar(adminVariable).PlaceHolder("URL").Required().Strings()
 	clause.Arg("request", "The requestId of the answer.").Required().StringVar(&request)
 	c.runs[clause.FullCommand()] = func(ctx context.Context) error {
-		client, err := c.inspect(*address, flags)
+		found, err := c.collectExplanations(ctx, *addresses, flags, request)
 		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(ctx, flags.timeout)
-		defer cancel()
+		if len(*addresses) == 1 {
+			return c.print(explanation{found[0].Explanation})
+		}
+		return c.print(found)
+	}
+}
+
+// collectExplanations asks every node, and fails only if none of them knows the request.
+func (c *cli) collectExplanations(ctx context.Context, addresses []string, f *adminFlags, request string) (explanations, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	var found explanations
+	var last error
+	for _, a := range addresses {
+		client, err := c.inspect(a, f)
+		if err != nil {
+			return nil, err
+		}
 		data, err := client.Explain(ctx, request)
 		if err != nil {
-			return err
+			last = err
+			continue
 		}
-		return c.print(explanation{data})
+		found = append(found, nodeExplanation{Admin: a, Explanation: data})
+	}
+	if len(found) == 0 {
+		return nil, last
 	}
+	return found, nil
 }
