--- a/internal/overloader/policy.go
+++ b/internal/overloader/policy.go
@@ -31,9 +31,14 @@
 	close()
 }
 
+// connectionsPerServer is what a backend server or node takes; without a bound a baseline under hard retries would use up
+// the process's file descriptors and stop the measurement itself.
+const connectionsPerServer = 700
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1024,
+		MaxConnsPerHost:     connectionsPerServer,
+		MaxIdleConnsPerHost: connectionsPerServer,
 		IdleConnTimeout:     time.Minute,
 	}}
 }
