--- a/internal/deduplicator/fuzz_test.go
+++ b/internal/deduplicator/fuzz_test.go
@@ -312,3 +312,20 @@
 	assert.Assert(t, delayed.Verdict == deduplicator.Full && !delayed.NotRun)
 	assert.Equal(t, begin(id, 4, w.wall(w.machines[0])).Verdict, deduplicator.Run)
 }
+
+// An id's record is dropped as too old, and then the owner's clock is set back a little. The id looks young
+// again, and running it would place the order a second time.
+func TestClockSetBackFreesNoID(t *testing.T) {
+	w := newWorld(1, 1, 10)
+	o := w.machines[0].owner
+	id := w.newID(0, 0)
+	begin := func(attempt uint64, wall clock.Wall) deduplicator.Verdict {
+		h := deduplicator.Hold{Claim: "ids/0", Epoch: 1, First: true}
+		a := deduplicator.Attempt{Node: "n1", Number: attempt}
+		return o.Begin(h, "team", id, 1, a, wall, w.now, wall).Verdict
+	}
+	assert.Equal(t, begin(1, id.Time), deduplicator.Run)
+	o.Tick(w.now, id.Time.Add(window+100))
+	assert.Equal(t, o.Records(), 0)
+	assert.Equal(t, begin(2, id.Time.Add(window-150)), deduplicator.Expired)
+}
