--- a/cmd/jackdawtide/hooks.go
+++ b/cmd/jackdawtide/hooks.go
@@ -16,6 +16,7 @@
 			runner.Overload(),
 			runner.Fleet(),
 			runner.Path(),
+			runner.Slopes(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/runner/slopes.go
@@ -0,0 +1,30 @@
+// `measure slopes` prints the slopes from which docs/CAPACITY.md is worked out, one JSON object a line.
+//
+// Example: jackdawtide measure slopes --format json > docs/results/slopes.jsonl
+
+package runner
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/jackdawtide/jackdawtide/internal/commander"
+	"github.com/jackdawtide/jackdawtide/internal/measurer"
+)
+
+// Slopes is the measurement of what one node costs, by each thing that it grows with.
+func Slopes() commander.Measure {
+	var seed uint64
+	return commander.Measure{
+		Name:    "slopes",
+		Help:    "Measure what a node costs by each thing that it grows with; always prints JSON lines.",
+		Example: "jackdawtide measure slopes --format json > docs/results/slopes.jsonl",
+		Bind: func(c *kingpin.CmdClause) {
+			c.Flag("seed", "Seed of the fleets.").Default("1").Uint64Var(&seed)
+		},
+		Run: func(ctx context.Context, p commander.Process, _ commander.Format) error {
+			return measurer.Slopes(ctx, p.Out, seed)
+		},
+	}
+}
