--- a/internal/gossiper/prober.go
+++ b/internal/gossiper/prober.go
@@ -87,8 +87,15 @@
 	if g.prober.random {
 		return g.somePeer()
 	}
+	// Suspect members are pinged anyway; waiting for the end of one suspicion before the next member is looked at
+	// would take too long where neighbours died together.
 	i, _ := slices.BinarySearch(up, g.self.Node)
-	return up[(i+1)%len(up)]
+	for step := 1; step < len(up); step++ {
+		if n := up[(i+step)%len(up)]; g.own.members[n].State == Alive {
+			return n
+		}
+	}
+	return g.somePeer()
 }
 
 func (g *Gossiper) somePeer() identifier.Node {
