--- a/internal/granter/fleet_test.go
+++ b/internal/granter/fleet_test.go
@@ -286,22 +286,11 @@
 			}
 		}
 	}
-	for _, d := range f.domains {
-		for s := range slots {
-			if h, e, ok := n.claims.HolderOf(granter.ClaimName(d.Domain, s)); ok {
-				n.grants.SetHolder(d.Domain, s, h, e)
-			}
-		}
-	}
 }
 
 func slotOf(n *node, name claimer.Name) (int, bool) {
-	for s := range slots {
-		if granter.ClaimName(n.domain, s) == name {
-			return s, true
-		}
-	}
-	return 0, false
+	d, s, ok := granter.ParseClaimName(name)
+	return s, ok && d == n.domain
 }
 
 func (f *fleet) granted(n *node, effects []granter.Effect) {
@@ -383,6 +372,10 @@
 		for up && n.read < len(f.records) {
 			r := f.records[n.read]
 			f.claimed(n, n.claims.ReadRecord(identifier.Offset(n.read), r, f.local(n)))
+			if d, s, ok := granter.ParseClaimName(r.Name); ok {
+				h, e, _ := n.claims.HolderOf(r.Name)
+				n.grants.SetHolder(d, s, h, e)
+			}
 			n.read++
 		}
 		f.claimed(n, n.claims.SetLog(up, 0, f.local(n)))
@@ -427,20 +420,25 @@
 // checkWaitOut requires that a new holder has waited out what the one before may have granted to its last moment.
 // Without it the wait would hide a successor that began too early, unless the old holder granted just then.
 func (f *fleet) checkWaitOut(name claimer.Name, n identifier.Node) {
-	waitOut := int64(600 * 98 / 100)
 	last, ok := f.held[name]
-	for _, r := range f.records {
-		if r.Name == name && r.Kind == claimer.Handover && r.By == last.node && r.Epoch == last.epoch+1 {
-			waitOut = int64(r.Outstanding) * 98 / 100
-		}
-	}
-	if ok && f.terms.WaitOut > 0 && last.node != n && f.now-last.until < waitOut {
+	if ok && f.terms.WaitOut > 0 && last.node != n && f.now-last.until < f.waitOut(name, last) {
 		f.faults = append(f.faults, fmt.Sprintf("%d: %s at %s only %d ms after %s", f.now, name, n, f.now-last.until, last.node))
 	}
 	_, epoch, _ := f.node(n).claims.HolderOf(name)
 	f.held[name] = held{node: n, epoch: epoch, until: f.now}
 }
 
+// waitOut is what must be waited out after a holder: less after a handover, which says what is left.
+func (f *fleet) waitOut(name claimer.Name, last held) int64 {
+	w := int64(f.terms.WaitOut)
+	for _, r := range f.records {
+		if r.Name == name && r.Kind == claimer.Handover && r.By == last.node && r.Epoch == last.epoch+1 {
+			w = int64(r.Outstanding)
+		}
+	}
+	return w * 98 / 100
+}
+
 // withAuthority lists the nodes that could act now, also a paused one that would wake up at this moment.
 func (f *fleet) withAuthority(name claimer.Name) (held []identifier.Node) {
 	for _, n := range f.nodes {
