--- a/internal/granter/fleet_test.go
+++ b/internal/granter/fleet_test.go
@@ -432,7 +432,7 @@
 func (f *fleet) waitOut(name claimer.Name, last held) int64 {
 	w := int64(f.terms.WaitOut)
 	for _, r := range f.records {
-		if r.Name == name && r.Kind == claimer.Handover && r.By == last.node && r.Epoch == last.epoch+1 {
+		if r.Name == name && r.Kind == claimer.Handover && r.By == last.node && r.Epoch > last.epoch {
 			w = int64(r.Outstanding)
 		}
 	}
--- a/internal/granter/measure_test.go
+++ b/internal/granter/measure_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// The platform's log takes several hundred appends a second for everything; claims that needed more than a trickle
+// would hold up operators' changes.
+func TestClaimsNeedFewAppends(t *testing.T) {
+	t.Parallel()
+	f := newFleet(1, 4, 3, false)
+	f.quiet = true
+	f.run(20_000)
+	start := f.appends
+	f.run(720_000)
+	t.Logf("%d claims: %d appends at the start, %d in 720 s", len(f.names), start, f.appends-start)
+	assert.Check(t, start <= 2*len(f.names))
+	assert.Check(t, f.appends-start <= 2*len(f.names))
+}
+
 // A fault costs a team some of its rate, in one domain at most, and never all of it. The floors are those of the
 // operators' page; whoever lowers one changes what users were told.
 func TestFaultsLeaveMostOfTheRate(t *testing.T) {
