--- a/internal/gossiper/relayer.go
+++ b/internal/gossiper/relayer.go
@@ -27,9 +27,10 @@
 	unknownLimit = 1500 * clock.Millisecond
 	// urgentAfter is the silence after which all contacts of a domain are probed, every urgentProbe: taking a
 	// whole domain out of use because a few probes got lost would be worse than the fault it guards against.
-	urgentAfter   = 1200 * clock.Millisecond
-	urgentProbe   = 300 * clock.Millisecond
-	subscribeTerm = 12 * clock.Second
+	urgentAfter       = 1200 * clock.Millisecond
+	urgentProbe       = 300 * clock.Millisecond
+	askAroundInterval = 2 * clock.Second
+	subscribeTerm     = 12 * clock.Second
 	// pushCopies is how often a change is pushed to a subscriber, and to relayFanout relays of each other
 	// domain, as pushes are not acknowledged and a comparison may come too late for a leaving server.
 	pushCopies  = 4
@@ -50,6 +51,7 @@
 	// with a fifth of them lost the next regular probe would often come too late.
 	differs bool
 	silent  bool
+	asked   clock.Time
 	// known tells that heard is of a real message, not of when this node began to listen.
 	known bool
 	// named tells that the domain itself has named the contacts.
@@ -225,9 +227,12 @@
 func (g *Gossiper) addContact(c Contact, now clock.Time) []Effect {
 	r := g.remoteOf(c.Domain, now)
 	known := slices.ContainsFunc(r.contacts, func(o Contact) bool { return o.Node == c.Node })
-	if known || len(r.contacts) >= maxContacts || (r.named && !r.silent) {
+	if known || (len(r.contacts) >= maxContacts && !r.silent) || (r.named && !r.silent) {
 		return nil
 	}
+	if len(r.contacts) >= maxContacts {
+		r.contacts = slices.Clone(r.contacts[1:])
+	}
 	r.contacts = append(r.contacts, c)
 	return []Effect{MembersChanged{Domain: c.Domain}}
 }
@@ -243,6 +248,7 @@
 	for _, d := range r.domains() {
 		effects = append(effects, g.probeUrgently(d, now)...)
 		effects = append(effects, g.noteSilence(d, now)...)
+		effects = append(effects, g.askAround(d, now)...)
 	}
 	if now < r.nextProbe {
 		return effects
@@ -341,6 +347,27 @@
 	return unknown
 }
 
+// askAround asks the other domains for contacts in a silent one: while it was cut off from this one, all its
+// nodes that are known here may have been replaced, and then nobody here could ever reach it again.
+func (g *Gossiper) askAround(d identifier.FailureDomain, now clock.Time) []Effect {
+	o := g.relayer.remotes[d]
+	if !o.silent || now < o.asked {
+		return nil
+	}
+	o.asked = now.Add(askAroundInterval)
+	var effects []Effect
+	for _, other := range g.relayer.domains() {
+		contacts := g.relayer.remotes[other].contacts
+		if other == d || len(contacts) == 0 {
+			continue
+		}
+		c := contacts[g.options.Rand.IntN(len(contacts))]
+		message := Join{Self: g.self, Hash: g.joinHash()}
+		effects = append(effects, Send{To: c.Node, Address: c.Address, Message: message})
+	}
+	return effects
+}
+
 func (g *Gossiper) hearDomain(d identifier.FailureDomain, now clock.Time) []Effect {
 	if d == g.self.Domain {
 		return nil
