--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -67,11 +67,15 @@
 }
 
 // noneLeft is the reason where no endpoint can be tried. After an attempt that may have run it is the lost answer that
-// the caller has to know of; "no backend server" would read as if nothing had happened.
+// the caller has to know of; "no backend server" would read as if nothing had happened. After a refusal it is that one:
+// a service whose only endpoint is full is overloaded, not gone.
 func (c *call) noneLeft() Reason {
 	if c.maybeRun {
 		return LostAnswer
 	}
+	if c.lastReason != "" {
+		return c.lastReason
+	}
 	return NoBackend
 }
 
@@ -162,6 +166,9 @@
 	}
 	s.counters.Retried++
 	c.exclude(c.lastEndpoint)
+	if e.Refusal != nil {
+		c.lastReason = e.Refusal.Reason
+	}
 	s.forward(c)
 	return true
 }
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -52,6 +52,8 @@
 	endpoint identifier.Endpoint
 	// lastEndpoint is where the attempt before went.
 	lastEndpoint identifier.Endpoint
+	// lastReason is why the attempt before was refused, if it was.
+	lastReason Reason
 	sentAt       clock.Time
 	excluded     []identifier.Endpoint
 	// maybeRun is set once any attempt may have started at a backend server.
