Restart every VM with and without a wait for claims

Cause: the rolling restart stopped a VM every 1.4 s, faster than any claim finds a holder, which no upgrade should do. Change: rollingRestart waits between VMs until each claim has a holder with authority; hastyRestart is the old one, and the one that the test judges, as the harder.

--- a/internal/faulter/faulter_test.go
+++ b/internal/faulter/faulter_test.go
@@ -16,7 +16,7 @@
 // through the faults under load, and the callers' and backend servers' own records must show none of it. The figures
 // of speed are logged and not judged, since they hang on the machine.
 func TestFaultsBreakNoPromise(t *testing.T) {
-	judged := []string{"logOutage", "domainCut", "nodePaused", "rollingRestart"}
+	judged := []string{"logOutage", "domainCut", "nodePaused", "hastyRestart"}
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
 	defer cancel()
 	names := slices.Clone(judged)
--- a/internal/faulter/faults.go
+++ b/internal/faulter/faults.go
@@ -100,35 +100,51 @@
 	return r.startNode(ctx, i)
 }
 
-// rollingRestart replaces every VM in turn, as an upgrade does: the backend server leaves, the node stops, and new
-// processes take their places.
-func rollingRestart(ctx context.Context, r *run) error {
+// rollingRestart replaces every VM in turn, as a careful upgrade does: it goes on only when each claim has a holder again.
+func rollingRestart(ctx context.Context, r *run) error { return r.restartAll(ctx, r.fleet.AwaitReady) }
+
+// hastyRestart replaces the next VM as soon as the one before it listens.
+func hastyRestart(ctx context.Context, r *run) error {
+	return r.restartAll(ctx, func(context.Context) error { return nil })
+}
+
+// restartAll has each VM's backend server leave and its node stop, and puts new processes in their places.
+func (r *run) restartAll(ctx context.Context, await func(context.Context) error) error {
 	var longest time.Duration
-	for i, m := range r.fleet.Members {
-		if err := m.Backend.Leave(ctx); err != nil {
-			return err
-		}
-		d, err := r.stopNode(ctx, i)
+	for i := range r.fleet.Members {
+		d, err := r.restart(ctx, i)
 		if err != nil {
 			return err
 		}
 		longest = max(longest, d)
-		if err := r.startNode(ctx, i); err != nil {
+		if err := await(ctx); err != nil {
 			return err
 		}
-		if err := r.startBackend(ctx, i); err != nil {
-			return err
+		if i > 0 {
+			continue
 		}
-		if i == 0 {
-			if err := r.change(ctx); err != nil {
-				return err
-			}
+		if err := r.change(ctx); err != nil {
+			return err
 		}
 	}
 	r.figures.DrainStopMs = milliseconds(longest)
 	return nil
 }
 
+func (r *run) restart(ctx context.Context, i int) (time.Duration, error) {
+	if err := r.fleet.Members[i].Backend.Leave(ctx); err != nil {
+		return 0, err
+	}
+	d, err := r.stopNode(ctx, i)
+	if err != nil {
+		return 0, err
+	}
+	if err := r.startNode(ctx, i); err != nil {
+		return 0, err
+	}
+	return d, r.startBackend(ctx, i)
+}
+
 // operatorRace has two operators who have seen the same version change the same thing at once.
 func operatorRace(ctx context.Context, r *run) error {
 	ctx, cancel := context.WithTimeout(ctx, changeBound)
