--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -54,8 +54,8 @@
 	lastEndpoint identifier.Endpoint
 	// lastReason is why the attempt before was refused, if it was.
 	lastReason Reason
-	sentAt       clock.Time
-	excluded     []identifier.Endpoint
+	sentAt     clock.Time
+	excluded   []identifier.Endpoint
 	// maybeRun is set once any attempt may have started at a backend server.
 	maybeRun bool
 	// owned is set once the owner of the idempotency id let the call run.
