--- a/internal/gossiper/fuzz_test.go
+++ b/internal/gossiper/fuzz_test.go
@@ -110,6 +110,7 @@
 	for _, r := range append([]any{dead}, w.log...) {
 		for _, m := range []*machine{a, b} {
 			w.perform(m, m.g.ReadRecord(r, w.now))
+			assert.Assert(t, !slices.Contains(m.g.Members(), "gone"))
 		}
 	}
 	w.run(3 * clock.Second)
