reducer: call loans back before the claims are handed over in a planned stop

Cause: a leaving node named a fixed 2.5 s for its successors to wait out, the longest loan, although granter.Leave can end lending and granter.Outstanding tells what is really left.

--- a/internal/reducer/leave.go
+++ b/internal/reducer/leave.go
@@ -16,8 +16,9 @@
 	idClaimPrefix = "ids/"
 	// handoverBound is how long a leaving node waits for its successors to have its records.
 	handoverBound = 2 * clock.Second
-	// outstandingBound is longer than any slice or loan that this node granted can still be used.
-	outstandingBound = 2500 * clock.Millisecond
+	// shortWait is what a successor of a bank may wait out: a slice's term, once all loans are back. Were the claims handed
+	// over before, it would wait for the longest loan, and teams would be refused within their rate meanwhile.
+	shortWait = 500 * clock.Millisecond
 	// goodbyeBound gives the news of a leaving node time to spread.
 	goodbyeBound = clock.Second
 	// reportBound is how long a leaving node goes on telling the owners of ids how its calls ended.
@@ -46,6 +47,7 @@
 	for _, b := range s.sortedBackends() {
 		s.startLeaving(b)
 	}
+	s.grant(s.granter.Leave(s.now))
 	s.sendHandovers()
 }
 
@@ -97,11 +99,13 @@
 	}
 	s.sendHandovers()
 	if l.claimsAt == 0 {
-		if !l.allHandedOver() && s.now.Sub(l.since) < handoverBound {
+		outstanding := s.granter.Outstanding(s.now)
+		ready := l.allHandedOver() && outstanding <= shortWait
+		if !ready && s.now.Sub(l.since) < handoverBound {
 			return
 		}
 		l.claimsAt = s.now
-		s.claim(s.claimer.Leave(outstandingBound, s.now))
+		s.claim(s.claimer.Leave(outstanding, s.now))
 		return
 	}
 	if l.goodbyeAt == 0 && (s.claimer.Left() || s.now.Sub(l.claimsAt) > handoverBound) {
