--- /dev/null
+++ b/internal/gossiper/contacts.go
@@ -0,0 +1,132 @@
+// A few members of each failure domain are its relays, chosen by the same rule at every node, and a few nodes of each other
+// domain are known as contacts. Both lists are short, so that what passes between domains does not grow with the fleet.
+//
+// Example: of 482 members the three with the highest hash are relays; contacts of a domain whose relays all died are
+// asked for from the others.
+
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Contacts returns a few nodes of each other domain, by domain.
+func (g *Gossiper) Contacts() []Contact {
+	var all []Contact
+	for _, d := range g.relayer.domains() {
+		all = append(all, g.relayer.remotes[d].contacts...)
+	}
+	return all
+}
+
+// Relays tells whether this node is a relay of its domain.
+func (g *Gossiper) Relays() bool {
+	return g.relayer.active
+}
+
+// elect chooses the members with the highest hashes of their names.
+func (g *Gossiper) elect() {
+	var best []candidate
+	for _, n := range g.own.up {
+		c := candidate{node: n, hash: xxh3.HashString(string(n))}
+		i, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+		if i < relayCount {
+			best = slices.Insert(best, i, c)
+			best = best[:min(relayCount, len(best))]
+		}
+	}
+	var relays []identifier.Node
+	for _, c := range best {
+		relays = append(relays, c.node)
+	}
+	if slices.Equal(relays, g.relayer.relays) {
+		return
+	}
+	g.relayer.relays = relays
+	// A new relay knows no subscribers, and one that is none any more hears nothing from other domains.
+	g.follower.next = 0
+	g.follower.answered = false
+	active := slices.Contains(g.relayer.relays, g.self.Node)
+	g.relayer.listening = g.relayer.listening && active
+	if g.relayer.active && !active {
+		clear(g.relayer.tables)
+		clear(g.relayer.subscribers)
+		g.relayer.own = nil
+		g.relayer.pushes = nil
+	}
+	g.relayer.active = active
+}
+
+type candidate struct {
+	node identifier.Node
+	hash uint64
+}
+
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.hash, c.hash), cmp.Compare(o.node, c.node))
+}
+
+func (g *Gossiper) ownRelays() []Contact {
+	contacts := make([]Contact, 0, relayCount)
+	for _, n := range g.relayer.relays {
+		contacts = append(contacts, contactOf(g.own.members[n].Member))
+	}
+	return contacts
+}
+
+func contactOf(m Member) Contact {
+	return Contact{Node: m.Node, Domain: m.Domain, Address: m.Address}
+}
+
+func (g *Gossiper) remoteOf(d identifier.FailureDomain, now clock.Time) *remote {
+	r := g.relayer.remotes[d]
+	if r == nil {
+		r = &remote{heard: now}
+		g.relayer.remotes[d] = r
+	}
+	return r
+}
+
+// setContacts takes what a domain itself says about its relays.
+func (g *Gossiper) setContacts(contacts []Contact, now clock.Time) []Effect {
+	byDomain := map[identifier.FailureDomain][]Contact{}
+	for _, c := range contacts {
+		if c.Domain != g.self.Domain {
+			byDomain[c.Domain] = append(byDomain[c.Domain], c)
+		}
+	}
+	var effects []Effect
+	for d, list := range byDomain {
+		r := g.remoteOf(d, now)
+		r.named = true
+		list = list[:min(len(list), maxContacts)]
+		if !slices.Equal(r.contacts, list) {
+			r.contacts = list
+			effects = append(effects, MembersChanged{Domain: d})
+		}
+	}
+	slices.SortFunc(effects, func(a, b Effect) int {
+		return cmp.Compare(a.(MembersChanged).Domain, b.(MembersChanged).Domain)
+	})
+	return effects
+}
+
+// addContact remembers a node that was only heard of, behind those that the domain itself named.
+func (g *Gossiper) addContact(c Contact, now clock.Time) []Effect {
+	r := g.remoteOf(c.Domain, now)
+	known := slices.ContainsFunc(r.contacts, func(o Contact) bool { return o.Node == c.Node })
+	if known || (len(r.contacts) >= maxContacts && !r.silent) || (r.named && !r.silent) {
+		return nil
+	}
+	if len(r.contacts) >= maxContacts {
+		r.contacts = slices.Clone(r.contacts[1:])
+	}
+	r.contacts = append(r.contacts, c)
+	return []Effect{MembersChanged{Domain: c.Domain}}
+}
