--- a/internal/demonstrator/scenario.go
+++ b/internal/demonstrator/scenario.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/inspector"
 	"github.com/jackdawtide/jackdawtide/internal/launcher"
@@ -151,12 +152,12 @@
 	if err := leaving.Drain(ctx); err != nil {
 		d.failure = err.Error()
 	}
-	if err := pause(ctx, drainSettled); err != nil {
-		return err
+	if !clock.Sleep(ctx, drainSettled) {
+		return ctx.Err()
 	}
 	d.settled = leaving.Arrived()
-	if err := pause(ctx, drainLength); err != nil {
-		return err
+	if !clock.Sleep(ctx, drainLength) {
+		return ctx.Err()
 	}
 	d.end = leaving.Arrived()
 	if err := s.fleet.StartBackend(ctx, m); err != nil {
@@ -192,8 +193,8 @@
 		return err
 	}
 	s.callers.setPhase(settling)
-	if err := pause(ctx, settleLength); err != nil {
-		return err
+	if !clock.Sleep(ctx, settleLength) {
+		return ctx.Err()
 	}
 	s.callers.setPhase(recovered)
 	return pause(ctx, recoveryLength)
@@ -252,13 +253,8 @@
 	}
 }
 
+// pause is clock.Sleep for steps that return an error.
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	clock.Sleep(ctx, d)
+	return ctx.Err()
 }
--- a/internal/demonstrator/traffic.go
+++ b/internal/demonstrator/traffic.go
@@ -20,6 +20,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/definer"
 	"github.com/jackdawtide/jackdawtide/internal/deliverer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
@@ -88,7 +89,7 @@
 	c.group.Go(func() {
 		next := time.Now()
 		for n := 0; ; n++ {
-			if !sleepUntil(ctx, next) {
+			if !clock.SleepUntil(ctx, next) {
 				return
 			}
 			next = next.Add(c.pause(s))
@@ -203,14 +204,3 @@
 		o.reason = backendError
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/faulter/faults.go
+++ b/internal/faulter/faults.go
@@ -10,6 +10,7 @@
 	"errors"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/configurer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/logkeeper"
@@ -60,7 +61,7 @@
 
 func logOutage(ctx context.Context, r *run) error {
 	r.setLog(func(s *logkeeper.Switches) { s.Outage = true })
-	sleep(ctx, faultTime)
+	clock.Sleep(ctx, faultTime)
 	r.setLog(func(s *logkeeper.Switches) { s.Outage = false })
 	return r.change(ctx)
 }
@@ -78,7 +79,7 @@
 	if err := r.change(ctx); err != nil {
 		return err
 	}
-	sleepUntil(ctx, began.Add(faultTime))
+	clock.SleepUntil(ctx, began.Add(faultTime))
 	r.cutOff(domains[0], false)
 	return nil
 }
@@ -97,7 +98,7 @@
 	if err := r.change(ctx); err != nil {
 		return err
 	}
-	sleep(ctx, replaceAfter)
+	clock.Sleep(ctx, replaceAfter)
 	return r.startNode(ctx, i)
 }
 
@@ -203,7 +204,7 @@
 		return err
 	}
 	accepted := time.Now()
-	sleep(ctx, faultTime)
+	clock.Sleep(ctx, faultTime)
 	r.figures.WithdrawnKeyMs = milliseconds(r.lastStart(accepted, func(int) bool { return true }, withinTeam))
 	return nil
 }
@@ -215,7 +216,7 @@
 	if err := r.fleet.Members[busiest].Backend.Drain(ctx); err != nil {
 		return err
 	}
-	sleep(ctx, faultTime)
+	clock.Sleep(ctx, faultTime)
 	r.figures.LastNewCallMs = milliseconds(r.lastStart(began, func(i int) bool { return i == busiest }, ""))
 	return nil
 }
@@ -227,7 +228,7 @@
 	b := r.fleet.Members[busiest].Backend
 	b.SetServiceTime(time.Hour)
 	b.Silence()
-	sleep(ctx, faultTime)
+	clock.Sleep(ctx, faultTime)
 	r.figures.LastNewCallMs = milliseconds(r.lastStart(began, func(i int) bool { return i == busiest }, ""))
 	return nil
 }
@@ -253,12 +254,12 @@
 	r.setLog(func(s *logkeeper.Switches) { s.Outage = true })
 	i := r.mostClaims()
 	r.killNode(i)
-	sleep(ctx, faultTime)
+	clock.Sleep(ctx, faultTime)
 	// The replacement boots while the log is down, through its peers.
 	if err := r.startNode(ctx, i); err != nil {
 		return err
 	}
-	sleep(ctx, time.Second)
+	clock.Sleep(ctx, time.Second)
 	r.setLog(func(s *logkeeper.Switches) { s.Outage = false })
 	return r.change(ctx)
 }
@@ -271,7 +272,7 @@
 	if err := r.change(ctx); err != nil {
 		return err
 	}
-	sleepUntil(ctx, began.Add(faultTime))
+	clock.SleepUntil(ctx, began.Add(faultTime))
 	r.cutOff(domains[0], false)
 	<-first
 	<-second
--- a/internal/faulter/load.go
+++ b/internal/faulter/load.go
@@ -19,6 +19,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/deliverer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/responder"
@@ -113,7 +114,7 @@
 	var at time.Duration
 	for {
 		at += time.Duration(r.ExpFloat64() / (t.rate * t.load) * float64(time.Second))
-		if at >= l.length || !sleepUntil(ctx, l.start.Add(at)) {
+		if at >= l.length || !clock.SleepUntil(ctx, l.start.Add(at)) {
 			return
 		}
 		s := sending{team: t.name, at: at}
@@ -215,19 +216,3 @@
 		a.notRun = p.NotRun
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool { return sleep(ctx, time.Until(at)) }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/faulter/run.go
+++ b/internal/faulter/run.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/launcher"
 	"github.com/jackdawtide/jackdawtide/internal/responder"
@@ -66,7 +67,7 @@
 
 // do runs the scenario and returns its figures.
 func (r *run) do(ctx context.Context) (Figures, error) {
-	sleep(ctx, filling)
+	clock.Sleep(ctx, filling)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.watcher.watch(ctx)
@@ -75,7 +76,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if sleep(ctx, settling) && r.scenario.fault != nil {
+		if clock.Sleep(ctx, settling) && r.scenario.fault != nil {
 			r.fail(r.scenario.fault(ctx, r))
 		}
 	}()
--- a/internal/faulter/watch.go
+++ b/internal/faulter/watch.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func (w *watcher) watch(ctx context.Context) {
-	for sleep(ctx, watchPeriod) {
+	for clock.Sleep(ctx, watchPeriod) {
 		w.look()
 	}
 }
@@ -84,7 +85,7 @@
 		if w.run.allHave(v) {
 			return time.Since(since), true
 		}
-		if !sleep(ctx, watchPeriod/4) {
+		if !clock.Sleep(ctx, watchPeriod/4) {
 			return 0, false
 		}
 	}
--- a/internal/launcher/publish.go
+++ b/internal/launcher/publish.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/inspector"
 	"github.com/jackdawtide/jackdawtide/internal/publisher"
@@ -128,8 +129,8 @@
 		if err == nil && st.Self.Version >= int64(v) {
 			return nil
 		}
-		if err := pause(ctx); err != nil {
-			return NotReadyError{Node: m.Name, What: fmt.Sprintf("version %d not in force", v), Cause: err}
+		if !clock.Sleep(ctx, readyPoll) {
+			return NotReadyError{Node: m.Name, What: fmt.Sprintf("version %d not in force", v), Cause: ctx.Err()}
 		}
 	}
 }
@@ -142,8 +143,8 @@
 		if known > 0 && held == known {
 			return nil
 		}
-		if err := pause(ctx); err != nil {
-			return NotReadyError{Node: m.Name, What: fmt.Sprintf("%d of %d claims held", held, known), Cause: err}
+		if !clock.Sleep(ctx, readyPoll) {
+			return NotReadyError{Node: m.Name, What: fmt.Sprintf("%d of %d claims held", held, known), Cause: ctx.Err()}
 		}
 	}
 }
@@ -164,12 +165,3 @@
 	}
 	return held, known
 }
-
-func pause(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(readyPoll):
-		return nil
-	}
-}
--- a/internal/overloader/load.go
+++ b/internal/overloader/load.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -38,7 +39,7 @@
 	var group sync.WaitGroup
 	start := time.Now()
 	for i, a := range sorted(list) {
-		if !sleepUntil(ctx, start.Add(a.at)) {
+		if !clock.SleepUntil(ctx, start.Add(a.at)) {
 			break
 		}
 		group.Go(func() { results[i] = pursue(ctx, a, hardRetries, start, s) })
@@ -67,20 +68,5 @@
 	return r
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // teamOf is what the accounts are kept by.
 func teamOf(r result) identifier.Team { return r.arrival.team }
--- a/internal/overloader/overloader.go
+++ b/internal/overloader/overloader.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/responder"
 )
 
@@ -133,7 +134,7 @@
 // disturb makes the scenario's fault begin and end.
 func disturb(ctx context.Context, sys system, sc scenario, t times) {
 	start := time.Now()
-	if !sleepUntil(ctx, start.Add(t.before)) {
+	if !clock.SleepUntil(ctx, start.Add(t.before)) {
 		return
 	}
 	if sc.restart {
@@ -146,7 +147,7 @@
 		slowDown(deep[:1], sc.slowOne)
 		deep[0].Lie(0)
 	}
-	sleepUntil(ctx, start.Add(t.before+t.trigger))
+	clock.SleepUntil(ctx, start.Add(t.before+t.trigger))
 	slowDown(deep, 1)
 	deep[0].Lie(-1)
 }
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -65,7 +65,7 @@
 			cause = err
 		}
 		var u appender.Unavailable
-		if !errors.As(err, &u) || !pause(ctx, p.options.RetryPause.Std()) {
+		if !errors.As(err, &u) || !clock.Sleep(ctx, p.options.RetryPause.Std()) {
 			return nil, fmt.Errorf("read the log: %w", cause)
 		}
 	}
--- a/internal/publisher/settler.go
+++ b/internal/publisher/settler.go
@@ -11,8 +11,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/configurer"
 	"github.com/jackdawtide/jackdawtide/internal/encoder"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
@@ -45,7 +45,7 @@
 		if err != nil {
 			a.cause = err
 		}
-		if !pause(ctx, p.options.RetryPause.Std()) {
+		if !clock.Sleep(ctx, p.options.RetryPause.Std()) {
 			return 0, a.unsettled(id, ctx.Err())
 		}
 	}
@@ -96,14 +96,3 @@
 	}
 	return o.Version, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/pkg/announcer"
 )
 
@@ -244,7 +245,7 @@
 		return
 	}
 	defer s.freeSlot()
-	if !sleep(r.Context(), s.drawServiceTime()) {
+	if !clock.Sleep(r.Context(), s.drawServiceTime()) {
 		return
 	}
 	texts, status := s.callNested(r)
@@ -327,20 +328,6 @@
 	return time.Duration(f * float64(s.serviceTime.Load()))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) callNested(r *http.Request) ([]string, int) {
 	var texts []string
 	call := s.callOne
