reducer: tell a team without a rate in the preset so, and to come back late

Cause: such a team's calls were refused as over its rate with a Retry-After of one millisecond, so that its program would have asked again without end.

--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -93,10 +93,18 @@
 	if !s.begin(c, e.Deadline, e.ContentLength) {
 		return
 	}
+	if !s.rules.teams[c.team] {
+		detail := "team " + string(c.team) + " has no rate in preset " + string(s.rules.preset.Name)
+		s.refuse(c, Refusal{Reason: RateExceeded, RetryAfter: retryNextPreset, Detail: detail})
+		return
+	}
 	c.budget = retrier.NewBudget(s.rules.preset.RetryAllowance)
 	s.spend(c)
 }
 
+// retryNextPreset is for what only another preset can change; it is long, since operators switch a few times a day.
+const retryNextPreset = 10 * clock.Second
+
 // paid goes on with a root call that its team's rate has paid for. Paying comes first: were calls ranked before, a team
 // far above its rate would have its unimportant calls shed for nothing and spend all of its rate on urgent ones, at the
 // cost of the teams that keep to theirs.
--- a/internal/reducer/refusal_test.go
+++ b/internal/reducer/refusal_test.go
@@ -5,6 +5,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/configurer"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -25,3 +28,17 @@
 	assert.Equal(t, a.refusal.Reason, Shed)
 	assert.Assert(t, a.refusal.NotRun)
 }
+
+// A team has a valid key and no rate in the preset in force, as a team that bought nothing for peaks. Told only that it is
+// over its rate and may come back at once, its program would ask again without end.
+func TestTeamWithoutRateIsToldSo(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	w.publish(configurer.IssueKey{Change: w.change("m", 0), Key: definer.Key{Hash: "cc33", Team: "surveyors"}})
+	w.pass(clock.Second)
+	c := w.call("cc33", "ice", "GET", "", 0)
+	r := w.calls[c].refusal
+	assert.Equal(t, r.Reason, RateExceeded)
+	assert.Equal(t, r.Detail, "team surveyors has no rate in preset ordinary")
+	assert.Equal(t, r.RetryAfter, 10*clock.Second)
+	assert.Assert(t, r.NotRun)
+}
--- a/internal/reducer/rules.go
+++ b/internal/reducer/rules.go
@@ -20,6 +20,7 @@
 	preset   *definer.Preset
 	version  identifier.Version
 	services map[identifier.Service]*serviceRules
+	teams    map[identifier.Team]bool
 }
 
 type serviceRules struct {
@@ -35,7 +36,15 @@
 }
 
 func newRules(p *definer.Preset, v identifier.Version) *rules {
-	r := &rules{preset: p, version: v, services: make(map[identifier.Service]*serviceRules, len(p.Services))}
+	r := &rules{
+		preset:   p,
+		version:  v,
+		services: make(map[identifier.Service]*serviceRules, len(p.Services)),
+		teams:    make(map[identifier.Team]bool, len(p.Teams)),
+	}
+	for _, t := range p.Teams {
+		r.teams[t.Name] = true
+	}
 	for i := range p.Services {
 		d := &p.Services[i]
 		timeout := d.Timeout
