reducer: a node that has met nobody reads the log itself

Cause: reading the log is by election among the members of the failure domain, and a lone node never got a list of members, so it read only once its news was 3 s old. TestLoneNodeReadsTheLog fails without the change.

--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -227,7 +227,20 @@
 	}
 }
 
+// noticeAlone lets a node that has met nobody for a while count itself as its failure domain's only member, and so as a
+// reader of the log. Left to wait for others it would read only once its news was stale, and a withdrawn key would go on
+// working there for seconds longer. It waits a moment first, or a whole domain that returns would read the log at once.
+func (s *State) noticeAlone() {
+	if s.startedAt == 0 {
+		s.startedAt = s.now
+	}
+	if !s.met && s.now.Sub(s.startedAt) >= aloneAfter {
+		s.membersChanged()
+	}
+}
+
 func (s *State) membersChanged() {
+	s.met = true
 	members := s.gossiper.Members()
 	s.claim(s.claimer.SetMembers(withSelf(members, s.options.Self), s.now))
 	others := slices.DeleteFunc(slices.Clone(members), func(n identifier.Node) bool { return n == s.options.Self })
@@ -250,6 +263,8 @@
 const (
 	// slowTick is how often the matters that need no hurry are ticked.
 	slowTick = 100 * clock.Millisecond
+	// aloneAfter is how long a node waits for others before it takes itself for the only one.
+	aloneAfter = 500 * clock.Millisecond
 	// logFresh is the age of news up to which the log counts as readable.
 	logFresh = 3 * clock.Second
 )
@@ -263,6 +278,7 @@
 		return
 	}
 	s.slowAt = s.now
+	s.noticeAlone()
 	s.gossiper.SetNews(s.news())
 	s.gossip(s.gossiper.Tick(s.now))
 	s.configure(s.configurer.Tick(s.now, s.wall))
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -71,6 +71,9 @@
 	leaving   *leave
 	logStart  identifier.Offset
 	slowAt    clock.Time
+	// met tells that the members of the own failure domain were asked for, startedAt is the first tick.
+	met       bool
+	startedAt clock.Time
 	now       clock.Time
 	wall      clock.Wall
 	out       []Effect
