Capacity by answers, arrivals counted once, nodes never heard of as the last choice

Ruled out: no configuration or stale keys (few refusals for them), too small a queue (it stood at twice the slots).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -54,9 +54,12 @@
 	provedAt clock.Time
 	proved   bool
 
-	self     exchanger.Member
-	members  map[identifier.Node]exchanger.Member
-	places   map[identifier.Endpoint]identifier.Node
+	self    exchanger.Member
+	members map[identifier.Node]exchanger.Member
+	places  map[identifier.Endpoint]identifier.Node
+	// learned is when a node's present incarnation became known here, judged when silence was last judged.
+	learned  map[identifier.Node]clock.Time
+	judged   clock.Time
 	table    *exchanger.Table
 	reported int64
 
@@ -86,6 +89,7 @@
 		self:    o.Self,
 		members: map[identifier.Node]exchanger.Member{},
 		places:  map[identifier.Endpoint]identifier.Node{},
+		learned: map[identifier.Node]clock.Time{},
 		table:   exchanger.NewTable(o.Self.Node),
 		router: router.New(router.Options{
 			Domain:          o.Self.Domain,
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -62,7 +62,6 @@
 				d.running = true
 			}
 			c.runs.started()
-			c.throttler.Ran()
 			c.emit(Run{ID: id})
 		case limiter.Queue:
 			c.emit(Hold{ID: id})
@@ -93,6 +92,9 @@
 	if c.limiter == nil {
 		return
 	}
+	if e.Outcome == Answered {
+		c.throttler.Answered()
+	}
 	c.verdicts = c.limiter.Done(limiter.CallID(e.ID), limiterOutcome(e.Outcome), now, c.verdicts[:0])
 	c.settle()
 }
--- a/internal/conductor/delivery_test.go
+++ b/internal/conductor/delivery_test.go
@@ -112,3 +112,42 @@
 	c.Apply(Ticked{}, 5000)
 	assert.Assert(t, c.Idle())
 }
+
+// All but one endpoint of the deepest service are gone. Its calls wait long enough for most callers to give up while they
+// run, which frees slots, so that as many calls start as come. Users see nothing but timeouts; the node must say that
+// its endpoint has too much to do, or nobody will refuse anything.
+func TestRunsGivenUpAreNoCapacity(t *testing.T) {
+	c := newConductor("portal")
+	announce(c, 11, 1, false, 0)
+	id := CallID(0)
+	running := []CallID{}
+	for now := clock.Time(0); now < 4000; now++ {
+		id++
+		for _, e := range c.Apply(delivered(id), now) {
+			if r, ok := e.(Run); ok {
+				running = append(running, r.ID)
+			}
+		}
+		// Slots come free at half the rate of arrivals, by callers that leave three times of four.
+		if now%2 == 0 && len(running) > 9 {
+			outcome := Abandoned
+			if now%8 == 0 {
+				outcome = Answered
+			}
+			for _, e := range c.Apply(DeliveryEnded{ID: running[0], Outcome: outcome}, now) {
+				if r, ok := e.(Run); ok {
+					running = append(running, r.ID)
+				}
+			}
+			running = running[1:]
+		}
+		if now%25 == 0 {
+			for _, e := range c.Apply(Ticked{}, now) {
+				if r, ok := e.(Run); ok {
+					running = append(running, r.ID)
+				}
+			}
+		}
+	}
+	assert.Assert(t, c.throttler.Excess() > 0.75, "excess %v", c.throttler.Excess())
+}
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -36,7 +36,7 @@
 	Nested   bool
 	// Repeat tells that the request may have reached an endpoint before.
 	Repeat bool
-	// Again tells that another node was asked before.
+	// Again tells that another node was asked before and counted the request among its endpoint's arrivals.
 	Again bool
 	// Unpaid tells that the team's rate has yet to be taken from, at the node that gets the request.
 	Unpaid bool
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -34,6 +34,10 @@
 	excluded        []identifier.Endpoint
 	// doubt tells that an attempt may have run.
 	doubt bool
+	// counted tells that a node has counted the request among its endpoint's arrivals. One that was only dialled in vain
+	// must still count at the next: else the last endpoint of a service, to which everything comes by way of dead
+	// ones, would seem to have little to do.
+	counted bool
 	// unpaid tells that this node had no token for the request; wait is until it has one.
 	unpaid bool
 	wait   clock.Duration
@@ -212,7 +216,7 @@
 		Rank:       r.rank,
 		Nested:     r.nested,
 		Repeat:     r.arrivals > 0,
-		Again:      r.tries > 1,
+		Again:      r.counted,
 		Unpaid:     r.unpaid,
 		Idempotent: r.route.Kind == matcher.Idempotent,
 		Deadline:   r.deadline,
@@ -250,6 +254,7 @@
 	if e.Outcome == Broken || e.Outcome == Late || e.Outcome == Declined {
 		r.arrivals++
 	}
+	r.counted = r.counted || e.Outcome != Moved && e.Outcome != Unreached && e.Outcome != Over
 	r.excluded = append(r.excluded, r.picked)
 	if c.mayTryAgain(r, e) {
 		c.attempt(r, now)
--- a/internal/conductor/entry_test.go
+++ b/internal/conductor/entry_test.go
@@ -271,3 +271,43 @@
 		c.Apply(DeliveryCancelled{ID: id}, 0)
 	}
 }
+
+// Machines were taken away for good, and all nodes have been started anew since. The store still has the records of
+// the dead; nobody has heard of them. Dialled first for half of the requests, they would cost each of these a quarter
+// of a second, and in a chain of nested calls the caller's whole time.
+func TestNodesNeverHeardOfAreLastChoice(t *testing.T) {
+	c := ready(t, matcher.Idempotent, peer("alive", "portal"), peer("dead", "portal"), peer("gone", "portal"))
+	for now := clock.Time(0); now < 4000; now += 100 {
+		report := exchanger.Report{Member: peer("alive", "portal"), Number: int64(now)}
+		c.Apply(ReportsHeard{Reports: []exchanger.Report{report}}, now)
+		c.Apply(Ticked{}, now)
+	}
+	for id := CallID(1); id <= 50; id++ {
+		s := one[Send](t, c.Apply(arrival(id, "/obs/x"), 4000))
+		assert.Equal(t, s.Node, identifier.Node("alive"))
+		c.Apply(AttemptEnded{ID: id, Outcome: Answered, Status: 200, Headroom: 10}, 4000)
+		c.Apply(RequestClosed{ID: id}, 4000)
+	}
+}
+
+// A request that found only dead nodes has been counted nowhere; one that a full node turned away has.
+func TestArrivalsAreCountedOnce(t *testing.T) {
+	tests := map[string]struct {
+		outcome Outcome
+		again   bool
+	}{
+		"unreached": {Unreached, false},
+		"moved":     {Moved, false},
+		"over":      {Over, false},
+		"full":      {Full, true},
+		"declined":  {Declined, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := ready(t, matcher.Idempotent, peer("a", "portal"), peer("b", "portal"))
+			assert.Assert(t, !one[Send](t, c.Apply(arrival(1, "/obs/x"), 0)).Again)
+			next := one[Send](t, c.Apply(AttemptEnded{ID: 1, Outcome: test.outcome, Replayable: true}, 10))
+			assert.Equal(t, next.Again, test.again)
+		})
+	}
+}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -60,7 +60,7 @@
 	// Due is when the answer is expected.
 	Due    clock.Time
 	Nested bool
-	// Again tells that another node was asked before; its arrival there was counted.
+	// Again tells that the arrival was counted at another node.
 	Again bool
 	// Unpaid is the team whose rate the request still has to be counted against, empty for none.
 	Unpaid identifier.Team
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -39,6 +39,7 @@
 	c.router.Remove(m.Endpoint)
 	delete(c.places, m.Endpoint)
 	delete(c.members, node)
+	delete(c.learned, node)
 	c.table.Drop(node)
 	c.apportioner.SetNodes(len(c.members))
 }
@@ -50,6 +51,9 @@
 		delete(c.places, known.Endpoint)
 	}
 	c.members[m.Node] = m
+	if !ok || m.Incarnation != known.Incarnation {
+		c.learned[m.Node] = now
+	}
 	c.apportioner.SetNodes(len(c.members))
 	if m.Endpoint == "" {
 		return
@@ -128,15 +132,25 @@
 	}
 }
 
-// judgeSilence suspects members whose reports have stopped, as long as this node hears anybody: if it hears nobody,
-// it is the one that is cut off.
+// silencePeriod is how often silence is judged, a tenth of the time that it takes to be suspected.
+const silencePeriod = 250 * clock.Millisecond
+
+// judgeSilence suspects members whose reports have stopped or never come. The store keeps the records of machines that
+// are gone; a node that starts after they went has no report of them, and would dial them for each request.
 func (c *Conductor) judgeSilence(now clock.Time) {
+	if now.Sub(c.judged) < silencePeriod {
+		return
+	}
+	c.judged = now
 	for node, m := range c.members {
 		if node == c.self.Node || m.State != exchanger.Ready {
 			continue
 		}
 		age, heard := c.table.Age(node, now)
-		c.route(m, now, heard && age > silentAfter)
+		if !heard {
+			age = now.Sub(c.learned[node])
+		}
+		c.route(m, now, age > silentAfter)
 	}
 }
 
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -8,11 +8,11 @@
 // What is refused takes effect about half a second later, by way of reports, root requests and their nested calls. A
 // law that waits for the queue and then turns up refusals step by step swings: played against a demand of 1.3 to 2.5
 // times the capacity, an integral of the queueing delay served 0.60 to 0.82 of what could be served, this one 0.95 to
-// 0.98 (with delays of 300 and 600 ms). It works out the excess from what arrives and what the endpoint runs:
+// 0.98 (with delays of 300 and 600 ms). It works out the excess from what arrives and what the endpoint answers:
 //
 //	excess = 1 - capacity / demand, where demand = arriving / (1 - excess half a second ago)
 //
-// Example: 900 calls a second arrive while a tenth is refused, and 800 are run: the demand is 1000, the excess 0.2.
+// Example: 900 calls a second arrive while a tenth is refused, and 800 are answered: the demand is 1000, the excess 0.2.
 
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -67,8 +67,10 @@
 	t.arrived++
 }
 
-// Ran counts a call that was handed to the endpoint.
-func (t *Throttler) Ran() {
+// Answered counts a call that the endpoint has run to its end. Calls that are given up while they run free their slots
+// sooner than the endpoint can work: counted by their starts, an endpoint whose every caller times out seems to run all
+// that comes, and nothing is refused though nothing is served.
+func (t *Throttler) Answered() {
 	t.run++
 }
 
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -92,7 +92,7 @@
 			t.Arrived()
 		}
 		for running += run; running >= 1; running-- {
-			t.Ran()
+			t.Answered()
 		}
 		if now%25 == 0 {
 			t.Observe(int(queue), now)
@@ -155,7 +155,7 @@
 				th.Arrived()
 			}
 			for range run / 40 {
-				th.Ran()
+				th.Answered()
 			}
 			th.Observe(waiting, now)
 		}
