--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -42,7 +42,7 @@
 	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		e.mu.Lock()
-		e.seen = append(e.seen, r)
+		e.seen = append(e.seen, r.Clone(context.Background()))
 		e.body = append(e.body, string(body))
 		e.mu.Unlock()
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
@@ -53,6 +53,13 @@
 	return e
 }
 
+// last returns the request that reached the endpoint last, and its body.
+func (e *endpoint) last() (*http.Request, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seen[len(e.seen)-1], e.body[len(e.body)-1]
+}
+
 func (e *endpoint) count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
@@ -293,7 +294,8 @@
 	held   []byte
 	stream io.Reader
 	length int64
-	read   bool
+	// read is set by the goroutine that sends the body, and asked by the one that waits for the answer.
+	read atomic.Bool
 }
 
 const (
@@ -318,7 +320,7 @@
 }
 
 func (b *replayable) untouched() bool {
-	return !b.read
+	return !b.read.Load()
 }
 
 // reader returns the body from its start, and its length.
@@ -335,7 +337,7 @@
 
 // Read reads from the caller.
 func (b *replayable) Read(p []byte) (int, error) {
-	b.read = true
+	b.read.Store(true)
 	return b.stream.Read(p)
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -47,7 +47,7 @@
 	assert.Equal(t, got.text, "hello")
 	assert.Equal(t, got.Header.Get(names.Signature), "signed")
 	assert.Equal(t, got.Header.Get(headroomField), "")
-	seen := e.seen[0]
+	seen, _ := e.last()
 	assert.Equal(t, seen.RequestURI, "/obs/1?q=2")
 	assert.Equal(t, seen.Host, "h.example")
 	assert.Equal(t, seen.Header.Get("X-Custom"), "kept")
@@ -107,7 +107,8 @@
 				}
 			})
 			assert.Equal(t, got.StatusCode, 200)
-			assert.Assert(t, e.body[e.count()-1] == string(body))
+			_, taken := e.last()
+			assert.Assert(t, taken == string(body))
 		})
 	}
 }
@@ -230,7 +231,8 @@
 	took := time.Since(started)
 	assert.Equal(t, got.StatusCode, 504)
 	assert.Assert(t, took > 150*time.Millisecond && took < 600*time.Millisecond, "took %v", took)
-	left, err := time.ParseDuration(e.seen[0].Header.Get(names.TimeLeft) + "ms")
+	seen, _ := e.last()
+	left, err := time.ParseDuration(seen.Header.Get(names.TimeLeft) + "ms")
 	assert.NilError(t, err)
 	assert.Assert(t, left <= 200*time.Millisecond && left > 100*time.Millisecond, "left %v", left)
 }
