Ask for reports past nodes that are gone

Cause, found by reading: the node to exchange reports with was the first by name that had not failed for 3 s, one try a period of 0.5 s. With some four or more unreachable nodes first by name (a failure domain cut off, machines taken away) the first of them came round again before a living one was asked; the rest of the fleet then heard nothing of rates, excess and leaving endpoints. Test with 20 dead nodes, seen to fail before. Now: those with fresh reports first; who hears nobody goes through all, and asks the next at once.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -129,7 +129,7 @@
 	case AttemptEnded:
 		c.attemptEnded(e, now)
 	case RequestClosed:
-		c.close(e.ID, now)
+		c.close(e.ID)
 	case DeliveryArrived:
 		c.deliver(e, now)
 	case DeliveryEnded:
@@ -152,6 +152,8 @@
 		c.hear(e, now)
 	case PeerFailed:
 		c.table.Failed(e.Node, now)
+	case PeerAnswered:
+		c.table.Answered(e.Node)
 	case Ticked:
 		c.tick(now)
 	case BoundsChanged:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -16,8 +16,6 @@
 
 // delivery is a request that is queued for or running at the local endpoint.
 type delivery struct {
-	arrived clock.Time
-	nested  bool
 	running bool
 	// paid is the team that a token was taken from here, to be given back if the request is turned away.
 	paid identifier.Team
@@ -40,7 +38,7 @@
 	if !e.Again {
 		c.throttler.Arrived()
 	}
-	c.deliveries[e.ID] = &delivery{arrived: now, nested: e.Nested, paid: e.Unpaid}
+	c.deliveries[e.ID] = &delivery{paid: e.Unpaid}
 	offered := limiter.Call{
 		ID:        limiter.CallID(e.ID),
 		Rank:      e.Rank,
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -177,7 +177,7 @@
 // attempt sends a request to the next endpoint, or gives it up.
 func (c *Conductor) attempt(r *call, now clock.Time) {
 	if r.deadline.Sub(now) < leastLeft {
-		c.giveUp(r, Deadline, now)
+		c.giveUp(r, Deadline)
 		return
 	}
 	endpoint, ok := c.router.Pick(r.service, now, r.excluded)
@@ -190,7 +190,7 @@
 		if r.unpaid {
 			reason = OverRate
 		}
-		c.giveUp(r, reason, now)
+		c.giveUp(r, reason)
 		return
 	}
 	if r.tries == 0 {
@@ -260,7 +260,7 @@
 		c.attempt(r, now)
 		return
 	}
-	c.giveUp(r, reasonOf(e.Outcome), now)
+	c.giveUp(r, reasonOf(e.Outcome))
 }
 
 // learnAttempt tells the router how an attempt went.
@@ -318,7 +318,7 @@
 }
 
 // giveUp answers at once. Only what has certainly not run may say so.
-func (c *Conductor) giveUp(r *call, reason Reason, now clock.Time) {
+func (c *Conductor) giveUp(r *call, reason Reason) {
 	switch {
 	case r.doubt && reason == Deadline:
 		c.refuse(r.id, http.StatusGatewayTimeout, reason, 0)
@@ -332,10 +332,9 @@
 	if !r.doubt && r.arrivals == 0 && r.team != nil && !r.unpaid {
 		c.apportioner.Return(r.team.Name)
 	}
-	c.close(r.id, now)
+	c.close(r.id)
 }
 
-func (c *Conductor) close(id CallID, now clock.Time) {
-	_ = now
+func (c *Conductor) close(id CallID) {
 	delete(c.calls, id)
 }
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -119,6 +119,11 @@
 	Node identifier.Node
 }
 
+// PeerAnswered tells that another node answered an exchange of reports.
+type PeerAnswered struct {
+	Node identifier.Node
+}
+
 // Ticked lets time pass; it comes every TickPeriod.
 type Ticked struct{}
 
@@ -147,6 +152,7 @@
 func (MemberLearned) event()       {}
 func (ReportsHeard) event()        {}
 func (PeerFailed) event()          {}
+func (PeerAnswered) event()        {}
 func (Ticked) event()              {}
 func (StopAsked) event()           {}
 func (BoundsChanged) event()       {}
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -15,8 +15,13 @@
 )
 
 const (
-	// avoidFor is how long a node that gave no answer is not asked again: a restart takes one to three seconds.
-	avoidFor = 3 * clock.Second
+	// avoidFirst is how long a node that gave no answer is not asked again: a restart takes one to three seconds. Each
+	// further failure doubles that up to avoidMost. With a fixed time, a node would ask the dead again before it is
+	// through with them as soon as there are some ten, such as the nodes of a failure domain that is cut off.
+	avoidFirst = 3 * clock.Second
+	avoidMost  = 30 * clock.Second
+	// freshFor is the age up to which a report shows that its node is there: five periods of the reports.
+	freshFor = 2500 * clock.Millisecond
 	// oldest is the age from which a report is not passed on.
 	oldest = 10 * clock.Second
 )
@@ -25,7 +30,13 @@
 type Table struct {
 	self    identifier.Node
 	reports map[identifier.Node]held
-	avoided map[identifier.Node]clock.Time
+	avoided map[identifier.Node]avoidance
+}
+
+// avoidance is until when a node is not asked, and how long that was set for.
+type avoidance struct {
+	until clock.Time
+	span  clock.Duration
 }
 
 type held struct {
@@ -36,7 +47,7 @@
 
 // NewTable returns an empty table.
 func NewTable(self identifier.Node) *Table {
-	return &Table{self: self, reports: map[identifier.Node]held{}, avoided: map[identifier.Node]clock.Time{}}
+	return &Table{self: self, reports: map[identifier.Node]held{}, avoided: map[identifier.Node]avoidance{}}
 }
 
 // Put takes a report over if it is newer than what is held.
@@ -82,18 +93,58 @@
 
 // Failed notes that a node gave no answer.
 func (t *Table) Failed(node identifier.Node, now clock.Time) {
-	t.avoided[node] = now.Add(avoidFor)
+	a := t.avoided[node]
+	a.span = min(avoidMost, max(avoidFirst, 2*a.span))
+	a.until = now.Add(a.span)
+	t.avoided[node] = a
 }
 
-// Next returns the node to ask: the first by name among those that have not failed lately, which may be this one.
+// Answered notes that a node gave an answer.
+func (t *Table) Answered(node identifier.Node) {
+	delete(t.avoided, node)
+}
+
+// Next returns the node to ask, which may be this one: the first by name of those whose reports are fresh and that have
+// not failed lately. A node that hears nobody goes through all others, those with the fewest failures first. The store
+// keeps the records of machines that are gone, and those must not come first for ever.
 func (t *Table) Next(members map[identifier.Node]Member, now clock.Time) identifier.Node {
-	for _, node := range slices.Sorted(maps.Keys(members)) {
-		if node == t.self {
-			return node
-		}
-		if now >= t.avoided[node] {
+	names := slices.Sorted(maps.Keys(members))
+	if !t.hears(members, now) {
+		return t.leastFailed(names, now)
+	}
+	for _, node := range names {
+		if node == t.self || now >= t.avoided[node].until && t.fresh(node, now) {
 			return node
 		}
 	}
 	return t.self
 }
+
+func (t *Table) leastFailed(names []identifier.Node, now clock.Time) identifier.Node {
+	best := t.self
+	for _, node := range names {
+		a := t.avoided[node]
+		if node == t.self || now < a.until {
+			continue
+		}
+		if best == t.self || a.span < t.avoided[best].span {
+			best = node
+		}
+	}
+	return best
+}
+
+// hears tells whether some other node's report is fresh.
+func (t *Table) hears(members map[identifier.Node]Member, now clock.Time) bool {
+	for node := range members {
+		if node != t.self && t.fresh(node, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) fresh(node identifier.Node, now clock.Time) bool {
+	age, ok := t.Age(node, now)
+	return ok && age <= freshFor
+}
--- a/internal/exchanger/table_test.go
+++ b/internal/exchanger/table_test.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -47,7 +48,15 @@
 	assert.Equal(t, table.Next(members, 10), identifier.Node("b"))
 	table.Failed("b", 10)
 	assert.Equal(t, table.Next(members, 20), identifier.Node("c"))
-	assert.Equal(t, table.Next(members, clock.Time(avoidFor)+1), identifier.Node("a"))
+	assert.Equal(t, table.Next(members, clock.Time(avoidFirst)+1), identifier.Node("a"))
+	// Among nodes that are heard of, a failed one is passed over as well, and this node may be the first.
+	table.Put(Report{Member: member("a"), Number: 1}, 4000)
+	table.Put(Report{Member: member("b"), Number: 1}, 4000)
+	assert.Equal(t, table.Next(members, 4001), identifier.Node("a"))
+	table.Failed("a", 4001)
+	assert.Equal(t, table.Next(members, 4002), identifier.Node("b"))
+	table.Failed("b", 4002)
+	assert.Equal(t, table.Next(members, 4003), identifier.Node("c"))
 }
 
 func TestReportsSurviveTheirCodec(t *testing.T) {
@@ -98,3 +107,36 @@
 		}
 	})
 }
+
+// A failure domain with many nodes is cut off, and its nodes come first by name. Whoever asks them one after the other must
+// get past them before the first is asked again, or the rest of the fleet never hears of itself: rates and refusals
+// would stand still for as long as the cut lasts.
+func TestManyDeadNodesArePassedOver(t *testing.T) {
+	members := map[identifier.Node]Member{"z-self": member("z-self"), "y-alive": member("y-alive")}
+	for i := range 20 {
+		name := identifier.Node(fmt.Sprintf("a-%02d", i))
+		members[name] = member(name)
+	}
+	table := NewTable("z-self")
+	now := clock.Time(0)
+	for asked := 0; ; asked++ {
+		assert.Assert(t, asked < 40, "the living node is not asked")
+		node := table.Next(members, now)
+		if node == "y-alive" {
+			break
+		}
+		table.Failed(node, now)
+		now += 400
+	}
+	table.Put(Report{Member: member("y-alive"), Number: 1}, now)
+	assert.Equal(t, table.Next(members, now+2000), identifier.Node("y-alive"))
+}
+
+// A node that answers again is asked as before.
+func TestAnsweredNodeIsNotAvoided(t *testing.T) {
+	members := map[identifier.Node]Member{"a": member("a"), "b": member("b")}
+	table := NewTable("b")
+	table.Failed("a", 0)
+	table.Answered("a")
+	assert.Equal(t, table.Next(members, 1), identifier.Node("a"))
+}
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -50,7 +50,10 @@
 
 func (n *node) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
-		n.exchangeOnce(ctx)
+		for n.exchangeOnce(ctx) && ctx.Err() == nil {
+			// The node asked gave no answer; the next one is asked at once.
+			continue
+		}
 		period := exchangePeriod
 		n.relayer.View(func(c *conductor.Conductor, now clock.Time) {
 			if c.Pressed(now) {
@@ -76,7 +79,8 @@
 	}
 }
 
-func (n *node) exchangeOnce(ctx context.Context) {
+// exchangeOnce asks one node, and tells whether another one should be asked instead.
+func (n *node) exchangeOnce(ctx context.Context) bool {
 	var own exchanger.Report
 	var next exchanger.Member
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) {
@@ -84,7 +88,7 @@
 		next = c.NextToAsk(now)
 	})
 	if next.Node == "" || next.Node == n.options.Settings.Name {
-		return
+		return false
 	}
 	limited, cancel := context.WithTimeout(ctx, exchangeTimeout.Std())
 	defer cancel()
@@ -92,9 +96,11 @@
 	if err != nil {
 		n.recorder.Dependency("reports", err)
 		n.relayer.Tell(conductor.PeerFailed{Node: next.Node})
-		return
+		return true
 	}
+	n.relayer.Tell(conductor.PeerAnswered{Node: next.Node})
 	n.relayer.Tell(conductor.ReportsHeard{Reports: reports})
+	return false
 }
 
 func (n *node) ask(ctx context.Context, address string, own exchanger.Report) ([]exchanger.Report, error) {
