Reset a connection whose request is given up; fuzz of a fleet of conductors

Ruled out: a queue in the node (the request was past its route's 2 s when it arrived). A reset throws the bytes away; test seen to fail with an orderly close.

--- /dev/null
+++ b/internal/conductor/fuzz_test.go
@@ -0,0 +1,454 @@
+package conductor
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/apportioner"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/registrar"
+)
+
+// A fleet of real conductors lives in one loop with played time: a store that goes away, keys that are withdrawn, nodes
+// that are killed, frozen and started again knowing nothing, endpoints that leave, lose answers and decline. What must
+// hold is judged from what endpoints ran and callers were told, not from what the nodes say of themselves.
+
+const (
+	fuzzNodes   = 5
+	fuzzRevoke  = 2000
+	fuzzLength  = 12000
+	fuzzRate    = 40.0
+	fuzzBurst   = 40.0
+	fuzzWindow  = 5000
+	fuzzLatency = 2
+)
+
+type scheduled struct {
+	at    clock.Time
+	order int
+	run   func()
+}
+
+type agenda []scheduled
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(scheduled)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// fuzzNode is a VM: its conductor dies and is made anew, its endpoint lives on.
+type fuzzNode struct {
+	c *Conductor
+	// start is when the process started; its clock counts from there, less the time it was frozen.
+	life       int
+	frozen     bool
+	up         bool
+	leaving    bool
+	ackLeaving clock.Time
+	sequence   int64
+	// waiting holds what goes on when a held delivery is decided.
+	waiting map[CallID]func(Effect)
+}
+
+// told is one request as its caller and the endpoints saw it.
+type told struct {
+	key        string
+	sentAt     clock.Time
+	idempotent bool
+	runs       int
+	refused    int
+}
+
+type fleetWorld struct {
+	t      *rapid.T
+	random *rand.Rand
+	now    clock.Time
+	agenda agenda
+	order  int
+	nodes  []*fuzzNode
+	away   bool
+	// version in the store, and since when each key is withdrawn.
+	version   identifier.Version
+	withdrawn map[string]clock.Time
+	requests  map[CallID]*told
+	lastID    CallID
+	ran       []clock.Time
+}
+
+func (w *fleetWorld) after(d clock.Duration, run func()) {
+	w.order++
+	heap.Push(&w.agenda, scheduled{at: w.now.Add(d), order: w.order, run: run})
+}
+
+func (w *fleetWorld) member(i int) exchanger.Member {
+	return exchanger.Member{
+		Node: identifier.Node(fmt.Sprintf("n%d", i)), Deliver: fmt.Sprint(i), Peer: "p", Domain: "west",
+		Service: "portal", Incarnation: int64(w.now) + 1,
+	}
+}
+
+func (w *fleetWorld) boot(i int) {
+	n := w.nodes[i]
+	n.life++
+	n.up, n.frozen = true, false
+	n.waiting = map[CallID]func(Effect){}
+	n.c = New(Options{
+		Self: w.member(i),
+		Bounds: Bounds{
+			Revoke: fuzzRevoke, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
+			Rate: apportioner.Tolerance{Window: 5, Part: 0.1, Requests: 20},
+		},
+		EndpointAddress: "e",
+		Random:          rand.New(rand.NewPCG(w.random.Uint64(), 1)),
+	}, w.now)
+	life := n.life
+	w.every(i, life, 300, func() { w.poll(i) })
+	w.every(i, life, 500, func() { w.report(i) })
+	w.every(i, life, 25, func() { w.apply(i, 0, Ticked{}) })
+	w.every(i, life, 700, func() { w.beat(i) })
+}
+
+func (w *fleetWorld) every(i, life int, period clock.Duration, run func()) {
+	var again func()
+	again = func() {
+		n := w.nodes[i]
+		if n.life != life || !n.up {
+			return
+		}
+		if !n.frozen {
+			run()
+		}
+		w.after(period, again)
+	}
+	w.after(clock.Duration(w.random.Int64N(int64(period))), again)
+}
+
+func (w *fleetWorld) configuration() matcher.Configuration {
+	var keys []string
+	for _, key := range []string{"k0", "k1", "k2"} {
+		if _, gone := w.withdrawn[key]; !gone {
+			keys = append(keys, key)
+		}
+	}
+	idempotent, order := route("obs", "portal", matcher.Idempotent), route("ord", "portal", matcher.NonIdempotent)
+	idempotent.Timeout, order.Timeout = 800, 800
+	return matcher.Configuration{
+		Version:  w.version,
+		Routes:   []matcher.Route{idempotent, order},
+		Services: []matcher.Service{{Name: "portal"}},
+		Teams:    []matcher.Team{{Name: "parish", Keys: keys, Rate: fuzzRate, Burst: fuzzBurst}},
+	}
+}
+
+// poll asks the store; the answer may take long, and proves only what held when it was asked for.
+func (w *fleetWorld) poll(i int) {
+	if w.away {
+		return
+	}
+	n, asked := w.nodes[i], w.now
+	life := n.life
+	config := w.configuration()
+	w.after(clock.Duration(w.random.Int64N(400)), func() {
+		if n.life != life || !n.up || n.frozen {
+			return
+		}
+		m, err := matcher.New(config)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.apply(i, 0, ConfigurationRead{Matcher: m})
+		w.apply(i, 0, ConfigurationProved{Version: config.Version, AsOf: asked})
+	})
+}
+
+func (w *fleetWorld) report(i int) {
+	r := w.nodes[i].c.Report(w.now)
+	for j, other := range w.nodes {
+		if j != i && other.up && !other.frozen {
+			w.apply(j, 0, ReportsHeard{Reports: []exchanger.Report{r}})
+		}
+	}
+}
+
+func (w *fleetWorld) beat(i int) {
+	n := w.nodes[i]
+	n.sequence++
+	w.apply(i, 0, EndpointAnnounced{Announcement: registrar.Announcement{
+		Endpoint: identifier.Endpoint(fmt.Sprintf("i%d", i)), Service: "portal", Address: "e", Slots: 4, Started: 1,
+		Sequence: n.sequence, Leaving: n.leaving,
+	}})
+	if n.leaving && n.ackLeaving == 0 {
+		n.ackLeaving = w.now
+	}
+}
+
+// apply tells a node of an event, hands effects on other requests on, and returns the one on the given request.
+func (w *fleetWorld) apply(i int, own CallID, e Event) Effect {
+	n := w.nodes[i]
+	var mine Effect
+	for _, effect := range append([]Effect(nil), n.c.Apply(e, w.now)...) {
+		id := CallID(0)
+		switch e := effect.(type) {
+		case Publish:
+			for j := range w.nodes {
+				if j != i && w.nodes[j].up && !w.nodes[j].frozen {
+					w.apply(j, 0, MemberLearned{Member: e.Member})
+				}
+			}
+			continue
+		case Run:
+			id = e.ID
+		case TurnAway:
+			id = e.ID
+		case Hold:
+			id = e.ID
+		case Send:
+			id = e.ID
+		case Refuse:
+			id = e.ID
+		case Reply:
+			id = e.ID
+		}
+		if id == own {
+			mine = effect
+			continue
+		}
+		if wake, ok := n.waiting[id]; ok {
+			delete(n.waiting, id)
+			wake(effect)
+		}
+	}
+	return mine
+}
+
+func (w *fleetWorld) send(i int, key string, idempotent bool) {
+	n := w.nodes[i]
+	if !n.up || n.frozen {
+		return
+	}
+	w.lastID++
+	id := w.lastID
+	path := "/ord/x"
+	if idempotent {
+		path = "/obs/x"
+	}
+	w.requests[id] = &told{key: key, sentAt: w.now, idempotent: idempotent}
+	w.follow(i, n.life, id, w.apply(i, id, RequestArrived{ID: id, Host: "h", Path: path, Key: key, Left: 900, Boot: w.now}))
+}
+
+// follow performs what a node decided about a request of its own.
+func (w *fleetWorld) follow(i, life int, id CallID, e Effect) {
+	n := w.nodes[i]
+	switch e := e.(type) {
+	case Refuse:
+		if e.Status == 503 || e.Status == 429 {
+			w.requests[id].refused++
+		}
+	case Reply:
+		w.apply(i, 0, RequestClosed{ID: id})
+	case Send:
+		w.after(fuzzLatency, func() {
+			w.deliver(e, id, func(o Outcome) {
+				if n.life != life || !n.up {
+					return
+				}
+				next := w.apply(i, id, AttemptEnded{ID: id, Outcome: o, Status: 200, Replayable: true})
+				w.follow(i, life, id, next)
+			})
+		})
+	}
+}
+
+func (w *fleetWorld) deliver(s Send, id CallID, done func(Outcome)) {
+	var to int
+	if _, err := fmt.Sscanf(string(s.Node), "n%d", &to); err != nil {
+		w.t.Fatal(err)
+	}
+	n := w.nodes[to]
+	if !n.up {
+		w.after(fuzzLatency, func() { done(Unreached) })
+		return
+	}
+	if n.frozen {
+		w.after(s.Deadline.Sub(w.now), func() { done(Late) })
+		return
+	}
+	life := n.life
+	w.lastID++
+	local := w.lastID
+	unpaid := identifier.Team("")
+	if s.Unpaid {
+		unpaid = s.Team
+	}
+	var decided func(Effect)
+	decided = func(e Effect) {
+		switch e := e.(type) {
+		case TurnAway:
+			w.after(fuzzLatency, func() { done(e.Outcome) })
+		case Run:
+			w.run(to, life, id, local, s, done)
+		case Hold:
+			n.waiting[local] = decided
+		}
+	}
+	decided(w.apply(to, local, DeliveryArrived{
+		ID: local, Endpoint: s.Endpoint, Rank: s.Rank, Deadline: s.Deadline, Patience: s.Patience, Due: s.Due, Again: s.Again,
+		Unpaid: unpaid,
+	}))
+}
+
+// run has the endpoint run a request, decline it, or lose its answer.
+func (w *fleetWorld) run(to, life int, id, local CallID, s Send, done func(Outcome)) {
+	n := w.nodes[to]
+	if n.ackLeaving != 0 && w.now > n.ackLeaving {
+		w.t.Fatalf("%d: endpoint i%d got request %d though it said at %d that it leaves", w.now, to, id, n.ackLeaving)
+	}
+	outcome := Answered
+	switch w.random.IntN(20) {
+	case 0:
+		outcome = Declined
+	case 1:
+		outcome = Broken
+	}
+	if outcome != Declined {
+		w.judgeRun(id)
+	}
+	work := clock.Duration(20 + w.random.Int64N(80))
+	if outcome == Declined {
+		work = 1
+	}
+	w.after(work, func() {
+		if n.life != life || !n.up {
+			done(Broken)
+			return
+		}
+		w.apply(to, local, DeliveryEnded{ID: local, Outcome: outcome})
+		if s.Deadline < w.now {
+			outcome = Late
+		}
+		w.after(fuzzLatency, func() { done(outcome) })
+	})
+}
+
+func (w *fleetWorld) judgeRun(id CallID) {
+	r := w.requests[id]
+	r.runs++
+	w.ran = append(w.ran, r.sentAt)
+	if r.refused > 0 {
+		w.t.Fatalf("%d: request %d runs after its caller was told that it has not and will not", w.now, id)
+	}
+	if r.runs > 1 && !r.idempotent {
+		w.t.Fatalf("%d: request %d must run at most once and runs again", w.now, id)
+	}
+	if gone, ok := w.withdrawn[r.key]; ok && r.sentAt > gone.Add(fuzzRevoke) {
+		w.t.Fatalf("%d: request %d sent at %d runs with a key that was withdrawn at %d", w.now, id, r.sentAt, gone)
+	}
+}
+
+func (w *fleetWorld) trouble() {
+	i := w.random.IntN(len(w.nodes))
+	n := w.nodes[i]
+	switch w.random.IntN(8) {
+	case 0:
+		w.away = !w.away
+	case 1:
+		key := fmt.Sprintf("k%d", w.random.IntN(2))
+		if _, gone := w.withdrawn[key]; !gone && !w.away {
+			w.withdrawn[key] = w.now
+			w.version++
+		}
+	case 2:
+		w.kill(i)
+	case 3:
+		n.frozen = true
+		life := n.life
+		w.after(clock.Duration(w.random.Int64N(4000)), func() {
+			if n.life == life {
+				n.frozen = false
+			}
+		})
+	case 4:
+		if i < 2 {
+			n.leaving = true
+		}
+	case 5:
+		for j := range w.nodes {
+			w.kill(j)
+		}
+	}
+}
+
+func (w *fleetWorld) kill(i int) {
+	n := w.nodes[i]
+	if !n.up {
+		return
+	}
+	n.up = false
+	w.after(clock.Duration(500+w.random.Int64N(1000)), func() { w.boot(i) })
+}
+
+// Whatever happens to the fleet: an order runs at most once, a refusal is true, a withdrawn key is dead in time at every
+// node, an endpoint that leaves gets nothing more, and no team gets more than its rate and burst with the tolerance.
+func TestFuzzFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &fleetWorld{
+			t:         t,
+			random:    rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 7)),
+			version:   1,
+			withdrawn: map[string]clock.Time{},
+			requests:  map[CallID]*told{},
+		}
+		perSecond := rapid.IntRange(20, 400).Draw(t, "perSecond")
+		troubles := rapid.IntRange(0, 12).Draw(t, "troubles")
+		for range fuzzNodes {
+			w.nodes = append(w.nodes, &fuzzNode{})
+		}
+		for i := range w.nodes {
+			w.boot(i)
+		}
+		for range troubles {
+			w.after(clock.Duration(w.random.Int64N(fuzzLength)), w.trouble)
+		}
+		for at := clock.Duration(0); at < fuzzLength; at += 1 + clock.Duration(w.random.Int64N(int64(2000/perSecond)+1)) {
+			w.after(at, func() {
+				w.send(w.random.IntN(len(w.nodes)), fmt.Sprintf("k%d", w.random.IntN(3)), w.random.IntN(2) == 0)
+			})
+		}
+		for len(w.agenda) > 0 && w.now < fuzzLength {
+			next := heap.Pop(&w.agenda).(scheduled)
+			w.now = next.at
+			next.run()
+		}
+		w.judgeRate()
+	})
+}
+
+func (w *fleetWorld) judgeRate() {
+	most := (fuzzRate*fuzzWindow/1000+fuzzBurst)*1.1 + 20
+	for first := range w.ran {
+		count := 0
+		for _, at := range w.ran {
+			if at >= w.ran[first] && at < w.ran[first].Add(fuzzWindow) {
+				count++
+			}
+		}
+		if float64(count) > most {
+			w.t.Fatalf("%d requests of a team were sent and run in %d ms from %d, want at most %.0f", count, fuzzWindow, w.ran[first], most)
+		}
+	}
+}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -64,11 +64,11 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = n.Close() })
+	stop := context.AfterFunc(ctx, n.abort)
 	response, err := c.exchange(n, r)
 	if err != nil {
 		stop()
-		_ = n.Close()
+		n.abort()
 		if cause := ctx.Err(); cause != nil {
 			err = cause
 		}
--- a/internal/requester/client_test.go
+++ b/internal/requester/client_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -302,3 +303,24 @@
 		})
 	}
 }
+
+// The caller leaves while the request is still held up on the way, by a cut or a crowded link. Closed in order, the
+// connection would deliver it once the link is free, and the endpoint would work for nobody; a reset takes it back.
+func TestCancelResetsTheConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	s := serve(t, func(_ net.Conn, _ *http.Request, reader *bufio.Reader) bool {
+		_, err := reader.ReadByte()
+		ended <- err
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := client().Do(ctx, s.Addr().String(), get("1"))
+	assert.Assert(t, err != nil)
+	select {
+	case err := <-ended:
+		assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+	case <-time.After(time.Second):
+		t.Fatal("the server still holds the connection")
+	}
+}
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -34,6 +34,17 @@
 	reused bool
 }
 
+// abort resets the connection instead of closing it in order. Bytes that a cut or a crowded link holds up are delivered
+// after an orderly close, seconds later: an endpoint then ran requests whose callers had left 5.4 s before. A reset
+// throws them away.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		// Where this fails the connection is closed already.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 type pool struct {
 	mu   sync.Mutex
 	idle map[string][]*conn
