--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -277,7 +277,9 @@
 	w.members.set(true)
 	entry := w.start(t, "entry", "desk")
 	w.start(t, "beside", "portal")
-	status, text := entry.request()
+	// The node opens its listeners while this runs; what it answers first must be the refusal.
+	status, text := 0, ""
+	eventually(t, "answered", func() bool { status, text = entry.request(); return status != 0 })
 	assert.Equal(t, status, 503, text)
 	w.operators.set(false)
 	w.members.set(false)
