TestNodesFindEachOther asks once the listener is open

Cause: the announcements' handler is handed over while the node is still being put together, so the first question could come before the readiness listener was open (status 0). As strict: the first answer of all must be 503.

--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -196,12 +196,19 @@
 	t.Fatalf("never: %s", what)
 }
 
+// firstAnswer asks until there is an answer, since a node opens its listeners only after start has returned.
+func firstAnswer(t *testing.T, ask func() (int, string)) (status int, text string) {
+	t.Helper()
+	eventually(t, "answered", func() bool { status, text = ask(); return status != 0 })
+	return status, text
+}
+
 func TestNodesFindEachOther(t *testing.T) {
 	w := &world{}
 	entry := w.start(t, "entry", "desk")
 	w.start(t, "beside", "portal")
-	status, _ := entry.get(entry.settings.Listen.Readiness, "/ready")
-	assert.Equal(t, status, 503)
+	status, text := firstAnswer(t, func() (int, string) { return entry.get(entry.settings.Listen.Readiness, "/ready") })
+	assert.Equal(t, status, 503, text)
 	assert.NilError(t, w.operators.Write(context.Background(), "rules", []byte("version 1")))
 	eventually(t, "ready", func() bool {
 		status, _ := entry.get(entry.settings.Listen.Readiness, "/ready")
@@ -211,7 +218,7 @@
 		status, text := entry.request()
 		return status == 200 && text == "beside"
 	})
-	status, text := entry.get(entry.settings.Listen.Peer, "/state")
+	status, text = entry.get(entry.settings.Listen.Peer, "/state")
 	assert.Equal(t, status, 200)
 	assert.Assert(t, strings.Contains(text, `"beside"`) && !strings.Contains(text, `"k"`))
 }
@@ -277,9 +284,7 @@
 	w.members.set(true)
 	entry := w.start(t, "entry", "desk")
 	w.start(t, "beside", "portal")
-	// The node opens its listeners while this runs; what it answers first must be the refusal.
-	status, text := 0, ""
-	eventually(t, "answered", func() bool { status, text = entry.request(); return status != 0 })
+	status, text := firstAnswer(t, entry.request)
 	assert.Equal(t, status, 503, text)
 	w.operators.set(false)
 	w.members.set(false)
