--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -57,8 +57,8 @@
 	known   bool
 	failing bool
 	// news tells that the last answer had records.
-	news bool
-	pause   clock.Duration
+	news  bool
+	pause clock.Duration
 
 	mu sync.Mutex
 	// interrupt ends the read under way, which may stay open for waiting; nil while there is none.
