A stopping node's endpoint takes what has nowhere else to go

Change: a record tells a stopping node from a leaving endpoint. A stopping one is picked when no sound one is left, before ejected and suspect ones; two seconds after the stop began the node turns such requests away as not run, so that it ends in time. TestStopping asks for the new state; that others must be preferred is asked as before.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -49,6 +49,8 @@
 	options  Options
 	random   *rand.Rand
 	stopping bool
+	// stopAsked is when the planned stop began.
+	stopAsked clock.Time
 
 	matcher  *matcher.Matcher
 	readAt   clock.Time
@@ -213,6 +215,6 @@
 	if c.stopping {
 		return
 	}
-	c.stopping = true
+	c.stopping, c.stopAsked = true, now
 	c.publish(now)
 }
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -26,9 +26,14 @@
 // use each of its answers comes later than with one in twenty free.
 const slotPart = 0.94
 
+// lastDeliveries is how long a stopping node takes requests for its endpoint: nodes that know of no other endpoint of the
+// service still send some, and what comes later might not be finished when the node ends.
+const lastDeliveries = 2 * clock.Second
+
 func (c *Conductor) deliver(e DeliveryArrived, now clock.Time) {
 	local := c.registrar.Local()
-	if !local.Usable() || local.Endpoint != e.Endpoint || c.limiter == nil {
+	stopped := c.stopping && now.Sub(c.stopAsked) > lastDeliveries
+	if stopped || !local.Usable() || local.Endpoint != e.Endpoint || c.limiter == nil {
 		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: EndpointGone})
 		return
 	}
--- a/internal/conductor/delivery_test.go
+++ b/internal/conductor/delivery_test.go
@@ -82,7 +82,7 @@
 	announce(c, 3, 1, false, 0)
 	assert.Assert(t, c.Ready())
 	p := one[Publish](t, c.Apply(StopAsked{}, 10))
-	assert.Equal(t, p.Member.State, exchanger.Leaving)
+	assert.Equal(t, p.Member.State, exchanger.Stopping)
 	assert.Assert(t, !c.Ready())
 	learn(c, peer("a", "portal"))
 	assert.Equal(t, one[Send](t, c.Apply(arrival(1, "/obs/x"), 20)).Node, peer("a", "portal").Node)
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -78,6 +78,8 @@
 		state = router.Leaving
 	case silent:
 		state = router.Suspect
+	case m.State == exchanger.Stopping:
+		state = router.Stopping
 	case m.ColdLeft > 0:
 		state = router.Cold
 	}
@@ -100,8 +102,10 @@
 	c.self.Slots = int(local.Slots)
 	c.self.ColdLeft = local.ColdLeft
 	switch {
-	case c.stopping && local.Known, local.Known && local.Leaving:
+	case local.Known && local.Leaving:
 		c.self.State = exchanger.Leaving
+	case c.stopping && local.Known:
+		c.self.State = exchanger.Stopping
 	case local.Known:
 		c.self.State = exchanger.Ready
 	default:
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -114,7 +114,7 @@
 	if w.Node == "" || w.Deliver == "" || w.Peer == "" {
 		return Member{}, fmt.Errorf("decode member %q: a name or an address is missing", w.Node)
 	}
-	if w.State > uint8(Leaving) {
+	if w.State > uint8(Stopping) {
 		return Member{}, fmt.Errorf("decode member %q: unknown state %d", w.Node, w.State)
 	}
 	return Member{
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -20,6 +20,8 @@
 	Ready
 	// Leaving finishes what it has.
 	Leaving
+	// Stopping has an endpoint that stays, while the node itself stops: it takes what has nowhere else to go.
+	Stopping
 )
 
 // Member is a node and the endpoint beside it.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -144,10 +144,12 @@
 }
 
 func (r *Router) lastResort(s *service, q request) *member {
-	if m := r.draw(&s.ejected, q); m != nil {
-		return m
+	for _, g := range []*group{&s.stopping, &s.ejected, &s.suspect} {
+		if m := r.draw(g, q); m != nil {
+			return m
+		}
 	}
-	return r.draw(&s.suspect, q)
+	return nil
 }
 
 // draw takes the better of two random members, or any that is allowed.
@@ -237,6 +239,8 @@
 		return &s.suspect
 	case m.until != 0:
 		return &s.ejected
+	case m.endpoint.State == Stopping:
+		return &s.stopping
 	case m.endpoint.Domain == r.options.Domain:
 		return &s.near
 	default:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -25,13 +25,14 @@
 	return o.calls[e.ID] < e.ConnectionLimit && !slices.Contains(exclude, e.ID)
 }
 
-// allows checks a pick: a leaving, excluded or full endpoint never; a suspect one only if there is no other.
+// allows checks a pick: a leaving, excluded or full endpoint never; a suspect or stopping one only if there
+// is no other.
 func (o oracle) allows(t *rapid.T, picked Endpoint, ok bool, exclude []identifier.Endpoint) {
 	sound, suspect := 0, 0
 	for _, e := range o.known {
 		switch {
 		case e.State == Leaving || !o.free(e, exclude):
-		case e.State == Suspect:
+		case e.State == Suspect || e.State == Stopping:
 			suspect++
 		default:
 			sound++
@@ -43,7 +44,7 @@
 	}
 	assert.Equal(t, picked, o.known[picked.ID])
 	assert.Assert(t, picked.State != Leaving && o.free(picked, exclude))
-	assert.Assert(t, picked.State != Suspect || sound == 0)
+	assert.Assert(t, picked.State != Suspect && picked.State != Stopping || sound == 0)
 }
 
 func TestRouterAgainstOracle(t *testing.T) {
@@ -59,7 +60,7 @@
 				e := Endpoint{
 					ID: id.Draw(t, "endpoint"), Service: ice, Slots: 4, ConnectionLimit: 3,
 					Domain: rapid.SampledFrom([]identifier.FailureDomain{"a", "b"}).Draw(t, "domain"),
-					State:  State(rapid.IntRange(0, 3).Draw(t, "state")),
+					State:  State(rapid.IntRange(0, 4).Draw(t, "state")),
 				}
 				r.Put(e, now)
 				o.known[e.ID] = e
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -26,6 +26,8 @@
 	Leaving
 	// Suspect may be dead; it is picked only when there is nothing else.
 	Suspect
+	// Stopping is about to close for a while; it is picked when no sound one is left, and before those in doubt.
+	Stopping
 )
 
 // Endpoint is one announced backend server.
