The node that is asked for reports looks for members that nobody reports of

Ruled out: the throttler (its excess is right) and the queue.

Change: the asked node has nobody to ask itself, so it exchanges with the members of which nothing fresh is known, each in turn.

Test: a fleet of tables that starts cut in two stays apart without it (seen).

--- a/internal/conductor/freshness.go
+++ b/internal/conductor/freshness.go
@@ -65,7 +65,7 @@
 		return newerWait
 	case p.any && now.Sub(p.heard) <= coveredFor && boot.Sub(p.asOf) <= revoke*coveredTenths/10:
 		return longWait
-	case c.table.Next(c.members, now) == c.self.Node:
+	case c.IsAsked(now):
 		return revoke / providePart
 	default:
 		return revoke / askPart
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -184,7 +184,18 @@
 	return c.table.Reports(now)
 }
 
-// NextToAsk returns the node that reports are exchanged with, which may be this one.
-func (c *Conductor) NextToAsk(now clock.Time) exchanger.Member {
-	return c.members[c.table.Next(c.members, now)]
+// IsAsked tells whether this node is the one that the others exchange reports with, as far as it knows.
+func (c *Conductor) IsAsked(now clock.Time) bool {
+	return c.table.Next(c.members, now) == c.self.Node
+}
+
+// NextToAsk returns the node that reports are exchanged with. The node that the others ask has nobody to ask itself; it
+// looks for members that are missing, and returns none where all are there.
+func (c *Conductor) NextToAsk(now clock.Time) (exchanger.Member, bool) {
+	node := c.table.Next(c.members, now)
+	if node != c.self.Node {
+		return c.members[node], true
+	}
+	node, ok := c.table.Seek(c.members, now)
+	return c.members[node], ok
 }
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -2,7 +2,8 @@
 
 // All nodes send their report to the same node and get everybody's back: with n nodes that are n small exchanges a
 // period instead of n squared. Nothing is agreed on: if two nodes are asked by different parts of the fleet, each
-// part knows less for a moment, and a later report replaces an earlier one wherever they meet.
+// part knows less for a moment, and a later report replaces an earlier one wherever they meet. So that they do meet, the
+// node that is asked looks for members that nobody reports of.
 //
 // Example: nodes a, b and c ask a; when a gives no answer, they ask b, and a again after a while.
 
@@ -31,6 +32,8 @@
 	self    identifier.Node
 	reports map[identifier.Node]held
 	avoided map[identifier.Node]avoidance
+	// sought is the member that was last looked for.
+	sought identifier.Node
 }
 
 // avoidance is until when a node is not asked, and how long that was set for.
@@ -128,6 +131,27 @@
 	return t.self
 }
 
+// Seek returns a member of which nothing fresh is known, each in turn, and none if there is no such member. Two parts of a
+// fleet that started while they could not reach each other would else stay apart for good: each asks the first node
+// that it hears of, and hears only of its own part.
+func (t *Table) Seek(members map[identifier.Node]Member, now clock.Time) (identifier.Node, bool) {
+	var missing []identifier.Node
+	for _, node := range slices.Sorted(maps.Keys(members)) {
+		if node != t.self && !t.fresh(node, now) {
+			missing = append(missing, node)
+		}
+	}
+	if len(missing) == 0 {
+		return "", false
+	}
+	place, found := slices.BinarySearch(missing, t.sought)
+	if found {
+		place++
+	}
+	t.sought = missing[place%len(missing)]
+	return t.sought, true
+}
+
 func (t *Table) leastFailed(names []identifier.Node, now clock.Time) identifier.Node {
 	best := t.self
 	for _, node := range names {
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -84,11 +84,13 @@
 func (n *node) exchangeOnce(ctx context.Context) bool {
 	var own exchanger.Report
 	var next exchanger.Member
+	var seeks, ok bool
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) {
 		own = c.Report(now)
-		next = c.NextToAsk(now)
+		next, ok = c.NextToAsk(now)
+		seeks = c.IsAsked(now)
 	})
-	if next.Node == "" || next.Node == n.options.Settings.Name {
+	if !ok {
 		return false
 	}
 	limited, cancel := context.WithTimeout(ctx, exchangeTimeout.Std())
@@ -97,7 +99,7 @@
 	if err != nil {
 		n.recorder.Dependency("reports", err)
 		n.relayer.Tell(conductor.PeerFailed{Node: next.Node})
-		return true
+		return !seeks
 	}
 	n.relayer.Tell(conductor.PeerAnswered{Node: next.Node})
 	n.relayer.Tell(conductor.ReportsHeard{Reports: reports})
