Placement by the queue and the pace of a full endpoint

Change: answers carry how long a call would be queued, and a full endpoint costs by that; runs that are given up count for the pace; an endpoint whose mean run takes all the time there is costs more than one that turns calls away.

Two plays in the router's package, seen to fail before. Also: a method and a name for the same thing that nobody used are gone.

--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -97,9 +97,11 @@
 	if c.limiter == nil {
 		return
 	}
-	if e.Outcome == Answered {
+	if took := now.Sub(d.started); e.Outcome == Answered {
 		c.throttler.Answered()
-		c.pace.learn(now.Sub(d.started))
+		c.pace.learn(took)
+	} else {
+		c.pace.atLeast(took)
 	}
 	c.verdicts = c.limiter.Done(limiter.CallID(e.ID), limiterOutcome(e.Outcome), now, c.verdicts[:0])
 	c.settle(now)
@@ -149,7 +151,7 @@
 	local := c.registrar.Local()
 	switch {
 	case !local.Usable():
-		c.drain(now)
+		c.shedQueue(now)
 	case c.limiter == nil || c.self.Endpoint != local.Endpoint || c.self.State != exchanger.Ready:
 		c.startLimiter(local.Slots, local.ColdLeft, now)
 	default:
@@ -179,11 +181,7 @@
 	c.pace = pace{}
 }
 
-// drain turns away what is queued; what runs goes on.
-func (c *Conductor) drain(now clock.Time) {
-	c.shedQueue(now)
-}
-
+// shedQueue turns away what is queued; what runs goes on.
 func (c *Conductor) shedQueue(now clock.Time) {
 	if c.limiter == nil {
 		return
@@ -199,7 +197,7 @@
 
 func (c *Conductor) removed(e EndpointRemoved, now clock.Time) {
 	if c.registrar.Remove(e.Endpoint, now) {
-		c.drain(now)
+		c.shedQueue(now)
 		c.publish(now)
 	}
 }
@@ -209,11 +207,12 @@
 	if !c.registrar.Suspend(e.Endpoint) {
 		return
 	}
-	c.drain(now)
+	c.shedQueue(now)
 	c.publish(now)
 }
 
-func (c *Conductor) queueDelay() clock.Duration {
+// QueueDelay returns how long a request would be queued here.
+func (c *Conductor) QueueDelay() clock.Duration {
 	if c.limiter == nil {
 		return 0
 	}
@@ -227,8 +226,3 @@
 	}
 	return c.limiter.Headroom()
 }
-
-// LocalEndpoint returns the id of the endpoint beside this node, empty where there is none.
-func (c *Conductor) LocalEndpoint() identifier.Endpoint {
-	return c.registrar.Local().Endpoint
-}
--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -24,8 +24,10 @@
 	Limit      int
 	QueueDelay clock.Duration
 	Excess     float64
-	Excesses   map[identifier.Service]float64
-	Members    []exchanger.Member
+	// Arriving and Capable are the calls a second that come for the local endpoint, and that it can answer.
+	Arriving, Capable float64
+	Excesses          map[identifier.Service]float64
+	Members           []exchanger.Member
 }
 
 // Dump returns what the conductor knows.
@@ -41,7 +43,8 @@
 	if c.limiter != nil {
 		s.Running, s.Queued, s.Limit = c.limiter.InFlight(), c.limiter.Queued(), c.limiter.Limit()
 	}
-	s.QueueDelay = c.queueDelay()
+	s.Arriving, s.Capable = c.throttler.Rates()
+	s.QueueDelay = c.QueueDelay()
 	s.Excesses = maps.Clone(c.plan.excess)
 	for _, node := range slices.Sorted(maps.Keys(c.members)) {
 		s.Members = append(s.Members, c.members[node])
@@ -60,7 +63,7 @@
 	}
 	return map[string]any{
 		"version": s.Version, "ready": s.Ready, "openRequests": s.Open, "deliveries": s.Deliveries,
-		"running": s.Running, "queued": s.Queued, "limit": s.Limit, "excess": s.Excess,
+		"running": s.Running, "queued": s.Queued, "limit": s.Limit, "excess": s.Excess, "arriving": s.Arriving, "capable": s.Capable,
 		"excesses": s.Excesses, "members": members,
 	}
 }
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -274,7 +274,7 @@
 
 // learnAttempt tells the router how an attempt went.
 func (c *Conductor) learnAttempt(r *call, e AttemptEnded, now clock.Time) {
-	result := router.Result{Latency: now.Sub(r.sent), Headroom: e.Headroom}
+	result := router.Result{Latency: now.Sub(r.sent), Headroom: e.Headroom, Wait: e.Wait}
 	if e.Outcome != Over && !e.Outcome.NotRun() {
 		r.unpaid = false
 	}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -40,6 +40,8 @@
 	Status int
 	// Headroom is what the other node said of its endpoint, 255 for all free.
 	Headroom uint8
+	// Wait is how long a request would have been queued there.
+	Wait clock.Duration
 	// Replayable tells that the request's body can be sent again from its start.
 	Replayable bool
 }
--- a/internal/conductor/pace.go
+++ b/internal/conductor/pace.go
@@ -26,6 +26,14 @@
 	p.mean += newestRun * (float64(took) - p.mean)
 }
 
+// atLeast learns from a run that was given up: it would have taken longer than that. An endpoint where every run is given
+// up would else keep the pace that it had when it was well.
+func (p *pace) atLeast(took clock.Duration) {
+	if float64(took) > p.mean {
+		p.learn(took)
+	}
+}
+
 func (p *pace) time() clock.Duration {
 	return clock.Duration(p.mean)
 }
--- a/internal/conductor/pace_test.go
+++ b/internal/conductor/pace_test.go
@@ -17,4 +17,10 @@
 		p.learn(20)
 	}
 	assert.Assert(t, p.time() >= 20 && p.time() <= 22, "%d", p.time())
+	p.atLeast(10)
+	assert.Assert(t, p.time() >= 20, "%d", p.time())
+	for range 100 {
+		p.atLeast(300)
+	}
+	assert.Assert(t, p.time() >= 280, "%d", p.time())
 }
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -35,9 +35,11 @@
 // answer is what came of an attempt; Response is set where the outcome is Answered.
 type answer struct {
 	*requester.Response
-	outcome  conductor.Outcome
-	reason   conductor.Reason
+	outcome conductor.Outcome
+	reason  conductor.Reason
+	// headroom and wait are how the endpoint fared when it answered.
 	headroom uint8
+	wait     clock.Duration
 	// finish must be called once, with whether the body was read to its end.
 	finish func(whole bool)
 	// body holds the whole body where it was read already.
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -56,6 +56,9 @@
 func (r *Relayer) setState(h http.Header) {
 	r.View(func(c *conductor.Conductor, _ clock.Time) {
 		h[headroomField] = []string{strconv.Itoa(int(c.Headroom()))}
+		if wait := c.QueueDelay(); wait > 0 {
+			setMilliseconds(h, waitField, wait)
+		}
 		r.setProof(h, c)
 	})
 }
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -62,6 +62,7 @@
 				Outcome:    last.outcome,
 				Status:     last.status(),
 				Headroom:   last.headroom,
+				Wait:       last.wait,
 				Replayable: body.untouched(),
 			})
 			r.logAttempt(request, e, last, started)
@@ -138,7 +139,7 @@
 			again:    s.Again,
 			unpaid:   unpaid(s),
 		})
-		r.View(func(c *conductor.Conductor, _ clock.Time) { a.headroom = c.Headroom() })
+		r.View(func(c *conductor.Conductor, _ clock.Time) { a.headroom, a.wait = c.Headroom(), c.QueueDelay() })
 	} else {
 		a = r.ask(ctx, s, out, body)
 	}
@@ -171,17 +172,19 @@
 	if err != nil {
 		headroom = 0
 	}
+	wait, _ := milliseconds(response.Header, waitField)
 	r.learnProof(response.Header, asked)
 	if name := response.Header.Get(outcomeField); name != "" {
 		response.Close(drain(response))
 		a := failed(conductor.ParseOutcome(name), "")
-		a.headroom = uint8(headroom)
+		a.headroom, a.wait = uint8(headroom), wait
 		return a
 	}
 	return answer{
 		Response: response,
 		outcome:  conductor.Answered,
 		headroom: uint8(headroom),
+		wait:     wait,
 		finish:   response.Close,
 	}
 }
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -44,6 +44,7 @@
 	endpointField = ownPrefix + "Endpoint"
 	outcomeField  = ownPrefix + "Outcome"
 	headroomField = ownPrefix + "Headroom"
+	waitField     = ownPrefix + "Wait"
 	provedField   = ownPrefix + "Proved"
 )
 
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -22,6 +22,7 @@
 	warming bool
 
 	headroom uint8
+	wait     clock.Duration
 	measured clock.Time
 	known    bool
 	refused  float64
@@ -49,10 +50,25 @@
 	// tail is how many times its mean a slow run takes: of some 30 runs seen at each of three endpoints on a calm day, with
 	// medians of 17, 20 and 49 ms, the slowest took twice that; as much again is left for the nested calls of a run.
 	tail = 4
-	// mostLateness is the cost at which an endpoint is used only where the others have no room.
-	mostLateness = 1
+	// mostLateness is the cost of an endpoint whose mean run takes all the time there is. It is more than a full endpoint
+	// that turns all calls away costs: a call that is turned away there may still be tried elsewhere.
+	mostLateness = 3
 )
 
+// usualWithin is the time in which a call counts as due that says nothing of it: some round trips and a run.
+const usualWithin = 300 * clock.Millisecond
+
+// queueing is the wait in the endpoint's queue, as a part of the time in which the answer is due. The headroom of a full
+// endpoint says nothing of its queue: of two full ones, one of which is slow, each got half of the calls, and the slow
+// one turned 0.9 of them away while the other had nobody waiting. It fades as the headroom does.
+func (m *member) queueing(within clock.Duration, now clock.Time, o Options) float64 {
+	if within <= 0 {
+		within = usualWithin
+	}
+	age := float64(now.Sub(m.measured)) / float64(o.HeadroomAge)
+	return float64(m.wait) / float64(within) * (1 - min(1, max(0, age)))
+}
+
 // lateness is by how much an endpoint's slow runs go beyond the time in which an answer is due. Calls with time to
 // spare stay in their failure domain; on a calm day with one endpoint of 49 ms and two of 20, calls
 // due in 150 ms that stayed near were late 151 times in 2,275, those that went by this 94 times in 2,271.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -140,7 +140,7 @@
 
 // cost is lower for the better choice.
 func (r *Router) cost(m *member, q request) float64 {
-	return m.score(q.now, r.options) + m.lateness(q.within)
+	return m.score(q.now, r.options) + m.lateness(q.within) + m.queueing(q.within, q.now, r.options)
 }
 
 func (r *Router) lastResort(s *service, q request) *member {
@@ -194,7 +194,7 @@
 	}
 	m.inFlight = max(0, m.inFlight-1)
 	if result.Outcome == Succeeded || result.Outcome == Refused {
-		m.headroom = result.Headroom
+		m.headroom, m.wait = result.Headroom, result.Wait
 		m.measured = now
 		m.known = true
 		m.service.used += newestUse * (m.measuredUse() - m.service.used)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -270,3 +270,47 @@
 		})
 	}
 }
+
+// Two endpoints are full, and one of them is slow: its queue is long where the other's is empty. Drawn alike, half of the
+// calls wait at the slow one until they are turned away, and whoever needs several of them fails after its work.
+func TestFullEndpointsAreTakenByTheirQueues(t *testing.T) {
+	for name, c := range map[string]struct {
+		near, far int
+		slow      identifier.Endpoint
+	}{
+		"in one domain":     {near: 2, slow: "0"},
+		"the near one slow": {near: 1, far: 1, slow: "0"},
+		"the far one slow":  {near: 1, far: 1, slow: "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counts := spread(newRouter(c.near, c.far), 1000, 1, func(e Endpoint) Result {
+				if e.ID == c.slow {
+					return Result{Headroom: 0, Wait: 120}
+				}
+				return Result{Headroom: 0, Wait: 5}
+			})
+			assert.Assert(t, counts[c.slow] < 100, "%d of 1000 calls went to the slow one", counts[c.slow])
+		})
+	}
+}
+
+// One of two endpoints has become so slow that its runs outlast every caller, and the other is full and turns calls away.
+// What goes to the slow one is lost after its whole time; what the full one turns away is known at once.
+func TestEndpointTooSlowForAnyCallIsLeftAlone(t *testing.T) {
+	r := newRouter(1, 1)
+	r.Learn("0", 480)
+	r.Learn("1", 50)
+	counts := map[identifier.Endpoint]int{}
+	for i := range 1000 {
+		now := clock.Time(i)
+		e, ok := r.PickWithin(ice, now, nil, 300)
+		assert.Assert(t, ok)
+		counts[e.ID]++
+		if e.ID == "0" {
+			r.Done(e.ID, Result{Headroom: 0, Wait: 20}, now)
+			continue
+		}
+		r.Done(e.ID, Result{Outcome: Refused, Headroom: 0, Wait: 110}, now)
+	}
+	assert.Assert(t, counts["0"] < 100, "%d of 1000 calls went to the slow one", counts["0"])
+}
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -61,6 +61,8 @@
 	Outcome  Outcome
 	Latency  clock.Duration
 	Headroom uint8
+	// Wait is how long a call would have been queued there when it answered.
+	Wait clock.Duration
 }
 
 // Options set a router up; zero fields take the defaults.
