Newest first while a queue does not clear; code that nobody used goes

Change: a queue that has not been empty for 100 ms is taken from its newest end. In the package's play of requests of four calls: 0.65 to 0.84 served where a tenth too much comes, none to 0.33 where twice too much comes; nothing changes where all fits (0.99).

--- a/internal/limiter/dispatch.go
+++ b/internal/limiter/dispatch.go
@@ -50,8 +50,9 @@
 }
 
 func (l *Limiter) dispatchAll(now clock.Time, out []Verdict) []Verdict {
+	defer l.noteQueue(now)
 	for l.queue.len() > 0 {
-		number := l.queue.best.first()
+		number := l.next(now)
 		c := l.entries[number].call
 		if !l.mayRun(c.Rank, now) {
 			return out
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -31,6 +31,9 @@
 	law   law
 	// lastUrgent is when an urgent call last came.
 	lastUrgent clock.Time
+	// waiting tells that calls are queued, waitingSince since when without a gap.
+	waiting      bool
+	waitingSince clock.Time
 }
 
 // New returns a limiter whose cold start begins now.
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -24,13 +24,14 @@
 	running    bool
 }
 
-// queue holds the entries of queued calls in three orders; numbers index into the limiter's entries.
+// queue holds the entries of queued calls in four orders; numbers index into the limiter's entries.
 type queue struct {
 	order    Order
 	sequence uint64
 	best     heap[uint64]
 	worst    heap[uint64]
 	soonest  heap[clock.Time]
+	newest   heap[uint64]
 	urgent   int
 }
 
@@ -38,6 +39,7 @@
 	q.best.grow(n)
 	q.worst.grow(n)
 	q.soonest.grow(n)
+	q.newest.grow(n)
 }
 
 func (q *queue) len() int {
@@ -49,6 +51,7 @@
 	q.best.push(number, q.dispatchKey(c))
 	q.worst.push(number, q.shedKey(c.Rank))
 	q.soonest.push(number, c.waitsUntil())
+	q.newest.push(number, sequenceMask&^q.sequence)
 	if c.Rank.Priority() == identifier.Urgent {
 		q.urgent++
 	}
@@ -58,6 +61,7 @@
 	q.best.remove(number)
 	q.worst.remove(number)
 	q.soonest.remove(number)
+	q.newest.remove(number)
 	if c.Rank.Priority() == identifier.Urgent {
 		q.urgent--
 	}
--- /dev/null
+++ b/internal/limiter/standing.go
@@ -0,0 +1,35 @@
+package limiter
+
+// A queue that clears now and then absorbs bursts; one that does not clear only adds its length to each call. A request
+// that needs four nested calls one after the other then waits four times, and is late as a whole although each of its
+// calls was run: nothing that is run is of use. Newest first, the calls that are run hardly wait, those that wait are
+// turned away when their patience ends, and whole requests come through: in the package's play of requests of four
+// calls, 0.84 of them against 0.65 where a tenth more comes than fits, and 0.33 against none where twice as much comes.
+//
+// Example: calls have waited without a gap for 100 ms: the call that came last is run next.
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+// standingAfter is how long a queue may go without clearing: a burst of as many calls as there are slots clears within two
+// runs of some 50 ms.
+const standingAfter = 100 * clock.Millisecond
+
+// noteQueue follows since when the queue has not been empty.
+func (l *Limiter) noteQueue(now clock.Time) {
+	switch {
+	case l.queue.len() == 0:
+		l.waiting = false
+	case !l.waiting:
+		l.waiting, l.waitingSince = true, now
+	}
+}
+
+// next returns the queued call that runs next.
+func (l *Limiter) next(now clock.Time) int32 {
+	if l.options.Order == DueFirst && l.waiting && now.Sub(l.waitingSince) > standingAfter {
+		return l.queue.newest.first()
+	}
+	return l.queue.best.first()
+}
--- /dev/null
+++ b/internal/limiter/standing_test.go
@@ -0,0 +1,95 @@
+package limiter
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+// chain is a request that makes calls one after the other and is of use only if all are run in time.
+type chain struct {
+	deadline clock.Time
+	left     int
+}
+
+// playChains sends requests of some calls each to one endpoint, more than it can run, and returns the part of all requests
+// that came to their end in time.
+func playChains(order Order, perSecond float64, calls int, within clock.Duration) float64 {
+	const slots, runTime, length = 43, 50, 20000
+	l := New(Options{Slots: slots, Law: FixedLaw, Order: order, Queue: 1000}, 0)
+	chains := map[CallID]chain{}
+	ends := map[clock.Time][]CallID{}
+	var id CallID
+	sent, served, credit := 0, 0, 0.0
+	var handle func(out []Verdict, now clock.Time)
+	offer := func(c chain, now clock.Time) {
+		id++
+		chains[id] = c
+		handle(l.Offer(Call{
+			ID: id, Deadline: c.deadline, Due: now.Add(300), WaitUntil: now.Add(c.deadline.Sub(now) / 3),
+		}, now, nil), now)
+	}
+	handle = func(out []Verdict, now clock.Time) {
+		for _, v := range out {
+			switch v.Action {
+			case Dispatch:
+				ends[now+runTime] = append(ends[now+runTime], v.ID)
+			case Shed, Expire:
+				delete(chains, v.ID)
+			case Queue:
+			}
+		}
+	}
+	for now := clock.Time(0); now < length; now++ {
+		for _, ended := range ends[now] {
+			c := chains[ended]
+			delete(chains, ended)
+			handle(l.Done(ended, Succeeded, now, nil), now)
+			c.left--
+			switch {
+			case now >= c.deadline:
+			case c.left == 0:
+				served++
+			default:
+				offer(c, now)
+			}
+		}
+		delete(ends, now)
+		for credit += perSecond / 1000; credit >= 1; credit-- {
+			sent++
+			offer(chain{deadline: now.Add(within), left: calls}, now)
+		}
+		if now%25 == 0 {
+			handle(l.Tick(now, nil), now)
+		}
+	}
+	return float64(served) / float64(sent)
+}
+
+// A service at the end of the chains gets somewhat more calls than it can run, and its queue never clears. Each call of a
+// request waits its turn, so that all requests run out of time after most of their work; callers see the whole product
+// down although its slots are busy all the time.
+func TestChainsComeThroughAStandingQueue(t *testing.T) {
+	tests := map[string]struct {
+		perSecond float64
+		calls     int
+		within    clock.Duration
+		least     float64
+	}{
+		"a tenth too much, short of time": {perSecond: 236, calls: 4, within: 400, least: 0.80},
+		"twice too much, short of time":   {perSecond: 430, calls: 4, within: 400, least: 0.30},
+		"a tenth too much":                {perSecond: 236, calls: 4, within: 800, least: 0.80},
+		"twice too much":                  {perSecond: 430, calls: 4, within: 800, least: 0.30},
+		"all fits":                        {perSecond: 190, calls: 4, within: 800, least: 0.98},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := playChains(DueFirst, c.perSecond, c.calls, c.within)
+			oldest := playChains(RankOldest, c.perSecond, c.calls, c.within)
+			t.Logf("%.2f served, %.2f oldest first", got, oldest)
+			assert.Assert(t, got >= c.least, "%.2f", got)
+		})
+	}
+}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -19,7 +19,6 @@
 	configuration Configuration
 	hosts         map[string][]*Route
 	keys          map[string]*Team
-	services      map[identifier.Service]Service
 }
 
 // InvalidError names the field of a configuration that can't be put in force.
@@ -43,10 +42,6 @@
 		configuration: c,
 		hosts:         map[string][]*Route{},
 		keys:          map[string]*Team{},
-		services:      map[identifier.Service]Service{},
-	}
-	for _, s := range c.Services {
-		m.services[s.Name] = s
 	}
 	for i := range c.Routes {
 		r := &m.configuration.Routes[i]
@@ -150,9 +145,3 @@
 func (m *Matcher) HasTeams() bool {
 	return len(m.configuration.Teams) > 0
 }
-
-// Service returns what is known of a service.
-func (m *Matcher) Service(name identifier.Service) (Service, bool) {
-	s, ok := m.services[name]
-	return s, ok
-}
