--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -76,15 +77,27 @@
 	return nil
 }
 
+// errNothingToAsk tells that neither a node nor a log was named.
+var errNothingToAsk = errors.New("required flag --admin or --log not provided")
+
 func addExplain(c *cli) {
 	var request string
 	clause := c.add(c.app, "explain", "Tell why a request was answered as it was: who decided, by which rule and version.",
-		"jackdawtide explain --admin http://127.0.0.1:8082 01990c2e-5b1e-7c3a-9f00-2d1f6a7be001", nil)
+		"jackdawtide explain --admin http://127.0.0.1:8082 01990c2e-5b1e-7c3a-9f00-2d1f6a7be001\n"+
+			"jackdawtide explain --log node-1.log --log node-2.log 9c41d07be2a35f68", nil)
 	flags := bindAdmin(clause)
 	addresses := clause.Flag("admin", "URL of a node's admin endpoint; may be repeated, to follow nested calls.").
-		Envar(adminVariable).PlaceHolder("URL").Required().Strings()
+		Envar(adminVariable).PlaceHolder("URL").Strings()
+	logs := clause.Flag("log", "File with the collected logs of nodes, - for standard input; may be repeated.").
+		PlaceHolder("FILE").Strings()
 	clause.Arg("request", "The requestId of the answer.").Required().StringVar(&request)
 	c.runs[clause.FullCommand()] = func(ctx context.Context) error {
+		if len(*logs) > 0 {
+			return c.explainLogs(*logs, request)
+		}
+		if len(*addresses) == 0 {
+			return UsageError{Cause: errNothingToAsk}
+		}
 		found, err := c.collectExplanations(ctx, *addresses, flags, request)
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/tracer/reader.go
@@ -0,0 +1,108 @@
+package tracer
+
+// Collectors put a time or a host's name before each line, and other programs' lines between them. So a line counts from
+// its first brace, and one that is no line of a node is passed over.
+//
+// Example: "10.2 node-b {"msg":"attempt ended",...}" is read as the object alone.
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+)
+
+// wireLine has the names that nodes write.
+type wireLine struct {
+	Time       time.Time          `json:"time"`
+	Node       string             `json:"node"`
+	Message    string             `json:"msg"`
+	Request    string             `json:"request"`
+	Status     int                `json:"status"`
+	Reason     string             `json:"reason"`
+	AfterMs    int64              `json:"afterMs"`
+	Endpoint   string             `json:"endpoint"`
+	At         string             `json:"at"`
+	Nested     bool               `json:"nested"`
+	Outcome    string             `json:"outcome"`
+	TookMs     int64              `json:"tookMs"`
+	Running    int                `json:"running"`
+	Queued     int                `json:"queued"`
+	Limit      int                `json:"limit"`
+	QueueMs    int64              `json:"queueMs"`
+	Excesses   map[string]float64 `json:"excesses"`
+	Dependency string             `json:"dependency"`
+	Topic      string             `json:"topic"`
+	Error      string             `json:"error"`
+	Version    int64              `json:"version"`
+	Suspended  int64              `json:"suspendedMs"`
+	LeftOut    int                `json:"leftOut"`
+}
+
+// longestLine bounds one line: a load line names every service, at some 30 bytes each.
+const longestLine = 1 << 20
+
+// Read returns the nodes' lines in a log.
+func Read(r io.Reader) ([]Line, error) {
+	var lines []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, longestLine)
+	for s.Scan() {
+		brace := bytes.IndexByte(s.Bytes(), '{')
+		if brace < 0 {
+			continue
+		}
+		var w wireLine
+		if err := json.Unmarshal(s.Bytes()[brace:], &w); err != nil || w.Node == "" || w.Message == "" {
+			continue
+		}
+		lines = append(lines, fromWire(w))
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return lines, nil
+}
+
+func fromWire(w wireLine) Line {
+	return Line{
+		Time:       w.Time,
+		Node:       w.Node,
+		Message:    w.Message,
+		Request:    w.Request,
+		Status:     w.Status,
+		Reason:     w.Reason,
+		After:      milliseconds(w.AfterMs),
+		Endpoint:   w.Endpoint,
+		At:         w.At,
+		Nested:     w.Nested,
+		Outcome:    w.Outcome,
+		Took:       milliseconds(w.TookMs),
+		Running:    w.Running,
+		Queued:     w.Queued,
+		Limit:      w.Limit,
+		QueueDelay: milliseconds(w.QueueMs),
+		Excesses:   w.Excesses,
+		Detail:     detail(w),
+		LeftOut:    w.LeftOut,
+	}
+}
+
+func detail(w wireLine) string {
+	switch {
+	case w.Suspended > 0:
+		return fmt.Sprintf("for %d ms", w.Suspended)
+	case w.Error != "":
+		return fmt.Sprintf("%s%s: %s", w.Dependency, w.Topic, w.Error)
+	case w.Version > 0:
+		return fmt.Sprintf("version %d", w.Version)
+	default:
+		return w.Dependency + w.Topic
+	}
+}
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/internal/tracer/tracer.go
@@ -0,0 +1,215 @@
+package tracer
+
+// The walk goes as an engineer would: from the request's last line to the node that decided, from a failed run to the
+// nested calls that failed while it lasted, and from each node to its load and what befell it.
+//
+// Example: Find(lines, "9c41") ends in "the endpoint i-7 beside b answered 500; while it ran, 2 of its nested calls failed".
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// around is how far from the request other events of its nodes are shown: the store's loss is noticed after some
+	// seconds at most.
+	around = 3 * time.Second
+	// skew is by how much the nodes' clocks may differ for a nested call to be taken for one that was made meanwhile.
+	skew = 50 * time.Millisecond
+	// mostNested bounds the nested calls that are shown.
+	mostNested = 10
+)
+
+// Find tells what the lines say of a request.
+func Find(lines []Line, request string) (Trace, error) {
+	if len(lines) == 0 {
+		return Trace{}, ErrNoLines
+	}
+	t := Trace{Request: request}
+	for _, l := range lines {
+		if l.Request == request {
+			t.Lines = append(t.Lines, l)
+		}
+	}
+	if len(t.Lines) == 0 {
+		return Trace{}, UnknownRequestError{Request: request, Lines: len(lines)}
+	}
+	slices.SortStableFunc(t.Lines, byTime)
+	t.addNested(lines)
+	t.addLoads(lines)
+	t.addEvents(lines)
+	t.Cause = t.cause()
+	return t, nil
+}
+
+func byTime(a, b Line) int {
+	return a.Time.Compare(b.Time)
+}
+
+func (t *Trace) last() Line {
+	return t.Lines[len(t.Lines)-1]
+}
+
+// lastAttempt returns the line of the request's last attempt.
+func (t *Trace) lastAttempt() (Line, bool) {
+	for _, l := range slices.Backward(t.Lines) {
+		if l.At != "" {
+			return l, true
+		}
+	}
+	return Line{}, false
+}
+
+// addNested finds calls that failed at the node beside the endpoint while the endpoint ran the request. A nested call has
+// an id of its own, so only place and time connect them.
+func (t *Trace) addNested(lines []Line) {
+	a, ok := t.lastAttempt()
+	if !ok || !a.failed() {
+		return
+	}
+	from, to := a.Time.Add(-a.Took-skew), a.Time.Add(skew)
+	for _, l := range lines {
+		if l.Node == a.At && l.Nested && l.failed() && l.Time.After(from) && l.Time.Before(to) {
+			t.Nested = append(t.Nested, l)
+		}
+	}
+	slices.SortStableFunc(t.Nested, byTime)
+	t.Nested = t.Nested[max(0, len(t.Nested)-mostNested):]
+}
+
+// nodes are those that took part: the request's own, and those that it or its nested calls were sent to.
+func (t *Trace) nodes() []string {
+	var nodes []string
+	for _, l := range append(slices.Clone(t.Lines), t.Nested...) {
+		for _, node := range []string{l.Node, l.At} {
+			if node != "" && !slices.Contains(nodes, node) {
+				nodes = append(nodes, node)
+			}
+		}
+	}
+	return nodes
+}
+
+func (t *Trace) addLoads(lines []Line) {
+	for _, node := range t.nodes() {
+		var newest Line
+		for _, l := range lines {
+			if l.Node == node && l.Message == "load" && !l.Time.After(t.last().Time.Add(time.Second)) && l.Time.After(newest.Time) {
+				newest = l
+			}
+		}
+		if !newest.Time.IsZero() {
+			t.Loads = append(t.Loads, newest)
+		}
+	}
+}
+
+// quiet are messages that are shown elsewhere, or tell of single requests.
+var quiet = []string{"load", "attempt ended", "request refused"}
+
+func (t *Trace) addEvents(lines []Line) {
+	nodes := t.nodes()
+	for _, l := range lines {
+		near := l.Time.Sub(t.last().Time).Abs() <= around
+		if near && slices.Contains(nodes, l.Node) && !slices.Contains(quiet, l.Message) {
+			t.Events = append(t.Events, l)
+		}
+	}
+	slices.SortStableFunc(t.Events, byTime)
+}
+
+// reasons say in words why a node gave an answer of its own.
+var reasons = map[string]string{
+	"noConfiguration": "the node had read no configuration yet",
+	"noRoute":         "no route of the version in force matched",
+	"unknownKey":      "no team of the version in force held the key",
+	"staleKeys":       "the store had been out of reach for nearly as long as a withdrawn key may live",
+	"overRate":        "the team was over its rate",
+	"pressure":        "a service that the request leads to had more load than it could take",
+	"noEndpoint":      "no endpoint was left to try",
+	"noRoom":          "all endpoints that were asked were full",
+	"expired":         "the queue took longer than the request could wait",
+	"endpointGone":    "the endpoint had left",
+	"endpointDown":    "the endpoint took no connection",
+	"endpointRefused": "the endpoint declined to run it",
+	"inDoubt":         "it was sent and no answer came, so it may have run",
+	"deadline":        "its time was up",
+}
+
+func (t *Trace) cause() string {
+	last := t.last()
+	switch {
+	case last.Reason != "":
+		return t.refusalCause(last)
+	case !last.failed():
+		return fmt.Sprintf("answered with %d by endpoint %s beside %s in %s", last.Status, last.Endpoint, last.At, last.Took)
+	case last.Outcome == answered && len(t.Nested) == 0:
+		return fmt.Sprintf("endpoint %s beside %s answered %d, and the logs show no failed nested call: it is the endpoint's own",
+			last.Endpoint, last.At, last.Status)
+	case last.Outcome == answered:
+		return fmt.Sprintf("endpoint %s beside %s answered %d%s", last.Endpoint, last.At, last.Status, t.nestedCause())
+	default:
+		return fmt.Sprintf("the last attempt, at endpoint %s beside %s, ended as %s after %s%s%s",
+			last.Endpoint, last.At, last.Outcome, last.Took, t.queueAt(last.At), t.nestedCause())
+	}
+}
+
+// nestedCause tells of the failed nested call that ended next before the request did.
+func (t *Trace) nestedCause() string {
+	if len(t.Nested) == 0 {
+		return ""
+	}
+	nearest := t.Nested[0]
+	for _, l := range t.Nested {
+		if !l.Time.After(t.last().Time) {
+			nearest = l
+		}
+	}
+	return "; while it ran, nested calls at that node failed, the one before its end " + ending(nearest)
+}
+
+func (t *Trace) refusalCause(last Line) string {
+	words, ok := reasons[last.Reason]
+	if !ok {
+		words = last.Reason
+	}
+	cause := fmt.Sprintf("%s answered %d after %s: %s", last.Node, last.Status, last.After, words)
+	if last.Reason == "pressure" {
+		cause += t.pressed(last.Node)
+	}
+	if len(t.Lines) > 1 {
+		cause += fmt.Sprintf("; the attempt before it %s", ending(t.Lines[len(t.Lines)-2]))
+	}
+	return cause + t.nestedCause()
+}
+
+func ending(l Line) string {
+	if l.Reason != "" {
+		return fmt.Sprintf("was refused: %s", reasons[l.Reason])
+	}
+	if l.Outcome == answered {
+		return fmt.Sprintf("got %d from endpoint %s beside %s after %s", l.Status, l.Endpoint, l.At, l.Took)
+	}
+	return fmt.Sprintf("ended as %s at endpoint %s beside %s after %s", l.Outcome, l.Endpoint, l.At, l.Took)
+}
+
+// pressed names the services with too much load, as the node saw them.
+func (t *Trace) pressed(node string) string {
+	for _, l := range t.Loads {
+		if pressed := l.pressed(); l.Node == node && pressed != "" {
+			return fmt.Sprintf(" (part too much: %s)", pressed)
+		}
+	}
+	return ""
+}
+
+// queueAt tells whether calls queued at a node.
+func (t *Trace) queueAt(node string) string {
+	for _, l := range t.Loads {
+		if l.Node == node && l.Queued > 0 {
+			return fmt.Sprintf("; %d calls were queued there, for %s", l.Queued, l.QueueDelay)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/tracer/tracer_test.go
@@ -0,0 +1,118 @@
+package tracer
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func logs(t *testing.T) []Line {
+	t.Helper()
+	f, err := os.Open("testdata/nodes.log")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	lines, err := Read(f)
+	assert.NilError(t, err)
+	return lines
+}
+
+func show(t Trace) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n", t.Cause)
+	for _, part := range [][]Line{t.Lines, t.Nested, t.Loads, t.Events} {
+		b.WriteString("--\n")
+		for _, l := range part {
+			fmt.Fprintf(&b, "%s %s %s\n", l.Time.Format("05.000"), l.Node, l)
+		}
+	}
+	return b.String()
+}
+
+// The logs are of a real run in which one endpoint of the deepest service had become slow: a request was refused for it
+// at the entry, one failed with its nested calls, and one ran out of time. An engineer who has only an id must get to
+// the same place each time.
+func TestFind(t *testing.T) {
+	for name, request := range map[string]string{
+		"refused":      "6a305a0aa4128433",
+		"nestedFailed": "e872df0e3e06d658",
+		"late":         "ffde8f1529d95216",
+	} {
+		t.Run(name, func(t *testing.T) {
+			trace, err := Find(logs(t), request)
+			assert.NilError(t, err)
+			golden.Assert(t, show(trace), name+".golden")
+		})
+	}
+}
+
+func TestFindTellsWhatIsMissing(t *testing.T) {
+	_, err := Find(nil, "1")
+	assert.Assert(t, errors.Is(err, ErrNoLines))
+	_, err = Find(logs(t), "nobody")
+	var unknown UnknownRequestError
+	assert.Assert(t, errors.As(err, &unknown))
+	assert.Equal(t, unknown.Request, "nobody")
+}
+
+func TestCauses(t *testing.T) {
+	const attempt = `{"time":"2026-01-01T00:00:01Z","node":"a","msg":"attempt ended","request":"1","endpoint":"i","at":"b",`
+	tests := map[string]struct{ log, want string }{
+		"success": {
+			attempt + `"outcome":"answered","status":200,"tookMs":30}`,
+			"answered with 200 by endpoint i beside b in 30ms",
+		},
+		"the endpoint's own failure": {
+			attempt + `"outcome":"answered","status":500,"tookMs":30}`,
+			"endpoint i beside b answered 500, and the logs show no failed nested call: it is the endpoint's own",
+		},
+		"full": {
+			attempt + `"outcome":"full","tookMs":110}` + "\n" +
+				`{"time":"2026-01-01T00:00:00.9Z","node":"b","msg":"load","running":43,"limit":43,"queued":70,"queueMs":90}`,
+			"the last attempt, at endpoint i beside b, ended as full after 110ms; 70 calls were queued there, for 90ms",
+		},
+		"a reason of a later version": {
+			`{"time":"2026-01-01T00:00:01Z","node":"a","msg":"request refused","request":"1","status":503,"reason":"tooHot","afterMs":2}`,
+			"a answered 503 after 2ms: tooHot",
+		},
+		"refused after an attempt": {
+			attempt + `"outcome":"unreached","tookMs":5}` + "\n" +
+				`{"time":"2026-01-01T00:00:02Z","node":"a","msg":"request refused","request":"1","status":503,"reason":"noEndpoint","afterMs":6}`,
+			"a answered 503 after 6ms: no endpoint was left to try; the attempt before it ended as unreached at endpoint i " +
+				"beside b after 5ms",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			lines, err := Read(strings.NewReader(test.log))
+			assert.NilError(t, err)
+			trace, err := Find(lines, "1")
+			assert.NilError(t, err)
+			assert.Equal(t, trace.Cause, test.want)
+		})
+	}
+}
+
+// Collected logs hold other programs' lines, half lines and bytes that are no text; none of it may end the walk.
+func FuzzRead(f *testing.F) {
+	f.Add(`10.2 node-b {"msg":"load","node":"b","running":3}`)
+	f.Add("{")
+	f.Add(`{"msg":5}`)
+	f.Add("\xff\x00{\"node\":\"\xff\",\"msg\":\"x\"}")
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		for _, l := range lines {
+			_ = l.String()
+			if _, err := Find(lines, l.Request); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
