A fault soak: real processes, proxies, signals and a store that misbehaves, judged by what callers and endpoints saw

platform/standin plays the platform's store, endpoints and callers; internal/soaker runs a fleet of real processes, three rows of seeded faults and the judge; cmd/soak is its program, so that the product carries none of it. Each check finds a planted fault in its test.

--- /dev/null
+++ b/cmd/soak/doc.go
@@ -0,0 +1,2 @@
+// Package main is the fault soak; its verbs are flags.
+package main
--- /dev/null
+++ b/internal/soaker/judge.go
@@ -0,0 +1,304 @@
+package soaker
+
+// The judge knows only what callers sent and got, what backend servers ran, and what operators had acknowledged. Each
+// promise is one check with a name; none of them asks a node anything.
+//
+// Example: an order that two backend servers ran gives Breach{Check: "ranTwice", ...}.
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/platform/standin"
+)
+
+// Sent is a request as its caller saw it.
+type Sent struct {
+	ID         string
+	Team       string
+	Key        string
+	Idempotent bool
+	At         time.Time
+	// Answered is when the answer came, or the caller gave up.
+	Answered time.Time
+	Answer   standin.Answer
+}
+
+// Breach is a promise that was broken.
+type Breach struct {
+	Check  string
+	Detail string
+}
+
+// Terms are the figures that the promises name.
+type Terms struct {
+	// Revoke is how long a withdrawn key may live, Drain how long a leaving endpoint may get requests.
+	Revoke, Drain time.Duration
+	// Window, Excess and Slack bound what a team may exceed its rate by.
+	Window time.Duration
+	Excess float64
+	Slack  float64
+	// RecoveredPart of the requests of the last seconds, when all faults are over, must be served.
+	RecoveredPart float64
+}
+
+// Record gathers what happened; it is safe for concurrent use.
+type Record struct {
+	mu        sync.Mutex
+	sent      map[string]Sent
+	runs      []standin.Run
+	withdrawn map[string]time.Time
+	issued    map[string]string
+	rates     map[string]rate
+	left      map[string][]span
+	exits     []string
+	// calm is from when on all faults are over.
+	calm time.Time
+}
+
+type rate struct{ perSecond, burst float64 }
+
+// span is a time in which an endpoint was acknowledged to be leaving.
+type span struct{ from, to time.Time }
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{
+		sent: map[string]Sent{}, withdrawn: map[string]time.Time{}, issued: map[string]string{}, rates: map[string]rate{},
+		left: map[string][]span{},
+	}
+}
+
+// Sent notes a request that has ended for its caller.
+func (r *Record) Sent(s Sent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[s.ID] = s
+}
+
+// Ran notes a run at a backend server.
+func (r *Record) Ran(run standin.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs = append(r.runs, run)
+}
+
+// Issued notes that a key belongs to a team with a rate.
+func (r *Record) Issued(key, team string, perSecond, burst float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.issued[key] = team
+	r.rates[team] = rate{perSecond: perSecond, burst: burst}
+}
+
+// Withdrawn notes that the store has acknowledged the withdrawal of a key.
+func (r *Record) Withdrawn(key string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.withdrawn[key] = at
+}
+
+// Leaving notes that a node acknowledged an endpoint's leaving, and Returned that the endpoint will say it is back.
+func (r *Record) Leaving(instance string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	spans := r.left[instance]
+	if n := len(spans); n == 0 || !spans[n-1].to.IsZero() {
+		r.left[instance] = append(spans, span{from: at})
+	}
+}
+
+// Returned notes that an endpoint is about to say that it is ready again.
+func (r *Record) Returned(instance string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if spans := r.left[instance]; len(spans) > 0 && spans[len(spans)-1].to.IsZero() {
+		spans[len(spans)-1].to = at
+	}
+}
+
+// Exited notes that a process ended by itself.
+func (r *Record) Exited(detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.exits = append(r.exits, detail)
+}
+
+// Calm notes that all faults are over.
+func (r *Record) Calm(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calm = at
+}
+
+// Counts returns how many requests were sent, answered in whole, and run.
+func (r *Record) Counts() (sent, served, runs int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.sent {
+		if s.Answer.Status/100 == 2 {
+			served++
+		}
+	}
+	return len(r.sent), served, len(r.runs)
+}
+
+// Judge returns all breaches, a few of each kind.
+func (r *Record) Judge(t Terms) []Breach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Breach
+	for _, check := range []func(Terms) []Breach{
+		r.wrongAnswers, r.ranTwice, r.falseNotRun, r.strangers, r.keys, r.rateExceeded, r.afterLeaving, r.notRecovered, r.ended,
+	} {
+		found := check(t)
+		all = append(all, found[:min(len(found), mostOfAKind)]...)
+	}
+	return all
+}
+
+// mostOfAKind bounds the breaches of one check that are told.
+const mostOfAKind = 5
+
+func (r *Record) wrongAnswers(Terms) (found []Breach) {
+	for _, s := range r.sent {
+		if s.Answer.Status/100 == 2 && !s.Answer.Whole {
+			found = append(found, Breach{"wrongAnswer", fmt.Sprintf("%s got %d with another body or signature", s.ID, s.Answer.Status)})
+		}
+	}
+	return found
+}
+
+func (r *Record) runsOf() map[string][]standin.Run {
+	runs := map[string][]standin.Run{}
+	for _, run := range r.runs {
+		runs[run.Request] = append(runs[run.Request], run)
+	}
+	return runs
+}
+
+func (r *Record) ranTwice(Terms) (found []Breach) {
+	for id, runs := range r.runsOf() {
+		if s, ok := r.sent[id]; ok && !s.Idempotent && len(runs) > 1 {
+			found = append(found, Breach{"ranTwice", fmt.Sprintf("%s ran at %s and %s", id, runs[0].Instance, runs[1].Instance)})
+		}
+	}
+	return found
+}
+
+func (r *Record) falseNotRun(Terms) (found []Breach) {
+	runs := r.runsOf()
+	for id, s := range r.sent {
+		if !s.Idempotent && s.Answer.NotRun() && len(runs[id]) > 0 {
+			found = append(found, Breach{"falseNotRun", fmt.Sprintf("%s was answered %d and ran at %s", id, s.Answer.Status, runs[id][0].Instance)})
+		}
+	}
+	return found
+}
+
+// strangers are runs that nobody sent, or for another team than the key's.
+func (r *Record) strangers(Terms) (found []Breach) {
+	for _, run := range r.runs {
+		s, ok := r.sent[run.Request]
+		switch {
+		case !ok && run.Team != "":
+			found = append(found, Breach{"ranForNobody", fmt.Sprintf("%s ran at %s", run.Request, run.Instance)})
+		case ok && run.Team != r.issued[s.Key]:
+			found = append(found, Breach{"wrongTeam", fmt.Sprintf("%s of %q ran for %q", run.Request, r.issued[s.Key], run.Team)})
+		}
+	}
+	return found
+}
+
+func (r *Record) keys(t Terms) (found []Breach) {
+	for _, run := range r.runs {
+		if run.Key != "" {
+			found = append(found, Breach{"keySeen", fmt.Sprintf("%s reached %s with a key", run.Request, run.Instance)})
+		}
+		s, ok := r.sent[run.Request]
+		if !ok {
+			continue
+		}
+		if at, gone := r.withdrawn[s.Key]; gone && s.At.Sub(at) > t.Revoke {
+			found = append(found, Breach{"withdrawnKey", fmt.Sprintf("%s was sent %s after its key was withdrawn", run.Request, s.At.Sub(at))})
+		}
+	}
+	return found
+}
+
+// rateExceeded counts runs by the time at which they began, in every window that begins with one.
+func (r *Record) rateExceeded(t Terms) (found []Breach) {
+	times := map[string][]time.Time{}
+	for _, run := range r.runs {
+		if run.Team != "" {
+			times[run.Team] = append(times[run.Team], run.At)
+		}
+	}
+	for team, at := range times {
+		bought := r.rates[team]
+		if bought.perSecond == 0 {
+			continue
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		allowed := (bought.perSecond*t.Window.Seconds()+bought.burst)*(1+t.Excess) + t.Slack
+		first := 0
+		for last := range at {
+			for at[last].Sub(at[first]) >= t.Window {
+				first++
+			}
+			if count := last - first + 1; float64(count) > allowed {
+				found = append(found, Breach{"rateExceeded", fmt.Sprintf("%d requests of %s ran in %s, %.0f allowed", count, team, t.Window, allowed)})
+				break
+			}
+		}
+	}
+	return found
+}
+
+func (r *Record) afterLeaving(t Terms) (found []Breach) {
+	for _, run := range r.runs {
+		s, ok := r.sent[run.Request]
+		if !ok {
+			continue
+		}
+		for _, gone := range r.left[run.Instance] {
+			over := !gone.to.IsZero() && run.At.After(gone.to)
+			if !over && s.At.After(gone.from.Add(t.Drain)) {
+				found = append(found, Breach{"afterLeaving", fmt.Sprintf("%s reached %s, %s after it left", s.ID, run.Instance, run.At.Sub(gone.from))})
+			}
+		}
+	}
+	return found
+}
+
+// calmDown is how long after the last fault requests may still fail.
+const calmDown = 5 * time.Second
+
+func (r *Record) notRecovered(t Terms) []Breach {
+	asked, served := 0, 0
+	for _, s := range r.sent {
+		if r.calm.IsZero() || s.At.Before(r.calm.Add(calmDown)) || r.rates[s.Team].perSecond > 0 || r.issued[s.Key] == "" {
+			continue
+		}
+		if _, gone := r.withdrawn[s.Key]; gone {
+			continue
+		}
+		asked++
+		if s.Answer.Status/100 == 2 {
+			served++
+		}
+	}
+	if asked > 0 && float64(served) >= t.RecoveredPart*float64(asked) {
+		return nil
+	}
+	return []Breach{{"notRecovered", fmt.Sprintf("%d of %d requests served after all faults were over", served, asked)}}
+}
+
+func (r *Record) ended(Terms) (found []Breach) {
+	for _, e := range r.exits {
+		found = append(found, Breach{"ended", e})
+	}
+	return found
+}
--- /dev/null
+++ b/internal/soaker/judge_test.go
@@ -0,0 +1,114 @@
+package soaker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/platform/standin"
+)
+
+var terms = Terms{
+	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20, RecoveredPart: 0.95,
+}
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func second(s float64) time.Time {
+	return origin.Add(time.Duration(s * float64(time.Second)))
+}
+
+// sound is a record of a minute in which all promises hold.
+func sound() *Record {
+	r := NewRecord()
+	r.Issued("k", "parish", 0, 0)
+	r.Issued("d", "parish", 0, 0)
+	r.Issued("g", "greedy", 10, 10)
+	r.Calm(second(30))
+	for i := range 60 {
+		id := fmt.Sprint("r", i)
+		r.Sent(Sent{ID: id, Team: "parish", Key: "k", At: second(float64(i)), Answer: standin.Answer{Status: 200, Whole: true}})
+		r.Ran(standin.Run{Request: id, Instance: "i-1", Team: "parish", At: second(float64(i) + 0.01)})
+	}
+	return r
+}
+
+// A check that never fails proves nothing: each is given a record with one planted fault, and must find just that.
+func TestEachCheckFindsItsFault(t *testing.T) {
+	sent := func(id string, at float64, status int) Sent {
+		return Sent{ID: id, Team: "parish", Key: "k", At: second(at), Answer: standin.Answer{Status: status, Whole: true}}
+	}
+	ran := func(id, instance string, at float64) standin.Run {
+		return standin.Run{Request: id, Instance: instance, Team: "parish", At: second(at)}
+	}
+	tests := map[string]struct {
+		plant func(r *Record)
+		want  string
+	}{
+		"nothing": {func(*Record) {}, ""},
+		"another's answer": {func(r *Record) {
+			s := sent("x", 1, 200)
+			s.Answer.Whole = false
+			r.Sent(s)
+			r.Ran(ran("x", "i-1", 1))
+		}, "wrongAnswer"},
+		"an order that ran twice": {func(r *Record) {
+			r.Sent(sent("x", 1, 502))
+			r.Ran(ran("x", "i-1", 1))
+			r.Ran(ran("x", "i-2", 2))
+		}, "ranTwice"},
+		"a lookup that ran twice": {func(r *Record) {
+			s := sent("x", 1, 200)
+			s.Idempotent = true
+			r.Sent(s)
+			r.Ran(ran("x", "i-1", 1))
+			r.Ran(ran("x", "i-2", 2))
+		}, ""},
+		"refused and run": {func(r *Record) { r.Sent(sent("x", 1, 503)); r.Ran(ran("x", "i-1", 1)) }, "falseNotRun"},
+		"sent by nobody":  {func(r *Record) { r.Ran(ran("x", "i-1", 1)) }, "ranForNobody"},
+		"of another team": {func(r *Record) { s := sent("x", 1, 200); s.Key = "g"; r.Sent(s); r.Ran(ran("x", "i-1", 1)) }, "wrongTeam"},
+		"with the key":    {func(r *Record) { r.Sent(sent("x", 1, 200)); n := ran("x", "i-1", 1); n.Key = "k"; r.Ran(n) }, "keySeen"},
+		"with a dead key": {func(r *Record) {
+			s := sent("z", 59.5, 200)
+			s.Key = "d"
+			r.Withdrawn("d", second(54))
+			r.Sent(s)
+			r.Ran(ran("z", "i-1", 59.6))
+		}, "withdrawnKey"},
+		"with a key just dying": {func(r *Record) {
+			s := sent("z", 57, 200)
+			s.Key = "d"
+			r.Withdrawn("d", second(54))
+			r.Sent(s)
+			r.Ran(ran("z", "i-1", 59.6))
+		}, ""},
+		"over its rate": {func(r *Record) {
+			for i := range 90 {
+				id := fmt.Sprint("g", i)
+				r.Sent(Sent{ID: id, Team: "greedy", Key: "g", At: second(1)})
+				r.Ran(standin.Run{Request: id, Instance: "i-1", Team: "greedy", At: second(1 + float64(i)*0.05)})
+			}
+		}, "rateExceeded"},
+		"after it left":      {func(r *Record) { r.Leaving("i-1", second(56)) }, "afterLeaving"},
+		"returned meanwhile": {func(r *Record) { r.Leaving("i-1", second(10)); r.Returned("i-1", second(11)) }, ""},
+		"still failing": {func(r *Record) {
+			for i := range 20 {
+				r.Sent(sent(fmt.Sprint("f", i), 50, 502))
+			}
+		}, "notRecovered"},
+		"a process ended": {func(r *Record) { r.Exited("node 3: exit status 2") }, "ended"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := sound()
+			test.plant(r)
+			got := ""
+			for _, b := range r.Judge(terms) {
+				got = b.Check
+			}
+			assert.Equal(t, got, test.want, "%v", r.Judge(terms))
+		})
+	}
+}
--- /dev/null
+++ b/internal/soaker/print.go
@@ -0,0 +1,21 @@
+package soaker
+
+import (
+	"fmt"
+	"io"
+)
+
+// Print writes the verdict in one line, and where promises were broken the faults and the breaches.
+func (r Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: %d requests sent, %d served, %d runs, %d faults, %d breaches\n",
+		r.Seed, r.Sent, r.Served, r.Runs, len(r.Faults), len(r.Breaches))
+	if len(r.Breaches) == 0 {
+		return
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintf(w, "  fault %s\n", f)
+	}
+	for _, b := range r.Breaches {
+		fmt.Fprintf(w, "  BROKEN %s: %s\n", b.Check, b.Detail)
+	}
+}
--- /dev/null
+++ b/internal/soaker/process.go
@@ -0,0 +1,215 @@
+package soaker
+
+// A node runs as a process of its own, with proxies between it and the store, its endpoint and its callers. Only
+// processes that were started here are ever signalled, by the handle of their start.
+//
+// Example: n.signal(syscall.SIGSTOP) pauses the node, n.restart() starts it anew after it has ended.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/platform/standin"
+)
+
+// grace is how long a process may take to end after SIGTERM before it is killed; nodes are told the same.
+const grace = 6 * time.Second
+
+type node struct {
+	name, service, domain string
+	instance              string
+	settings              string
+	log                   *os.File
+	program               string
+	record                *Record
+
+	backend *standin.Backend
+	// store, endpoint and callers are the proxies on the node's connections.
+	store, endpoint, callers *Proxy
+	control, outbound        string
+
+	mu       sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{}
+	expected bool
+	// busy tells that the process is being restarted.
+	busy atomic.Bool
+}
+
+const (
+	// firstPort and ports bound where nodes listen. They lie below the ports that the system gives to outgoing connections:
+	// one of those would now and then sit on a node's port while the node is down, and the node could not start again.
+	firstPort = 15000
+	ports     = 15000
+	// portTries bounds the search; far fewer ports than a tenth are ever in use.
+	portTries = 50
+)
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress() (string, error) {
+	var last error
+	for range portTries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err != nil {
+			last = err
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String(), nil
+	}
+	return "", fmt.Errorf("find a free port: %w", last)
+}
+
+func (n *node) writeSettings(storeAddress, endpointAddress string) error {
+	var listen strings.Builder
+	for _, name := range []string{"outbound", "inbound", "readiness", "announcements", "peer", "metrics"} {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		switch name {
+		case "outbound":
+			n.outbound = address
+		case "announcements":
+			n.control = address
+		}
+		fmt.Fprintf(&listen, "%s = %q\n", name, address)
+	}
+	text := fmt.Sprintf("[node]\nname = %q\nfailureDomain = %q\n\n[endpoint]\nservice = %q\naddress = %q\n\n[listen]\n%s\n"+
+		"[store]\naddress = %q\n\n[limits]\nmemoryMb = 128\n\n[bounds]\nrevoke = \"5s\"\ndrain = \"2s\"\ngrace = \"6s\"\n"+
+		"rateExcess = 0.1\nrateSlack = 20\n",
+		n.name, n.domain, n.service, endpointAddress, listen.String(), storeAddress)
+	return os.WriteFile(n.settings, []byte(text), 0o600)
+}
+
+// start starts the process, which must not be running.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := exec.Command(n.program, "sidecar", "--settings", n.settings)
+	c.Stdout, c.Stderr = n.log, n.log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", n.name, err)
+	}
+	n.command, n.ended, n.expected = c, make(chan struct{}), false
+	go n.wait(c, n.ended)
+	return nil
+}
+
+func (n *node) wait(c *exec.Cmd, ended chan struct{}) {
+	err := c.Wait()
+	n.mu.Lock()
+	expected := n.expected
+	n.mu.Unlock()
+	if !expected {
+		n.record.Exited(fmt.Sprintf("%s: %v", n.name, err))
+	}
+	close(ended)
+}
+
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		n.expected = true
+	}
+	// A process that has just ended needs no signal.
+	_ = n.command.Process.Signal(s)
+}
+
+// end waits for the process, and kills it when its grace time is over.
+func (n *node) end() {
+	select {
+	case <-n.ended:
+		return
+	case <-time.After(grace):
+	}
+	n.signal(syscall.SIGKILL)
+	<-n.ended
+}
+
+// restart ends the process and starts it again after a pause.
+func (n *node) restart(s syscall.Signal, pause time.Duration) error {
+	n.signal(s)
+	n.end()
+	time.Sleep(pause)
+	return n.start()
+}
+
+// fleet is the whole system under test.
+type fleet struct {
+	options  Options
+	record   *Record
+	store    *standin.Store
+	storeURL string
+	nodes    []*node
+	teams    *teams
+}
+
+func (f *fleet) addNode(ctx context.Context, i int) error {
+	service := services[i%len(services)]
+	n := &node{
+		name: fmt.Sprintf("node-%d", i), service: service, domain: []string{"west", "east"}[i/len(services)%2],
+		instance: fmt.Sprintf("i-%d", i), program: f.options.Program, record: f.record,
+		settings: filepath.Join(f.options.Directory, fmt.Sprintf("node-%d.toml", i)),
+	}
+	var err error
+	if n.log, err = os.Create(filepath.Join(f.options.Directory, n.name+".log")); err != nil {
+		return err
+	}
+	n.backend = standin.NewBackend()
+	if n.store, err = NewProxy(f.storeURL); err != nil {
+		return err
+	}
+	if n.endpoint, err = NewProxy(n.backend.Address()); err != nil {
+		return err
+	}
+	if err := n.writeSettings(n.store.Address(), n.endpoint.Address()); err != nil {
+		return err
+	}
+	if n.callers, err = NewProxy(n.outbound); err != nil {
+		return err
+	}
+	nested := ""
+	if service == services[0] {
+		nested = "/inner/x"
+	}
+	n.backend.Start(standin.BackendOptions{
+		Instance: n.instance, Service: service, Zone: n.domain, Slots: 16, Work: 10 * time.Millisecond,
+		Control: n.control, Outbound: n.outbound, Host: host, Nested: nested, Address: n.endpoint.Address(),
+		Ran: f.record.Ran, Acknowledged: f.record.Leaving,
+	})
+	go n.backend.Announce(ctx)
+	f.nodes = append(f.nodes, n)
+	return n.start()
+}
+
+// close ends what was started.
+func (f *fleet) close() {
+	var ending sync.WaitGroup
+	for _, n := range f.nodes {
+		ending.Add(1)
+		go func() {
+			defer ending.Done()
+			n.signal(syscall.SIGCONT)
+			n.signal(syscall.SIGTERM)
+			n.end()
+			n.store.Close()
+			n.endpoint.Close()
+			n.callers.Close()
+			n.backend.Close()
+			_ = n.log.Close()
+		}()
+	}
+	ending.Wait()
+}
--- /dev/null
+++ b/internal/soaker/proxy.go
@@ -0,0 +1,173 @@
+package soaker
+
+// Faults of the network come from a proxy on the loopback interface, so that the programs under test are the real ones.
+// A connection that is silenced stays open and carries nothing, as behind a partition; only a timeout shows it.
+//
+// Example: p.Set(Silenced) stops what flows over all connections, p.Set(Passing) lets new ones through; silenced ones
+// stay silent.
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Treatment is what a proxy does to connections.
+type Treatment int32
+
+// The treatments of a connection.
+const (
+	Passing Treatment = iota
+	// Delayed passes all bytes 200 ms late.
+	Delayed
+	// CutThere drops what goes to the far end, CutBack what comes back.
+	CutThere
+	CutBack
+	// Silenced drops both ways, also for connections that were open and after the fault is over.
+	Silenced
+	// Resetting resets all connections, open ones and new ones.
+	Resetting
+)
+
+// delayedBy is how late bytes pass while they are delayed; it is well above a round trip and below most timeouts.
+const delayedBy = 200 * time.Millisecond
+
+// Proxy passes TCP connections on to one address.
+type Proxy struct {
+	listener  net.Listener
+	target    string
+	treatment atomic.Int32
+	mu        sync.Mutex
+	open      map[*pair]bool
+}
+
+type pair struct {
+	near, far net.Conn
+	// dead connections stay silent for good.
+	dead atomic.Bool
+}
+
+// NewProxy listens on a free port of the loopback interface.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, target: target, open: map[*pair]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns where the proxy listens.
+func (p *Proxy) Address() string {
+	return p.listener.Addr().String()
+}
+
+// Set changes the treatment of all connections from now on.
+func (p *Proxy) Set(t Treatment) {
+	p.treatment.Store(int32(t))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		switch t {
+		case Silenced:
+			c.dead.Store(true)
+		case Resetting:
+			c.reset()
+		case Passing, Delayed, CutThere, CutBack:
+		}
+	}
+}
+
+// Close ends the proxy and all its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Set(Resetting)
+}
+
+func (p *Proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(near)
+	}
+}
+
+func (p *Proxy) serve(near net.Conn) {
+	c := &pair{near: near}
+	switch Treatment(p.treatment.Load()) {
+	case Resetting:
+		reset(near)
+		return
+	case Silenced:
+		c.dead.Store(true)
+	case Passing, Delayed, CutThere, CutBack:
+	}
+	var d net.Dialer
+	far, err := d.DialContext(context.Background(), "tcp", p.target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	c.far = far
+	p.mu.Lock()
+	p.open[c] = true
+	p.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go func() { p.copy(c, c.far, c.near, CutThere); done <- struct{}{} }()
+	go func() { p.copy(c, c.near, c.far, CutBack); done <- struct{}{} }()
+	<-done
+	c.close()
+	<-done
+	p.mu.Lock()
+	delete(p.open, c)
+	p.mu.Unlock()
+}
+
+const copyBuffer = 16 << 10
+
+// copy passes bytes on until an end closes; cut names the treatment that drops this direction.
+func (p *Proxy) copy(c *pair, to, from net.Conn, cut Treatment) {
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		t := Treatment(p.treatment.Load())
+		if t == cut {
+			// What was lost leaves a hole in the stream, so nothing that comes later may pass.
+			c.dead.Store(true)
+		}
+		if t == Delayed {
+			time.Sleep(delayedBy)
+		}
+		if n > 0 && !c.dead.Load() {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (c *pair) close() {
+	_ = c.near.Close()
+	_ = c.far.Close()
+}
+
+func (c *pair) reset() {
+	reset(c.near)
+	reset(c.far)
+}
+
+// reset closes a connection so that its far end sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/soaker/traffic.go
@@ -0,0 +1,152 @@
+package soaker
+
+// Callers keep their connections and send at a steady pace, whatever becomes of the requests: a caller that waited for
+// answers would send less just when the fleet is in trouble. They do not send a request again; each one is judged alone.
+//
+// Example: an order without an answer is noted with status 0, and may have run once.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/platform/standin"
+)
+
+const (
+	host = "soak.example"
+	// pause is the time between two requests of one caller, callersPerNode how many callers each node has.
+	pause          = 25 * time.Millisecond
+	callersPerNode = 3
+	callTimeout    = 2 * time.Second
+	// greedyRate is the rate of the team that sends several times what it bought.
+	greedyRate  = 20
+	greedyBurst = 20
+)
+
+var routes = []standin.Route{
+	{Name: "read", Host: host, Prefix: "/read/", Service: services[0], Kind: "idempotent", TimeoutMs: 1500},
+	{Name: "order", Host: host, Prefix: "/order/", Service: services[1], Kind: "non_idempotent", TimeoutMs: 1500},
+	{Name: "look", Host: host, Prefix: "/look/", Service: services[2], Kind: "idempotent", TimeoutMs: 800},
+	{Name: "inner", Host: host, Prefix: "/inner/", Service: services[2], Kind: "idempotent", TimeoutMs: 800, Public: true},
+}
+
+// teams holds the keys in force; one team's keys are withdrawn and issued anew while its callers go on.
+type teams struct {
+	mu      sync.Mutex
+	version int64
+	roaming []string
+	// gone are the withdrawn keys, which callers go on to use now and then.
+	gone  []string
+	extra int
+}
+
+const (
+	steadyKey = "steady"
+	greedyKey = "greedy"
+)
+
+// publish writes the configuration as it now is.
+func (t *teams) publish(s *standin.Store) {
+	t.version += 1 + int64(rand.IntN(3))
+	all := append([]standin.Route(nil), routes...)
+	for i := range t.extra {
+		all = append(all, standin.Route{
+			Name: fmt.Sprintf("extra-%d", i), Host: host, Prefix: fmt.Sprintf("/extra%d/", i), Service: services[2],
+			Kind: "idempotent", TimeoutMs: 800,
+		})
+	}
+	standin.Configuration{Version: t.version, Routes: all, Teams: []standin.Team{
+		{Name: "steady", Keys: []string{steadyKey}},
+		{Name: "greedy", Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyBurst},
+		{Name: "roaming", Keys: t.roaming},
+	}}.Publish(s)
+}
+
+// rotate issues a key and withdraws the one before the last, so that callers have time to change.
+func (t *teams) rotate(s *standin.Store, r *Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := fmt.Sprintf("roaming-%d", len(t.gone)+len(t.roaming))
+	r.Issued(key, "roaming", 0, 0)
+	t.roaming = append(t.roaming, key)
+	var dead string
+	if len(t.roaming) > 2 {
+		dead, t.roaming = t.roaming[0], t.roaming[1:]
+	}
+	t.publish(s)
+	if dead != "" {
+		r.Withdrawn(dead, time.Now())
+		t.gone = append(t.gone, dead)
+	}
+}
+
+func (t *teams) addRoute(s *standin.Store) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.extra++
+	t.publish(s)
+}
+
+// pick returns a team and one of its keys, now and then a withdrawn one.
+func (t *teams) pick(random *rand.Rand) (team, key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch n := random.IntN(10); {
+	case n < 3:
+		return "greedy", greedyKey
+	case n < 5 && len(t.roaming) > 0:
+		return "roaming", t.roaming[len(t.roaming)-1]
+	case n == 5 && len(t.gone) > 0:
+		return "roaming", t.gone[len(t.gone)-1]
+	default:
+		return "steady", steadyKey
+	}
+}
+
+// call runs one caller at a node until the context ends.
+func (f *fleet) call(ctx context.Context, n *node, caller int, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersPerNode, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	var open sync.WaitGroup
+	defer open.Wait()
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		team, key := f.teams.pick(random)
+		q := standin.Request{
+			Address: n.callers.Address(), Host: host, ID: fmt.Sprintf("%s-%d-%d", n.name, caller, i), Key: key, Timeout: callTimeout,
+		}
+		idempotent := true
+		switch random.IntN(3) {
+		case 0:
+			q.Path = "/read/x"
+		case 1:
+			q.Path, q.Body, idempotent = "/order/x", "order "+q.ID, false
+		default:
+			q.Path = "/look/x"
+		}
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			f.send(client, q, team, idempotent)
+		}()
+	}
+}
+
+func (f *fleet) send(client *http.Client, q standin.Request, team string, idempotent bool) {
+	limited, cancel := context.WithTimeout(context.Background(), q.Timeout)
+	defer cancel()
+	s := Sent{ID: q.ID, Team: team, Key: q.Key, Idempotent: idempotent, At: time.Now()}
+	s.Answer = standin.Call(limited, client, q)
+	s.Answered = time.Now()
+	f.record.Sent(s)
+}
--- /dev/null
+++ b/internal/soaker/types.go
@@ -0,0 +1,63 @@
+package soaker
+
+// A soak is a fleet of real processes, callers that never stop, and a plan of faults that a seed decides. The same seed
+// gives the same plan; what the processes make of it may differ, as on real machines.
+//
+// Example: Run(ctx, Options{Program: "./jackdawtide", Seed: 7, Length: 30 * time.Second, Nodes: 6})
+
+import (
+	"fmt"
+	"time"
+)
+
+// Options set a soak up.
+type Options struct {
+	// Program is the built program under test, Directory where settings and logs of its processes go.
+	Program   string
+	Directory string
+	Seed      uint64
+	// Length is how long faults come; callers go on for some seconds more.
+	Length time.Duration
+	// Nodes is how many nodes run, at least one for each service.
+	Nodes int
+}
+
+// Report is the outcome of a soak.
+type Report struct {
+	Seed     uint64
+	Faults   []string
+	Sent     int
+	Served   int
+	Runs     int
+	Breaches []Breach
+}
+
+// OptionError reports an option that can't be used.
+type OptionError struct {
+	Option string
+	Value  any
+	Want   string
+}
+
+// Error names the option, its value and what it should be.
+func (e OptionError) Error() string {
+	return fmt.Sprintf("option %s is %v, want %s", e.Option, e.Value, e.Want)
+}
+
+// mostNodes keeps a soak within a few hundred processes and half of a machine's memory, at some 30 MB a node.
+const mostNodes = 200
+
+func (o Options) check() error {
+	switch {
+	case o.Program == "":
+		return OptionError{Option: "program", Value: `""`, Want: "the path of the built program"}
+	case o.Nodes < len(services) || o.Nodes > mostNodes:
+		return OptionError{Option: "nodes", Value: o.Nodes, Want: fmt.Sprintf("%d to %d", len(services), mostNodes)}
+	case o.Length <= 0:
+		return OptionError{Option: "length", Value: o.Length, Want: "a positive time"}
+	}
+	return nil
+}
+
+// services are the services of the fleet; the first calls the last.
+var services = []string{"portal", "desk", "clock"}
