--- a/internal/exchanger/fleet_test.go
+++ b/internal/exchanger/fleet_test.go
@@ -55,10 +55,10 @@
 			}
 			return
 		}
-		table.Failed(next, now)
 		if seeks {
 			return
 		}
+		table.Failed(next, now)
 	}
 }
 
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -98,8 +98,13 @@
 	reports, proof, err := n.ask(limited, next.Peer, own)
 	if err != nil {
 		n.recorder.Dependency("reports", err)
+		if seeks {
+			// A member that was looked for in vain is looked for again in its turn. Counted as a failure, the node that
+			// another part of the fleet asks would be avoided for up to half a minute after a cut is over.
+			return false
+		}
 		n.relayer.Tell(conductor.PeerFailed{Node: next.Node})
-		return !seeks
+		return true
 	}
 	n.relayer.Tell(conductor.PeerAnswered{Node: next.Node})
 	n.relayer.Tell(conductor.ReportsHeard{Reports: reports})
