--- a/internal/measurer/wire.go
+++ b/internal/measurer/wire.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -26,7 +27,8 @@
 // relay answers a call by the answer of the next node, or itself when the call is deep enough.
 type relay struct {
 	self *transporter.Transporter
-	next transporter.Peer
+	// next is set when all relays listen, while the links that a call comes by may be open already.
+	next atomic.Pointer[transporter.Peer]
 }
 
 // ServeCall passes the call on while its depth allows.
@@ -35,7 +37,7 @@
 ) {
 	if head.Depth > 1 {
 		head.Depth--
-		answer, _, err := r.self.Call(ctx, r.next, head, nil)
+		answer, _, err := r.self.Call(ctx, *r.next.Load(), head, nil)
 		if err != nil {
 			return
 		}
@@ -70,7 +72,7 @@
 		}
 	}
 	for i, r := range s.relays {
-		r.next = s.peers[(i+1)%n]
+		r.next.Store(&s.peers[(i+1)%n])
 	}
 	return s, nil
 }
