Answers end connections where half of the descriptors are used

Refused callers come back on new connections and keep the old ones; each was kept for 30 s, and a surge with hard retries used up all 3,900 descriptors. The standard server then tries to accept up to a second later, connections wait unread, and requests are read seconds after their callers have left: 7 of them reached an endpoint 4.5 s late. The settings did not know the limit at all.

Now all connections of a node are counted together; from half of limits.descriptors on answers carry Connection: close and clients keep none. Callers are told to keep a connection for 6 s (kept 9 s), so the limits of a configuration, which may change, are no longer undercut by a constant. What the standard server has to say goes into the log as JSON.

Ruled out: the cut itself (connections are reset when their request is given up), and processor time (at most 0.31 of 0.64 cores).

--- a/internal/loader/sidecar.go
+++ b/internal/loader/sidecar.go
@@ -24,7 +24,9 @@
 	// Store is the address of the platform's store.
 	Store    netip.AddrPort
 	MemoryMB int
-	Bounds   SidecarBounds
+	// Descriptors is how many connections and files the node may have open.
+	Descriptors int
+	Bounds      SidecarBounds
 }
 
 // SidecarListen holds the addresses that the node listens on.
@@ -70,8 +72,12 @@
 	defaultRateWindow   = 5 * clock.Second
 	minBound            = 100 * clock.Millisecond
 	defaultMemoryMB     = 256
+	defaultDescriptors  = 1024
 )
 
+// leastDescriptors is what a node needs to listen, follow the store and exchange reports.
+const leastDescriptors = 64
+
 // ParseSidecar returns the settings in a TOML file, or all of its faults.
 func ParseSidecar(data []byte) (Sidecar, error) {
 	t, err := checker.Parse(data)
@@ -97,6 +103,7 @@
 	s.Store = t.Table("store").Address("address")
 	limits := t.Table("limits")
 	s.MemoryMB = int(limits.WholeOr("memoryMb", defaultMemoryMB, 1, maxCount))
+	s.Descriptors = int(limits.WholeOr("descriptors", defaultDescriptors, leastDescriptors, maxCount))
 	s.Bounds = readSidecarBounds(t.Table("bounds"))
 	if err := t.Finish(); err != nil {
 		return Sidecar{}, err
--- a/internal/loader/sidecar_test.go
+++ b/internal/loader/sidecar_test.go
@@ -65,6 +65,7 @@
 		"out of bounds":  {`rateExcess = 0.1`, `rateExcess = 7.5`, "bounds.rateExcess"},
 		"unknown":        {`rateExcess = 0.1`, `excess = 0.1`, "bounds.excess"},
 		"missing listen": {`peer = "10.1.0.26:5"`, ``, "listen.peer"},
+		"descriptors":    {`memoryMb = 284`, "memoryMb = 284\ndescriptors = 10", "limits.descriptors"},
 		"memory":         {`memoryMb = 284`, `memoryMb = 0`, "limits.memoryMb"},
 	}
 	for name, test := range tests {
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -9,12 +9,15 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -22,8 +25,9 @@
 const (
 	// headerTimeout bounds the reading of a request's head; callers of any bound seen send theirs within 3 s.
 	headerTimeout = 10 * time.Second
-	// outboundIdle is how long a caller's unused connection is kept, over the 15 s that callers may rely on.
-	outboundIdle = 30 * time.Second
+	// otherIdle is how long an unused connection of the platform, the endpoint's heartbeats or a peer is kept: longer than
+	// their calls are apart.
+	otherIdle = 30 * time.Second
 	// largestHeader bounds a request's head, over the 16 KiB that callers may send.
 	largestHeader = 64 << 10
 )
@@ -37,12 +41,12 @@
 		handler http.Handler
 		idle    time.Duration
 	}{
-		{s.Outbound.String(), http.HandlerFunc(n.relayer.ServeOutbound), outboundIdle},
+		{s.Outbound.String(), http.HandlerFunc(n.relayer.ServeOutbound), relayer.OutboundIdle.Std()},
 		{s.Inbound.String(), http.HandlerFunc(n.relayer.ServeInbound), relayer.InboundIdle.Std()},
-		{s.Readiness.String(), http.HandlerFunc(n.serveReadiness), outboundIdle},
-		{s.Announcements.String(), n.announcements(), outboundIdle},
-		{s.Peer.String(), n.peerRouter(), outboundIdle},
-		{s.Metrics.String(), n.metricsRouter(), outboundIdle},
+		{s.Readiness.String(), http.HandlerFunc(n.serveReadiness), otherIdle},
+		{s.Announcements.String(), n.announcements(), otherIdle},
+		{s.Peer.String(), n.peerRouter(), otherIdle},
+		{s.Metrics.String(), n.metricsRouter(), otherIdle},
 	}
 	for _, l := range listeners {
 		if err := n.listen(ctx, l.address, l.handler, l.idle); err != nil {
@@ -73,7 +77,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idle,
 		MaxHeaderBytes:    largestHeader,
-		ErrorLog:          nil,
+		ErrorLog:          log.New(listenerLog{address: address, recorder: n.recorder}, "", 0),
+		ConnState:         n.countConnection,
 	}
 	n.servers = append(n.servers, s)
 	go func() {
@@ -84,6 +89,27 @@
 	return nil
 }
 
+// listenerLog makes events of what the standard server has to say, such as connections that it could not accept.
+type listenerLog struct {
+	address  string
+	recorder *recorder.Recorder
+}
+
+// Write takes one line.
+func (l listenerLog) Write(line []byte) (int, error) {
+	l.recorder.Dependency("listener "+l.address, errors.New(strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
+func (n *node) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		n.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.connections.Add(-1)
+	}
+}
+
 func (n *node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	ready := false
 	n.relayer.View(func(c *conductor.Conductor, _ clock.Time) { ready = c.Ready() })
@@ -141,7 +167,8 @@
 	var s conductor.State
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { s = c.Dump(now) })
 	n.recorder.Event("load", "running", s.Running, "queued", s.Queued, "limit", s.Limit, "queueMs", int64(s.QueueDelay),
-		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open)
+		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open,
+		"connections", n.connections.Open())
 }
 
 const (
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -26,6 +26,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
 	"github.com/jackdawtide/jackdawtide/internal/watcher"
 )
 
@@ -67,6 +68,8 @@
 	servers  []*http.Server
 	cancel   context.CancelFunc
 	asked    chan struct{}
+	// connections counts all that the node has open.
+	connections *requester.Connections
 	// configurations follows the operators' topic.
 	configurations *watcher.Watcher
 }
@@ -150,6 +153,8 @@
 		records:  make(chan exchanger.Member, waitingRecords),
 		client:   newPeerClient(),
 		asked:    make(chan struct{}, 1),
+
+		connections: requester.NewConnections(o.Settings.Descriptors),
 	}
 	n.relayer = relayer.New(relayer.Options{
 		Conductor:       k,
@@ -157,6 +162,7 @@
 		Headers:         o.Outside.Headers,
 		Service:         o.Settings.Service,
 		EndpointAddress: o.Settings.Endpoint.String(),
+		Connections:     n.connections,
 		Publish:         n.publish,
 		Recorder:        log,
 	})
--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -1,6 +1,7 @@
 package mesher
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -109,7 +110,7 @@
 			Outbound: freeAddress(t), Inbound: freeAddress(t), Readiness: freeAddress(t),
 			Announcements: freeAddress(t), Peer: freeAddress(t), Metrics: freeAddress(t),
 		},
-		MemoryMB: 256,
+		MemoryMB: 256, Descriptors: 128,
 		Bounds: loader.SidecarBounds{
 			Revoke: clock.Second, Drain: clock.Second, Grace: 6 * clock.Second,
 			RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * clock.Second,
@@ -290,3 +291,29 @@
 	w.members.set(false)
 	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
 }
+
+// Callers that are refused come back on new connections and keep the old ones open. A node that kept them all would
+// run out of descriptors: it could accept nothing more, and requests would lie unread for seconds.
+func TestManyCallersDoNotUseUpTheDescriptors(t *testing.T) {
+	w := &world{}
+	assert.NilError(t, w.operators.Write(context.Background(), "rules", []byte("version 1")))
+	entry := w.start(t, "entry", "desk")
+	w.start(t, "beside", "portal")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	kept := 0
+	for range 200 {
+		n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
+		assert.NilError(t, err)
+		defer n.Close()
+		_, err = io.WriteString(n, "GET /x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(n), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 200)
+		_, _ = io.Copy(io.Discard, response.Body)
+		if !response.Close {
+			kept++
+		}
+	}
+	assert.Assert(t, kept > 10 && kept <= 64, "%d of 200 connections kept", kept)
+}
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
 var names = Headers{
@@ -93,8 +94,9 @@
 	}, c.Now())
 	n.Relayer = New(Options{
 		Conductor: k, Clock: c, Headers: names, Service: service, EndpointAddress: address,
-		Publish:  func(m exchanger.Member) { n.member = m },
-		Recorder: recorder.New(io.Discard, name, c.Now),
+		Connections: requester.NewConnections(100),
+		Publish:     func(m exchanger.Member) { n.member = m },
+		Recorder:    recorder.New(io.Discard, name, c.Now),
 	})
 	n.announce(name, false)
 	return n
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -72,7 +72,7 @@
 			}
 		case conductor.Reply:
 			r.apply(id, conductor.RequestClosed{ID: id})
-			r.sayStopping(w.Header())
+			r.sayIdle(w.Header())
 			r.pass(w, last)
 			return
 		default:
@@ -264,7 +264,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain")
-	r.sayStopping(h)
+	r.sayIdle(h)
 	w.WriteHeader(e.Status)
 	_, _ = io.WriteString(w, string(e.Reason)+"\n")
 	r.options.Recorder.Refused(recorder.Refusal{
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -28,6 +28,8 @@
 	// Service is the service beside this node, EndpointAddress where its endpoint listens.
 	Service         identifier.Service
 	EndpointAddress string
+	// Connections counts all of the node's connections.
+	Connections *requester.Connections
 	// Publish is called with this node's record when it has changed; it must not block.
 	Publish  func(exchanger.Member)
 	Recorder *recorder.Recorder
@@ -50,9 +52,9 @@
 	r.stopping.Store(true)
 }
 
-// sayStopping ends the connection after the answer, if the node is stopping.
-func (r *Relayer) sayStopping(h http.Header) {
-	if r.stopping.Load() {
+// sayClosing ends the connection after the answer, if the node is stopping or has too many of them.
+func (r *Relayer) sayClosing(h http.Header) {
+	if r.stopping.Load() || r.options.Connections.Crowded() {
 		h["Connection"] = []string{"close"}
 	}
 }
@@ -78,6 +80,7 @@
 			DialTimeout: dial,
 			IdleTime:    idle,
 			MostIdle:    mostIdle,
+			Connections: o.Connections,
 			Now:         o.Clock.Now,
 		})
 	}
@@ -89,6 +92,21 @@
 	}
 }
 
+// OutboundIdle is how long a caller's unused connection is kept. Callers are told a shorter time, in whole seconds: one
+// that sends just as the connection closes would see its request cut.
+const (
+	OutboundIdle = 9 * clock.Second
+	outboundSaid = "timeout=6"
+)
+
+// sayIdle tells a caller for how long its connection may be unused.
+func (r *Relayer) sayIdle(h http.Header) {
+	r.sayClosing(h)
+	if _, closing := h["Connection"]; !closing {
+		h["Keep-Alive"] = []string{outboundSaid}
+	}
+}
+
 func (r *Relayer) newID() conductor.CallID {
 	return conductor.CallID(r.lastID.Add(1))
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -322,3 +322,22 @@
 	assert.Equal(t, got.StatusCode, 404)
 	assert.Assert(t, got.Close)
 }
+
+// More connections are open than a node should keep, as when refused callers come back on new ones again and again. Each
+// answer ends its connection then; before, they were all kept until no new one could be accepted, and callers waited
+// for seconds on connections that nobody read.
+func TestCrowdedNodeEndsConnections(t *testing.T) {
+	entry, beside, _ := pair(t, configurationOf(matcher.Idempotent, 1), ok("hello"))
+	got := ask(t, entry, nil)
+	assert.Assert(t, !got.Close)
+	assert.Equal(t, got.Header.Get("Keep-Alive"), outboundSaid)
+	entry.options.Connections.Add(1000)
+	beside.options.Connections.Add(1000)
+	got = ask(t, entry, nil)
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Assert(t, got.Close)
+	got = ask(t, entry, func(r *http.Request) { r.URL.Path = "/none/" })
+	assert.Equal(t, got.StatusCode, 404)
+	assert.Assert(t, got.Close)
+	assert.Equal(t, entry.options.Connections.Open(), int64(1000))
+}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -88,8 +88,10 @@
 	if err != nil {
 		return nil, DialError{Address: address, Cause: err}
 	}
+	c.options.Connections.Add(1)
 	return &conn{
 		Conn:    opened,
+		count:   c.options.Connections,
 		reader:  bufio.NewReaderSize(opened, readBuffer),
 		writer:  bufio.NewWriterSize(opened, writeBuffer),
 		address: address,
@@ -256,7 +258,8 @@
 	}
 	r.closed = true
 	cancelled := !r.stop()
-	if cancelled || !readToEnd || !r.framed || r.Response.Close || !r.bodySent() || r.conn.reader.Buffered() > 0 {
+	crowded := r.client.options.Connections.Crowded()
+	if cancelled || crowded || !readToEnd || !r.framed || r.Response.Close || !r.bodySent() || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/requester/client_test.go
+++ b/internal/requester/client_test.go
@@ -55,7 +55,9 @@
 
 func client() *Client {
 	c := clock.New()
-	return New(Options{DialTimeout: clock.Second, IdleTime: 5 * clock.Second, MostIdle: 4, Now: c.Now})
+	return New(Options{
+		DialTimeout: clock.Second, IdleTime: 5 * clock.Second, MostIdle: 4, Connections: NewConnections(100), Now: c.Now,
+	})
 }
 
 func get(id string) *Request {
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -11,6 +11,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -32,6 +33,16 @@
 	until   clock.Time
 	// reused tells that a request was answered on it before.
 	reused bool
+	count  *Connections
+	closed atomic.Bool
+}
+
+// Close closes the connection, and counts that once.
+func (c *conn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.count.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // abort resets the connection instead of closing it in order. Bytes that a cut or a crowded link holds up are delivered
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -37,6 +37,8 @@
 	IdleTime clock.Duration
 	// MostIdle is how many unused connections are kept for each address.
 	MostIdle int
+	// Connections counts those of this client with the others of the process.
+	Connections *Connections
 	// Now reads the monotonic clock.
 	Now func() clock.Time
 }
