--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -120,7 +120,7 @@
 	outside := Outside{
 		Headers: relayer.Headers{
 			RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", Team: "X-Team", Origin: "X-Origin",
-			Target: "X-Target", NotRun: "X-Not-Run", Load: "X-Load", Signature: "X-Signature",
+			Target: "X-Target", NotRun: "X-Not-Run", Signature: "X-Signature",
 		},
 		Operators: &w.operators, Members: &w.members, ConfigurationKey: "rules",
 		Decode: func(data []byte) (matcher.Configuration, error) {
--- /dev/null
+++ b/internal/relayer/body.go
@@ -0,0 +1,85 @@
+package relayer
+
+// A request's body is read from its caller once. A small one is held, so that the request can be sent to another node; a
+// large one is passed on as it comes, and what goes wrong with it on the way is the caller's to know.
+//
+// Example: 300 bytes are held and sent to two nodes in turn; 60 kB can be sent again only if none of them was read.
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/jackdawtide/jackdawtide/internal/requester"
+)
+
+// replayable is a request's body, which can be sent again as long as none of it was read from the caller, or all of
+// it is held.
+type replayable struct {
+	held   []byte
+	stream io.Reader
+	length int64
+	// read is set by the goroutine that sends the body, and asked by the one that waits for the answer.
+	read atomic.Bool
+}
+
+const (
+	// heldBody is the largest body that is held in memory to be sent again.
+	heldBody = 16 << 10
+)
+
+func newReplayable(request *http.Request) (*replayable, error) {
+	if request.ContentLength == 0 {
+		return &replayable{}, nil
+	}
+	if request.ContentLength > 0 && request.ContentLength <= heldBody {
+		held := make([]byte, request.ContentLength)
+		_, err := io.ReadFull(request.Body, held)
+		return &replayable{held: held, length: request.ContentLength}, err
+	}
+	return &replayable{stream: request.Body, length: request.ContentLength}, nil
+}
+
+func (b *replayable) streamed() bool {
+	return b.stream != nil
+}
+
+func (b *replayable) untouched() bool {
+	return !b.read.Load()
+}
+
+// reader returns the body from its start, and its length.
+func (b *replayable) reader() (io.Reader, int64) {
+	switch {
+	case b.stream != nil:
+		return b, b.length
+	case b.held != nil:
+		return bytes.NewReader(b.held), b.length
+	default:
+		return nil, 0
+	}
+}
+
+// Read reads from the caller.
+func (b *replayable) Read(p []byte) (int, error) {
+	b.read.Store(true)
+	return b.stream.Read(p)
+}
+
+func (r *Relayer) refuseLength(w http.ResponseWriter, limit int64) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, "body is longer than "+strconv.FormatInt(limit, 10)+" bytes", http.StatusRequestEntityTooLarge)
+}
+
+// bodyLimit returns the limit that a request's body went over, 0 where something else is wrong.
+func bodyLimit(err error) int64 {
+	var long *http.MaxBytesError
+	var body requester.BodyError
+	if errors.As(err, &body) && errors.As(body.Cause, &long) {
+		return long.Limit
+	}
+	return 0
+}
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -26,7 +26,7 @@
 
 var names = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", KeyScheme: "Key ", Team: "X-Team", Origin: "X-Origin",
-	Target: "X-Target", NotRun: "X-Not-Run", Load: "X-Load", Signature: "X-Signature",
+	Target: "X-Target", NotRun: "X-Not-Run", Signature: "X-Signature",
 }
 
 // endpoint is a stand-in of a backend server; it keeps what reached it.
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -63,24 +63,6 @@
 	})
 }
 
-// SetProof writes how fresh the configuration is here.
-func (r *Relayer) SetProof(h http.Header) {
-	r.View(func(c *conductor.Conductor, _ clock.Time) { r.setProof(h, c) })
-}
-
-func (r *Relayer) setProof(h http.Header, c *conductor.Conductor) {
-	if version, at, ok := c.ProvedAt(); ok {
-		h[provedField] = []string{formatProof(version, r.options.Boot.Now().Sub(at))}
-	}
-}
-
-// ReadProof reads what SetProof wrote at another node that was asked at a boot time. Its age is counted from that moment,
-// which was before the other node answered: so the proof is never taken for fresher than it is.
-func ReadProof(h http.Header, asked clock.Time) (version identifier.Version, asOf clock.Time, ok bool) {
-	version, age, ok := parseProof(h.Get(provedField))
-	return version, asked.Add(-age), ok
-}
-
 func outgoing(request *http.Request, header http.Header) *requester.Request {
 	out := &requester.Request{
 		Method: request.Method,
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -6,14 +6,12 @@
 // Example: node b turns the request away as full, node c's endpoint answers: the caller sees only that answer.
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
@@ -93,21 +91,6 @@
 	r.refuseLength(w, a.tooLong)
 }
 
-func (r *Relayer) refuseLength(w http.ResponseWriter, limit int64) {
-	w.Header().Set("Connection", "close")
-	http.Error(w, "body is longer than "+strconv.FormatInt(limit, 10)+" bytes", http.StatusRequestEntityTooLarge)
-}
-
-// bodyLimit returns the limit that a request's body went over, 0 where something else is wrong.
-func bodyLimit(err error) int64 {
-	var long *http.MaxBytesError
-	var body requester.BodyError
-	if errors.As(err, &body) && errors.As(body.Cause, &long) {
-		return long.Limit
-	}
-	return 0
-}
-
 func (a answer) status() int {
 	if a.Response == nil {
 		return 0
@@ -324,94 +307,3 @@
 		Took:     r.options.Clock.Now().Sub(started),
 	})
 }
-
-// replayable is a request's body, which can be sent again as long as none of it was read from the caller, or all of
-// it is held.
-type replayable struct {
-	held   []byte
-	stream io.Reader
-	length int64
-	// read is set by the goroutine that sends the body, and asked by the one that waits for the answer.
-	read atomic.Bool
-}
-
-const (
-	// heldBody is the largest body that is held in memory to be sent again.
-	heldBody = 16 << 10
-)
-
-func newReplayable(request *http.Request) (*replayable, error) {
-	if request.ContentLength == 0 {
-		return &replayable{}, nil
-	}
-	if request.ContentLength > 0 && request.ContentLength <= heldBody {
-		held := make([]byte, request.ContentLength)
-		_, err := io.ReadFull(request.Body, held)
-		return &replayable{held: held, length: request.ContentLength}, err
-	}
-	return &replayable{stream: request.Body, length: request.ContentLength}, nil
-}
-
-func (b *replayable) streamed() bool {
-	return b.stream != nil
-}
-
-func (b *replayable) untouched() bool {
-	return !b.read.Load()
-}
-
-// reader returns the body from its start, and its length.
-func (b *replayable) reader() (io.Reader, int64) {
-	switch {
-	case b.stream != nil:
-		return b, b.length
-	case b.held != nil:
-		return bytes.NewReader(b.held), b.length
-	default:
-		return nil, 0
-	}
-}
-
-// Read reads from the caller.
-func (b *replayable) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	return b.stream.Read(p)
-}
-
-// formatProof and parseProof carry the version in force at a node, and how long ago it was the newest.
-func formatProof(version identifier.Version, age clock.Duration) string {
-	return strconv.FormatInt(int64(version), 10) + "," + strconv.FormatInt(int64(age), 10)
-}
-
-func parseProof(text string) (version identifier.Version, age clock.Duration, ok bool) {
-	v, a, found := strings.Cut(text, ",")
-	if !found {
-		return 0, 0, false
-	}
-	number, err := strconv.ParseInt(v, 10, 64)
-	if err != nil {
-		return 0, 0, false
-	}
-	milliseconds, err := strconv.ParseInt(a, 10, 64)
-	if err != nil || milliseconds < 0 {
-		return 0, 0, false
-	}
-	return identifier.Version(number), clock.Duration(milliseconds), true
-}
-
-// learnProof takes over another node's proof.
-func (r *Relayer) learnProof(h http.Header, asked clock.Time) {
-	version, asOf, ok := ReadProof(h, asked)
-	if !ok {
-		return
-	}
-	known, at, proved := identifier.Version(0), clock.Time(0), false
-	r.View(func(c *conductor.Conductor, _ clock.Time) { known, at, proved = c.ProvedAt() })
-	if known != version || proved && asOf.Sub(at) < worthwhile {
-		return
-	}
-	r.Tell(conductor.ConfigurationProved{Version: version, AsOf: asOf})
-}
-
-// worthwhile is by how much a proof must be fresher to be taken over; less would change nothing and cost a lock.
-const worthwhile = 300 * clock.Millisecond
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -27,7 +27,6 @@
 	// Target is the field with the id of the endpoint that is to run the request.
 	Target    string
 	NotRun    string
-	Load      string
 	Signature string
 }
 
