Nodes that others ask for try the store twice a second while it is down; the rest wait up to 2 s

While the store was down for 4.5 s, 88 nodes tried twice a second each, on two topics; calls that are refused cost as much as others. The node that reports are exchanged with is enough to see the store come back: its proofs are with all others half a second later. Ruled out: no tries at all while covered, since what came meanwhile must be read before the nodes count as in touch again (3 s). NeedsMembers becomes FollowsStore, since two things hang on it. Test: TestTriesAreBounded (40 tries in 4 s to at most 9).

--- a/internal/conductor/freshness_test.go
+++ b/internal/conductor/freshness_test.go
@@ -67,13 +67,13 @@
 func TestMembersAreFollowedByTheNodeThatIsAsked(t *testing.T) {
 	c := newConductor("desk")
 	learn(c, peer("a", "portal"))
-	assert.Assert(t, c.NeedsMembers(0))
+	assert.Assert(t, c.FollowsStore(0))
 	report := exchanger.Report{Member: peer("a", "portal"), Number: 1}
 	c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Reports: []exchanger.Report{report}}}, 1000)
-	assert.Assert(t, !c.NeedsMembers(1100))
-	assert.Assert(t, c.NeedsMembers(2600))
+	assert.Assert(t, !c.FollowsStore(1100))
+	assert.Assert(t, c.FollowsStore(2600))
 	c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Mark: exchanger.Mark{Change: 1}}}, 2700)
-	assert.Assert(t, !c.NeedsMembers(2800))
+	assert.Assert(t, !c.FollowsStore(2800))
 	c.Apply(PeerFailed{Node: "a"}, 2900)
-	assert.Assert(t, c.NeedsMembers(2900))
+	assert.Assert(t, c.FollowsStore(2900))
 }
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -224,10 +224,10 @@
 // coveredByReports is how long an exchange shows that reports bring every change of the members: three periods.
 const coveredByReports = 1500 * clock.Millisecond
 
-// NeedsMembers tells whether this node has to follow the members in the store. One that exchanges reports hears of each
-// change by them; the node that the others ask follows the store for all. If all did, each new or leaving
-// endpoint would cost a call of every node: of 88 nodes' 6,178 calls on a day with a release most were these.
-func (c *Conductor) NeedsMembers(now clock.Time) bool {
+// FollowsStore tells whether this node has to follow the store by itself. One that exchanges reports hears of each change of
+// the members by them; the node that the others ask follows the store for all. If all did, each new or leaving endpoint
+// would cost a call of every node: of 88 nodes' 6,178 calls on a day with a release most were these.
+func (c *Conductor) FollowsStore(now clock.Time) bool {
 	covered := c.answered > 0 && !c.unanswered && now.Sub(c.answered) <= coveredByReports
 	return !covered || c.IsAsked(now)
 }
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -37,8 +37,10 @@
 		Wait:  n.readWait,
 		Rest:  configurationRest,
 		Slack: storeSlack,
-		Now:   clock.Boot{}.Now,
-		Took:  n.takeConfiguration,
+
+		MostPause: n.mostPause,
+		Now:       clock.Boot{}.Now,
+		Took:      n.takeConfiguration,
 		Lost: func(err error) {
 			n.recorder.Event("store lost", "topic", "operators", "error", err.Error())
 		},
@@ -46,6 +48,25 @@
 	})
 }
 
+const (
+	// askedPause bounds the pause between failed calls of the store for a node that others rely on: they get its proofs half a
+	// second after it has one.
+	askedPause = 500 * clock.Millisecond
+	// coveredPause bounds it for the others. While the store was down for 4.5 s, 88 nodes that tried twice a second made 2,000
+	// calls for nothing; what an outage leaves to be read is read within 2 s of its end.
+	coveredPause = 2 * clock.Second
+)
+
+func (n *node) mostPause() clock.Duration {
+	pause := coveredPause
+	n.relayer.View(func(c *conductor.Conductor, now clock.Time) {
+		if c.FollowsStore(now) {
+			pause = askedPause
+		}
+	})
+	return pause
+}
+
 func (n *node) readWait() (wait clock.Duration) {
 	boot := clock.Boot{}.Now()
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { wait = c.ReadWait(now, boot) })
@@ -88,11 +109,13 @@
 	w := watcher.New(watcher.Options{
 		Topic: n.options.Outside.Members,
 		Wait:  func() clock.Duration { return membersWait },
-		Need:  n.needsMembers,
+		Need:  n.followsStore,
 		Rest:  membersRest,
 		Slack: storeSlack,
-		Now:   clock.Boot{}.Now,
-		Took:  n.takeMembers,
+
+		MostPause: n.mostPause,
+		Now:       clock.Boot{}.Now,
+		Took:      n.takeMembers,
 		Lost: func(err error) {
 			n.recorder.Event("store lost", "topic", "members", "error", err.Error())
 		},
@@ -101,9 +124,9 @@
 	w.Run(ctx)
 }
 
-func (n *node) needsMembers() (needs bool) {
-	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { needs = c.NeedsMembers(now) })
-	return needs
+func (n *node) followsStore() (follows bool) {
+	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { follows = c.FollowsStore(now) })
+	return follows
 }
 
 func (n *node) takeMembers(u watcher.Update) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -33,6 +33,8 @@
 	// Need tells whether the topic has to be followed at the moment; nil for always. What is missed meanwhile is read when
 	// it has to be again.
 	Need func() bool
+	// MostPause bounds the wait between failed tries; nil for longestPause.
+	MostPause func() clock.Duration
 	// Slack is how much later than Wait an answer may come before the connection is taken for dead.
 	Slack clock.Duration
 	// Rest is how long after an answer with news the next read is sent: when a whole fleet starts, news come one by one.
@@ -115,7 +117,11 @@
 }
 
 func (w *Watcher) backOff() clock.Duration {
-	w.pause = min(longestPause, max(firstPause, 2*w.pause))
+	most := longestPause
+	if w.options.MostPause != nil {
+		most = w.options.MostPause()
+	}
+	w.pause = min(most, max(firstPause, 2*w.pause))
 	return w.pause/2 + clock.Duration(rand.Int64N(int64(w.pause)/2+1))
 }
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -278,3 +278,21 @@
 	needed.Store(true)
 	eventually(t, "missed", func() bool { return s.value("b") == "2" })
 }
+
+// The store is down and many nodes follow it. Each of their tries costs as much as one that is answered, so those that need
+// not be first to see it come back wait longer.
+func TestTriesAreBounded(t *testing.T) {
+	tries := map[clock.Duration]int{}
+	for _, most := range []clock.Duration{100, 2000} {
+		f := &fakeTopic{refuse: true}
+		w := New(Options{
+			Topic: f, Wait: func() clock.Duration { return 20 }, Slack: 200, Now: clock.Boot{}.Now,
+			MostPause: func() clock.Duration { return most },
+			Took:      func(Update) {}, Lost: func(error) {}, Regained: func() {},
+		})
+		for pause := clock.Duration(0); pause < 4000; tries[most]++ {
+			pause += w.backOff()
+		}
+	}
+	assert.Assert(t, tries[100] >= 40 && tries[2000] <= 9, "%v", tries)
+}
