Nodes and failure domains that can't be reached are found by probes within half a second

Cause: when a failure domain is cut off, connections into it stay open. Requests on them were lost until the system's timers (1.5 s) or the reports' silence (2.5 s) told: lookups came late, orders in doubt could not be sent again.

detector watches this node's own attempts; a node that owes a word for 300 ms is probed by opening two connections, and two lost nodes make their silent failure domain lost.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -2,8 +2,8 @@
 
 // One node takes requests in, chooses endpoints for them, and guards the endpoint beside it. All of its decisions are
 // made here, by small parts that know nothing of each other: matcher (routes and teams), apportioner and pooler (rates),
-// throttler (root requests against pressed services), router (choice of an endpoint), limiter (the local endpoint),
-// registrar (what it announces) and exchanger (what nodes tell each other).
+// throttler (root requests against pressed services), detector (nodes that can't be reached), router (choice of an
+// endpoint), limiter (the local endpoint), registrar (what it announces) and exchanger (what nodes tell each other).
 //
 // Example: c := New(o, now); effects := c.Apply(event, now)
 
@@ -12,6 +12,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/apportioner"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/detector"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
@@ -70,6 +71,7 @@
 	answered   clock.Time
 	unanswered bool
 
+	detector    *detector.Detector
 	router      *router.Router
 	apportioner *apportioner.Apportioner
 	pooler      *pooler.Pooler
@@ -108,6 +110,7 @@
 			ColdStart:       coldStart,
 		}),
 		apportioner: apportioner.New(o.Self.Node, o.Bounds.Rate, now),
+		detector:    detector.New(),
 		pooler:      pooler.New(o.Bounds.Rate),
 		repeats:     map[identifier.Service]*repeatBudget{},
 		splits:      map[string]*split{},
@@ -143,6 +146,8 @@
 		c.drawn(e, now)
 	case TokenAsked:
 		c.give(e, now)
+	case Probed:
+		c.probed(e, now)
 	case DeliveryArrived:
 		c.deliver(e, now)
 	case DeliveryEnded:
@@ -211,6 +216,7 @@
 func (c *Conductor) tick(now clock.Time) {
 	c.apportioner.Tick(now)
 	c.judgeSilence(now)
+	c.probe(now)
 	if c.limiter == nil {
 		return
 	}
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -41,6 +41,17 @@
 	Grant pooler.Grant
 }
 
+// Probe opens a connection to another node, to see whether it can be reached; Probed follows.
+type Probe struct {
+	Node    identifier.Node
+	Address string
+}
+
+// Abort ends an attempt at a node that can't be reached; AttemptEnded with Broken follows.
+type Abort struct {
+	ID CallID
+}
+
 // Send makes one attempt.
 type Send struct {
 	ID CallID
@@ -98,6 +109,8 @@
 func (Refuse) effect()   {}
 func (Draw) effect()     {}
 func (Give) effect()     {}
+func (Probe) effect()    {}
+func (Abort) effect()    {}
 func (Send) effect()     {}
 func (Reply) effect()    {}
 func (Run) effect()      {}
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -31,7 +31,9 @@
 	// tries counts attempts, arrivals those of them that reached an endpoint.
 	tries, arrivals int
 	picked          identifier.Endpoint
-	excluded        []identifier.Endpoint
+	// at is the other node that an attempt is under way at, empty for none.
+	at       identifier.Node
+	excluded []identifier.Endpoint
 	// doubt tells that an attempt may have run.
 	doubt bool
 	// counted tells that a node has counted the request among its endpoint's arrivals. One that was only dialled in vain
@@ -214,6 +216,10 @@
 	r.sent = now
 	member := c.members[endpoint.Node]
 	local := endpoint.Node == c.self.Node
+	if !local {
+		r.at = endpoint.Node
+		c.detector.Sent(r.at, now)
+	}
 	team := identifier.Team("")
 	if r.team != nil {
 		team = r.team.Name
@@ -254,6 +260,7 @@
 		return
 	}
 	c.learnAttempt(r, e, now)
+	c.learnReach(r, e.Outcome, now)
 	if e.Outcome == Answered {
 		c.emit(Reply{ID: r.id})
 		return
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -64,6 +64,12 @@
 	Back int
 }
 
+// Probed is how a Probe ended.
+type Probed struct {
+	Node    identifier.Node
+	Reached bool
+}
+
 // RequestClosed ends a request: its answer was sent, or the caller has gone.
 type RequestClosed struct {
 	ID CallID
@@ -179,6 +185,7 @@
 func (AttemptEnded) event()        {}
 func (TokenDrawn) event()          {}
 func (TokenAsked) event()          {}
+func (Probed) event()              {}
 func (RequestClosed) event()       {}
 func (DeliveryArrived) event()     {}
 func (DeliveryEnded) event()       {}
--- a/internal/conductor/fuzz_test.go
+++ b/internal/conductor/fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/apportioner"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/detector"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
@@ -64,8 +65,9 @@
 	leaving    bool
 	ackLeaving clock.Time
 	sequence   int64
-	// waiting holds what goes on when a held delivery is decided.
+	// waiting holds what goes on when a held delivery is decided, aborts what ends an attempt under way.
 	waiting map[CallID]func(Effect)
+	aborts  map[CallID]func()
 }
 
 // told is one request as its caller and the endpoints saw it.
@@ -118,6 +120,7 @@
 	n.life++
 	n.up, n.frozen = true, false
 	n.waiting = map[CallID]func(Effect){}
+	n.aborts = map[CallID]func(){}
 	n.c = New(Options{
 		Self: w.member(i),
 		Bounds: Bounds{
@@ -226,6 +229,14 @@
 				}
 			}
 			continue
+		case Probe:
+			w.probe(i, e)
+			continue
+		case Abort:
+			if abort, ok := n.aborts[e.ID]; ok {
+				w.after(0, abort)
+			}
+			continue
 		case Run:
 			id = e.ID
 		case TurnAway:
@@ -287,16 +298,33 @@
 			}
 		})
 	case Send:
-		w.after(fuzzLatency, func() {
-			w.deliver(e, id, func(o Outcome) {
-				if n.life != life || !n.up {
-					return
-				}
-				next := w.apply(i, id, AttemptEnded{ID: id, Outcome: o, Status: 200, Replayable: true})
-				w.follow(i, life, id, next)
-			})
-		})
+		ended := false
+		end := func(o Outcome) {
+			if ended || n.life != life || !n.up {
+				return
+			}
+			ended = true
+			delete(n.aborts, id)
+			next := w.apply(i, id, AttemptEnded{ID: id, Outcome: o, Status: 200, Replayable: true})
+			w.follow(i, life, id, next)
+		}
+		n.aborts[id] = func() { end(Broken) }
+		w.after(fuzzLatency, func() { w.deliver(e, id, end) })
+	}
+}
+
+// probe opens a connection to another node: one that is down refuses it, one that is frozen says nothing.
+func (w *fleetWorld) probe(i int, p Probe) {
+	life := w.nodes[i].life
+	wait, reached := clock.Duration(fuzzLatency), true
+	if w.nodes[w.nodeOf(p.Node)].frozen {
+		wait, reached = detector.Patience, false
 	}
+	w.after(wait, func() {
+		if n := w.nodes[i]; n.life == life && n.up && !n.frozen {
+			w.apply(i, 0, Probed{Node: p.Node, Reached: reached})
+		}
+	})
 }
 
 // draw asks another node for a token; one that is down refuses the connection, one that is frozen says nothing.
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -40,6 +40,7 @@
 	c.router.Remove(m.Endpoint)
 	delete(c.members, node)
 	delete(c.learned, node)
+	c.detector.Forget(node)
 	c.table.Drop(node)
 	c.apportioner.Forget(node)
 	c.apportioner.SetNodes(len(c.members))
@@ -51,6 +52,9 @@
 		c.router.Remove(known.Endpoint)
 	}
 	c.members[m.Node] = m
+	if m.Node != c.self.Node {
+		c.detector.Know(m.Node, m.Domain)
+	}
 	if !ok || m.Incarnation != known.Incarnation {
 		c.learned[m.Node] = now
 	}
@@ -67,6 +71,7 @@
 
 // route tells the router of a member's endpoint.
 func (c *Conductor) route(m exchanger.Member, now clock.Time, silent bool) {
+	silent = silent || c.detector.Lost(m.Node)
 	state := router.Ready
 	switch {
 	case m.State == exchanger.Leaving:
@@ -121,6 +126,7 @@
 
 func (c *Conductor) peerFailed(e PeerFailed, now clock.Time) {
 	c.unanswered = true
+	c.detector.Doubt(e.Node, now)
 	if !e.Sought {
 		c.table.Failed(e.Node, now)
 	}
@@ -129,6 +135,7 @@
 func (c *Conductor) peerAnswered(e PeerAnswered, now clock.Time) {
 	c.table.Answered(e.Node)
 	c.answered, c.unanswered = now, false
+	c.detector.Word(e.Node, now)
 	c.hear(c.table.Hear(e.Node, e.Answer), now)
 }
 
@@ -189,6 +196,7 @@
 
 // Answer takes another node's question in and returns what it has not heard yet.
 func (c *Conductor) Answer(q exchanger.Question, now clock.Time) exchanger.Answer {
+	c.detector.Word(q.Report.Member.Node, now)
 	c.hear([]exchanger.Report{q.Report}, now)
 	return c.table.Answer(q.Report.Member.Node, q.Heard, now)
 }
--- a/internal/conductor/pool.go
+++ b/internal/conductor/pool.go
@@ -36,8 +36,11 @@
 	return best
 }
 
-// hears tells whether a member reports, or has only just become known.
+// hears tells whether a member can be reached and reports, or has only just become known.
 func (c *Conductor) hears(node identifier.Node, now clock.Time) bool {
+	if c.detector.Lost(node) {
+		return false
+	}
 	age, heard := c.table.Age(node, now)
 	if !heard {
 		age = now.Sub(c.learned[node])
@@ -87,11 +90,13 @@
 	grant := e.Grant
 	if e.Answered {
 		c.pooler.Answered(e.Node)
+		c.detector.Word(e.Node, now)
 		if !grant.Allowed {
 			c.pooler.Empty(team, grant.Wait, now)
 		}
 	} else {
 		c.pooler.Failed(e.Node, now)
+		c.detector.Doubt(e.Node, now)
 		grant = c.pooler.Alone(team, len(c.members), now)
 	}
 	if !c.granted(r, grant) {
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -123,7 +123,15 @@
 // attempt makes one attempt, at the local endpoint or by way of another node.
 func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
 	left := s.Deadline.Sub(r.options.Clock.Now())
-	ctx, cancel := context.WithTimeout(request.Context(), left.Std())
+	parent, stop := request.Context(), func() {}
+	if !s.Local && s.Idempotent {
+		parent, stop = r.watchAbort(parent, s.ID)
+	}
+	ctx, cancelTime := context.WithTimeout(parent, left.Std())
+	cancel := func() {
+		cancelTime()
+		stop()
+	}
 	out := outgoing(request, endToEnd(request.Header))
 	out.Body, out.Length = body.reader()
 	h := r.options.Headers
@@ -209,6 +217,10 @@
 	var dial requester.DialError
 	var body requester.BodyError
 	switch {
+	case lost(ctx) && errors.As(err, &dial):
+		return failed(conductor.Unreached, conductor.EndpointDown)
+	case lost(ctx):
+		return failed(conductor.Broken, conductor.InDoubt)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failed(conductor.Late, conductor.Deadline)
 	case ctx.Err() != nil:
@@ -228,7 +240,7 @@
 // be asked for again. Ordinary answers have 400 to 6,000 bytes.
 const smallAnswer = 64 << 10
 
-func (r *Relayer) readSmall(ctx context.Context, cancel context.CancelFunc, a answer) answer {
+func (r *Relayer) readSmall(ctx context.Context, cancel func(), a answer) answer {
 	if a.outcome != conductor.Answered {
 		cancel()
 		return a
@@ -257,6 +269,8 @@
 		return a
 	}
 	switch {
+	case lost(ctx):
+		return failed(conductor.Broken, conductor.InDoubt)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failed(conductor.Late, conductor.Deadline)
 	case ctx.Err() != nil:
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -37,9 +37,11 @@
 
 // Relayer performs the conductor's effects; it is safe for concurrent use.
 type Relayer struct {
-	options   Options
-	mu        sync.Mutex
-	waiting   map[conductor.CallID]chan conductor.Effect
+	options Options
+	mu      sync.Mutex
+	waiting map[conductor.CallID]chan conductor.Effect
+	// aborts end the attempts under way.
+	aborts    map[conductor.CallID]context.CancelCauseFunc
 	lastID    atomic.Uint64
 	peers     *requester.Client
 	endpoints *requester.Client
@@ -87,6 +89,7 @@
 	return &Relayer{
 		options:   o,
 		waiting:   map[conductor.CallID]chan conductor.Effect{},
+		aborts:    map[conductor.CallID]context.CancelCauseFunc{},
 		peers:     client(peerDial, peerIdle),
 		endpoints: client(endpointDial, endpointIdle),
 	}
@@ -138,9 +141,7 @@
 		id, isCall := callOf(effect)
 		switch {
 		case !isCall:
-			if p, ok := effect.(conductor.Publish); ok {
-				r.options.Publish(p.Member)
-			}
+			r.perform(effect)
 		case id == own:
 			mine = effect
 		default:
@@ -155,6 +156,20 @@
 	return mine
 }
 
+// perform carries out an effect that no request waits for; it must not block.
+func (r *Relayer) perform(effect conductor.Effect) {
+	switch e := effect.(type) {
+	case conductor.Publish:
+		r.options.Publish(e.Member)
+	case conductor.Probe:
+		go r.probe(e)
+	case conductor.Abort:
+		if abort, ok := r.aborts[e.ID]; ok {
+			abort(errLost)
+		}
+	}
+}
+
 // held is a Hold together with the channel on which its end comes. The channel is made under the lock, since the
 // request may be let through before its goroutine begins to wait.
 type held struct {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -16,6 +16,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
@@ -418,3 +420,43 @@
 	assert.Assert(t, got.Close)
 	assert.Assert(t, time.Since(begun) < 500*time.Millisecond)
 }
+
+// The node that a lookup waits for can't be reached any more. Its caller is told at once instead of when the time is up,
+// and can ask again; an order goes on waiting, since it may be running.
+func TestAttemptAtALostNodeEnds(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind matcher.Kind
+		ends bool
+	}{
+		"lookup": {matcher.Idempotent, true},
+		"order":  {matcher.NonIdempotent, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry, _, e := pair(t, configurationOf(test.kind, 1), func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(600 * time.Millisecond)
+				_, _ = io.WriteString(w, "late")
+			})
+			go func() {
+				for e.count() == 0 {
+					time.Sleep(5 * time.Millisecond)
+				}
+				entry.Tell(conductor.Probed{Node: "beside"})
+			}()
+			begun := time.Now()
+			got := ask(t, entry, nil)
+			if test.ends {
+				assert.Equal(t, got.StatusCode, http.StatusBadGateway)
+				assert.Assert(t, time.Since(begun) < 400*time.Millisecond)
+				return
+			}
+			assert.Equal(t, got.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+func TestProbe(t *testing.T) {
+	entry, beside, _ := pair(t, configurationOf(matcher.Idempotent, 1), ok("hello"))
+	entry.Tell(conductor.Probed{Node: "beside"})
+	entry.probe(conductor.Probe{Node: "beside", Address: beside.member.Deliver})
+	entry.View(func(c *conductor.Conductor, _ clock.Time) { assert.Assert(t, !c.Lost("beside")) })
+}
