A node that has just started lets no request of a pooled team through on its own

With all nodes killed at once each finds the others not yet there; one request of each of 88 nodes is more than a small team's window allows. Found by reckoning, not seen; test in pooler's TestAlone.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -114,7 +114,7 @@
 		}),
 		apportioner: apportioner.New(o.Self.Node, o.Bounds.Rate, now),
 		detector:    detector.New(),
-		pooler:      pooler.New(o.Bounds.Rate),
+		pooler:      pooler.New(o.Bounds.Rate, now),
 		repeats:     map[identifier.Service]*repeatBudget{},
 		splits:      map[string]*split{},
 		registrar:   registrar.New(registrar.Options{Service: o.Self.Service, Address: o.EndpointAddress}),
--- a/internal/conductor/pool_test.go
+++ b/internal/conductor/pool_test.go
@@ -196,22 +196,23 @@
 // then another node has the bucket.
 func TestBucketMovesWhenItsNodeIsGone(t *testing.T) {
 	f := newPoolFleet(t, 20, 20)
-	f.report(0)
-	f.report(500)
-	holder := f.nodes["n00"].holder("parish", 500).Node
+	for now := clock.Time(0); now <= 3500; now += 500 {
+		f.report(now)
+	}
+	holder := f.nodes["n00"].holder("parish", 3500).Node
 	f.cut = func(from, to identifier.Node) bool { return from == holder || to == holder }
 	asker := f.names[0]
 	if asker == holder {
 		asker = f.names[1]
 	}
-	assert.Assert(t, f.ask(asker, 600))
-	assert.Assert(t, !f.ask(asker, 700))
-	for now := clock.Time(1000); now <= 4000; now += 500 {
+	assert.Assert(t, f.ask(asker, 3600))
+	assert.Assert(t, !f.ask(asker, 3700))
+	for now := clock.Time(4000); now <= 7000; now += 500 {
 		f.report(now)
 	}
-	next := f.nodes[asker].holder("parish", 4000).Node
+	next := f.nodes[asker].holder("parish", 7000).Node
 	assert.Assert(t, next != holder)
-	assert.Assert(t, f.ask(asker, 4000))
+	assert.Assert(t, f.ask(asker, 7000))
 }
 
 // The bucket elsewhere is empty: the caller is refused with the time after which there is a token, and this node does not
--- a/internal/pooler/alone.go
+++ b/internal/pooler/alone.go
@@ -3,7 +3,8 @@
 // A node that can't reach a team's bucket may let its own part of the rate through: the node with the bucket leaves out the
 // parts of those that it does not hear. It notices a silence late, so the part is given out late as well, but for one
 // request of a team that was within its rate: most losses of a node last a second, and that one request is all that
-// comes of a small team meanwhile.
+// comes of a small team meanwhile. A node that has just started lets not even that one through: when all are killed at
+// once, each would find the others not yet there, and 88 of them come to more than a small team's window.
 //
 // Example: 13 requests a second, 88 nodes: one request at once, and one each 7 s from 1.5 s after the loss.
 
@@ -21,7 +22,8 @@
 	a := &b.alone
 	if !a.active || now.Sub(a.failed) > aloneMemory {
 		*a = alone{active: true, filled: now.Add(aloneDelay)}
-		if now.Sub(b.emptyUntil) > calmMemory || b.emptyUntil == 0 {
+		calm := b.emptyUntil == 0 || now.Sub(b.emptyUntil) > calmMemory
+		if calm && now.Sub(p.started) > aloneMemory {
 			a.tokens = 1
 		}
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -15,8 +15,13 @@
 )
 
 // New returns a pooler that knows no team.
-func New(t apportioner.Tolerance) *Pooler {
-	return &Pooler{tolerance: t, teams: map[identifier.Team]*pool{}, failed: map[identifier.Node]clock.Time{}}
+func New(t apportioner.Tolerance, now clock.Time) *Pooler {
+	return &Pooler{
+		tolerance: t,
+		started:   now,
+		teams:     map[identifier.Team]*pool{},
+		failed:    map[identifier.Node]clock.Time{},
+	}
 }
 
 // SetTeam takes over a team's rate and burst.
--- a/internal/pooler/pooler_test.go
+++ b/internal/pooler/pooler_test.go
@@ -16,7 +16,7 @@
 var tolerance = apportioner.Tolerance{Window: 5, Part: 0.1, Requests: 20}
 
 func newPooler(rate, burst float64) *Pooler {
-	p := New(tolerance)
+	p := New(tolerance, -60000)
 	p.SetTeam(team, rate, burst)
 	return p
 }
@@ -48,7 +48,7 @@
 			assert.Equal(t, newPooler(test.rate, test.rate).Pools(team, test.nodes), test.want)
 		})
 	}
-	assert.Assert(t, !New(tolerance).Pools("unknown", 88))
+	assert.Assert(t, !New(tolerance, -60000).Pools("unknown", 88))
 }
 
 // A bucket that was taken over holds next to nothing, and one that is asked all the time fills up to the burst: a burst
@@ -102,6 +102,11 @@
 	p = newPooler(88, 88)
 	p.Empty(team, 100, 900)
 	assert.Assert(t, !p.Alone(team, 88, 1000).Allowed)
+
+	// All nodes were killed: none may let a request of its own through for want of the others.
+	p = New(tolerance, 0)
+	p.SetTeam(team, 88, 88)
+	assert.Assert(t, !p.Alone(team, 88, 1000).Allowed)
 }
 
 // Nodes are lost and join. Only the teams whose bucket a lost node had get another one, and the buckets are spread over
--- a/internal/pooler/types.go
+++ b/internal/pooler/types.go
@@ -47,6 +47,7 @@
 // Pooler keeps the buckets of one node; it is not safe for concurrent use.
 type Pooler struct {
 	tolerance apportioner.Tolerance
+	started   clock.Time
 	teams     map[identifier.Team]*pool
 	// failed is when a node last gave no answer.
 	failed map[identifier.Node]clock.Time
