--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -99,19 +99,6 @@
 	demand float64
 }
 
-// Tolerance is by how much operators let a team's requests exceed its rate and burst, for what nodes can't know of
-// each other: in any Window, in seconds, by a part of what is allowed and some requests.
-type Tolerance struct {
-	Window   float64
-	Part     float64
-	Requests float64
-}
-
-// Excess returns how many requests over its rate and burst a team may have in a window.
-func (t Tolerance) Excess(rate, burst float64) float64 {
-	return t.Part*(rate*t.Window+burst) + t.Requests
-}
-
 // usedTolerance is the part of the tolerance by which buckets are larger than the burst. A burst that is cut in 18 holds
 // 3 requests at each node, and chance alone often brings more; the rest is left for reports that are late.
 const usedTolerance = 0.3
