--- a/internal/conductor/pool_test.go
+++ b/internal/conductor/pool_test.go
@@ -61,14 +61,18 @@
 
 // report has all nodes tell those that they can reach.
 func (f *poolFleet) report(now clock.Time) {
+	heard := map[identifier.Node][]exchanger.Report{}
 	for _, from := range f.names {
 		r := f.nodes[from].Report(now)
 		for _, to := range f.names {
 			if to != from && !f.cut(from, to) {
-				f.nodes[to].Apply(ReportsHeard{Reports: []exchanger.Report{r}}, now)
+				heard[to] = append(heard[to], r)
 			}
 		}
 	}
+	for to, reports := range heard {
+		f.nodes[to].Apply(ReportsHeard{Reports: reports}, now)
+	}
 	for _, c := range f.nodes {
 		c.Apply(Ticked{}, now)
 	}
