--- a/internal/commander/settings.go
+++ b/internal/commander/settings.go
@@ -8,7 +8,8 @@
 	"github.com/jackdawtide/jackdawtide/internal/loader"
 )
 
-// `settings check` runs the same check as `node`, so that a file can be tried before it is rolled out.
+// `settings check` runs the same check as `node`, or as `sidecar` with --sidecar, so that a file, or what a platform makes of
+// a template, can be tried before it is rolled out.
 
 type checkedSettings struct {
 	Node          string `json:"node"`
@@ -32,12 +33,43 @@
 	return err
 }
 
+type checkedSidecar struct {
+	Node          string `json:"node"`
+	FailureDomain string `json:"failureDomain"`
+	Service       string `json:"service"`
+	Endpoint      string `json:"endpoint"`
+	Outbound      string `json:"outbound"`
+	Inbound       string `json:"inbound"`
+	Store         string `json:"store"`
+	MemoryMB      int    `json:"memoryMb"`
+	Descriptors   int    `json:"descriptors"`
+	// RevokeMs and GraceMs are the bounds that are in force, defaults included.
+	RevokeMs int64 `json:"revokeMs"`
+	GraceMs  int64 `json:"graceMs"`
+}
+
+func (r checkedSidecar) writeText(w io.Writer) error {
+	_, err := fmt.Fprintf(w, `settings of node %s in failure domain %s are good
+%s at %s, outbound %s, inbound %s, store %s
+%d MB, %d descriptors, keys end after %d ms, stops take up to %d ms
+`, r.Node, r.FailureDomain, r.Service, r.Endpoint, r.Outbound, r.Inbound, r.Store, r.MemoryMB, r.Descriptors, r.RevokeMs, r.GraceMs)
+	return err
+}
+
 func addSettings(c *cli) {
 	var file string
+	var sidecar bool
 	all := c.app.Command("settings", "Check a node's settings.")
 	clause := c.add(all, "check", "Check a settings file whole, and name every fault in it.",
 		"jackdawtide settings check /etc/jackdawtide/node.toml",
 		func(context.Context) error {
+			if sidecar {
+				s, err := readSidecarSettings(file)
+				if err != nil {
+					return err
+				}
+				return c.print(checkedSidecarOf(s))
+			}
 			s, err := readSettings(file)
 			if err != nil {
 				return err
@@ -45,6 +77,23 @@
 			return c.print(checkedOf(s))
 		})
 	clause.Arg("file", "Settings file.").Required().StringVar(&file)
+	clause.Flag("sidecar", "The file is for the sidecar verb.").BoolVar(&sidecar)
+}
+
+func checkedSidecarOf(s loader.Sidecar) checkedSidecar {
+	return checkedSidecar{
+		Node:          string(s.Name),
+		FailureDomain: string(s.Domain),
+		Service:       string(s.Service),
+		Endpoint:      s.Endpoint.String(),
+		Outbound:      s.Listen.Outbound.String(),
+		Inbound:       s.Listen.Inbound.String(),
+		Store:         s.Store.String(),
+		MemoryMB:      s.MemoryMB,
+		Descriptors:   s.Descriptors,
+		RevokeMs:      int64(s.Bounds.Revoke),
+		GraceMs:       int64(s.Bounds.Grace),
+	}
 }
 
 func checkedOf(s loader.Settings) checkedSettings {
