Which node holds a pooled team's bucket hangs on reports alone

A histogram showed twice the rate for 1.6 s after an endpoint's leaving and for 1.3 s after a pause. Cause: nodes turned to another bucket as soon as their own probes failed, each at its own moment, and a node whose endpoint leaves went on as the holder for itself while the others had left it.

Holders are now the reporting nodes that do not stop; a node that can't reach the holder lets its own part through, as before the probes.

--- a/internal/conductor/pool.go
+++ b/internal/conductor/pool.go
@@ -18,15 +18,17 @@
 	return c.pooler.Pools(team, len(c.members))
 }
 
-// holder returns the node with a team's bucket: the first in the team's order of those that are heard and stay. A node
-// that asks another one than its peers do finds a bucket that is nearly empty.
+// holder returns the node with a team's bucket: the first in the team's order of those that report and stay. All nodes must
+// find the same one, or two buckets give out the rate side by side. So it hangs only on what all hear within half a
+// second by the reports: not on what this node finds out about others by itself, and not on an endpoint's leaving, which
+// its own node knows first.
 func (c *Conductor) holder(team identifier.Team, now clock.Time) exchanger.Member {
 	best, weight := c.self, uint64(0)
 	if !c.stopping {
 		weight = pooler.Weight(team, c.self.Node)
 	}
 	for node, m := range c.members {
-		if node == c.self.Node || m.State == exchanger.Leaving || m.State == exchanger.Stopping {
+		if node == c.self.Node || m.State == exchanger.Stopping {
 			continue
 		}
 		if w := pooler.Weight(team, node); w > weight && c.hears(node, now) {
@@ -36,11 +38,8 @@
 	return best
 }
 
-// hears tells whether a member can be reached and reports, or has only just become known.
+// hears tells whether a member reports, or has only just become known.
 func (c *Conductor) hears(node identifier.Node, now clock.Time) bool {
-	if c.detector.Lost(node) {
-		return false
-	}
 	age, heard := c.table.Age(node, now)
 	if !heard {
 		age = now.Sub(c.learned[node])
--- a/internal/conductor/pool_test.go
+++ b/internal/conductor/pool_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
+	"github.com/jackdawtide/jackdawtide/internal/registrar"
 )
 
 // poolFleet is some conductors that exchange reports and ask each other for tokens, without delay.
@@ -250,3 +251,55 @@
 	one[Refuse](t, c.Apply(AttemptEnded{ID: 1, Outcome: Full}, 3))
 	assert.Equal(t, one[Draw](t, c.Apply(arrival(2, "/obs/x"), 10)).Back, 1)
 }
+
+// The node with a greedy team's bucket stands still for a second and a half, or its endpoint leaves. The nodes find out at
+// different moments, and if some turn to another node at once, two buckets give out the rate side by side: with real
+// processes 157 requests ran in 5 s where 152 are allowed, and the other teams waited behind them.
+func TestRateHoldsWhileTheBucketsNodeIsInTrouble(t *testing.T) {
+	const rate = 20.0
+	f := newPoolFleet(t, 6, rate)
+	holder := f.nodes["n00"].holder("parish", 0).Node
+	random := rand.New(rand.NewPCG(3, 8))
+	var passed []clock.Time
+	for now := clock.Time(0); now < 16000; now++ {
+		stands := now >= 9000 && now < 10500
+		f.cut = func(from, to identifier.Node) bool { return stands && (from == holder || to == holder) }
+		if now%500 == 0 {
+			f.report(now)
+		}
+		switch now {
+		case 6000:
+			f.leave(holder, now)
+		case 9550:
+			for _, name := range f.names {
+				if name != holder {
+					f.nodes[name].Apply(Probed{Node: holder}, now)
+				}
+			}
+		}
+		if random.Float64() >= 6*rate/1000 {
+			continue
+		}
+		// Nobody asks at a node that stands still.
+		if at := f.names[random.IntN(len(f.names))]; (at != holder || !stands) && f.ask(at, now) {
+			passed = append(passed, now)
+		}
+	}
+	most, first := 0, 0
+	for last := range passed {
+		for passed[last].Sub(passed[first]) >= 5*clock.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	t.Logf("%d requests in 5 s", most)
+	assert.Assert(t, float64(most) <= (rate*5+rate)*1.1+20, "%d requests in 5 s", most)
+}
+
+// leave has the endpoint beside a node say that it leaves.
+func (f *poolFleet) leave(node identifier.Node, now clock.Time) {
+	c := f.nodes[node]
+	c.Apply(EndpointAnnounced{Announcement: registrar.Announcement{
+		Endpoint: c.self.Endpoint, Service: c.self.Service, Address: "e", Slots: 10, Started: 1, Sequence: 99, Leaving: true,
+	}}, now)
+}
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -249,7 +249,8 @@
 				first++
 			}
 			if count := last - first + 1; float64(count) > allowed {
-				found = append(found, Breach{"rateExceeded", fmt.Sprintf("%d requests of %s ran in %s, %.0f allowed", count, team, t.Window, allowed)})
+				found = append(found, Breach{"rateExceeded", fmt.Sprintf("%d requests of %s ran in the %s to %s, %.0f allowed",
+					count, team, t.Window, at[last].UTC().Format("15:04:05.000"), allowed)})
 				break
 			}
 		}
