A doubt that a probe has settled costs no more probes

Seen in reading the change: a doubt counted as an attempt that never ends, so that each pair of nodes that had once failed each other would probe every 1.5 s for good. Test: TestSettledDoubtCostsNothing, failing before.

--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -47,6 +47,8 @@
 	// open counts the attempts under way, since is from when the node has said nothing to them.
 	open  int
 	since clock.Time
+	// doubted tells that the node gave no answer where it should have.
+	doubted bool
 	// next is when the node may be probed again, pause how long that was set for after the last probe in vain.
 	next    clock.Time
 	pause   clock.Duration
@@ -113,7 +115,7 @@
 	if !ok {
 		return
 	}
-	w.since, w.lost, w.pause = now, false, 0
+	w.since, w.lost, w.doubted, w.pause = now, false, false, 0
 	in := d.domains[w.domain]
 	in.heard, in.known, in.lost = now, true, false
 }
@@ -121,9 +123,8 @@
 // Doubt notes that a node gave no answer where it should have: it is probed at once.
 func (d *Detector) Doubt(node identifier.Node, now clock.Time) {
 	if w, ok := d.nodes[node]; ok && !w.lost {
-		w.since = min(w.since, now.Add(-silentFor))
+		w.doubted = true
 		w.next = min(w.next, now)
-		w.open = max(1, w.open)
 	}
 }
 
@@ -138,7 +139,7 @@
 	var due []identifier.Node
 	for node, w := range d.nodes {
 		silent := w.open > 0 && now.Sub(w.since) >= silentFor
-		if w.probing || now < w.next || !silent && !w.lost {
+		if w.probing || now < w.next || !silent && !w.lost && !w.doubted {
 			continue
 		}
 		w.probing = true
@@ -154,7 +155,7 @@
 	if !ok {
 		return nil
 	}
-	w.probing = false
+	w.probing, w.doubted = false, false
 	if reached {
 		w.next = now.Add(wellPause)
 		d.Word(node, now)
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -96,6 +96,18 @@
 	assert.Assert(t, !d.Lost("e1"))
 }
 
+// After a doubt that a probe has settled, nothing more is owed: with 88 nodes that had once failed each other, a probe of each
+// pair every second and a half would go on for good.
+func TestSettledDoubtCostsNothing(t *testing.T) {
+	d := watching()
+	d.Doubt("e1", 5000)
+	assert.DeepEqual(t, d.Tick(5000), []identifier.Node{"e1"})
+	d.Probed("e1", true, 5003)
+	for now := clock.Time(5003); now < 20000; now += 25 {
+		assert.Equal(t, len(d.Tick(now)), 0)
+	}
+}
+
 func BenchmarkAttempt(b *testing.B) {
 	d := watching()
 	for i := range b.N {
