--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -55,16 +55,30 @@
 	portTries = 50
 )
 
-// freeAddress returns an address on which nothing listens.
+// handedOut holds the ports that this process has given to nodes. A node listens on its ports some time after they were
+// found free, and two nodes that were given the same one fight for it: one run in twenty ended so.
+var handedOut = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
+
+// freeAddress returns an address on which nothing listens, and which no other node was given.
 func freeAddress() (string, error) {
+	handedOut.Lock()
+	defer handedOut.Unlock()
 	var last error
 	for range portTries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		port := firstPort + rand.IntN(ports)
+		if handedOut.ports[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			last = err
 			continue
 		}
 		defer func() { _ = l.Close() }()
+		handedOut.ports[port] = true
 		return l.Addr().String(), nil
 	}
 	return "", fmt.Errorf("find a free port: %w", last)
