Reports of others take 23 us to take in instead of 1.4 ms

For each of 87 reports a node reckoned its parts of all 87 teams' rates, two to five times a second at each of 88 nodes: 1,402 us and 308 kB a time (BenchmarkHear). Nodes without a demand share one table now: 23 us and 8 kB. Same parts, same sums (TestSilentNodeKeepsItsPartOfEachTeam and the tests of cuts).

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -71,8 +71,9 @@
 	demand map[identifier.Team]float64
 	// made is when the report was made, by this node's clock.
 	made clock.Time
-	// parts are the peer's parts of the rates at that time.
-	parts map[identifier.Team]float64
+	// parts are the peer's parts, at that time, of the rates of the teams that it has a demand of; idle are those of all
+	// teams for a node without any demand.
+	parts, idle map[identifier.Team]float64
 }
 
 func (p peer) isSilent(now clock.Time) bool {
@@ -149,18 +150,28 @@
 	}
 	a.heard = now
 	a.sum(now)
-	// Only now is known what all of them together ask for.
+	// Only now is known what all of them together ask for. Most nodes have no demand of most teams, and share one table of
+	// parts: with one each, 87 reports with 87 teams took 1.4 ms and 308 kB, two to five times a second at each node.
+	idle := make(map[identifier.Team]float64, len(a.teams))
+	for name, b := range a.teams {
+		idle[name] = a.partOf(b, 0)
+	}
 	for _, r := range reports {
-		p, ok := a.peers[r.Node]
-		if !ok {
-			continue
+		if p, ok := a.peers[r.Node]; ok {
+			p.parts, p.idle = a.partsOf(p.demand), idle
+			a.peers[r.Node] = p
 		}
-		p.parts = make(map[identifier.Team]float64, len(a.teams))
-		for name, b := range a.teams {
-			p.parts[name] = a.partOf(b, p.demand[name])
+	}
+}
+
+func (a *Apportioner) partsOf(demand map[identifier.Team]float64) map[identifier.Team]float64 {
+	parts := make(map[identifier.Team]float64, len(demand))
+	for name, d := range demand {
+		if b, ok := a.teams[name]; ok {
+			parts[name] = a.partOf(b, d)
 		}
-		a.peers[r.Node] = p
 	}
+	return parts
 }
 
 // Forget drops a node that has stopped as planned: it lets nothing through any more.
@@ -214,7 +225,10 @@
 	if !silent {
 		return
 	}
-	for name, part := range p.parts {
+	for name, part := range p.idle {
+		if own, ok := p.parts[name]; ok {
+			part = own
+		}
 		if b, ok := a.teams[name]; ok {
 			b.reserved += part
 		}
--- a/internal/apportioner/apportioner_test.go
+++ b/internal/apportioner/apportioner_test.go
@@ -325,3 +325,61 @@
 		})
 	}
 }
+
+// A silent node keeps the part that it had of each team's rate: by its demand where it had any, an idle node's where not. What
+// it is kept must not hang on how the parts are held.
+func TestSilentNodeKeepsItsPartOfEachTeam(t *testing.T) {
+	a := New("n0", tolerance, 0)
+	a.SetNodes(3)
+	teams := []identifier.Team{"busy", "idle"}
+	for _, name := range teams {
+		a.SetTeam(name, 100, 100, 0)
+	}
+	a.Hear([]Heard{
+		{Node: "n1", Demand: map[identifier.Team]float64{"busy": 60}, Made: 5000},
+		{Node: "n2", Demand: map[identifier.Team]float64{"busy": 20}, Made: 5000},
+	}, 5000)
+	want := map[identifier.Team]float64{}
+	for _, name := range teams {
+		b := a.teams[name]
+		want[name] = a.partOf(b, a.peers["n1"].demand[name]) + a.partOf(b, a.peers["n2"].demand[name])
+	}
+	a.Tick(7000)
+	assert.Equal(t, a.silent, 2)
+	for _, name := range teams {
+		assert.Equal(t, a.teams[name].reserved, min(mostReserved, want[name]), "%s", name)
+	}
+	assert.Assert(t, a.teams["busy"].reserved > a.teams["idle"].reserved)
+}
+
+// BenchmarkHear takes in what 87 other nodes report, with 87 teams known, as each of 88 nodes does two to five times a second.
+// With a table of parts for each node it took 1,402 us and 308 kB, with one for all idle nodes 23 us and 8 kB.
+func BenchmarkHear(b *testing.B) {
+	a := New("n0", tolerance, 0)
+	a.SetNodes(88)
+	for i := range 87 {
+		a.SetTeam(identifier.Team(fmt.Sprint("team-", i)), 20, 20, 0)
+	}
+	var reports []Heard
+	for i := 1; i < 88; i++ {
+		reports = append(reports, Heard{Node: nodeName(i)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Hear(reports, 1000)
+	}
+}
+
+// BenchmarkTick is what passes every 25 ms at each node.
+func BenchmarkTick(b *testing.B) {
+	a := New("n0", tolerance, 0)
+	a.SetNodes(88)
+	for i := range 87 {
+		a.SetTeam(identifier.Team(fmt.Sprint("team-", i)), 20, 20, 0)
+	}
+	now := clock.Time(0)
+	for b.Loop() {
+		now += 25
+		a.Tick(now)
+	}
+}
