Bytes between failure domains are counted by cause and reason

The router says why it picked elsewhere, a request's bytes are counted on its connection, and metrics and a log line give both.

--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
+	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
 // Effect is something to be done.
@@ -31,6 +32,8 @@
 	Team    identifier.Team
 	// Back are tokens to be given back with the question.
 	Back int
+	// Crosses tells that the node is in another failure domain.
+	Crosses bool
 }
 
 // Give answers another node's question for a token.
@@ -77,6 +80,8 @@
 	Due        clock.Time
 	Route      string
 	Version    identifier.Version
+	// Crossing is why the request leaves this node's failure domain.
+	Crossing router.Crossing
 }
 
 // Reply passes the endpoint's answer on.
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -243,6 +243,7 @@
 		Due:        r.due(),
 		Route:      r.route.Name,
 		Version:    r.version,
+		Crossing:   endpoint.Crossing,
 	})
 }
 
--- a/internal/conductor/pool.go
+++ b/internal/conductor/pool.go
@@ -62,7 +62,14 @@
 		return c.granted(r, c.pooler.Alone(team, len(c.members), now))
 	}
 	c.calls[r.id] = r
-	c.emit(Draw{ID: r.id, Node: holder.Node, Address: holder.Peer, Team: team, Back: c.pooler.TakeUnused(team)})
+	c.emit(Draw{
+		ID:      r.id,
+		Node:    holder.Node,
+		Address: holder.Peer,
+		Team:    team,
+		Back:    c.pooler.TakeUnused(team),
+		Crosses: holder.Domain != c.self.Domain,
+	})
 	return false
 }
 
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -22,6 +22,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
@@ -91,7 +92,7 @@
 	limited, cancel := context.WithTimeout(ctx, exchangeTimeout.Std())
 	defer cancel()
 	node := asking.Member.Node
-	answer, proof, err := n.ask(limited, asking.Member.Peer, asking.Question)
+	answer, proof, err := n.ask(limited, asking.Member, asking.Question)
 	if err != nil {
 		n.recorder.Dependency("reports", err)
 		n.relayer.Tell(conductor.PeerFailed{Node: node, Sought: asking.Seeks})
@@ -107,7 +108,7 @@
 // ask exchanges reports, and returns the other node's proof of its configuration if it has one.
 func (n *node) ask(
 	ctx context.Context,
-	address string,
+	member exchanger.Member,
 	question exchanger.Question,
 ) (exchanger.Answer, *conductor.ProofHeard, error) {
 	body, err := exchanger.EncodeQuestion(question)
@@ -115,7 +116,7 @@
 		return exchanger.Answer{}, nil, err
 	}
 	asked := clock.Boot{}.Now()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/reports", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+member.Peer+"/reports", bytes.NewReader(body))
 	if err != nil {
 		return exchanger.Answer{}, nil, err
 	}
@@ -128,6 +129,9 @@
 	if err != nil {
 		return exchanger.Answer{}, nil, fmt.Errorf("read reports: %w", err)
 	}
+	if member.Domain != n.options.Settings.Domain {
+		n.recorder.Crossed(recorder.Crossing{Cause: "report", Reason: "asked", Sent: int64(len(body)), Received: int64(len(data))})
+	}
 	answer, err := exchanger.DecodeAnswer(data)
 	if err != nil {
 		return exchanger.Answer{}, nil, err
--- a/internal/recorder/metrics.go
+++ b/internal/recorder/metrics.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,14 +34,37 @@
 }
 
 func (m *meters) count(name, label, value string) {
+	m.add(name, 1, label, value)
+}
+
+// add adds to a counter with labels, which are given as names and values in turn.
+func (m *meters) add(name string, n int64, labels ...string) {
+	key := counterKey(name, labels)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c, ok := m.counters[name+value]
+	c, ok := m.counters[key]
 	if !ok {
-		c = m.set.GetOrCreateCounter(fmt.Sprintf("jackdawtide_%s_total{%s=%q}", name, label, value))
-		m.counters[name+value] = c
+		c = m.set.GetOrCreateCounter(counterName(name, labels))
+		m.counters[key] = c
 	}
-	c.Inc()
+	c.AddInt64(n)
+}
+
+// counterKey holds the labels' values, which tell counters of one name apart.
+func counterKey(name string, labels []string) string {
+	key := name + "{"
+	for i := 1; i < len(labels); i += 2 {
+		key += labels[i] + " "
+	}
+	return strings.TrimSuffix(key, " ")
+}
+
+func counterName(name string, labels []string) string {
+	pairs := make([]string, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", labels[i], labels[i+1]))
+	}
+	return fmt.Sprintf("jackdawtide_%s_total{%s}", name, strings.Join(pairs, ","))
 }
 
 func (m *meters) time(name, label, value string, d clock.Duration) {
@@ -54,6 +78,19 @@
 	h.Update(float64(d) / float64(clock.Second))
 }
 
+// counts returns the values of a counter by its labels' values.
+func (m *meters) counts(name string) map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := map[string]uint64{}
+	for key, c := range m.counters {
+		if labels, ok := strings.CutPrefix(key, name+"{"); ok {
+			counts[labels] = c.Get()
+		}
+	}
+	return counts
+}
+
 // Gauge adds a figure that is read when metrics are.
 func (r *Recorder) Gauge(name string, read func() float64) {
 	r.meters.set.GetOrCreateGauge("jackdawtide_"+name, read)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -132,6 +132,27 @@
 		"outcome", e.Outcome, "status", e.Status, "tookMs", int64(e.Took), "leftOut", leftOut)
 }
 
+// Crossing is one exchange with a node of another failure domain.
+type Crossing struct {
+	// Cause is what the bytes are for, Reason why they leave the domain.
+	Cause, Reason  string
+	Sent, Received int64
+}
+
+// Crossed counts the bytes of an exchange with another failure domain.
+func (r *Recorder) Crossed(e Crossing) {
+	r.meters.add("crossings", 1, "cause", e.Cause, "reason", e.Reason)
+	r.meters.add("crossing_bytes", e.Sent, "cause", e.Cause, "reason", e.Reason, "direction", "sent")
+	r.meters.add("crossing_bytes", e.Received, "cause", e.Cause, "reason", e.Reason, "direction", "received")
+}
+
+// Crossings logs what has crossed so far: how often, and how many bytes, by cause and reason.
+func (r *Recorder) Crossings() {
+	if times := r.meters.counts("crossings"); len(times) > 0 {
+		r.Event("crossings", "times", times, "bytes", r.meters.counts("crossing_bytes"))
+	}
+}
+
 // Drawn counts a token that another node was asked for, by how that ended.
 func (r *Recorder) Drawn(outcome string, took clock.Duration) {
 	r.meters.time("tokens", "outcome", outcome, took)
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -127,3 +127,31 @@
 	assert.Assert(t, strings.Contains(b.String(), `jackdawtide_refused_total{reason="noRoom"} 1000`))
 	assert.Assert(t, strings.Count(b.String(), "\n") < 40, b.String())
 }
+
+// Bytes between failure domains have become the largest cost of a fleet, and nobody can say what they are. The
+// engineer finds each by its cause and its reason, in the metrics and in the log.
+func TestCrossingsAreToldByCauseAndReason(t *testing.T) {
+	o := &output{}
+	now := clock.Time(5000)
+	r := New(o, "n", at(&now))
+	r.Crossed(Crossing{Cause: "nested", Reason: "nearFull", Sent: 410, Received: 690})
+	r.Crossed(Crossing{Cause: "nested", Reason: "nearFull", Sent: 400, Received: 600})
+	r.Crossed(Crossing{Cause: "report", Reason: "asked", Sent: 80, Received: 900})
+	var metrics bytes.Buffer
+	r.WriteMetrics(&metrics)
+	for _, line := range []string{
+		`jackdawtide_crossings_total{cause="nested",reason="nearFull"} 2`,
+		`jackdawtide_crossing_bytes_total{cause="nested",reason="nearFull",direction="sent"} 810`,
+		`jackdawtide_crossing_bytes_total{cause="report",reason="asked",direction="received"} 900`,
+	} {
+		assert.Assert(t, strings.Contains(metrics.String(), line), line)
+	}
+	r.Crossings()
+	time.Sleep(100 * time.Millisecond)
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(o.lines()[0]), &line))
+	assert.DeepEqual(t, line["times"], map[string]any{"nested nearFull": 2.0, "report asked": 1.0})
+	assert.DeepEqual(t, line["bytes"], map[string]any{
+		"nested nearFull sent": 810.0, "nested nearFull received": 1290.0, "report asked sent": 80.0, "report asked received": 900.0,
+	})
+}
--- /dev/null
+++ b/internal/relayer/crossing.go
@@ -0,0 +1,56 @@
+package relayer
+
+// Bytes between failure domains cost their operators more than those within one, and they delay calls. Each byte that
+// leaves the domain for a request is counted by what it is for and why it was sent elsewhere.
+//
+// Example: a nested call goes elsewhere since the endpoint here is full: 410 bytes sent, 690 received.
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/recorder"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
+	"github.com/jackdawtide/jackdawtide/internal/router"
+)
+
+// countCrossing has the bytes of an attempt counted if it leaves the failure domain; the result is called at its end.
+func (r *Relayer) countCrossing(s conductor.Send, out *requester.Request) func() {
+	if s.Crossing == router.Inside {
+		return func() {}
+	}
+	out.Traffic = &requester.Traffic{}
+	return func() {
+		r.options.Recorder.Crossed(recorder.Crossing{
+			Cause:    crossingCause(s),
+			Reason:   string(s.Crossing),
+			Sent:     out.Traffic.Sent.Load(),
+			Received: out.Traffic.Received.Load(),
+		})
+	}
+}
+
+// countQuestion is countCrossing for a question for a token.
+func (r *Relayer) countQuestion(d conductor.Draw, question *requester.Request) func() {
+	if !d.Crosses {
+		return func() {}
+	}
+	question.Traffic = &requester.Traffic{}
+	return func() {
+		r.options.Recorder.Crossed(recorder.Crossing{
+			Cause:    "token",
+			Reason:   "bucketElsewhere",
+			Sent:     question.Traffic.Sent.Load(),
+			Received: question.Traffic.Received.Load(),
+		})
+	}
+}
+
+func crossingCause(s conductor.Send) string {
+	switch {
+	case s.Repeat:
+		return "repeat"
+	case s.Nested:
+		return "nested"
+	default:
+		return "root"
+	}
+}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -180,9 +180,11 @@
 		out.Header[againField] = []string{"1"}
 	}
 	out.Hesitant = body.streamed()
+	count := r.countCrossing(s, out)
 	asked := r.options.Boot.Now()
 	response, err := r.peers.Do(ctx, s.Address, out)
 	if err != nil {
+		count()
 		return r.peerFailed(ctx, s, err)
 	}
 	headroom, err := strconv.ParseUint(response.Header.Get(headroomField), 10, 8)
@@ -193,6 +195,7 @@
 	r.learnProof(response.Header, asked)
 	if name := response.Header.Get(outcomeField); name != "" {
 		response.Close(drain(response))
+		count()
 		a := failed(conductor.ParseOutcome(name), "")
 		a.headroom, a.wait = uint8(headroom), wait
 		return a
@@ -202,7 +205,10 @@
 		outcome:  conductor.Answered,
 		headroom: uint8(headroom),
 		wait:     wait,
-		finish:   response.Close,
+		finish: func(whole bool) {
+			response.Close(whole)
+			count()
+		},
 	}
 }
 
--- a/internal/relayer/tokens.go
+++ b/internal/relayer/tokens.go
@@ -58,6 +58,7 @@
 		Host:   d.Address,
 		Header: http.Header{teamField: {string(d.Team)}},
 	}
+	defer r.countQuestion(d, question)()
 	if d.Back > 0 {
 		question.Header[backField] = []string{strconv.Itoa(d.Back)}
 	}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.traffic.Store(r.Traffic)
 	stop := context.AfterFunc(ctx, n.abort)
 	response, err := c.exchange(n, r)
 	if err != nil {
@@ -92,13 +93,10 @@
 		return nil, DialError{Address: address, Cause: err}
 	}
 	c.options.Connections.Add(1)
-	return &conn{
-		Conn:    opened,
-		count:   c.options.Connections,
-		reader:  bufio.NewReaderSize(opened, readBuffer),
-		writer:  bufio.NewWriterSize(opened, writeBuffer),
-		address: address,
-	}, nil
+	n := &conn{Conn: opened, count: c.options.Connections, address: address}
+	n.reader = bufio.NewReaderSize(n, readBuffer)
+	n.writer = bufio.NewWriterSize(n, writeBuffer)
+	return n, nil
 }
 
 func (c *Client) exchange(n *conn, r *Request) (*Response, error) {
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -35,10 +35,30 @@
 	reused bool
 	count  *Connections
 	closed atomic.Bool
+	// traffic counts the bytes of the request under way, nil for none.
+	traffic atomic.Pointer[Traffic]
 	// bodyFailed is set where the body of the request under way could not be read.
 	bodyFailed atomic.Pointer[BodyError]
 }
 
+// Read reads from the connection and counts what came.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if t := c.traffic.Load(); t != nil {
+		t.Received.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write writes to the connection and counts what went.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if t := c.traffic.Load(); t != nil {
+		t.Sent.Add(int64(n))
+	}
+	return n, err
+}
+
 // Close closes the connection, and counts that once.
 func (c *conn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
@@ -25,10 +26,17 @@
 	Length int64
 	// Hesitant tells to send the body only when the other side asks for it, so that a refusal leaves it unread.
 	Hesitant bool
+	// Traffic takes the bytes that the request and its answer have on the wire; nil counts none.
+	Traffic *Traffic
 	// Mine tells whether an answer belongs to this request; another one is read and dropped. Nil takes any.
 	Mine func(http.Header) bool
 }
 
+// Traffic is what one request has sent and received, heads and bodies, under the connection's own framing.
+type Traffic struct {
+	Sent, Received atomic.Int64
+}
+
 // Options set a client up.
 type Options struct {
 	// DialTimeout bounds the opening of a connection.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,7 +77,8 @@
 
 // Pick chooses an endpoint that is not excluded and counts the call as in flight there.
 func (r *Router) Pick(name identifier.Service, now clock.Time, exclude []identifier.Endpoint) (Endpoint, bool) {
-	return r.PickWithin(name, now, exclude, 0)
+	choice, ok := r.PickWithin(name, now, exclude, 0)
+	return choice.Endpoint, ok
 }
 
 // PickWithin is Pick for a call whose answer is due within a time; 0 is no such time.
@@ -86,18 +87,21 @@
 	now clock.Time,
 	exclude []identifier.Endpoint,
 	within clock.Duration,
-) (Endpoint, bool) {
+) (Choice, bool) {
 	s, ok := r.services[name]
 	if !ok {
-		return Endpoint{}, false
+		return Choice{}, false
 	}
-	m := r.choose(s, request{now: now, exclude: exclude, within: within})
+	m, crossing := r.choose(s, request{now: now, exclude: exclude, within: within})
 	if m == nil {
-		return Endpoint{}, false
+		return Choice{}, false
 	}
 	m.inFlight++
 	r.place(m)
-	return m.endpoint, true
+	if m.endpoint.Domain == r.options.Domain {
+		crossing = Inside
+	}
+	return Choice{Endpoint: m.endpoint, Crossing: crossing}, true
 }
 
 const (
@@ -115,26 +119,31 @@
 	within  clock.Duration
 }
 
-func (r *Router) choose(s *service, q request) *member {
+// choose returns an endpoint, and why it would be one elsewhere.
+func (r *Router) choose(s *service, q request) (*member, Crossing) {
 	if m := r.probe(s, q.now, q.exclude); m != nil {
-		return m
+		return m, Probing
 	}
 	near := r.draw(&s.near, q)
-	if near != nil && near.score(q.now, r.options) < spillScore && near.lateness(q.within) == 0 {
-		return near
+	reason := NearFull
+	if near != nil && near.score(q.now, r.options) < spillScore {
+		reason = NearSlow
+		if near.lateness(q.within) == 0 {
+			return near, Inside
+		}
 	}
 	far := r.draw(&s.far, q)
 	switch {
 	case near == nil && far == nil:
-		return r.lastResort(s, q)
+		return r.lastResort(s, q), NoneSound
 	case near == nil:
-		return far
+		return far, NoneNear
 	case far == nil:
-		return near
+		return near, Inside
 	case r.cost(far, q)+farCost < r.cost(near, q):
-		return far
+		return far, reason
 	default:
-		return near
+		return near, Inside
 	}
 }
 
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -41,6 +41,29 @@
 	State           State
 }
 
+// Crossing is why a call leaves the own failure domain; Inside where it does not.
+type Crossing string
+
+// The reasons to leave the own failure domain.
+const (
+	Inside Crossing = ""
+	// NoneNear tells that no usable endpoint is in the own failure domain.
+	NoneNear Crossing = "noneNear"
+	// NearFull tells that the endpoints there have no headroom, NearSlow that their slow runs would be late.
+	NearFull Crossing = "nearFull"
+	NearSlow Crossing = "nearSlow"
+	// Probing tells that an ejected endpoint is tried again.
+	Probing Crossing = "probing"
+	// NoneSound tells that only endpoints in doubt are left.
+	NoneSound Crossing = "noneSound"
+)
+
+// Choice is a picked endpoint, and why it is elsewhere if it is.
+type Choice struct {
+	Endpoint
+	Crossing Crossing
+}
+
 // Outcome is how a call to an endpoint ended, as the caller's node sees it.
 type Outcome uint8
 
