--- /dev/null
+++ b/internal/router/load_test.go
@@ -0,0 +1,165 @@
+package router
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// played is an endpoint with slots and a queue, in front of which calls wait.
+type played struct {
+	Endpoint
+	running int
+	waiting []*playedCall
+}
+
+type playedCall struct {
+	at             *played
+	arrived, begun float64
+	ends           float64
+	own            bool
+}
+
+// ends orders calls by the time at which they end.
+type ends []*playedCall
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].ends < e[j].ends }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(*playedCall)) }
+func (e *ends) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// play is one node's calls to an endpoint in its own failure domain and one elsewhere, which others load as well.
+type play struct {
+	router    *Router
+	random    *rand.Rand
+	endpoints map[identifier.Endpoint]*played
+	under     ends
+	waits     []float64
+	crossed   int
+}
+
+const (
+	playedSlots = 26
+	playedRun   = 22.0
+)
+
+func newPlay() *play {
+	p := &play{
+		router:    New(Options{Domain: "a", Rand: rand.New(rand.NewPCG(3, 4))}),
+		random:    rand.New(rand.NewPCG(5, 6)),
+		endpoints: map[identifier.Endpoint]*played{},
+	}
+	for _, domain := range []identifier.FailureDomain{"a", "b"} {
+		e := Endpoint{ID: identifier.Endpoint("in-" + domain), Service: ice, Domain: domain, Slots: playedSlots, State: Ready}
+		p.endpoints[e.ID] = &played{Endpoint: e}
+		p.router.Put(e, 0)
+	}
+	return p
+}
+
+func (p *play) start(c *playedCall, now float64) {
+	c.begun, c.ends = now, now+playedRun*p.random.ExpFloat64()
+	c.at.running++
+	heap.Push(&p.under, c)
+}
+
+func (p *play) arrive(e *played, own bool, now float64) {
+	c := &playedCall{at: e, arrived: now, own: own}
+	if e.running < playedSlots {
+		p.start(c, now)
+		return
+	}
+	e.waiting = append(e.waiting, c)
+}
+
+func (p *play) end(c *playedCall) {
+	e := c.at
+	e.running--
+	if len(e.waiting) > 0 {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		p.start(next, c.ends)
+	}
+	if !c.own {
+		return
+	}
+	p.waits = append(p.waits, c.begun-c.arrived)
+	free := max(0, playedSlots-e.running-len(e.waiting))
+	p.router.Done(e.ID, Result{
+		Headroom: uint8(math.MaxUint8 * free / playedSlots),
+		Wait:     clock.Duration(float64(len(e.waiting)) * playedRun / playedSlots),
+		Latency:  clock.Duration(c.ends - c.arrived),
+	}, clock.Time(c.ends))
+}
+
+// run plays ten seconds in which this node's calls would use a part of the near endpoint, and others' a part of the far one.
+func (p *play) run(near, far float64) {
+	gap := func(use float64) float64 { return p.random.ExpFloat64() * playedRun / (playedSlots * use) }
+	nextOwn, nextOther := gap(near), gap(far)
+	for now := 0.0; now < 10_000; {
+		now = min(nextOwn, nextOther)
+		for len(p.under) > 0 && p.under[0].ends <= now {
+			p.end(heap.Pop(&p.under).(*playedCall))
+		}
+		if nextOther < nextOwn {
+			p.arrive(p.endpoints["in-b"], false, now)
+			nextOther += gap(far)
+			continue
+		}
+		nextOwn += gap(near)
+		e, ok := p.router.PickWithin(ice, clock.Time(now), nil, 300)
+		if !ok {
+			continue
+		}
+		if e.Crossing != Inside {
+			p.crossed++
+		}
+		p.arrive(p.endpoints[e.ID], true, now)
+	}
+}
+
+// One node makes nearly all calls to the only endpoint of its failure domain, as a backend server does whose runs need
+// it. While that endpoint has free slots, nothing is gained elsewhere: each call that leaves costs a round trip between
+// domains and their operators the bytes. When it has not, callers would wait in its queue though others have room.
+func TestCallsLeaveABusyDomainOnlyForWhatItCannotTake(t *testing.T) {
+	for name, c := range map[string]struct {
+		near, far     float64
+		least, most   float64
+		longestOfMost clock.Duration
+	}{
+		"half used":               {near: 0.5, far: 0.3, most: 0.002, longestOfMost: 5},
+		// At this use one call in eleven would find all slots taken if none left.
+		"well used":               {near: 0.75, far: 0.3, most: 0.09, longestOfMost: 10},
+		"more than it can take":   {near: 1.3, far: 0.3, least: 0.2, most: 0.6, longestOfMost: 60},
+		"as full as the other":    {near: 0.95, far: 0.95, most: 0.25, longestOfMost: 150},
+		"the other is the fuller": {near: 0.9, far: 0.99, most: 0.15, longestOfMost: 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlay()
+			p.run(c.near, c.far)
+			crossed := float64(p.crossed) / float64(len(p.waits))
+			long := 0
+			for _, wait := range p.waits {
+				if wait > float64(c.longestOfMost) {
+					long++
+				}
+			}
+			told := fmt.Sprintf("%.3f of %d calls went elsewhere, %d waited longer than %d ms", crossed, len(p.waits), long, c.longestOfMost)
+			assert.Assert(t, crossed >= c.least && crossed <= c.most, told)
+			assert.Assert(t, long <= len(p.waits)/20, told)
+			t.Log(told)
+		})
+	}
+}
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -24,6 +24,8 @@
 	headroom uint8
 	wait     clock.Duration
 	measured clock.Time
+	// measuredOwn is how many of this node's calls were in flight when the headroom was measured.
+	measuredOwn int
 	known    bool
 	refused  float64
 	latency  float64
@@ -41,11 +43,22 @@
 // and without it a fifth of the urgent calls would go to the one slow VM of five and time out there.
 func (m *member) score(now clock.Time, o Options) float64 {
 	slots := float64(max(m.endpoint.Slots, 1)) * m.warmth(now, o)
-	own := float64(m.inFlight) / slots
+	own := m.unmeasured(now, o) / slots
 	slow := max(0, m.slowness(now, o)-ordinarySlowness)
 	return own + m.used(now, o) + slowCost*slow + refusedCost*m.refusals(now, o)
 }
 
+// unmeasured is how many of this node's own calls the measured use does not hold: those that were sent since. Counted with
+// all that are in flight, a node that sends most of an endpoint's calls would take it for full at half of its slots.
+func (m *member) unmeasured(now clock.Time, o Options) float64 {
+	if !m.known {
+		return float64(m.inFlight)
+	}
+	age := float64(now.Sub(m.measured)) / float64(o.HeadroomAge)
+	held := float64(m.measuredOwn) * (1 - min(1, max(0, age)))
+	return max(0, float64(m.inFlight)-held)
+}
+
 const (
 	// tail is how many times its mean a slow run takes: of some 30 runs seen at each of three endpoints on a calm day, with
 	// medians of 17, 20 and 49 ms, the slowest took twice that; as much again is left for the nested calls of a run.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -106,10 +106,10 @@
 
 const (
 	// spillScore is the score from which the own failure domain counts as having no headroom.
-	spillScore = 0.9
+	spillScore = 0.98
 	// farCost is by how much an endpoint elsewhere must be better: without it, half of all calls would cross
 	// failure domains whenever every endpoint is full.
-	farCost = 0.1
+	farCost = 0.3
 )
 
 // request is what a pick is for.
@@ -204,7 +204,7 @@
 	m.inFlight = max(0, m.inFlight-1)
 	if result.Outcome == Succeeded || result.Outcome == Refused {
 		m.headroom, m.wait = result.Headroom, result.Wait
-		m.measured = now
+		m.measured, m.measuredOwn = now, m.inFlight
 		m.known = true
 		m.service.used += newestUse * (m.measuredUse() - m.service.used)
 		m.learnRefusal(result.Outcome == Refused)
