Requests sent ahead on a connection are served at once, and end with their caller

A slow lookup made those behind it late.

Change: pipeliner hands the server one request at a time, gathers what is sent ahead (64 KiB at most), and begins up to four idempotent requests without a body before their turn; answers go out in order, and an answer does not end a connection on which later requests have been passed on. Answers without a length are read whole if they are small, so that one that breaks off is asked for again instead of ending the connection; a HEAD request with a length in its answer is no longer taken for broken.

--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -17,6 +17,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
@@ -41,7 +42,7 @@
 		handler http.Handler
 		idle    time.Duration
 	}{
-		{s.Outbound.String(), http.HandlerFunc(n.relayer.ServeOutbound), relayer.OutboundIdle.Std()},
+		{s.Outbound.String(), n.callers, relayer.OutboundIdle.Std()},
 		{s.Inbound.String(), http.HandlerFunc(n.relayer.ServeInbound), relayer.InboundIdle.Std()},
 		{s.Readiness.String(), http.HandlerFunc(n.serveReadiness), otherIdle},
 		{s.Announcements.String(), n.announcements(), otherIdle},
@@ -80,6 +81,10 @@
 		ErrorLog:          log.New(listenerLog{address: address, recorder: n.recorder}, "", 0),
 		ConnState:         n.countConnection,
 	}
+	if p, ok := h.(*pipeliner.Pipeliner); ok {
+		l = p.Listen(l)
+		s.ConnContext = p.Context
+	}
 	n.servers = append(n.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -24,6 +24,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/loader"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
@@ -64,7 +65,9 @@
 	clock    *clock.Clock
 	recorder *recorder.Recorder
 	relayer  *relayer.Relayer
-	records  chan exchanger.Member
+	// callers serves those who send requests, some of them ahead of the answers.
+	callers *pipeliner.Pipeliner
+	records chan exchanger.Member
 	// written is the sequence of the record that was written last.
 	written atomic.Int64
 	client  *http.Client
@@ -148,6 +151,9 @@
 // waitingRecords is how many changes of this node's record may wait to be written; only the newest counts.
 const waitingRecords = 16
 
+// mostAhead is how many requests of one caller are begun before those ahead of them are answered.
+const mostAhead = 4
+
 func newNode(o Options, c *clock.Clock, k *conductor.Conductor, log *recorder.Recorder) *node {
 	n := &node{
 		options:  o,
@@ -169,6 +175,11 @@
 		Publish:         n.publish,
 		Recorder:        log,
 	})
+	n.callers = pipeliner.New(pipeliner.Options{
+		Handler: http.HandlerFunc(n.relayer.ServeOutbound),
+		Most:    mostAhead,
+		Ahead:   n.relayer.MayRunAhead,
+	})
 	n.configurations = n.newConfigurationWatcher()
 	return n
 }
--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,6 +88,8 @@
 // world is a store and some nodes with their endpoints.
 type world struct {
 	operators, members memoryTopic
+	// work is called for each request that reaches an endpoint, if it is set.
+	work func(r *http.Request)
 }
 
 type runningNode struct {
@@ -100,6 +103,9 @@
 func (w *world) start(t *testing.T, name string, service identifier.Service) *runningNode {
 	t.Helper()
 	endpoint := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.work != nil {
+			w.work(r)
+		}
 		rw.Header().Set("X-Id", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(rw, name)
 	}))
@@ -319,6 +325,42 @@
 	assert.Assert(t, kept > 10 && kept <= 64, "%d of 200 connections kept", kept)
 }
 
+// A caller sends three lookups at once on one connection and leaves while they are under way, two nodes from the endpoint. The
+// endpoint must not work on for nobody.
+func TestCallerThatSentAheadLeaves(t *testing.T) {
+	var running, begun atomic.Int64
+	w := &world{work: func(r *http.Request) {
+		if r.URL.Path != "/slow" {
+			return
+		}
+		begun.Add(1)
+		running.Add(1)
+		defer running.Add(-1)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(900 * time.Millisecond):
+		}
+	}}
+	assert.NilError(t, w.operators.Write(context.Background(), "rules", []byte("version 1")))
+	entry := w.start(t, "entry", "desk")
+	w.start(t, "beside", "portal")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
+	assert.NilError(t, err)
+	for i := range 3 {
+		_, err = fmt.Fprintf(n, "GET /slow HTTP/1.1\r\nHost: h\r\nX-Id: a%d\r\nX-Key: k\r\n\r\n", i)
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	eventually(t, "all under way", func() bool { return running.Load() == 3 })
+	assert.NilError(t, n.Close())
+	left := time.Now()
+	eventually(t, "all cancelled", func() bool { return running.Load() == 0 })
+	took := time.Since(left)
+	assert.Assert(t, took < 500*time.Millisecond, "took %v", took)
+	assert.Equal(t, begun.Load(), int64(3))
+}
+
 // An endpoint says that it leaves. By the time that this is acknowledged it must stand in the store: the node may be killed in
 // the next moment, and starts again by what stands there.
 func TestLeavingIsRecordedBeforeItIsAcknowledged(t *testing.T) {
--- /dev/null
+++ b/internal/pipeliner/pipeliner_test.go
@@ -0,0 +1,334 @@
+package pipeliner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// service is a server whose answers take as long as their path says, in milliseconds.
+type service struct {
+	address   string
+	mu        sync.Mutex
+	begun     []string
+	cancelled []string
+	running   atomic.Int64
+	most      atomic.Int64
+}
+
+func (s *service) note(list *[]string, path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*list = append(*list, path)
+}
+
+func (s *service) list(list *[]string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(*list, " ")
+}
+
+func (s *service) serve(w http.ResponseWriter, r *http.Request) {
+	s.note(&s.begun, r.URL.Path)
+	s.most.Store(max(s.most.Load(), s.running.Add(1)))
+	defer s.running.Add(-1)
+	var milliseconds, size int
+	_, _ = fmt.Sscanf(r.URL.Path, "/%d/%d", &milliseconds, &size)
+	body, _ := io.ReadAll(r.Body)
+	select {
+	case <-time.After(time.Duration(milliseconds) * time.Millisecond):
+	case <-r.Context().Done():
+		s.note(&s.cancelled, r.URL.Path)
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case strings.HasSuffix(r.URL.Path, "cut"):
+		panic(http.ErrAbortHandler)
+	case strings.HasSuffix(r.URL.Path, "close") && MayClose(r.Context()):
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("X-Path", r.URL.Path)
+	_, _ = w.Write(append(body, bytes.Repeat([]byte("x"), size)...))
+}
+
+func sorted(list string) string {
+	paths := strings.Fields(list)
+	slices.Sort(paths)
+	return strings.Join(paths, " ")
+}
+
+func isLookup(r *http.Request) bool { return r.Method == http.MethodGet }
+
+func serve(t testing.TB, most int) *service {
+	t.Helper()
+	s := &service{}
+	p := New(Options{Handler: http.HandlerFunc(s.serve), Most: most, Ahead: isLookup})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: p, ConnContext: p.Context, IdleTimeout: 3 * time.Second}
+	go func() { _ = server.Serve(p.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.address = l.Addr().String()
+	return s
+}
+
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *service) call(t testing.TB) *caller {
+	t.Helper()
+	n, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = n.Close() })
+	assert.NilError(t, n.SetDeadline(time.Now().Add(30*time.Second)))
+	return &caller{Conn: n, reader: bufio.NewReader(n)}
+}
+
+func lookup(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+func order(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+func chunked(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", path, len(body), body)
+}
+
+func (c *caller) send(t testing.TB, requests ...string) {
+	t.Helper()
+	_, err := io.WriteString(c, strings.Join(requests, ""))
+	assert.NilError(t, err)
+}
+
+// answer returns the path that the next answer is for, and its body.
+func (c *caller) answer(t testing.TB) (path, body string) {
+	t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(t, err)
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.Header.Get("X-Path"), string(data)
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for range 200 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// A caller sends three lookups at once, the first of which is slow. Taken one after the other, the quick ones behind it
+// would be late as well; each is begun at once, and their answers come in the order of the requests.
+func TestSlowLookupDoesNotHoldThoseBehindIt(t *testing.T) {
+	s := serve(t, 4)
+	c := s.call(t)
+	begun := time.Now()
+	c.send(t, lookup("/200/a"), lookup("/200/b"), lookup("/200/c"))
+	for _, want := range []string{"/200/a", "/200/b", "/200/c"} {
+		path, _ := c.answer(t)
+		assert.Equal(t, path, want)
+	}
+	took := time.Since(begun)
+	assert.Assert(t, took < 450*time.Millisecond, "took %v", took)
+}
+
+// A caller that has sent further requests closes the connection while the first is under way. Endpoints would work on for
+// nobody, until their slots are full of such requests.
+func TestLeavingCallerCancelsAllItSent(t *testing.T) {
+	for name, behind := range map[string][]string{
+		"alone":           nil,
+		"lookups behind":  {lookup("/900/b"), lookup("/900/c")},
+		"an order behind": {order("/900/b", "two rings")},
+		"part of a head":  {"GET /900/b HT"},
+		"a body first":    {lookup("/900/b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, 4)
+			c := s.call(t)
+			first := lookup("/900/a")
+			if name == "a body first" {
+				first = order("/900/a", "one ring")
+			}
+			c.send(t, first)
+			eventually(t, "begun", func() bool { return s.running.Load() == 1 })
+			for _, request := range behind {
+				c.send(t, request)
+				time.Sleep(20 * time.Millisecond)
+			}
+			assert.NilError(t, c.Close())
+			left := time.Now()
+			eventually(t, "cancelled", func() bool { return s.running.Load() == 0 })
+			took := time.Since(left)
+			assert.Assert(t, took < 300*time.Millisecond, "took %v", took)
+			time.Sleep(50 * time.Millisecond)
+			assert.Equal(t, sorted(s.list(&s.begun)), sorted(s.list(&s.cancelled)))
+		})
+	}
+}
+
+// An order is sent behind a slow lookup. Begun ahead of its turn it would run twice if the connection ended first and its
+// caller sent it again; so it waits, and so does what comes behind it.
+func TestOrderWaitsForItsTurn(t *testing.T) {
+	s := serve(t, 4)
+	c := s.call(t)
+	c.send(t, lookup("/150/a"), order("/0/b", "two rings"), lookup("/0/c"))
+	time.Sleep(75 * time.Millisecond)
+	assert.Equal(t, s.list(&s.begun), "/150/a")
+	for _, want := range [][2]string{{"/150/a", ""}, {"/0/b", "two rings"}, {"/0/c", ""}} {
+		path, body := c.answer(t)
+		assert.DeepEqual(t, [2]string{path, body}, want)
+	}
+}
+
+// An answer ends its connection. What was sent behind it counts as unread, and its caller sends it again elsewhere: nothing
+// behind may be passed on. Where something behind has been passed on already, the connection stays.
+func TestNothingIsPassedOnBehindAnAnswerThatCloses(t *testing.T) {
+	s := serve(t, 4)
+	c := s.call(t)
+	c.send(t, lookup("/50/close"))
+	eventually(t, "begun", func() bool { return s.running.Load() == 1 })
+	time.Sleep(60 * time.Millisecond)
+	path, _ := c.answer(t)
+	assert.Equal(t, path, "/50/close")
+	_, _ = io.WriteString(c, lookup("/0/b"))
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, s.list(&s.begun), "/50/close")
+
+	kept := s.call(t)
+	kept.send(t, lookup("/50/close"), lookup("/100/d"), lookup("/0/e"))
+	for _, want := range []string{"/50/close", "/100/d", "/0/e"} {
+		path, _ := kept.answer(t)
+		assert.Equal(t, path, want)
+	}
+}
+
+// An answer breaks off. Its caller must not take what follows on the connection for the rest of it, so the connection
+// ends there also where the request was begun ahead of its turn.
+func TestBrokenAnswerEndsTheConnection(t *testing.T) {
+	s := serve(t, 4)
+	c := s.call(t)
+	c.send(t, lookup("/50/a"), lookup("/0/cut"), lookup("/0/c"))
+	path, _ := c.answer(t)
+	assert.Equal(t, path, "/50/a")
+	_, err := http.ReadResponse(c.reader, nil)
+	assert.Assert(t, err != nil)
+}
+
+// A caller sends thousands of requests without reading an answer. Each one that is held or begun costs memory, which
+// other callers then lack.
+func TestThousandsSentAheadAreBounded(t *testing.T) {
+	s := serve(t, 4)
+	c := s.call(t)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	c.send(t, lookup("/600/0"))
+	sent := make(chan error, 1)
+	go func() {
+		many := strings.Repeat(lookup("/1/0"), 100)
+		for range 60 {
+			if _, err := io.WriteString(c, many); err != nil {
+				sent <- err
+				return
+			}
+		}
+		sent <- nil
+	}()
+	time.Sleep(300 * time.Millisecond)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, s.most.Load() <= 5, "%d at once", s.most.Load())
+	held := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	assert.Assert(t, held < 1<<20, "%d bytes", held)
+	for range 6_001 {
+		response, err := http.ReadResponse(c.reader, nil)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+	assert.NilError(t, <-sent)
+}
+
+// Answers that are larger than what is kept wait for their turn and are sent whole.
+func TestLargeAnswerWaitsForItsTurn(t *testing.T) {
+	s := serve(t, 4)
+	c := s.call(t)
+	c.send(t, lookup("/100/0"), lookup("/0/300000"), lookup("/0/7"))
+	for _, want := range []int{0, 300000, 7} {
+		_, body := c.answer(t)
+		assert.Equal(t, len(body), want)
+	}
+}
+
+// Whatever mix of requests comes, in whatever pieces: each gets its own answer, in order, and none is begun twice. A
+// connection that loses its place in the bytes would take a body for a request, which its sender could make into one
+// that nobody sent.
+func TestEachRequestGetsItsOwnAnswer(t *testing.T) {
+	s := serve(t, 3)
+	serial := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		c := s.call(t)
+		defer c.Close()
+		var all, want []string
+		for range rapid.IntRange(1, 12).Draw(rt, "requests") {
+			serial++
+			path := fmt.Sprintf("/%d/%d/%d", rapid.IntRange(0, 3).Draw(rt, "ms"), rapid.SampledFrom([]int{0, 9, 6000}).Draw(rt, "size"), serial)
+			hidden := lookup("/0/0/smuggled")
+			body := hidden[:rapid.IntRange(1, len(hidden)).Draw(rt, "body")]
+			kind := rapid.SampledFrom([]func() string{
+				func() string { return lookup(path) },
+				func() string { return lookup(path) },
+				func() string { return order(path, body) },
+				func() string { return chunked(path, body) },
+				func() string { return "GET " + path + " HTTP/1.1\nHost: a\n\n" },
+			}).Draw(rt, "kind")
+			all, want = append(all, kind()), append(want, path)
+		}
+		bytesSent := []byte(strings.Join(all, ""))
+		for len(bytesSent) > 0 {
+			n := rapid.IntRange(1, min(len(bytesSent), 300)).Draw(rt, "piece")
+			_, err := c.Write(bytesSent[:n])
+			assert.NilError(rt, err)
+			bytesSent = bytesSent[n:]
+		}
+		for _, path := range want {
+			got, _ := c.answer(t)
+			assert.Equal(rt, got, path)
+		}
+		begun := s.list(&s.begun)
+		assert.Assert(rt, !strings.Contains(begun, "smuggled"))
+		for _, path := range want {
+			assert.Equal(rt, strings.Count(" "+begun+" ", " "+path+" "), 1, path)
+		}
+	})
+}
+
+// Without a connection of its own, as behind another server, a handler is served as usual.
+func TestPlainServerIsServed(t *testing.T) {
+	p := New(Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, MayClose(r.Context()))
+	})})
+	w := httptest.NewRecorder()
+	p.ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/", nil))
+	assert.Equal(t, w.Body.String(), "true")
+}
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -42,7 +42,7 @@
 	}
 	a := r.deliver(ctx, p)
 	r.setState(w.Header())
-	r.sayClosing(w.Header())
+	r.sayClosing(request.Context(), w.Header())
 	if a.outcome != conductor.Answered {
 		w.Header()[outcomeField] = []string{a.outcome.String()}
 		w.Header()["Date"] = nil
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -6,6 +6,7 @@
 // Example: node b turns the request away as full, node c's endpoint answers: the caller sees only that answer.
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,6 +17,8 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -74,7 +77,7 @@
 			}
 		case conductor.Reply:
 			r.apply(id, conductor.RequestClosed{ID: id})
-			r.sayIdle(w.Header())
+			r.sayIdle(request.Context(), w.Header())
 			r.pass(w, last)
 			return
 		default:
@@ -83,6 +86,23 @@
 	}
 }
 
+// MayRunAhead tells whether a caller's request may be begun before those that it sent earlier on its connection are
+// answered: only where running it twice does no harm, and not while the node stops, when answers end their connections.
+func (r *Relayer) MayRunAhead(request *http.Request) bool {
+	if r.stopping.Load() || r.options.Connections.Crowded() {
+		return false
+	}
+	path, _, _ := strings.Cut(request.RequestURI, "?")
+	idempotent := false
+	r.View(func(c *conductor.Conductor, _ clock.Time) {
+		if m := c.Matcher(); m != nil {
+			route, ok := m.Match(request.Host, path)
+			idempotent = ok && route.Kind == matcher.Idempotent
+		}
+	})
+	return idempotent
+}
+
 // abandon ends a request whose caller has left, or whose body is longer than its length allowed to foresee.
 func (r *Relayer) abandon(w http.ResponseWriter, a answer) {
 	if a.tooLong == 0 {
@@ -251,24 +271,15 @@
 		cancel()
 		return a
 	}
-	if a.ContentLength < 0 || a.ContentLength > smallAnswer {
-		finish := a.finish
-		a.finish = func(whole bool) {
-			finish(whole)
-			cancel()
-		}
-		return a
+	if a.ContentLength > smallAnswer {
+		return cancelledAtEnd(a, cancel)
 	}
-	defer cancel()
-	body := make([]byte, a.ContentLength)
-	_, err := io.ReadFull(a.Body, body)
-	if err == nil {
-		// The end must be seen for the connection to be used again.
-		_, err = a.Body.Read(make([]byte, 1))
-		if err == io.EOF {
-			err = nil
-		}
+	body, err := readBody(a.Response)
+	if err == nil && len(body) > smallAnswer {
+		a.Body = rest{Reader: io.MultiReader(bytes.NewReader(body), a.Body), Closer: a.Body}
+		return cancelledAtEnd(a, cancel)
 	}
+	defer cancel()
 	a.finish(err == nil)
 	if err == nil {
 		a.body, a.read = body, true
@@ -286,12 +297,37 @@
 	}
 }
 
+// rest is a body of which a part was read already.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
+// readBody reads a body to its end, or a little more than what counts as small of one whose length is not known.
+func readBody(response *requester.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, smallAnswer+1))
+	if err == nil && response.ContentLength > int64(len(body)) && response.Request.Method != http.MethodHead {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// cancelledAtEnd leaves an answer's context open until its body has been passed on.
+func cancelledAtEnd(a answer, cancel func()) answer {
+	finish := a.finish
+	a.finish = func(whole bool) {
+		finish(whole)
+		cancel()
+	}
+	return a
+}
+
 func (r *Relayer) refuse(w http.ResponseWriter, request *http.Request, e conductor.Refuse, started clock.Time) {
 	h := w.Header()
 	if id := request.Header.Get(r.options.Headers.RequestID); id != "" {
 		h[r.options.Headers.RequestID] = []string{id}
 	}
-	if e.RetryAfter > 0 && request.Header.Get(r.options.Headers.Key) != "" {
+	if e.RetryAfter > 0 && request.Header.Get(r.options.Headers.Key) != "" && pipeliner.MayClose(request.Context()) {
 		// The caller comes back on a new connection and would keep this one unused beside it: in a surge a node held 1,500
 		// connections with 100 requests under way. Endpoints, whose nested calls have no key, do not come back.
 		h["Connection"] = []string{"close"}
@@ -301,7 +337,7 @@
 		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain")
-	r.sayIdle(h)
+	r.sayIdle(request.Context(), h)
 	w.WriteHeader(e.Status)
 	_, _ = io.WriteString(w, string(e.Reason)+"\n")
 	r.options.Recorder.Refused(recorder.Refusal{
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -55,8 +56,8 @@
 }
 
 // sayClosing ends the connection after the answer, if the node is stopping or has too many of them.
-func (r *Relayer) sayClosing(h http.Header) {
-	if r.stopping.Load() || r.options.Connections.Crowded() {
+func (r *Relayer) sayClosing(ctx context.Context, h http.Header) {
+	if (r.stopping.Load() || r.options.Connections.Crowded()) && pipeliner.MayClose(ctx) {
 		h["Connection"] = []string{"close"}
 	}
 }
@@ -103,8 +104,8 @@
 )
 
 // sayIdle tells a caller for how long its connection may be unused.
-func (r *Relayer) sayIdle(h http.Header) {
-	r.sayClosing(h)
+func (r *Relayer) sayIdle(ctx context.Context, h http.Header) {
+	r.sayClosing(ctx, h)
 	if _, closing := h["Connection"]; !closing {
 		h["Keep-Alive"] = []string{outboundSaid}
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -198,6 +198,42 @@
 	assert.Equal(t, ask(t, entry, nil).StatusCode, 502)
 }
 
+// The endpoint sends an answer without a length and is reset within it. A lookup can be asked for again as long as none of
+// the answer was passed on; its caller would else see a connection that ends, and with it lose what it sent behind.
+func TestUnframedAnswerThatBreaksOffIsAskedForAgain(t *testing.T) {
+	lossy := newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\npart")
+		time.Sleep(30 * time.Millisecond)
+		_ = n.(*net.TCPConn).SetLinger(0)
+		_ = n.Close()
+	})
+	entry := newNode(t, "entry", "desk", newEndpoint(t, ok("desk")))
+	a, b := newNode(t, "a", "portal", lossy), newNode(t, "b", "portal", newEndpoint(t, ok("whole")))
+	for _, n := range []*node{entry, a, b} {
+		n.configure(t, configurationOf(matcher.Idempotent, 2))
+	}
+	meet(entry, a, b)
+	got := ask(t, entry, nil)
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Equal(t, got.text, "whole")
+	assert.Equal(t, lossy.count(), 1)
+}
+
+// A caller asks for an answer's head only. The head says how long the body would be, and no body comes; taken for an answer
+// that broke off, each such request would fail.
+func TestHeadIsAnswered(t *testing.T) {
+	entry, _, _ := pair(t, configurationOf(matcher.Idempotent, 2), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+	})
+	got := ask(t, entry, func(r *http.Request) { r.Method = http.MethodHead })
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Equal(t, got.Header.Get("Content-Length"), "100")
+}
+
 // An answer may have no length and end with its connection, and one may be much longer than what is held at once.
 func TestStreamedAnswers(t *testing.T) {
 	long := strings.Repeat("0123456789", 50000)
