Calls wait for an endpoint that is about to be back; a node that has moved on says which endpoint it has

Cause: after all VMs have lost power endpoints start anew under other names and announce themselves over a second and a half. Other nodes went by the store's records: for up to a second each request was sent to names that were gone, up to four of them, and refused; nested calls failed requests whose work was done (2,082 attempts 'moved' within half a second at one service).

Change: a node that turns a request away since its endpoint is another one sends its record with the answer. A request for which there is no endpoint at all waits, a nested call a third of its time left, a root an eighth of its objective; a root that is refused then is told to come back after a ninth to a third of its time left, at most a second or so.

--- /dev/null
+++ b/internal/conductor/await.go
@@ -0,0 +1,71 @@
+package conductor
+
+// Services are without an endpoint for some hundreds of milliseconds now and then: all VMs have lost power and their
+// endpoints have yet to announce themselves, a node is being restarted, a failure domain was cut off. A nested call that
+// is refused in such a moment fails a request whose work has been done; so it waits for a while. A root request
+// waits only a little, since its caller can come back, but has only few tries to do so.
+//
+// Example: a nested call with 700 ms left and no endpoint: Hold, and Send when an endpoint is there within 233 ms.
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+// awaitPart of the time that a root request may be queued may go by without an endpoint.
+const awaitPart = 1.0 / 2
+
+// await has a request wait for an endpoint, if it may and there is hope: whoever was turned away has met one.
+func (c *Conductor) await(r *call, now clock.Time) bool {
+	if r.turnedAway || r.unpaid || r.doubt || c.stopping {
+		return false
+	}
+	if r.awaits == 0 {
+		r.awaits = r.arrived.Add(c.hope(r))
+	}
+	if now >= r.awaits {
+		return false
+	}
+	r.excluded = nil
+	r.tries = min(r.tries, mostTries-1)
+	c.awaiting = append(c.awaiting, r.id)
+	c.emit(Hold{ID: r.id})
+	return true
+}
+
+// hope is how long after its arrival a request may wait for an endpoint.
+func (c *Conductor) hope(r *call) clock.Duration {
+	patience := c.patience(r, r.arrived)
+	if r.nested {
+		return patience
+	}
+	return clock.Duration(awaitPart * float64(patience))
+}
+
+// resume sends on what waits for an endpoint, or gives it up; it is called on each tick.
+func (c *Conductor) resume(now clock.Time) {
+	waiting := c.awaiting
+	c.awaiting = nil
+	for _, id := range waiting {
+		r, ok := c.calls[id]
+		switch {
+		case !ok || c.place(r, now):
+		case now < r.awaits:
+			c.awaiting = append(c.awaiting, id)
+		default:
+			c.giveUp(r, NoEndpoint, now)
+		}
+	}
+}
+
+const (
+	// returnParts of the time left is how long a caller is sent away, on average, where no endpoint is left: callers
+	// return after a third at most, and the later, the likelier there is one.
+	returnParts = 2.0 / 9
+	// mostAbsence is how long a killed node and its endpoint take to be back.
+	mostAbsence = clock.Second
+)
+
+func (r *call) returnsAfter(now clock.Time) clock.Duration {
+	part := clock.Duration(returnParts * float64(r.deadline.Sub(now)))
+	return max(retryNoRoom, min(mostAbsence, part))
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -88,7 +88,9 @@
 	runs      runCounter
 	pace      pace
 
-	calls      map[CallID]*call
+	calls map[CallID]*call
+	// awaiting are requests that wait for an endpoint.
+	awaiting   []CallID
 	deliveries map[CallID]*delivery
 	verdicts   []limiter.Verdict
 	effects    []Effect
@@ -221,6 +223,7 @@
 	c.judgeSilence(now)
 	c.probe(now)
 	c.doubtAssumed(now)
+	c.resume(now)
 	if c.limiter == nil {
 		return
 	}
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -40,6 +40,10 @@
 	// must still count at the next: else the last endpoint of a service, to which everything comes by way of dead
 	// ones, would seem to have little to do.
 	counted bool
+	// turnedAway tells that an endpoint, or the node beside it, has had the request and did not want it.
+	turnedAway bool
+	// awaits is until when the request waits for an endpoint, 0 if it has not waited yet.
+	awaits clock.Time
 	// unpaid tells that this node had no token for the request; wait is until it has one.
 	unpaid bool
 	wait   clock.Duration
@@ -189,24 +193,31 @@
 	c.emit(Refuse{ID: id, Status: status, Reason: reason, RetryAfter: after})
 }
 
-// attempt sends a request to the next endpoint, or gives it up.
+// attempt sends a request to the next endpoint, has it wait for one, or gives it up.
 func (c *Conductor) attempt(r *call, now clock.Time) {
 	if r.deadline.Sub(now) < leastLeft {
 		c.giveUp(r, Deadline, now)
 		return
 	}
+	if c.place(r, now) || c.await(r, now) {
+		return
+	}
+	reason := NoEndpoint
+	if r.unpaid {
+		reason = OverRate
+	}
+	c.giveUp(r, reason, now)
+}
+
+// place sends a request to the next endpoint, if there is one.
+func (c *Conductor) place(r *call, now clock.Time) bool {
 	endpoint, ok := c.router.PickWithin(r.service, now, r.excluded, r.within())
 	if ok && slices.Contains(r.excluded, endpoint.ID) {
 		c.router.Done(endpoint.ID, router.Result{Outcome: router.Cancelled}, now)
 		ok = false
 	}
 	if !ok {
-		reason := NoEndpoint
-		if r.unpaid {
-			reason = OverRate
-		}
-		c.giveUp(r, reason, now)
-		return
+		return false
 	}
 	if r.tries == 0 {
 		c.countFirst(r.service)
@@ -245,6 +256,7 @@
 		Version:    r.version,
 		Crossing:   endpoint.Crossing,
 	})
+	return true
 }
 
 func (c *Conductor) patience(r *call, now clock.Time) clock.Duration {
@@ -262,6 +274,10 @@
 	}
 	c.learnAttempt(r, e, now)
 	c.learnReach(r, e.Outcome, now)
+	if e.Member != nil {
+		// Else each further request would go there as well, until the record comes by the store or a report.
+		c.learnMember(MemberLearned{Member: *e.Member}, now)
+	}
 	if e.Outcome == Answered {
 		c.emit(Reply{ID: r.id})
 		return
@@ -277,10 +293,14 @@
 	}
 	r.counted = r.counted || e.Outcome != Moved && e.Outcome != Unreached && e.Outcome != Over
 	r.excluded = append(r.excluded, r.picked)
+	r.turnedAway = r.turnedAway || e.Outcome != Moved && e.Outcome != Unreached
 	if c.mayTryAgain(r, e) {
 		c.attempt(r, now)
 		return
 	}
+	if e.Replayable && c.await(r, now) {
+		return
+	}
 	c.giveUp(r, reasonOf(e.Outcome), now)
 }
 
@@ -347,6 +367,8 @@
 		c.refuse(r.id, http.StatusBadGateway, reason, 0)
 	case reason == OverRate:
 		c.refuse(r.id, http.StatusTooManyRequests, OverRate, c.spread(r.wait))
+	case reason == NoEndpoint || reason == EndpointGone || reason == EndpointDown:
+		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(r.returnsAfter(now)))
 	default:
 		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(retryNoRoom))
 	}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -45,6 +45,8 @@
 	Wait clock.Duration
 	// Replayable tells that the request's body can be sent again from its start.
 	Replayable bool
+	// Member is the other node's record where it says that the endpoint is no longer there; nil elsewhere.
+	Member *exchanger.Member
 }
 
 // TokenDrawn is how a Draw ended.
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -40,6 +41,8 @@
 	// headroom and wait are how the endpoint fared when it answered.
 	headroom uint8
 	wait     clock.Duration
+	// member is the other node's record where the endpoint is no longer there.
+	member *exchanger.Member
 	// finish must be called once, with whether the body was read to its end.
 	finish func(whole bool)
 	// tooLong is the limit that the request's body went over, 0 for none.
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -7,12 +7,14 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -45,6 +47,9 @@
 	r.sayClosing(request.Context(), w.Header())
 	if a.outcome != conductor.Answered {
 		w.Header()[outcomeField] = []string{a.outcome.String()}
+		if a.outcome == conductor.Moved {
+			r.setMember(w.Header())
+		}
 		w.Header()["Date"] = nil
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -63,6 +68,37 @@
 	})
 }
 
+// setMember tells the asking node which endpoint is here now, since it goes by an older record.
+func (r *Relayer) setMember(h http.Header) {
+	r.View(func(c *conductor.Conductor, _ clock.Time) {
+		record, err := exchanger.EncodeMember(c.Self())
+		if err != nil {
+			r.options.Recorder.Event("record not encoded", "error", err.Error())
+			return
+		}
+		h[memberField] = []string{base64.StdEncoding.EncodeToString(record)}
+	})
+}
+
+// readMember returns the record that came with an answer, nil for none.
+func (r *Relayer) readMember(h http.Header) *exchanger.Member {
+	value := h.Get(memberField)
+	if value == "" {
+		return nil
+	}
+	record, err := base64.StdEncoding.DecodeString(value)
+	if err != nil {
+		r.options.Recorder.Event("record not read", "error", err.Error())
+		return nil
+	}
+	m, err := exchanger.DecodeMember(record)
+	if err != nil {
+		r.options.Recorder.Event("record not read", "error", err.Error())
+		return nil
+	}
+	return &m
+}
+
 func outgoing(request *http.Request, header http.Header) *requester.Request {
 	out := &requester.Request{
 		Method: request.Method,
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -46,20 +46,27 @@
 		effect = r.draw(request.Context(), d)
 	}
 	var body *replayable
-	if _, sends := effect.(conductor.Send); sends {
-		var err error
-		if body, err = newReplayable(request); err != nil {
-			r.apply(id, conductor.RequestClosed{ID: id})
-			panic(http.ErrAbortHandler)
-		}
-	}
 	var last answer
+	var err error
 	for {
 		switch e := effect.(type) {
 		case conductor.Refuse:
 			r.refuse(w, request, e, started)
 			return
+		case held:
+			effect, err = r.wait(request.Context(), e)
+			if err != nil {
+				r.apply(id, conductor.RequestClosed{ID: id})
+				panic(http.ErrAbortHandler)
+			}
 		case conductor.Send:
+			if body == nil {
+				body, err = newReplayable(request)
+			}
+			if err != nil {
+				r.apply(id, conductor.RequestClosed{ID: id})
+				panic(http.ErrAbortHandler)
+			}
 			last = r.attempt(request, e, body)
 			effect = r.apply(id, conductor.AttemptEnded{
 				ID:         id,
@@ -68,6 +75,7 @@
 				Headroom:   last.headroom,
 				Wait:       last.wait,
 				Replayable: body.untouched(),
+				Member:     last.member,
 			})
 			r.logAttempt(request, e, last, started)
 			if last.outcome == conductor.Abandoned {
@@ -217,7 +225,7 @@
 		response.Close(drain(response))
 		count()
 		a := failed(conductor.ParseOutcome(name), "")
-		a.headroom, a.wait = uint8(headroom), wait
+		a.headroom, a.wait, a.member = uint8(headroom), wait, r.readMember(response.Header)
 		return a
 	}
 	return answer{
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -125,12 +125,29 @@
 func TestLeavingEndpointGetsNothing(t *testing.T) {
 	entry, beside, e := pair(t, configurationOf(matcher.NonIdempotent, 2), ok("hello"))
 	beside.announce("beside", true)
+	ticking, stop := context.WithCancel(context.Background())
+	defer stop()
+	go keepTicking(ticking, entry, beside)
 	got := ask(t, entry, nil)
 	assert.Equal(t, got.StatusCode, 503)
 	assert.Assert(t, got.Header.Get("Retry-After") != "")
 	assert.Equal(t, e.count(), 0)
 }
 
+// All VMs have lost power. Their endpoints have started anew under other names, which the nodes beside them know and the entry
+// does not: it goes by the store's records from before. Told only that the endpoint has moved, callers would be refused
+// until the new record has come round, some hundreds of milliseconds.
+func TestRenamedEndpointIsFoundByItsNodesWord(t *testing.T) {
+	entry, beside, e := pair(t, configurationOf(matcher.NonIdempotent, 2), ok("hello"))
+	beside.Tell(conductor.EndpointRemoved{Endpoint: "i-beside"})
+	beside.announce("anew", false)
+	got := ask(t, entry, nil)
+	assert.Equal(t, got.StatusCode, 200, got.text)
+	seen, _ := e.last()
+	assert.Equal(t, seen.Header.Get(names.Target), "i-anew")
+	assert.Equal(t, e.count(), 1)
+}
+
 // The endpoint says that it did not run the request: another one may run it, even if it must not run twice.
 func TestDeclinedRequestGoesElsewhere(t *testing.T) {
 	full := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -42,6 +42,7 @@
 	nestedField   = ownPrefix + "Nested"
 	endpointField = ownPrefix + "Endpoint"
 	outcomeField  = ownPrefix + "Outcome"
+	memberField   = ownPrefix + "Member"
 	headroomField = ownPrefix + "Headroom"
 	waitField     = ownPrefix + "Wait"
 	provedField   = ownPrefix + "Proved"
