Between nodes each message has one field of the product's own; unpaid bodies wait to be wanted

Cause: of the 1,310 bytes that a nested call costs between failure domains, 700 were heads: six fields of ours with a request and two or three with an answer, the time left twice, the endpoint's load, date and request id, which the asking node has.

Change: Jackdaw-Call and Jackdaw-State hold what several fields held; what the other side knows is dropped and put back; a request that has yet to be paid for crosses with its head, and its body when the other node asks for it.

--- /dev/null
+++ b/internal/relayer/handover.go
@@ -0,0 +1,142 @@
+package relayer
+
+// What a node tells another with a request, and what it is told with the answer, stands in one field each: most bytes of
+// a small nested call between failure domains would else be names of fields.
+//
+// Example: Jackdaw-Call: 695 231 300 39 n i-676cc4d8c6 is a nested call of rank 39 for endpoint i-676cc4d8c6 with 695 ms left,
+// which may be queued for 231 ms and is due in 300; Jackdaw-State: 245 12 7,800 is an endpoint with 245 of 255 parts free
+// and a queue of 12 ms, at a node where version 7 was the newest 800 ms ago.
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// handover is what goes with a request to another node.
+type handover struct {
+	left, patience, due clock.Duration
+	rank                identifier.Rank
+	nested, again       bool
+	endpoint            identifier.Endpoint
+	// unpaid is the team whose rate has yet to be taken from, empty for none.
+	unpaid identifier.Team
+}
+
+const (
+	nestedFlag = "n"
+	againFlag  = "a"
+	noFlag     = "-"
+)
+
+func (o handover) String() string {
+	flags := ""
+	if o.nested {
+		flags += nestedFlag
+	}
+	if o.again {
+		flags += againFlag
+	}
+	if flags == "" {
+		flags = noFlag
+	}
+	text := fmt.Sprintf("%d %d %d %d %s %s", max(0, o.left), max(0, o.patience), max(0, o.due), o.rank, flags,
+		url.QueryEscape(string(o.endpoint)))
+	if o.unpaid != "" {
+		text += " " + url.QueryEscape(string(o.unpaid))
+	}
+	return text
+}
+
+// HandoverError tells which part of a handover can't be read.
+type HandoverError struct {
+	Text string
+	Part string
+}
+
+// Error names the part.
+func (e HandoverError) Error() string {
+	return fmt.Sprintf("handover %q: %s can't be read", e.Text, e.Part)
+}
+
+// The parts of a handover, in their order; the team may be missing.
+var handoverParts = []string{"time left", "patience", "due", "rank", "flags", "endpoint", "team"}
+
+func parseHandover(text string) (handover, error) {
+	parts := strings.Fields(text)
+	if len(parts) < len(handoverParts)-1 || len(parts) > len(handoverParts) {
+		return handover{}, HandoverError{Text: text, Part: "number of parts"}
+	}
+	var numbers [4]uint64
+	for i := range numbers {
+		bits := 63
+		if handoverParts[i] == "rank" {
+			bits = 16
+		}
+		n, err := strconv.ParseUint(parts[i], 10, bits)
+		if err != nil {
+			return handover{}, HandoverError{Text: text, Part: handoverParts[i]}
+		}
+		numbers[i] = n
+	}
+	names := []string{""}
+	for i, part := range parts[5:] {
+		name, err := url.QueryUnescape(part)
+		if err != nil {
+			return handover{}, HandoverError{Text: text, Part: handoverParts[5+i]}
+		}
+		names = append(names, name)
+	}
+	o := handover{
+		left:     clock.Duration(numbers[0]),
+		patience: clock.Duration(numbers[1]),
+		due:      clock.Duration(numbers[2]),
+		rank:     identifier.Rank(numbers[3]),
+		nested:   strings.Contains(parts[4], nestedFlag),
+		again:    strings.Contains(parts[4], againFlag),
+		endpoint: identifier.Endpoint(names[1]),
+	}
+	if len(names) > 2 {
+		o.unpaid = identifier.Team(names[2])
+	}
+	return o, nil
+}
+
+// condition is what comes with an answer: how the endpoint beside the answering node fares, and how fresh that node's
+// configuration is.
+type condition struct {
+	headroom uint8
+	wait     clock.Duration
+	// proof is as formatProof writes it, empty for none.
+	proof string
+}
+
+func (s condition) String() string {
+	return strings.TrimSpace(fmt.Sprintf("%d %d %s", s.headroom, s.wait, s.proof))
+}
+
+// readCondition takes what can't be read for an endpoint without room.
+func readCondition(h http.Header) condition {
+	parts := strings.Fields(h.Get(stateField))
+	if len(parts) < 2 {
+		return condition{}
+	}
+	headroom, err := strconv.ParseUint(parts[0], 10, 8)
+	if err != nil {
+		return condition{}
+	}
+	wait, err := strconv.ParseUint(parts[1], 10, 63)
+	if err != nil {
+		return condition{}
+	}
+	s := condition{headroom: uint8(headroom), wait: clock.Duration(wait)}
+	if len(parts) > 2 {
+		s.proof = parts[2]
+	}
+	return s
+}
--- /dev/null
+++ b/internal/relayer/handover_test.go
@@ -0,0 +1,142 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
+	"github.com/jackdawtide/jackdawtide/internal/router"
+)
+
+func TestHandoverIsReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		time := rapid.Int64Range(0, 1<<40)
+		o := handover{
+			left:     clock.Duration(time.Draw(t, "left")),
+			patience: clock.Duration(time.Draw(t, "patience")),
+			due:      clock.Duration(time.Draw(t, "due")),
+			rank:     identifier.Rank(rapid.Uint16().Draw(t, "rank")),
+			nested:   rapid.Bool().Draw(t, "nested"),
+			again:    rapid.Bool().Draw(t, "again"),
+			endpoint: identifier.Endpoint(rapid.StringN(1, 20, 40).Draw(t, "endpoint")),
+			unpaid:   identifier.Team(rapid.StringN(0, 20, 40).Draw(t, "unpaid")),
+		}
+		read, err := parseHandover(o.String())
+		assert.NilError(t, err)
+		assert.Equal(t, read, o)
+	})
+}
+
+// Another writer, or a node of another version, sends something else. It must not be taken for a request with no time
+// left or with the highest rank.
+func TestFaultyHandoverNamesItsPart(t *testing.T) {
+	for text, part := range map[string]string{
+		"":                              "number of parts",
+		"1 2 3 4 -":                     "number of parts",
+		"1 2 3 4 - i t more":            "number of parts",
+		"x 2 3 4 - i":                   "time left",
+		"1 -2 3 4 - i":                  "patience",
+		"1 2 9999999999999999999 4 - i": "due",
+		"1 2 3 65536 - i":               "rank",
+		"1 2 3 4 - %zz":                 "endpoint",
+		"1 2 3 4 - i %zz":               "team",
+	} {
+		t.Run(text, func(t *testing.T) {
+			_, err := parseHandover(text)
+			var faulty HandoverError
+			assert.Assert(t, errors.As(err, &faulty), "%v", err)
+			assert.Equal(t, faulty.Part, part)
+		})
+	}
+}
+
+func TestConditionIsReadAsWritten(t *testing.T) {
+	for name, s := range map[string]condition{
+		"with a proof":    {headroom: 245, wait: 12, proof: "7,800"},
+		"without a proof": {headroom: 0, wait: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, readCondition(http.Header{stateField: {s.String()}}), s)
+		})
+	}
+	for _, text := range []string{"", "245", "256 0", "x 0", "1 x"} {
+		assert.Equal(t, readCondition(http.Header{stateField: {text}}), condition{}, text)
+	}
+}
+
+// elsewhere makes a node's failure domain another one for the entry.
+func elsewhere(entry, n *node) {
+	m := n.member
+	m.Domain = "east"
+	m.Sequence++
+	meetAs(entry, m)
+}
+
+// crossed returns the bytes that the entry has counted between failure domains.
+func crossed(t *testing.T, entry *node, direction string) int {
+	t.Helper()
+	var metrics bytes.Buffer
+	entry.options.Recorder.WriteMetrics(&metrics)
+	total := 0
+	for _, line := range strings.Split(metrics.String(), "\n") {
+		if strings.HasPrefix(line, "jackdawtide_crossing_bytes_total") && strings.Contains(line, direction) {
+			n, err := strconv.Atoi(line[strings.LastIndex(line, " ")+1:])
+			assert.NilError(t, err)
+			total += n
+		}
+	}
+	return total
+}
+
+// Most of what a small nested call costs between failure domains would be names of fields, and what the other node knows
+// already.
+func TestHeadsBetweenNodesAreShort(t *testing.T) {
+	entry, beside, _ := pair(t, configurationOf(matcher.Idempotent, 2), ok("hello"))
+	elsewhere(entry, beside)
+	got := ask(t, entry, func(r *http.Request) { r.Header.Set("User-Agent", "a") })
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Assert(t, got.Header.Get(names.RequestID) != "")
+	sent, received := crossed(t, entry, "sent"), crossed(t, entry, "received")
+	assert.Assert(t, sent > 0 && sent < 240 && received > 0 && received < 180, "%d bytes sent, %d received", sent, received)
+}
+
+// A team is over its rate, and its order goes to another failure domain to see whether a node there has a token to spare.
+// It mostly has not; the order's body need not have crossed for that.
+func TestBodyOfAnUnpaidOrderStaysUntilItIsWanted(t *testing.T) {
+	c := configurationOf(matcher.NonIdempotent, 2)
+	c.Teams[0].Rate, c.Teams[0].Burst = 0.001, 0.001
+	entry, beside, e := pair(t, c, ok("hello"))
+	elsewhere(entry, beside)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/obs/1", strings.NewReader(strings.Repeat("x", 8000)))
+	assert.NilError(t, err)
+	held, err := newReplayable(request)
+	assert.NilError(t, err)
+	order := func() conductor.Outcome {
+		out := &requester.Request{Method: http.MethodPost, URI: "/obs/1", Host: "h.example", Header: http.Header{}}
+		out.Body, out.Length = held.reader()
+		a := entry.ask(context.Background(), conductor.Send{
+			Address: beside.member.Deliver, Endpoint: "i-beside", Team: "parish", Unpaid: true, Crossing: router.NoneNear,
+			Deadline: entry.options.Clock.Now().Add(clock.Second), Patience: 100,
+		}, out, held)
+		a.finish(true)
+		return a.outcome
+	}
+	// The node elsewhere has one token to begin with.
+	assert.Equal(t, order(), conductor.Answered)
+	before := crossed(t, entry, "sent")
+	assert.Equal(t, order(), conductor.Over)
+	assert.Assert(t, crossed(t, entry, "sent")-before < 1000)
+	assert.Equal(t, e.count(), 1)
+}
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -15,56 +15,59 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
 // ServeInbound serves a request that another node sent.
 func (r *Relayer) ServeInbound(w http.ResponseWriter, request *http.Request) {
-	left, ok := milliseconds(request.Header, leftField)
-	if !ok {
-		http.Error(w, "missing "+leftField, http.StatusBadRequest)
+	order, err := parseHandover(request.Header.Get(callField))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	patience, _ := milliseconds(request.Header, patienceField)
-	due, _ := milliseconds(request.Header, dueField)
-	ctx, cancel := context.WithTimeout(request.Context(), left.Std())
+	ctx, cancel := context.WithTimeout(request.Context(), order.left.Std())
 	defer cancel()
+	now := r.options.Clock.Now()
 	p := parcel{
 		id:       request.Header.Get(r.options.Headers.RequestID),
-		endpoint: identifier.Endpoint(request.Header.Get(endpointField)),
-		rank:     rankOf(request.Header),
-		deadline: r.options.Clock.Now().Add(left),
-		patience: patience,
-		due:      r.options.Clock.Now().Add(due),
-		nested:   request.Header.Get(nestedField) != "",
-		again:    request.Header.Get(againField) != "",
-		unpaid:   identifier.Team(request.Header.Get(unpaidField)),
+		endpoint: order.endpoint,
+		rank:     order.rank,
+		deadline: now.Add(order.left),
+		patience: order.patience,
+		due:      now.Add(order.due),
+		nested:   order.nested,
+		again:    order.again,
+		unpaid:   order.unpaid,
 		request:  outgoing(request, endToEnd(request.Header)),
 	}
 	a := r.deliver(ctx, p)
 	r.setState(w.Header())
+	// The asking node writes its own.
+	w.Header()["Date"] = nil
 	r.sayClosing(request.Context(), w.Header())
 	if a.outcome != conductor.Answered {
 		w.Header()[outcomeField] = []string{a.outcome.String()}
 		if a.outcome == conductor.Moved {
 			r.setMember(w.Header())
 		}
-		w.Header()["Date"] = nil
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	r.shorten(a.Header)
 	r.pass(w, a)
 }
 
+// shorten drops from an answer what the asking node has or does not need.
+func (r *Relayer) shorten(h http.Header) {
+	delete(h, "Date")
+	delete(h, r.options.Headers.RequestID)
+	delete(h, r.options.Headers.Load)
+}
+
 // setState tells the asking node how the endpoint fares and how fresh the configuration is here.
 func (r *Relayer) setState(h http.Header) {
 	r.View(func(c *conductor.Conductor, _ clock.Time) {
-		h[headroomField] = []string{strconv.Itoa(int(c.Headroom()))}
-		if wait := c.QueueDelay(); wait > 0 {
-			setMilliseconds(h, waitField, wait)
-		}
-		r.setProof(h, c)
+		h[stateField] = []string{condition{headroom: c.Headroom(), wait: c.QueueDelay(), proof: r.proof(c)}.String()}
 	})
 }
 
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
+	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
 // ServeOutbound serves a request of a caller or of the local endpoint.
@@ -193,21 +194,20 @@
 
 // ask sends a request to the node beside another endpoint.
 func (r *Relayer) ask(ctx context.Context, s conductor.Send, out *requester.Request, body *replayable) answer {
-	setMilliseconds(out.Header, leftField, s.Deadline.Sub(r.options.Clock.Now()))
-	setMilliseconds(out.Header, patienceField, s.Patience)
-	setMilliseconds(out.Header, dueField, s.Due.Sub(r.options.Clock.Now()))
-	out.Header[rankField] = []string{strconv.Itoa(int(s.Rank))}
-	out.Header[endpointField] = []string{string(s.Endpoint)}
-	if s.Nested {
-		out.Header[nestedField] = []string{"1"}
-	}
-	if s.Unpaid {
-		out.Header[unpaidField] = []string{string(s.Team)}
-	}
-	if s.Again {
-		out.Header[againField] = []string{"1"}
-	}
-	out.Hesitant = body.streamed()
+	now := r.options.Clock.Now()
+	out.Header[callField] = []string{handover{
+		left:     s.Deadline.Sub(now),
+		patience: s.Patience,
+		due:      s.Due.Sub(now),
+		rank:     s.Rank,
+		nested:   s.Nested,
+		again:    s.Again,
+		endpoint: s.Endpoint,
+		unpaid:   unpaid(s),
+	}.String()}
+	delete(out.Header, r.options.Headers.TimeLeft)
+	// A team that is over its rate is mostly refused there as well, and a body would cross the domains for nothing.
+	out.Hesitant = body.streamed() || s.Unpaid && s.Crossing != router.Inside
 	count := r.countCrossing(s, out)
 	asked := r.options.Boot.Now()
 	response, err := r.peers.Do(ctx, s.Address, out)
@@ -215,24 +215,23 @@
 		count()
 		return r.peerFailed(ctx, s, err)
 	}
-	headroom, err := strconv.ParseUint(response.Header.Get(headroomField), 10, 8)
-	if err != nil {
-		headroom = 0
-	}
-	wait, _ := milliseconds(response.Header, waitField)
-	r.learnProof(response.Header, asked)
+	told := readCondition(response.Header)
+	r.learnProof(told.proof, asked)
 	if name := response.Header.Get(outcomeField); name != "" {
 		response.Close(drain(response))
 		count()
 		a := failed(conductor.ParseOutcome(name), "")
-		a.headroom, a.wait, a.member = uint8(headroom), wait, r.readMember(response.Header)
+		a.headroom, a.wait, a.member = told.headroom, told.wait, r.readMember(response.Header)
 		return a
 	}
+	if id, ok := out.Header[r.options.Headers.RequestID]; ok {
+		response.Header[r.options.Headers.RequestID] = id
+	}
 	return answer{
 		Response: response,
 		outcome:  conductor.Answered,
-		headroom: uint8(headroom),
-		wait:     wait,
+		headroom: told.headroom,
+		wait:     told.wait,
 		finish: func(whole bool) {
 			response.Close(whole)
 			count()
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -11,7 +11,6 @@
 	"strings"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
-	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 // Headers are the names of the fields that callers and endpoints use.
@@ -28,27 +27,22 @@
 	Target    string
 	NotRun    string
 	Signature string
+	// Load is the field with an endpoint's own word of its load, which only the node beside it could use.
+	Load string
 }
 
 // The fields between nodes.
 const (
-	ownPrefix     = "Jackdaw-"
-	leftField     = ownPrefix + "Left"
-	patienceField = ownPrefix + "Patience"
-	dueField      = ownPrefix + "Due"
-	rankField     = ownPrefix + "Rank"
-	unpaidField   = ownPrefix + "Unpaid"
-	againField    = ownPrefix + "Again"
-	nestedField   = ownPrefix + "Nested"
-	endpointField = ownPrefix + "Endpoint"
-	outcomeField  = ownPrefix + "Outcome"
-	memberField   = ownPrefix + "Member"
-	headroomField = ownPrefix + "Headroom"
-	waitField     = ownPrefix + "Wait"
-	provedField   = ownPrefix + "Proved"
-	teamField     = ownPrefix + "Team"
-	backField     = ownPrefix + "Back"
-	tokenField    = ownPrefix + "Token"
+	ownPrefix    = "Jackdaw-"
+	callField    = ownPrefix + "Call"
+	stateField   = ownPrefix + "State"
+	outcomeField = ownPrefix + "Outcome"
+	memberField  = ownPrefix + "Member"
+	waitField    = ownPrefix + "Wait"
+	provedField  = ownPrefix + "Proved"
+	teamField    = ownPrefix + "Team"
+	backField    = ownPrefix + "Back"
+	tokenField   = ownPrefix + "Token"
 )
 
 // hopFields concern one connection only.
@@ -95,11 +89,3 @@
 	}
 	return clock.Duration(n), true
 }
-
-func rankOf(h http.Header) identifier.Rank {
-	n, err := strconv.ParseUint(h.Get(rankField), 10, 16)
-	if err != nil {
-		return identifier.MaxRank
-	}
-	return identifier.Rank(n)
-}
