Root requests and nested calls have paces of their own; a call leaves a slow domain where one in ten would be late

Slow was four times the mean run, so that calls left of which 94 in 100 would have been in time; and the mean was that of all runs: a run that makes four calls takes 170 ms where the root request beside it takes 100, and all roots seemed late wherever they were run.

Change: a node measures and reports the two apart, and slow is twice the mean.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -86,7 +86,7 @@
 	limiter   *limiter.Limiter
 	throttler *throttler.Throttler
 	runs      runCounter
-	pace      pace
+	paces     paces
 
 	calls map[CallID]*call
 	// awaiting are requests that wait for an endpoint.
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -17,6 +17,7 @@
 // delivery is a request that is queued for or running at the local endpoint.
 type delivery struct {
 	running bool
+	nested  bool
 	started clock.Time
 	// paid is the team that a token was taken from here, to be given back if the request is turned away.
 	paid identifier.Team
@@ -49,7 +50,7 @@
 	if !e.Again {
 		c.throttler.Arrived()
 	}
-	c.deliveries[e.ID] = &delivery{paid: e.Unpaid}
+	c.deliveries[e.ID] = &delivery{nested: e.Nested, paid: e.Unpaid}
 	offered := limiter.Call{
 		ID:        limiter.CallID(e.ID),
 		Rank:      e.Rank,
@@ -104,9 +105,9 @@
 	}
 	if took := now.Sub(d.started); e.Outcome == Answered {
 		c.throttler.Answered()
-		c.pace.learn(took)
+		c.paces.of(d.nested).learn(took)
 	} else {
-		c.pace.atLeast(took)
+		c.paces.of(d.nested).atLeast(took)
 	}
 	c.verdicts = c.limiter.Done(limiter.CallID(e.ID), limiterOutcome(e.Outcome), now, c.verdicts[:0])
 	c.settle(now)
@@ -183,7 +184,7 @@
 		Queue:     queuePerSlot * usedSlots(slots),
 	}, now)
 	c.deliveries = map[CallID]*delivery{}
-	c.pace = pace{}
+	c.paces = paces{}
 }
 
 // shedQueue turns away what is queued; what runs goes on.
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -133,13 +133,14 @@
 	return min(r.deadline, r.arrived.Add(r.route.Objective))
 }
 
-// within is the time in which an endpoint has to answer for the placement to matter. Uploads stay in their failure domain
-// while it has room: with them, 35 MB went between domains on a calm day, without them 17, and as many came in time.
-func (r *call) within() clock.Duration {
+// need is what the placement goes by. Uploads stay in their failure domain while it has room, however slow: their bodies are
+// most of what would cross.
+func (r *call) need() router.Need {
+	n := router.Need{Within: r.route.Objective, Nested: r.nested}
 	if r.route.Kind == matcher.Upload {
-		return 0
+		n.Within = 0
 	}
-	return r.route.Objective
+	return n
 }
 
 // admit judges the pressure on the services that the request leads to, and the team's rate. Where it returns false, the
@@ -211,7 +212,7 @@
 
 // place sends a request to the next endpoint, if there is one.
 func (c *Conductor) place(r *call, now clock.Time) bool {
-	endpoint, ok := c.router.PickWithin(r.service, now, r.excluded, r.within())
+	endpoint, ok := c.router.PickWithin(r.service, now, r.excluded, r.need())
 	if ok && slices.Contains(r.excluded, endpoint.ID) {
 		c.router.Done(endpoint.ID, router.Result{Outcome: router.Cancelled}, now)
 		ok = false
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		c.learnMember(MemberLearned{Member: r.Member}, now)
-		c.router.Learn(r.Member.Endpoint, r.Pace)
+		c.router.Learn(r.Member.Endpoint, pacesOf(r))
 		heard = append(heard, apportioner.Heard{Node: r.Member.Node, Demand: r.Demand, Made: now.Add(-r.Age)})
 	}
 	c.apportioner.Hear(heard, now)
@@ -187,11 +187,13 @@
 		Number: c.reported,
 		Demand: c.apportioner.Demand(now),
 		Excess: c.throttler.Excess(),
-		Pace:   c.pace.time(),
 		Load:   c.throttler.Demand(),
 		Calls:  c.runs.calls(),
+
+		RootPace:   c.paces.root.time(),
+		NestedPace: c.paces.nested.time(),
 	}
-	c.router.Learn(c.self.Endpoint, r.Pace)
+	c.router.Learn(c.self.Endpoint, pacesOf(r))
 	c.table.Put(r, now)
 	return r
 }
@@ -241,3 +243,7 @@
 	covered := c.answered > 0 && !c.unanswered && now.Sub(c.answered) <= coveredByReports
 	return !covered || c.IsAsked(now)
 }
+
+func pacesOf(r exchanger.Report) router.Paces {
+	return router.Paces{Root: r.RootPace, Nested: r.NestedPace}
+}
--- a/internal/conductor/pace.go
+++ b/internal/conductor/pace.go
@@ -1,7 +1,9 @@
 package conductor
 
 // Endpoints of one service differ in speed by two to three times, and each grows slower as it fills up. Only the node
-// beside an endpoint sees all of its runs, so that node measures how long they take, and reports it.
+// beside an endpoint sees all of its runs, so that node measures how long they take, and reports it. Root requests and
+// nested calls are measured apart: a call whose runs make four more takes twice as long as the root request beside it, which
+// would seem late wherever it is run.
 //
 // Example: runs of 20, 20 and 50 ms, one in 32 weighed: a pace of 21 ms.
 
@@ -37,3 +39,15 @@
 func (p *pace) time() clock.Duration {
 	return clock.Duration(p.mean)
 }
+
+// paces are those of the root requests and of the nested calls.
+type paces struct {
+	root, nested pace
+}
+
+func (p *paces) of(nested bool) *pace {
+	if nested {
+		return &p.nested
+	}
+	return &p.root
+}
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -34,10 +34,11 @@
 	Demand map[string]float32 `cbor:"4,keyasint,omitempty"`
 	Excess float32            `cbor:"5,keyasint,omitempty"`
 	Calls  map[string]float32 `cbor:"6,keyasint,omitempty"`
-	Pace   int64              `cbor:"7,keyasint,omitempty"`
+	Nested int64              `cbor:"7,keyasint,omitempty"`
 	Load   float32            `cbor:"8,keyasint,omitempty"`
 	// Node stands in place of a member whose record the other side has.
 	Node string `cbor:"9,keyasint,omitempty"`
+	Root int64  `cbor:"10,keyasint,omitempty"`
 }
 
 type wireQuestion struct {
@@ -117,7 +118,8 @@
 		Demand: toFloats(r.Demand),
 		Excess: float32(r.Excess),
 		Calls:  toFloats(r.Calls),
-		Pace:   int64(r.Pace),
+		Nested: int64(r.NestedPace),
+		Root:   int64(r.RootPace),
 		Load:   float32(r.Load),
 	}
 	if r.Brief {
@@ -137,8 +139,10 @@
 		Demand: fromFloats[identifier.Team](w.Demand),
 		Excess: min(1, float64(w.Excess)),
 		Calls:  fromFloats[identifier.Service](w.Calls),
-		Pace:   clock.Duration(max(0, w.Pace)),
 		Load:   max(0, float64(w.Load)),
+
+		NestedPace: clock.Duration(max(0, w.Nested)),
+		RootPace:   clock.Duration(max(0, w.Root)),
 	}
 	if !r.Brief {
 		var err error
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -83,8 +83,9 @@
 	Demand map[identifier.Team]float64
 	// Excess is the part of the load on the endpoint beside the node that is too much (see throttler).
 	Excess float64
-	// Pace is the mean time of a run at the endpoint beside the node, 0 before there was one.
-	Pace clock.Duration
+	// RootPace and NestedPace are the mean times of a run at the endpoint beside the node, of root requests and of nested
+	// calls, 0 before there was one.
+	RootPace, NestedPace clock.Duration
 	// Load is the calls a second that would arrive at the endpoint if nothing were refused.
 	Load float64
 	// Calls is how many nested calls to each service one run at the endpoint makes.
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -29,8 +29,8 @@
 	known       bool
 	refused     float64
 	latency     float64
-	// pace is the mean time of a run, as the node beside the endpoint says; 0 where it does not.
-	pace clock.Duration
+	// paces are as the node beside the endpoint says.
+	paces Paces
 
 	failures  int
 	ejections int
@@ -60,9 +60,8 @@
 }
 
 const (
-	// tail is how many times its mean a slow run takes: of some 30 runs seen at each of three endpoints on a calm day, with
-	// medians of 17, 20 and 49 ms, the slowest took twice that; as much again is left for the nested calls of a run.
-	tail = 4
+	// tail is how many times its mean a run takes that is slow but ordinary: one in ten is slower.
+	tail = 2
 	// mostLateness is the cost of an endpoint whose mean run takes all the time there is. It is more than a full endpoint
 	// that turns all calls away costs: a call that is turned away there may still be tried elsewhere.
 	mostLateness = 3
@@ -83,13 +82,13 @@
 }
 
 // lateness is by how much an endpoint's slow runs go beyond the time in which an answer is due. Calls with time to
-// spare stay in their failure domain; on a calm day with one endpoint of 49 ms and two of 20, calls
-// due in 150 ms that stayed near were late 151 times in 2,275, those that went by this 94 times in 2,271.
-func (m *member) lateness(within clock.Duration) float64 {
-	if within <= 0 || m.pace <= 0 {
+// spare stay in their failure domain.
+func (m *member) lateness(n Need) float64 {
+	pace := m.paces.of(n.Nested)
+	if n.Within <= 0 || pace <= 0 {
 		return 0
 	}
-	return min(mostLateness, max(0, float64(tail*m.pace)/float64(within)-1))
+	return min(mostLateness, max(0, float64(tail*pace)/float64(n.Within)-1))
 }
 
 const (
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,30 +69,30 @@
 }
 
 // Learn takes over how long a run at an endpoint takes on average, as the node beside it says.
-func (r *Router) Learn(id identifier.Endpoint, pace clock.Duration) {
-	if m, ok := r.members[id]; ok && pace > 0 {
-		m.pace = pace
+func (r *Router) Learn(id identifier.Endpoint, p Paces) {
+	if m, ok := r.members[id]; ok && p != (Paces{}) {
+		m.paces = p
 	}
 }
 
 // Pick chooses an endpoint that is not excluded and counts the call as in flight there.
 func (r *Router) Pick(name identifier.Service, now clock.Time, exclude []identifier.Endpoint) (Endpoint, bool) {
-	choice, ok := r.PickWithin(name, now, exclude, 0)
+	choice, ok := r.PickWithin(name, now, exclude, Need{})
 	return choice.Endpoint, ok
 }
 
-// PickWithin is Pick for a call whose answer is due within a time; 0 is no such time.
+// PickWithin is Pick for a call with a need.
 func (r *Router) PickWithin(
 	name identifier.Service,
 	now clock.Time,
 	exclude []identifier.Endpoint,
-	within clock.Duration,
+	need Need,
 ) (Choice, bool) {
 	s, ok := r.services[name]
 	if !ok {
 		return Choice{}, false
 	}
-	m, crossing := r.choose(s, request{now: now, exclude: exclude, within: within})
+	m, crossing := r.choose(s, request{now: now, exclude: exclude, need: need})
 	if m == nil {
 		return Choice{}, false
 	}
@@ -116,7 +116,7 @@
 type request struct {
 	now     clock.Time
 	exclude []identifier.Endpoint
-	within  clock.Duration
+	need    Need
 }
 
 // choose returns an endpoint, and why it would be one elsewhere.
@@ -128,7 +128,7 @@
 	reason := NearFull
 	if near != nil && near.score(q.now, r.options) < spillScore {
 		reason = NearSlow
-		if near.lateness(q.within) == 0 {
+		if near.lateness(q.need) == 0 {
 			return near, Inside
 		}
 	}
@@ -149,7 +149,7 @@
 
 // cost is lower for the better choice.
 func (r *Router) cost(m *member, q request) float64 {
-	return m.score(q.now, r.options) + m.lateness(q.within) + m.queueing(q.within, q.now, r.options)
+	return m.score(q.now, r.options) + m.lateness(q.need) + m.queueing(q.need.Within, q.now, r.options)
 }
 
 func (r *Router) lastResort(s *service, q request) *member {
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -41,6 +41,28 @@
 	State           State
 }
 
+// Paces are the mean times of an endpoint's runs; 0 where there was none.
+type Paces struct {
+	// Root is that of root requests, Nested that of nested calls.
+	Root, Nested clock.Duration
+}
+
+// of returns the pace of one kind of call, that of the other kind where there was none.
+func (p Paces) of(nested bool) clock.Duration {
+	if nested && p.Nested > 0 || p.Root == 0 {
+		return p.Nested
+	}
+	return p.Root
+}
+
+// Need is what a call asks of its endpoint.
+type Need struct {
+	// Within is the time in which the answer is due; 0 is no such time.
+	Within clock.Duration
+	// Nested tells a backend server's call from a root request.
+	Nested bool
+}
+
 // Crossing is why a call leaves the own failure domain; Inside where it does not.
 type Crossing string
 
