Chains are known by route: what needs no pressed service is not refused for it, what needs a missing one is refused at the root, and runs go where their calls are served

A node counts the calls of a run by the run's route, which a call's id tells (see docs/design/decisions.md, Questions); calls of which that is not known count to all runs, as before. Plans go by route and part of a split. 2. A service that has had no endpoint for 0.3 s, by its nodes' own word or since they can't be reached, has the part of the requests that leads there refused at the root, with a time to come back. Silence alone severs nothing.

TestRootsAreRefusedForTheirChain reports by route now, and checks the same.

--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -38,9 +38,9 @@
 	return identifier.MakeRank(identifier.Priority(c/levels), uint8(c%levels), hash)
 }
 
-// arrivals counts the root requests that arrive here, by the service that they go to and their class.
+// arrivals counts the root requests that arrive here, by their origin and their class.
 type arrivals struct {
-	counts map[identifier.Service]*throttler.Mix
+	counts map[origin]*throttler.Mix
 	faded  clock.Time
 }
 
@@ -48,26 +48,34 @@
 // takes 20 a second, short enough to follow a shift of callers.
 const arrivalMemory = 2 * clock.Second
 
-func (a *arrivals) note(service identifier.Service, c class) {
+func (a *arrivals) note(from origin, c class) {
 	if a.counts == nil {
-		a.counts = map[identifier.Service]*throttler.Mix{}
+		a.counts = map[origin]*throttler.Mix{}
 	}
-	m, ok := a.counts[service]
+	m, ok := a.counts[from]
 	if !ok {
 		m = &throttler.Mix{}
-		a.counts[service] = m
+		a.counts[from] = m
 	}
 	m[c]++
 }
 
+// leastArrivals is the faded count below which an origin is dropped; routes come and go.
+const leastArrivals = 0.001
+
 // fade lets old arrivals count less; it is called every chainPeriod or later.
 func (a *arrivals) fade(now clock.Time) {
 	age := float64(now.Sub(a.faded)) / float64(arrivalMemory)
 	a.faded = now
 	keep := 1 / (1 + max(0, age))
-	for _, m := range a.counts {
+	for from, m := range a.counts {
+		total := 0.0
 		for c := range m {
 			m[c] *= keep
+			total += m[c]
+		}
+		if total < leastArrivals {
+			delete(a.counts, from)
 		}
 	}
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -80,7 +80,15 @@
 	repeats     map[identifier.Service]*repeatBudget
 	plan        plan
 	arrivals    arrivals
-	splits      map[string]*split
+	// shares are the configuration's routes by name.
+	shares map[identifier.Route]*routeShare
+	// sent are the origins of what this node has sent, nested calls included.
+	sent map[origin]bool
+	// missed is since when services that requests lead to have been without an endpoint.
+	missed map[identifier.Service]clock.Time
+	// parents are the routes of the requests that run at the local endpoint.
+	parents map[identifier.Request]identifier.Route
+	splits  map[string]*split
 
 	registrar *registrar.Registrar
 	limiter   *limiter.Limiter
@@ -119,6 +127,9 @@
 		pooler:      pooler.New(o.Bounds.Rate, now),
 		repeats:     map[identifier.Service]*repeatBudget{},
 		splits:      map[string]*split{},
+		sent:        map[origin]bool{},
+		missed:      map[identifier.Service]clock.Time{},
+		parents:     map[identifier.Request]identifier.Route{},
 		registrar:   registrar.New(registrar.Options{Service: o.Self.Service, Address: o.EndpointAddress}),
 		throttler:   throttler.New(now),
 		calls:       map[CallID]*call{},
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -19,6 +19,9 @@
 	}
 	// A proof of the version before holds for this one: what was withdrawn by then is missing here as well.
 	c.matcher, c.readAt = e.Matcher, e.At
+	c.shares = sharesOf(e.Matcher.Configuration())
+	c.runs.keep(c.shares)
+	clear(c.sent)
 	for _, t := range e.Matcher.Configuration().Teams {
 		c.apportioner.SetTeam(t.Name, t.Rate, t.Burst, now)
 		c.pooler.SetTeam(t.Name, t.Rate, t.Burst)
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -18,6 +18,8 @@
 type delivery struct {
 	running bool
 	nested  bool
+	request identifier.Request
+	route   identifier.Route
 	started clock.Time
 	// paid is the team that a token was taken from here, to be given back if the request is turned away.
 	paid identifier.Team
@@ -50,7 +52,7 @@
 	if !e.Again {
 		c.throttler.Arrived()
 	}
-	c.deliveries[e.ID] = &delivery{nested: e.Nested, paid: e.Unpaid}
+	c.deliveries[e.ID] = &delivery{nested: e.Nested, request: e.Request, route: c.routeOf(e), paid: e.Unpaid}
 	offered := limiter.Call{
 		ID:        limiter.CallID(e.ID),
 		Rank:      e.Rank,
@@ -62,6 +64,18 @@
 	c.settle(now)
 }
 
+// routeOf returns the route of a delivery, empty where the configuration here has none.
+func (c *Conductor) routeOf(e DeliveryArrived) identifier.Route {
+	if c.matcher == nil {
+		return unknownRun
+	}
+	route, ok := c.matcher.Match(e.Host, e.Path)
+	if !ok {
+		return unknownRun
+	}
+	return identifier.Route(route.Name)
+}
+
 // settle turns the limiter's verdicts into effects.
 func (c *Conductor) settle(now clock.Time) {
 	for _, v := range c.verdicts {
@@ -70,8 +84,11 @@
 		case limiter.Dispatch:
 			if d, ok := c.deliveries[id]; ok {
 				d.running, d.started = true, now
+				c.runs.started(d.route)
+				if d.request != "" {
+					c.parents[d.request] = d.route
+				}
 			}
-			c.runs.started()
 			c.emit(Run{ID: id})
 		case limiter.Queue:
 			c.emit(Hold{ID: id})
@@ -100,6 +117,7 @@
 		return
 	}
 	delete(c.deliveries, e.ID)
+	delete(c.parents, d.request)
 	if c.limiter == nil {
 		return
 	}
@@ -184,6 +202,7 @@
 		Queue:     queuePerSlot * usedSlots(slots),
 	}, now)
 	c.deliveries = map[CallID]*delivery{}
+	c.parents = map[identifier.Request]identifier.Route{}
 	c.paces = paces{}
 }
 
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -91,7 +91,7 @@
 	r.rank = r.class.rank(c.random.Uint64())
 	r.service = c.splitOf(route).next()
 	if r.nested {
-		c.runs.called(r.service)
+		c.runs.called(c.parents[e.Parent], identifier.Route(route.Name))
 	}
 	if !c.admit(r, now) {
 		return
@@ -133,10 +133,17 @@
 	return min(r.deadline, r.arrived.Add(r.route.Objective))
 }
 
+// origin is where the request comes in.
+func (r *call) origin() origin {
+	return origin{route: identifier.Route(r.route.Name), service: r.service}
+}
+
 // need is what the placement goes by. Uploads stay in their failure domain while it has room, however slow: their bodies are
 // most of what would cross.
-func (r *call) need() router.Need {
-	n := router.Need{Within: r.route.Objective, Nested: r.nested}
+func (c *Conductor) need(r *call) router.Need {
+	from := r.origin()
+	c.sent[from] = true
+	n := router.Need{Within: r.route.Objective, Nested: r.nested, Domains: c.plan.homes[from]}
 	if r.route.Kind == matcher.Upload {
 		n.Within = 0
 	}
@@ -149,11 +156,15 @@
 	if r.nested {
 		return true
 	}
-	c.arrivals.note(r.service, r.class)
+	c.arrivals.note(r.origin(), r.class)
 	if part := c.refusedPart(r, now); part > 0 && c.random.Float64() < part {
 		c.refuse(r.id, http.StatusServiceUnavailable, Pressure, c.spread(retryPressed))
 		return false
 	}
+	if c.isSevered(r) {
+		c.refuse(r.id, http.StatusServiceUnavailable, NoEndpoint, c.spread(r.returnsAfter(now)))
+		return false
+	}
 	if r.team == nil {
 		return true
 	}
@@ -212,7 +223,7 @@
 
 // place sends a request to the next endpoint, if there is one.
 func (c *Conductor) place(r *call, now clock.Time) bool {
-	endpoint, ok := c.router.PickWithin(r.service, now, r.excluded, r.need())
+	endpoint, ok := c.router.PickWithin(r.service, now, r.excluded, c.need(r))
 	if ok && slices.Contains(r.excluded, endpoint.ID) {
 		c.router.Done(endpoint.ID, router.Result{Outcome: router.Cancelled}, now)
 		ok = false
--- a/internal/conductor/entry_test.go
+++ b/internal/conductor/entry_test.go
@@ -213,14 +213,14 @@
 	config.Services = append(config.Services, matcher.Service{Name: "desk2"})
 	c := newConductor("x")
 	configure(t, c, config, 0)
-	report := func(m exchanger.Member, excess float64, calls map[identifier.Service]float64) exchanger.Report {
+	report := func(m exchanger.Member, excess float64, calls map[identifier.Route]map[identifier.Route]float64) exchanger.Report {
 		return exchanger.Report{Member: m, Number: 1, Excess: excess, Load: 100, Calls: calls}
 	}
 	c.Apply(ReportsHeard{Reports: []exchanger.Report{
-		report(peer("a", "portal"), 0, map[identifier.Service]float64{"clock": 4}),
-		report(peer("b", "desk"), 0, map[identifier.Service]float64{"clock": 4}),
+		report(peer("a", "portal"), 0, map[identifier.Route]map[identifier.Route]float64{"obs": {"in": 4}}),
+		report(peer("b", "desk"), 0, map[identifier.Route]map[identifier.Route]float64{"ord": {"in": 4}}),
 		report(peer("d", "desk2"), 0, nil),
-		report(peer("e", "clock"), 0.25, map[identifier.Service]float64{}),
+		report(peer("e", "clock"), 0.25, map[identifier.Route]map[identifier.Route]float64{"in": {}}),
 	}}, 0)
 	refused := map[string]int{}
 	id := CallID(0)
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -27,6 +27,8 @@
 	Path string
 	// Key is empty where none came.
 	Key string
+	// Parent is the request whose run at the local endpoint makes this one, empty where that is not known.
+	Parent identifier.Request
 	// Left is how long the caller waits; 0 where it did not say.
 	Left clock.Duration
 	// Boot is the boot time, by which freshness is judged.
@@ -79,7 +81,11 @@
 
 // DeliveryArrived is a request for the local endpoint, from this node or another one.
 type DeliveryArrived struct {
-	ID       CallID
+	ID CallID
+	// Request, Host and Path are as the caller sent them.
+	Request  identifier.Request
+	Host     string
+	Path     string
 	Endpoint identifier.Endpoint
 	Rank     identifier.Rank
 	// Deadline is when the caller stops waiting, Patience how long the request may be queued.
--- a/internal/conductor/repeat_test.go
+++ b/internal/conductor/repeat_test.go
@@ -49,7 +49,7 @@
 	for i := range 3 {
 		reports = append(reports, exchanger.Report{
 			Member: peer(identifier.Node(fmt.Sprint("n", i)), "clock"), Number: int64(now) + 1, Load: fleetLoad / 3,
-			Calls: map[identifier.Service]float64{},
+			Calls: map[identifier.Route]map[identifier.Route]float64{"obs": {}, "in": {}},
 		})
 	}
 	f.node.Apply(ReportsHeard{Reports: reports}, now)
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -33,7 +33,7 @@
 	Number int64              `cbor:"3,keyasint"`
 	Demand map[string]float32 `cbor:"4,keyasint,omitempty"`
 	Excess float32            `cbor:"5,keyasint,omitempty"`
-	Calls  map[string]float32 `cbor:"6,keyasint,omitempty"`
+	Calls  wireCalls          `cbor:"6,keyasint,omitempty"`
 	Nested int64              `cbor:"7,keyasint,omitempty"`
 	Load   float32            `cbor:"8,keyasint,omitempty"`
 	// Node stands in place of a member whose record the other side has.
@@ -41,6 +41,9 @@
 	Root int64  `cbor:"10,keyasint,omitempty"`
 }
 
+// wireCalls holds calls by the run's route and the call's.
+type wireCalls map[string]map[string]float32
+
 type wireQuestion struct {
 	Report wireReport `cbor:"1,keyasint"`
 	Table  uint64     `cbor:"2,keyasint,omitempty"`
@@ -117,7 +120,7 @@
 		Number: r.Number,
 		Demand: toFloats(r.Demand),
 		Excess: float32(r.Excess),
-		Calls:  toFloats(r.Calls),
+		Calls:  toCalls(r.Calls),
 		Nested: int64(r.NestedPace),
 		Root:   int64(r.RootPace),
 		Load:   float32(r.Load),
@@ -138,7 +141,7 @@
 		Number: w.Number,
 		Demand: fromFloats[identifier.Team](w.Demand),
 		Excess: min(1, float64(w.Excess)),
-		Calls:  fromFloats[identifier.Service](w.Calls),
+		Calls:  fromCalls(w.Calls),
 		Load:   max(0, float64(w.Load)),
 
 		NestedPace: clock.Duration(max(0, w.Nested)),
@@ -212,3 +215,19 @@
 	}
 	return to
 }
+
+func toCalls(from map[identifier.Route]map[identifier.Route]float64) wireCalls {
+	to := make(wireCalls, len(from))
+	for route, calls := range from {
+		to[string(route)] = toFloats(calls)
+	}
+	return to
+}
+
+func fromCalls(from wireCalls) map[identifier.Route]map[identifier.Route]float64 {
+	to := make(map[identifier.Route]map[identifier.Route]float64, len(from))
+	for route, calls := range from {
+		to[identifier.Route(route)] = fromFloats[identifier.Route](calls)
+	}
+	return to
+}
--- a/internal/exchanger/table_test.go
+++ b/internal/exchanger/table_test.go
@@ -88,7 +88,7 @@
 			Number: rapid.Int64().Draw(t, "number"),
 			Excess: 0.5, Load: 40, NestedPace: 12, RootPace: 7,
 			Demand: map[identifier.Team]float64{"parish": 2.5},
-			Calls:  map[identifier.Service]float64{"clock": 4},
+			Calls:  map[identifier.Route]map[identifier.Route]float64{"order": {"hours": 4}, "": {}},
 		}
 		question := Question{Report: in, Heard: Mark{Table: 7, Change: rapid.Uint64().Draw(t, "change")}}
 		data, err := EncodeQuestion(question)
@@ -151,7 +151,7 @@
 		table.Put(Report{
 			Member: m, Number: number, Excess: 0.1, NestedPace: 60, Load: 40,
 			Demand: map[identifier.Team]float64{"parish-1": 3.5, "parish-2": 4.25},
-			Calls:  map[identifier.Service]float64{"desk": 1, "clock": 4},
+			Calls:  map[identifier.Route]map[identifier.Route]float64{"browse": {"desk": 1, "clock": 4}},
 		}, now)
 	}
 }
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -88,8 +88,9 @@
 	RootPace, NestedPace clock.Duration
 	// Load is the calls a second that would arrive at the endpoint if nothing were refused.
 	Load float64
-	// Calls is how many nested calls to each service one run at the endpoint makes.
-	Calls map[identifier.Service]float64
+	// Calls is how many nested calls one run at the endpoint makes, by the route of the run and that of the call. Calls of
+	// which nobody can say whose they are stand under the empty route, by all runs.
+	Calls map[identifier.Route]map[identifier.Route]float64
 }
 
 // Newer tells whether r is a later word of the node than o.
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -9,6 +9,9 @@
 // Service is the name of a service, the first part of a call's path.
 type Service string
 
+// Route names a route of the configuration.
+type Route string
+
 // FailureDomain is the name of a failure domain.
 type FailureDomain string
 
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -66,8 +67,12 @@
 // deliver runs a request at the local endpoint.
 func (r *Relayer) deliver(ctx context.Context, p parcel) answer {
 	id := r.newID()
+	path, _, _ := strings.Cut(p.request.URI, "?")
 	effect := r.apply(id, conductor.DeliveryArrived{
 		ID:       id,
+		Request:  identifier.Request(p.id),
+		Host:     p.request.Host,
+		Path:     path,
 		Endpoint: p.endpoint,
 		Rank:     p.rank,
 		Deadline: p.deadline,
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -36,12 +36,13 @@
 	path, _, _ := strings.Cut(request.RequestURI, "?")
 	started := r.options.Clock.Now()
 	effect := r.apply(id, conductor.RequestArrived{
-		ID:   id,
-		Host: request.Host,
-		Path: path,
-		Key:  key,
-		Left: left,
-		Boot: r.options.Boot.Now(),
+		ID:     id,
+		Host:   request.Host,
+		Path:   path,
+		Key:    key,
+		Parent: r.parent(request.Header.Get(h.RequestID)),
+		Left:   left,
+		Boot:   r.options.Boot.Now(),
 	})
 	if d, draws := effect.(conductor.Draw); draws {
 		effect = r.draw(request.Context(), d)
@@ -95,6 +96,13 @@
 	}
 }
 
+func (r *Relayer) parent(id string) identifier.Request {
+	if r.options.Headers.Parent == nil {
+		return ""
+	}
+	return identifier.Request(r.options.Headers.Parent(id))
+}
+
 // MayRunAhead tells whether a caller's request may be begun before those that it sent earlier on its connection are
 // answered: only where running it twice does no harm, and not while the node stops, when answers end their connections.
 func (r *Relayer) MayRunAhead(request *http.Request) bool {
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -27,6 +27,8 @@
 	Target    string
 	NotRun    string
 	Signature string
+	// Parent returns the id of the request whose run makes the one with an id, empty where it does not tell.
+	Parent func(id string) string
 	// Load is the field with an endpoint's own word of its load, which only the node beside it could use.
 	Load string
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -124,6 +124,11 @@
 	if m := r.probe(s, q.now, q.exclude); m != nil {
 		return m, Probing
 	}
+	if len(q.need.Domains) > 0 {
+		if m := r.drawIn(&s.far, q); m != nil {
+			return m, ForItsCalls
+		}
+	}
 	near := r.draw(&s.near, q)
 	reason := NearFull
 	if near != nil && near.score(q.now, r.options) < spillScore {
@@ -183,6 +188,20 @@
 	return a
 }
 
+// drawIn takes an endpoint with room in the domains that the call needs, the best of those; there are rarely more than a few.
+func (r *Router) drawIn(g *group, q request) *member {
+	var best *member
+	for _, m := range g.members {
+		if !slices.Contains(q.need.Domains, m.endpoint.Domain) || slices.Contains(q.exclude, m.endpoint.ID) {
+			continue
+		}
+		if m.score(q.now, r.options) < spillScore && (best == nil || r.cost(m, q) < r.cost(best, q)) {
+			best = m
+		}
+	}
+	return best
+}
+
 // allowed returns the member at the place, or the next one that is not excluded.
 func (r *Router) allowed(g *group, place int, exclude []identifier.Endpoint) *member {
 	n := len(g.members)
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -61,6 +61,9 @@
 	Within clock.Duration
 	// Nested tells a backend server's call from a root request.
 	Nested bool
+	// Domains are the failure domains in which the call's own nested calls find endpoints, where the own domain is none of
+	// them; empty for no preference.
+	Domains []identifier.FailureDomain
 }
 
 // Crossing is why a call leaves the own failure domain; Inside where it does not.
@@ -74,6 +77,8 @@
 	// NearFull tells that the endpoints there have no headroom, NearSlow that their slow runs would be late.
 	NearFull Crossing = "nearFull"
 	NearSlow Crossing = "nearSlow"
+	// ForItsCalls tells that the call's own nested calls would have to leave, several for one.
+	ForItsCalls Crossing = "forItsCalls"
 	// Probing tells that an ejected endpoint is tried again.
 	Probing Crossing = "probing"
 	// NoneSound tells that only endpoints in doubt are left.
