--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -366,8 +366,7 @@
 
 const (
 	// usedOvercommitment is the part of the tolerated excess by which the parts come to more than the whole where a
-	// team's demand is about its rate. Some buckets are then full while others are empty, and what runs over is lost:
-	// of 18 nodes with 3 requests a second each, a tenth (in the package's test).
+	// team's demand is about its rate. Some buckets are then full while others are empty, and what runs over is lost.
 	usedOvercommitment = 0.5
 	// pressingPart of its rate is the demand from which no bucket is ever full, so that nothing runs over.
 	pressingPart = 1.4
--- /dev/null
+++ b/internal/conductor/ending.go
@@ -0,0 +1,138 @@
+package conductor
+
+// An attempt ends with an answer, or with what is known of the request: it has certainly not run, or it may have. From that
+// follows whether it is tried again elsewhere, and what its caller may be told.
+//
+// Example: Broken for an order is answered with 502, since it may have run; Full for it is tried elsewhere.
+
+import (
+	"net/http"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/router"
+)
+
+// spread returns a time around d: callers that were refused together should not come back together.
+func (c *Conductor) spread(d clock.Duration) clock.Duration {
+	return d/2 + clock.Duration(c.random.Int64N(int64(d)+1))
+}
+
+func (c *Conductor) refuse(id CallID, status int, reason Reason, after clock.Duration) {
+	c.emit(Refuse{ID: id, Status: status, Reason: reason, RetryAfter: after})
+}
+
+func (c *Conductor) attemptEnded(e AttemptEnded, now clock.Time) {
+	r, ok := c.calls[e.ID]
+	if !ok {
+		return
+	}
+	c.learnAttempt(r, e, now)
+	c.learnReach(r, e.Outcome, now)
+	if e.Member != nil {
+		// Else each further request would go there as well, until the record comes by the store or a report.
+		c.learnMember(MemberLearned{Member: *e.Member}, now)
+	}
+	if e.Outcome == Answered {
+		c.emit(Reply{ID: r.id})
+		return
+	}
+	if e.Outcome == Abandoned {
+		return
+	}
+	if e.Outcome == Broken || e.Outcome == Late {
+		r.doubt = true
+	}
+	if e.Outcome == Broken || e.Outcome == Late || e.Outcome == Declined {
+		r.arrivals++
+	}
+	r.counted = r.counted || e.Outcome != Moved && e.Outcome != Unreached && e.Outcome != Over
+	r.excluded = append(r.excluded, r.picked)
+	r.turnedAway = r.turnedAway || e.Outcome != Moved && e.Outcome != Unreached
+	if c.mayTryAgain(r, e, now) {
+		c.attempt(r, now)
+		return
+	}
+	if e.Replayable && c.await(r, now) {
+		return
+	}
+	c.giveUp(r, reasonOf(e.Outcome), now)
+}
+
+// learnAttempt tells the router how an attempt went.
+func (c *Conductor) learnAttempt(r *call, e AttemptEnded, now clock.Time) {
+	result := router.Result{Latency: now.Sub(r.sent), Headroom: e.Headroom, Wait: e.Wait}
+	if e.Outcome != Over && !e.Outcome.NotRun() {
+		r.unpaid = false
+	}
+	switch e.Outcome {
+	case Answered:
+		result.Outcome = router.Succeeded
+		if e.Status >= http.StatusInternalServerError {
+			result.Outcome = router.Cancelled
+		}
+	case Full, Declined:
+		result.Outcome = router.Refused
+	case Moved, Abandoned, Over:
+		result.Outcome = router.Cancelled
+	default:
+		result.Outcome = router.Failed
+	}
+	c.router.Done(r.picked, result, now)
+}
+
+func (c *Conductor) mayTryAgain(r *call, e AttemptEnded, now clock.Time) bool {
+	if !e.Replayable || r.tries >= mostTries || e.Outcome == Late {
+		return false
+	}
+	if r.doubt && r.route.Kind != matcher.Idempotent {
+		return false
+	}
+	if r.arrivals == 0 {
+		return true
+	}
+	return r.arrivals < r.route.Attempts && c.mayRepeat(r.service, r.nested, now)
+}
+
+func reasonOf(o Outcome) Reason {
+	switch o {
+	case Moved:
+		return EndpointGone
+	case Full:
+		return NoRoom
+	case Unreached:
+		return EndpointDown
+	case Declined:
+		return EndpointRefused
+	case Late:
+		return Deadline
+	case Over:
+		return OverRate
+	default:
+		return InDoubt
+	}
+}
+
+// giveUp answers at once. Only what has certainly not run may say so.
+func (c *Conductor) giveUp(r *call, reason Reason, now clock.Time) {
+	switch {
+	case r.doubt && reason == Deadline:
+		c.refuse(r.id, http.StatusGatewayTimeout, reason, 0)
+	case r.doubt:
+		c.refuse(r.id, http.StatusBadGateway, reason, 0)
+	case reason == OverRate:
+		c.refuse(r.id, http.StatusTooManyRequests, OverRate, c.spread(r.wait))
+	case reason == NoEndpoint || reason == EndpointGone || reason == EndpointDown:
+		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(r.returnsAfter(now)))
+	default:
+		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(retryNoRoom))
+	}
+	if !r.doubt && r.arrivals == 0 && r.team != nil && !r.unpaid {
+		c.payBack(r.team.Name, now)
+	}
+	c.close(r.id)
+}
+
+func (c *Conductor) close(id CallID) {
+	delete(c.calls, id)
+}
--- /dev/null
+++ b/internal/conductor/graph.go
@@ -0,0 +1,174 @@
+package conductor
+
+// Who calls whom, and how often a run, is put together from what the nodes of each service report.
+//
+// Example: "browse" at portal calls "order" once and that calls "hours" four times at clock: browse costs 4 at clock.
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+)
+
+// routeShare is a route, and the part of its requests that each service gets.
+type routeShare struct {
+	route *matcher.Route
+	parts map[identifier.Service]float64
+}
+
+func sharesOf(config matcher.Configuration) map[identifier.Route]*routeShare {
+	shares := make(map[identifier.Route]*routeShare, len(config.Routes))
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		share := &routeShare{route: route, parts: map[identifier.Service]float64{}}
+		total := 0
+		for _, part := range route.Parts {
+			total += part.Weight
+		}
+		for _, part := range route.Parts {
+			if total > 0 {
+				share.parts[part.Service] += float64(part.Weight) / float64(total)
+			}
+		}
+		shares[identifier.Route(route.Name)] = share
+	}
+	return shares
+}
+
+// stage is a service as its nodes report it.
+type stage struct {
+	excesses, loads []float64
+	kinds           map[identifier.Route]*kindCalls
+}
+
+// kindCalls are the nested calls of one run of a route, summed over the nodes that know them.
+type kindCalls struct {
+	calls   map[identifier.Route]float64
+	knowing float64
+}
+
+// leaf tells whether a service is known to make no nested calls.
+func (s *stage) leaf() bool {
+	for _, k := range s.kinds {
+		if len(k.calls) > 0 {
+			return false
+		}
+	}
+	return len(s.kinds) > 0
+}
+
+// graph is who calls whom.
+type graph struct {
+	shares map[identifier.Route]*routeShare
+	stages map[identifier.Service]*stage
+}
+
+func newGraph(shares map[identifier.Route]*routeShare, reports []exchanger.Report) *graph {
+	g := &graph{shares: shares, stages: map[identifier.Service]*stage{}}
+	for _, report := range reports {
+		if report.Age <= silentAfter && report.Member.State == exchanger.Ready {
+			g.add(report)
+		}
+	}
+	return g
+}
+
+func (g *graph) add(report exchanger.Report) {
+	s, ok := g.stages[report.Member.Service]
+	if !ok {
+		s = &stage{kinds: map[identifier.Route]*kindCalls{}}
+		g.stages[report.Member.Service] = s
+	}
+	s.excesses = append(s.excesses, report.Excess)
+	s.loads = append(s.loads, report.Load)
+	for route, calls := range report.Calls {
+		k, ok := s.kinds[route]
+		if !ok {
+			k = &kindCalls{calls: map[identifier.Route]float64{}}
+			s.kinds[route] = k
+		}
+		k.knowing++
+		for nested, n := range calls {
+			k.calls[nested] += n
+		}
+	}
+}
+
+const (
+	// deepest bounds the walk; the longest chains known have 21 services.
+	deepest = 24
+	// leastCost is the number of calls at a service below which the walk does not go on.
+	leastCost = 0.01
+)
+
+// costsOf returns how many calls at each service one request makes, itself included.
+func (g *graph) costsOf(from origin) map[identifier.Service]float64 {
+	costs := map[identifier.Service]float64{}
+	g.visit(costs, from, 1, nil)
+	return costs
+}
+
+// visit adds what a number of runs of a route at a service costs.
+func (g *graph) visit(costs map[identifier.Service]float64, at origin, times float64, above []origin) {
+	costs[at.service] += times
+	s, ok := g.stages[at.service]
+	if !ok || len(above) == deepest {
+		return
+	}
+	above = append(slices.Clone(above), at)
+	for _, route := range []identifier.Route{at.route, unknownRun} {
+		k, ok := s.kinds[route]
+		if !ok {
+			continue
+		}
+		for nested, n := range k.calls {
+			g.descend(costs, nested, times*n/k.knowing, above)
+		}
+	}
+}
+
+func (g *graph) descend(
+	costs map[identifier.Service]float64,
+	route identifier.Route,
+	times float64,
+	above []origin,
+) {
+	share, ok := g.shares[route]
+	if !ok {
+		return
+	}
+	for service, part := range share.parts {
+		next := origin{route: route, service: service}
+		// Services that call each other would be walked round and round.
+		if times*part >= leastCost && !slices.Contains(above, next) {
+			g.visit(costs, next, times*part, above)
+		}
+	}
+}
+
+// directCalls returns how many calls to each service one run makes itself.
+func (g *graph) directCalls(from origin) map[identifier.Service]float64 {
+	calls := map[identifier.Service]float64{}
+	s, ok := g.stages[from.service]
+	if !ok {
+		return calls
+	}
+	for _, route := range []identifier.Route{from.route, unknownRun} {
+		k, ok := s.kinds[route]
+		if !ok {
+			continue
+		}
+		for nested, n := range k.calls {
+			share, ok := g.shares[nested]
+			if !ok {
+				continue
+			}
+			for service, part := range share.parts {
+				calls[service] += n / k.knowing * part
+			}
+		}
+	}
+	return calls
+}
--- a/internal/conductor/home.go
+++ b/internal/conductor/home.go
@@ -60,28 +60,3 @@
 		}
 	}
 }
-
-// directCalls returns how many calls to each service one run makes itself.
-func (g *graph) directCalls(from origin) map[identifier.Service]float64 {
-	calls := map[identifier.Service]float64{}
-	s, ok := g.stages[from.service]
-	if !ok {
-		return calls
-	}
-	for _, route := range []identifier.Route{from.route, unknownRun} {
-		k, ok := s.kinds[route]
-		if !ok {
-			continue
-		}
-		for nested, n := range k.calls {
-			share, ok := g.shares[nested]
-			if !ok {
-				continue
-			}
-			for service, part := range share.parts {
-				calls[service] += n / k.knowing * part
-			}
-		}
-	}
-	return calls
-}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -238,7 +238,7 @@
 
 // FollowsStore tells whether this node has to follow the store by itself. One that exchanges reports hears of each change of
 // the members by them; the node that the others ask follows the store for all. If all did, each new or leaving endpoint
-// would cost a call of every node: of 88 nodes' 6,178 calls on a day with a release most were these.
+// would cost a call of every node.
 func (c *Conductor) FollowsStore(now clock.Time) bool {
 	covered := c.answered > 0 && !c.unanswered && now.Sub(c.answered) <= coveredByReports
 	return !covered || c.IsAsked(now)
--- a/internal/conductor/rebirth.go
+++ b/internal/conductor/rebirth.go
@@ -3,9 +3,6 @@
 // A node that is started anew knows nothing, and the endpoint beside it announces itself only every second and a half. Its
 // own record in the store, from before, tells at once which endpoint was there.
 //
-// After all 18 nodes were killed at once, endpoints were unknown for 0.5 s on average and 0.9 s at most, and two
-// requests in five failed in those two seconds.
-//
 // Example: the record says i-7 with 264 slots, Ready: requests for i-7 are taken from the first moment on; no heartbeat
 // comes for two seconds: the endpoint counts as unknown again.
 
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -6,8 +6,7 @@
 // node that is asked looks for members that nobody reports of.
 //
 // A node that asks says up to where it has heard, and gets only what changed since; of members whose record is the same,
-// only what they report. Whole bundles of 88 nodes took 82 kB each, twice a second for every node, and were most of what
-// the fleet sent between failure domains on a quiet day.
+// only what they report. Whole bundles would grow with the square of the fleet.
 //
 // Example: nodes a, b and c ask a; when a gives no answer, they ask b, and a again after a while.
 
--- a/internal/limiter/standing.go
+++ b/internal/limiter/standing.go
@@ -3,8 +3,7 @@
 // A queue that clears now and then absorbs bursts; one that does not clear only adds its length to each call. A request
 // that needs four nested calls one after the other then waits four times, and is late as a whole although each of its
 // calls was run: nothing that is run is of use. Newest first, the calls that are run hardly wait, those that wait are
-// turned away when their patience ends, and whole requests come through: in the package's play of requests of four
-// calls, 0.84 of them against 0.65 where a tenth more comes than fits, and 0.33 against none where twice as much comes.
+// turned away when their patience ends, and whole requests come through.
 //
 // Example: calls have waited without a gap for 100 ms: the call that came last is run next.
 
--- /dev/null
+++ b/internal/relayer/answer.go
@@ -0,0 +1,76 @@
+package relayer
+
+// A small answer is read whole before any of it is passed on, so that one that breaks off can be asked for again.
+//
+// Example: 600 of 900 bytes come and the connection is reset: Broken, and a lookup is tried elsewhere.
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
+)
+
+// smallAnswer is the largest answer that is read whole before any of it is passed on, so that one that breaks off can
+// be asked for again. Ordinary answers have 400 to 6,000 bytes.
+const smallAnswer = 64 << 10
+
+func (r *Relayer) readSmall(ctx context.Context, cancel func(), a answer) answer {
+	if a.outcome != conductor.Answered {
+		cancel()
+		return a
+	}
+	if a.ContentLength > smallAnswer {
+		return cancelledAtEnd(a, cancel)
+	}
+	body, err := readBody(a.Response)
+	if err == nil && len(body) > smallAnswer {
+		a.Body = rest{Reader: io.MultiReader(bytes.NewReader(body), a.Body), Closer: a.Body}
+		return cancelledAtEnd(a, cancel)
+	}
+	defer cancel()
+	a.finish(err == nil)
+	if err == nil {
+		a.body, a.read = body, true
+		return a
+	}
+	switch {
+	case lost(ctx):
+		return failed(conductor.Broken, conductor.InDoubt)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failed(conductor.Late, conductor.Deadline)
+	case ctx.Err() != nil:
+		return failed(conductor.Abandoned, conductor.InDoubt)
+	default:
+		return failed(conductor.Broken, conductor.InDoubt)
+	}
+}
+
+// rest is a body of which a part was read already.
+type rest struct {
+	io.Reader
+	io.Closer
+}
+
+// readBody reads a body to its end, or a little more than what counts as small of one whose length is not known.
+func readBody(response *requester.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, smallAnswer+1))
+	if err == nil && response.ContentLength > int64(len(body)) && response.Request.Method != http.MethodHead {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// cancelledAtEnd leaves an answer's context open until its body has been passed on.
+func cancelledAtEnd(a answer, cancel func()) answer {
+	finish := a.finish
+	a.finish = func(whole bool) {
+		finish(whole)
+		cancel()
+	}
+	return a
+}
--- /dev/null
+++ b/internal/relayer/attempt.go
@@ -0,0 +1,137 @@
+package relayer
+
+// One attempt goes to the local endpoint, or to the node beside another one.
+//
+// Example: the other node has no room: failed(Full), and the conductor says where to try next.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
+	"github.com/jackdawtide/jackdawtide/internal/router"
+)
+
+// attempt makes one attempt, at the local endpoint or by way of another node.
+func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
+	left := s.Deadline.Sub(r.options.Clock.Now())
+	parent, stop := request.Context(), func() {}
+	if !s.Local && s.Idempotent {
+		parent, stop = r.watchAbort(parent, s.ID)
+	}
+	ctx, cancelTime := context.WithTimeout(parent, left.Std())
+	cancel := func() {
+		cancelTime()
+		stop()
+	}
+	out := outgoing(request, endToEnd(request.Header))
+	out.Body, out.Length = body.reader()
+	h := r.options.Headers
+	delete(out.Header, h.Key)
+	delete(out.Header, h.Team)
+	delete(out.Header, h.Target)
+	if s.Team != "" {
+		out.Header[h.Team] = []string{string(s.Team)}
+	}
+	out.Header[h.Origin] = []string{string(r.options.Service)}
+	var a answer
+	if s.Local {
+		a = r.deliver(ctx, parcel{
+			request:  out,
+			id:       request.Header.Get(h.RequestID),
+			endpoint: s.Endpoint,
+			rank:     s.Rank,
+			deadline: s.Deadline,
+			patience: s.Patience,
+			due:      s.Due,
+			nested:   s.Nested,
+			again:    s.Again,
+			unpaid:   unpaid(s),
+		})
+		r.View(func(c *conductor.Conductor, _ clock.Time) { a.headroom, a.wait = c.Headroom(), c.QueueDelay() })
+	} else {
+		a = r.ask(ctx, s, out, body)
+	}
+	return r.readSmall(ctx, cancel, a)
+}
+
+// ask sends a request to the node beside another endpoint.
+func (r *Relayer) ask(ctx context.Context, s conductor.Send, out *requester.Request, body *replayable) answer {
+	now := r.options.Clock.Now()
+	out.Header[callField] = []string{handover{
+		left:     s.Deadline.Sub(now),
+		patience: s.Patience,
+		due:      s.Due.Sub(now),
+		rank:     s.Rank,
+		nested:   s.Nested,
+		again:    s.Again,
+		endpoint: s.Endpoint,
+		unpaid:   unpaid(s),
+	}.String()}
+	delete(out.Header, r.options.Headers.TimeLeft)
+	// A team that is over its rate is mostly refused there as well, and a body would cross the domains for nothing.
+	out.Hesitant = body.streamed() || s.Unpaid && s.Crossing != router.Inside
+	count := r.countCrossing(s, out)
+	asked := r.options.Boot.Now()
+	response, err := r.peers.Do(ctx, s.Address, out)
+	if err != nil {
+		count()
+		return r.peerFailed(ctx, s, err)
+	}
+	told := readCondition(response.Header)
+	r.learnProof(told.proof, asked)
+	if name := response.Header.Get(outcomeField); name != "" {
+		response.Close(drain(response))
+		count()
+		a := failed(conductor.ParseOutcome(name), "")
+		a.headroom, a.wait, a.member = told.headroom, told.wait, r.readMember(response.Header)
+		return a
+	}
+	if id, ok := out.Header[r.options.Headers.RequestID]; ok {
+		response.Header[r.options.Headers.RequestID] = id
+	}
+	return answer{
+		Response: response,
+		outcome:  conductor.Answered,
+		headroom: told.headroom,
+		wait:     told.wait,
+		finish: func(whole bool) {
+			response.Close(whole)
+			count()
+		},
+	}
+}
+
+func unpaid(s conductor.Send) identifier.Team {
+	if s.Unpaid {
+		return s.Team
+	}
+	return ""
+}
+
+func (r *Relayer) peerFailed(ctx context.Context, s conductor.Send, err error) answer {
+	var dial requester.DialError
+	var body requester.BodyError
+	switch {
+	case lost(ctx) && errors.As(err, &dial):
+		return failed(conductor.Unreached, conductor.EndpointDown)
+	case lost(ctx):
+		return failed(conductor.Broken, conductor.InDoubt)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failed(conductor.Late, conductor.Deadline)
+	case ctx.Err() != nil:
+		return failed(conductor.Abandoned, conductor.InDoubt)
+	case errors.As(err, &body):
+		return unread(err)
+	case errors.As(err, &dial):
+		r.options.Recorder.Dependency("node "+string(s.Node), err)
+		return failed(conductor.Unreached, conductor.EndpointDown)
+	default:
+		r.peers.Forget(s.Address)
+		return failed(conductor.Broken, conductor.InDoubt)
+	}
+}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -6,9 +6,6 @@
 // Example: node b turns the request away as full, node c's endpoint answers: the caller sees only that answer.
 
 import (
-	"bytes"
-	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,8 +17,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
-	"github.com/jackdawtide/jackdawtide/internal/requester"
-	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
 // ServeOutbound serves a request of a caller or of the local endpoint.
@@ -157,194 +152,14 @@
 	return true
 }
 
-// attempt makes one attempt, at the local endpoint or by way of another node.
-func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
-	left := s.Deadline.Sub(r.options.Clock.Now())
-	parent, stop := request.Context(), func() {}
-	if !s.Local && s.Idempotent {
-		parent, stop = r.watchAbort(parent, s.ID)
-	}
-	ctx, cancelTime := context.WithTimeout(parent, left.Std())
-	cancel := func() {
-		cancelTime()
-		stop()
-	}
-	out := outgoing(request, endToEnd(request.Header))
-	out.Body, out.Length = body.reader()
-	h := r.options.Headers
-	delete(out.Header, h.Key)
-	delete(out.Header, h.Team)
-	delete(out.Header, h.Target)
-	if s.Team != "" {
-		out.Header[h.Team] = []string{string(s.Team)}
-	}
-	out.Header[h.Origin] = []string{string(r.options.Service)}
-	var a answer
-	if s.Local {
-		a = r.deliver(ctx, parcel{
-			request:  out,
-			id:       request.Header.Get(h.RequestID),
-			endpoint: s.Endpoint,
-			rank:     s.Rank,
-			deadline: s.Deadline,
-			patience: s.Patience,
-			due:      s.Due,
-			nested:   s.Nested,
-			again:    s.Again,
-			unpaid:   unpaid(s),
-		})
-		r.View(func(c *conductor.Conductor, _ clock.Time) { a.headroom, a.wait = c.Headroom(), c.QueueDelay() })
-	} else {
-		a = r.ask(ctx, s, out, body)
-	}
-	return r.readSmall(ctx, cancel, a)
-}
-
-// ask sends a request to the node beside another endpoint.
-func (r *Relayer) ask(ctx context.Context, s conductor.Send, out *requester.Request, body *replayable) answer {
-	now := r.options.Clock.Now()
-	out.Header[callField] = []string{handover{
-		left:     s.Deadline.Sub(now),
-		patience: s.Patience,
-		due:      s.Due.Sub(now),
-		rank:     s.Rank,
-		nested:   s.Nested,
-		again:    s.Again,
-		endpoint: s.Endpoint,
-		unpaid:   unpaid(s),
-	}.String()}
-	delete(out.Header, r.options.Headers.TimeLeft)
-	// A team that is over its rate is mostly refused there as well, and a body would cross the domains for nothing.
-	out.Hesitant = body.streamed() || s.Unpaid && s.Crossing != router.Inside
-	count := r.countCrossing(s, out)
-	asked := r.options.Boot.Now()
-	response, err := r.peers.Do(ctx, s.Address, out)
-	if err != nil {
-		count()
-		return r.peerFailed(ctx, s, err)
-	}
-	told := readCondition(response.Header)
-	r.learnProof(told.proof, asked)
-	if name := response.Header.Get(outcomeField); name != "" {
-		response.Close(drain(response))
-		count()
-		a := failed(conductor.ParseOutcome(name), "")
-		a.headroom, a.wait, a.member = told.headroom, told.wait, r.readMember(response.Header)
-		return a
-	}
-	if id, ok := out.Header[r.options.Headers.RequestID]; ok {
-		response.Header[r.options.Headers.RequestID] = id
-	}
-	return answer{
-		Response: response,
-		outcome:  conductor.Answered,
-		headroom: told.headroom,
-		wait:     told.wait,
-		finish: func(whole bool) {
-			response.Close(whole)
-			count()
-		},
-	}
-}
-
-func unpaid(s conductor.Send) identifier.Team {
-	if s.Unpaid {
-		return s.Team
-	}
-	return ""
-}
-
-func (r *Relayer) peerFailed(ctx context.Context, s conductor.Send, err error) answer {
-	var dial requester.DialError
-	var body requester.BodyError
-	switch {
-	case lost(ctx) && errors.As(err, &dial):
-		return failed(conductor.Unreached, conductor.EndpointDown)
-	case lost(ctx):
-		return failed(conductor.Broken, conductor.InDoubt)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return failed(conductor.Late, conductor.Deadline)
-	case ctx.Err() != nil:
-		return failed(conductor.Abandoned, conductor.InDoubt)
-	case errors.As(err, &body):
-		return unread(err)
-	case errors.As(err, &dial):
-		r.options.Recorder.Dependency("node "+string(s.Node), err)
-		return failed(conductor.Unreached, conductor.EndpointDown)
-	default:
-		r.peers.Forget(s.Address)
-		return failed(conductor.Broken, conductor.InDoubt)
-	}
-}
-
-// smallAnswer is the largest answer that is read whole before any of it is passed on, so that one that breaks off can
-// be asked for again. Ordinary answers have 400 to 6,000 bytes.
-const smallAnswer = 64 << 10
-
-func (r *Relayer) readSmall(ctx context.Context, cancel func(), a answer) answer {
-	if a.outcome != conductor.Answered {
-		cancel()
-		return a
-	}
-	if a.ContentLength > smallAnswer {
-		return cancelledAtEnd(a, cancel)
-	}
-	body, err := readBody(a.Response)
-	if err == nil && len(body) > smallAnswer {
-		a.Body = rest{Reader: io.MultiReader(bytes.NewReader(body), a.Body), Closer: a.Body}
-		return cancelledAtEnd(a, cancel)
-	}
-	defer cancel()
-	a.finish(err == nil)
-	if err == nil {
-		a.body, a.read = body, true
-		return a
-	}
-	switch {
-	case lost(ctx):
-		return failed(conductor.Broken, conductor.InDoubt)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return failed(conductor.Late, conductor.Deadline)
-	case ctx.Err() != nil:
-		return failed(conductor.Abandoned, conductor.InDoubt)
-	default:
-		return failed(conductor.Broken, conductor.InDoubt)
-	}
-}
-
-// rest is a body of which a part was read already.
-type rest struct {
-	io.Reader
-	io.Closer
-}
-
-// readBody reads a body to its end, or a little more than what counts as small of one whose length is not known.
-func readBody(response *requester.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, smallAnswer+1))
-	if err == nil && response.ContentLength > int64(len(body)) && response.Request.Method != http.MethodHead {
-		return nil, io.ErrUnexpectedEOF
-	}
-	return body, err
-}
-
-// cancelledAtEnd leaves an answer's context open until its body has been passed on.
-func cancelledAtEnd(a answer, cancel func()) answer {
-	finish := a.finish
-	a.finish = func(whole bool) {
-		finish(whole)
-		cancel()
-	}
-	return a
-}
-
 func (r *Relayer) refuse(w http.ResponseWriter, request *http.Request, e conductor.Refuse, started clock.Time) {
 	h := w.Header()
 	if id := request.Header.Get(r.options.Headers.RequestID); id != "" {
 		h[r.options.Headers.RequestID] = []string{id}
 	}
 	if e.RetryAfter > 0 && request.Header.Get(r.options.Headers.Key) != "" && pipeliner.MayClose(request.Context()) {
-		// The caller comes back on a new connection and would keep this one unused beside it: in a surge a node held 1,500
-		// connections with 100 requests under way. Endpoints, whose nested calls have no key, do not come back.
+		// The caller comes back on a new connection and would keep this one unused beside it, until a surge has used up the
+		// node's descriptors. Endpoints, whose nested calls have no key, do not come back.
 		h["Connection"] = []string{"close"}
 	}
 	if e.RetryAfter > 0 {
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -39,8 +39,8 @@
 }
 
 // score is lower for the better choice: what is in use, as measured and by this node's own calls, and more for an
-// endpoint that is much slower than its service. When all are full, that alone tells a slow VM from the others,
-// and without it a fifth of the urgent calls would go to the one slow VM of five and time out there.
+// endpoint that is much slower than its service. When all are full, that alone tells a slow VM from the others, and calls
+// would time out there.
 func (m *member) score(now clock.Time, o Options) float64 {
 	slots := float64(max(m.endpoint.Slots, 1)) * m.warmth(now, o)
 	own := m.unmeasured(now, o) / slots
@@ -71,8 +71,8 @@
 const usualWithin = 300 * clock.Millisecond
 
 // queueing is the wait in the endpoint's queue, as a part of the time in which the answer is due. The headroom of a full
-// endpoint says nothing of its queue: of two full ones, one of which is slow, each got half of the calls, and the slow
-// one turned 0.9 of them away while the other had nobody waiting. It fades as the headroom does.
+// endpoint says nothing of its queue: of two full ones, one of which is slow, each would get half of the calls, and the
+// slow one turn most of them away while the other has nobody waiting. It fades as the headroom does.
 func (m *member) queueing(within clock.Duration, now clock.Time, o Options) float64 {
 	if within <= 0 {
 		within = usualWithin
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -6,9 +6,8 @@
 // first, before any work.
 //
 // What is refused takes effect about half a second later, by way of reports, root requests and their nested calls. A
-// law that waits for the queue and then turns up refusals step by step swings: played against a demand of 1.3 to 2.5
-// times the capacity, an integral of the queueing delay served 0.60 to 0.82 of what could be served, this one 0.95 to
-// 0.98 (with delays of 300 and 600 ms). It works out the excess from what arrives and what the endpoint answers:
+// law that waits for the queue and then turns up refusals step by step would swing between an idle and a drowned endpoint
+// (docs/design/platform.md). This one works out the excess from what arrives and what the endpoint answers:
 //
 //	excess = 1 - capacity / demand, where demand = arriving / (1 - refused part half a second ago)
 //
