A plan no longer copies all reports, and who calls whom is put together once a second

Cause: each node makes a plan ten times a second; each copied and sorted all reports (780 KB at 1,000 nodes) and summed up the calls of all routes. Change: the table keeps its nodes in order and gives reports one by one; the graph of calls is kept for a second.

--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/throttler"
 )
@@ -78,24 +79,15 @@
 		homes:    map[origin][]identifier.FailureDomain{},
 		leaf:     map[identifier.Service]bool{},
 	}
-	graph := newGraph(c.shares, c.table.Reports(now))
-	pressed := false
-	for service, s := range graph.stages {
-		excess := throttler.Mean(s.excesses, s.loads)
-		c.plan.leaf[service] = s.leaf()
-		c.plan.excess[service] = excess
-		for _, load := range s.loads {
-			c.plan.arriving[service] += load * (1 - excess)
-		}
-		pressed = pressed || excess > 0
-	}
+	c.refreshGraph(now)
+	pressed := c.planLoads(now)
 	costs := map[origin]map[identifier.Service]float64{}
 	for from := range c.arrivals.counts {
-		costs[from] = graph.costsOf(from)
+		costs[from] = c.graph.costsOf(from)
 	}
 	there := c.presence()
 	c.planSevered(costs, there, now)
-	c.planHomes(graph, there)
+	c.planHomes(there)
 	if !pressed {
 		return
 	}
@@ -106,6 +98,58 @@
 	}
 }
 
+// graphPeriod is how old the knowledge of who calls whom may grow: it changes with releases, and putting it together from all
+// reports is most of a plan's work in a large fleet.
+const graphPeriod = clock.Second
+
+// refreshGraph puts together anew who calls whom, if that is old or was put together from fewer nodes.
+func (c *Conductor) refreshGraph(now clock.Time) {
+	if c.graph != nil && now.Sub(c.graph.made) < graphPeriod && c.table.Len() <= c.graph.reports {
+		return
+	}
+	c.graph = newGraph(c.shares, c.table, now)
+}
+
+// load is a service's load as its nodes report it.
+type load struct {
+	excesses, loads []float64
+}
+
+// planLoads takes over what is too much and what arrives at each service, and tells whether anything is too much.
+func (c *Conductor) planLoads(now clock.Time) bool {
+	loads := map[identifier.Service]*load{}
+	for report := range c.table.All(now) {
+		if !counts(report) {
+			continue
+		}
+		l, ok := loads[report.Member.Service]
+		if !ok {
+			l = &load{}
+			loads[report.Member.Service] = l
+		}
+		l.excesses = append(l.excesses, report.Excess)
+		l.loads = append(l.loads, report.Load)
+	}
+	pressed := false
+	for service, l := range loads {
+		excess := throttler.Mean(l.excesses, l.loads)
+		c.plan.excess[service] = excess
+		for _, load := range l.loads {
+			c.plan.arriving[service] += load * (1 - excess)
+		}
+		pressed = pressed || excess > 0
+		if s, ok := c.graph.stages[service]; ok {
+			c.plan.leaf[service] = s.leaf()
+		}
+	}
+	return pressed
+}
+
+// counts tells whether a report says how its service fares now.
+func counts(report exchanger.Report) bool {
+	return report.Age <= silentAfter && report.Member.State == exchanger.Ready
+}
+
 // planFor refuses what one service has too much, among all requests that lead to it.
 func (c *Conductor) planFor(bottleneck identifier.Service, excess float64, costs map[origin]map[identifier.Service]float64) {
 	var mix throttler.Mix
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -82,6 +82,8 @@
 	arrivals    arrivals
 	// shares are the configuration's routes by name.
 	shares map[identifier.Route]*routeShare
+	// graph is who calls whom.
+	graph *graph
 	// sent are the origins of what this node has sent, nested calls included.
 	sent map[origin]bool
 	// missed is since when services that requests lead to have been without an endpoint.
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -22,6 +22,7 @@
 	c.shares = sharesOf(e.Matcher.Configuration())
 	c.runs.keep(c.shares)
 	clear(c.sent)
+	c.graph = nil
 	for _, t := range e.Matcher.Configuration().Teams {
 		c.apportioner.SetTeam(t.Name, t.Rate, t.Burst, now)
 		c.pooler.SetTeam(t.Name, t.Rate, t.Burst)
--- a/internal/conductor/graph.go
+++ b/internal/conductor/graph.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
@@ -37,10 +38,9 @@
 	return shares
 }
 
-// stage is a service as its nodes report it.
+// stage is a service and the calls of its runs, as its nodes report them.
 type stage struct {
-	excesses, loads []float64
-	kinds           map[identifier.Route]*kindCalls
+	kinds map[identifier.Route]*kindCalls
 }
 
 // kindCalls are the nested calls of one run of a route, summed over the nodes that know them.
@@ -63,12 +63,15 @@
 type graph struct {
 	shares map[identifier.Route]*routeShare
 	stages map[identifier.Service]*stage
+	// made is when it was put together, reports from how many.
+	made    clock.Time
+	reports int
 }
 
-func newGraph(shares map[identifier.Route]*routeShare, reports []exchanger.Report) *graph {
-	g := &graph{shares: shares, stages: map[identifier.Service]*stage{}}
-	for _, report := range reports {
-		if report.Age <= silentAfter && report.Member.State == exchanger.Ready {
+func newGraph(shares map[identifier.Route]*routeShare, table *exchanger.Table, now clock.Time) *graph {
+	g := &graph{shares: shares, stages: map[identifier.Service]*stage{}, made: now, reports: table.Len()}
+	for report := range table.All(now) {
+		if counts(report) {
 			g.add(report)
 		}
 	}
@@ -81,8 +84,6 @@
 		s = &stage{kinds: map[identifier.Route]*kindCalls{}}
 		g.stages[report.Member.Service] = s
 	}
-	s.excesses = append(s.excesses, report.Excess)
-	s.loads = append(s.loads, report.Load)
 	for route, calls := range report.Calls {
 		k, ok := s.kinds[route]
 		if !ok {
--- a/internal/conductor/home.go
+++ b/internal/conductor/home.go
@@ -40,10 +40,10 @@
 
 // planHomes works out, for the runs that are sent from here and whose calls find no endpoint in this domain, in which
 // domains they do.
-func (c *Conductor) planHomes(g *graph, there presence) {
+func (c *Conductor) planHomes(there presence) {
 	for from := range c.sent {
 		away := map[identifier.FailureDomain]float64{}
-		for service, times := range g.directCalls(from) {
+		for service, times := range c.graph.directCalls(from) {
 			for domain := range there[service] {
 				away[domain] += times
 			}
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -11,6 +11,7 @@
 // Example: nodes a, b and c ask a; when a gives no answer, they ask b, and a again after a while.
 
 import (
+	"iter"
 	"maps"
 	"slices"
 
@@ -34,6 +35,8 @@
 type Table struct {
 	self    identifier.Node
 	reports map[identifier.Node]held
+	// order holds the nodes with reports, sorted, so that what is summed up from them does not hang on a map's order.
+	order   []identifier.Node
 	avoided map[identifier.Node]avoidance
 	// sought is the member that was last looked for.
 	sought identifier.Node
@@ -78,6 +81,10 @@
 	if ok && r.Member == h.report.Member {
 		member = h.member
 	}
+	if !ok {
+		place, _ := slices.BinarySearch(t.order, r.Member.Node)
+		t.order = slices.Insert(t.order, place, r.Member.Node)
+	}
 	t.reports[r.Member.Node] = held{report: r, made: now.Add(-r.Age), changed: t.mark.Change, member: member}
 	return true
 }
@@ -93,7 +100,7 @@
 		heard.Change = 0
 	}
 	a := Answer{Mark: t.mark}
-	for _, r := range t.Reports(now) {
+	for r := range t.All(now) {
 		h := t.reports[r.Member.Node]
 		if r.Member.Node == asking || h.changed <= heard.Change {
 			continue
@@ -139,23 +146,42 @@
 	return now.Sub(h.made), ok
 }
 
-// Reports returns all reports that are not too old, with their ages.
-func (t *Table) Reports(now clock.Time) []Report {
-	var all []Report
-	for _, node := range slices.Sorted(maps.Keys(t.reports)) {
-		h := t.reports[node]
-		r := h.report
-		r.Age = now.Sub(h.made)
-		if r.Age <= oldest {
-			all = append(all, r)
+// All gives all reports that are not too old, with their ages, in the order of their nodes.
+func (t *Table) All(now clock.Time) iter.Seq[Report] {
+	return func(yield func(Report) bool) {
+		for _, node := range t.order {
+			h := t.reports[node]
+			age := now.Sub(h.made)
+			if age > oldest {
+				continue
+			}
+			r := h.report
+			r.Age = age
+			if !yield(r) {
+				return
+			}
 		}
 	}
-	return all
+}
+
+// Reports returns what All gives.
+func (t *Table) Reports(now clock.Time) []Report {
+	return slices.Collect(t.All(now))
 }
 
 // Drop forgets a node.
 func (t *Table) Drop(node identifier.Node) {
+	if _, ok := t.reports[node]; !ok {
+		return
+	}
 	delete(t.reports, node)
+	place, _ := slices.BinarySearch(t.order, node)
+	t.order = slices.Delete(t.order, place, place+1)
+}
+
+// Len returns of how many nodes there are reports, old ones included.
+func (t *Table) Len() int {
+	return len(t.order)
 }
 
 // Failed notes that a node gave no answer.
