--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -80,8 +80,8 @@
 	repeats     map[identifier.Service]*repeatBudget
 	plan        plan
 	arrivals    arrivals
-	// shares are the configuration's routes by name.
-	shares map[identifier.Route]*routeShare
+	// shares are the services of each route of the configuration.
+	shares map[identifier.Route]share
 	// graph is who calls whom.
 	graph *graph
 	// sent are the origins of what this node has sent, nested calls included.
--- a/internal/conductor/graph.go
+++ b/internal/conductor/graph.go
@@ -13,27 +13,23 @@
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 )
 
-// routeShare is a route, and the part of its requests that each service gets.
-type routeShare struct {
-	route *matcher.Route
-	parts map[identifier.Service]float64
-}
+// share is the part of a route's requests that each service gets.
+type share map[identifier.Service]float64
 
-func sharesOf(config matcher.Configuration) map[identifier.Route]*routeShare {
-	shares := make(map[identifier.Route]*routeShare, len(config.Routes))
-	for i := range config.Routes {
-		route := &config.Routes[i]
-		share := &routeShare{route: route, parts: map[identifier.Service]float64{}}
+func sharesOf(config matcher.Configuration) map[identifier.Route]share {
+	shares := make(map[identifier.Route]share, len(config.Routes))
+	for _, route := range config.Routes {
 		total := 0
 		for _, part := range route.Parts {
 			total += part.Weight
 		}
+		parts := share{}
 		for _, part := range route.Parts {
 			if total > 0 {
-				share.parts[part.Service] += float64(part.Weight) / float64(total)
+				parts[part.Service] += float64(part.Weight) / float64(total)
 			}
 		}
-		shares[identifier.Route(route.Name)] = share
+		shares[identifier.Route(route.Name)] = parts
 	}
 	return shares
 }
@@ -61,14 +57,14 @@
 
 // graph is who calls whom.
 type graph struct {
-	shares map[identifier.Route]*routeShare
+	shares map[identifier.Route]share
 	stages map[identifier.Service]*stage
 	// made is when it was put together, reports from how many.
 	made    clock.Time
 	reports int
 }
 
-func newGraph(shares map[identifier.Route]*routeShare, table *exchanger.Table, now clock.Time) *graph {
+func newGraph(shares map[identifier.Route]share, table *exchanger.Table, now clock.Time) *graph {
 	g := &graph{shares: shares, stages: map[identifier.Service]*stage{}, made: now, reports: table.Len()}
 	for report := range table.All(now) {
 		if counts(report) {
@@ -136,11 +132,7 @@
 	times float64,
 	above []origin,
 ) {
-	share, ok := g.shares[route]
-	if !ok {
-		return
-	}
-	for service, part := range share.parts {
+	for service, part := range g.shares[route] {
 		next := origin{route: route, service: service}
 		// Services that call each other would be walked round and round.
 		if times*part >= leastCost && !slices.Contains(above, next) {
@@ -162,11 +154,7 @@
 			continue
 		}
 		for nested, n := range k.calls {
-			share, ok := g.shares[nested]
-			if !ok {
-				continue
-			}
-			for service, part := range share.parts {
+			for service, part := range g.shares[nested] {
 				calls[service] += n / k.knowing * part
 			}
 		}
--- a/internal/conductor/runs.go
+++ b/internal/conductor/runs.go
@@ -71,7 +71,7 @@
 }
 
 // keep drops what was counted of routes that are gone.
-func (r *runCounter) keep(routes map[identifier.Route]*routeShare) {
+func (r *runCounter) keep(routes map[identifier.Route]share) {
 	for route := range r.kinds {
 		if _, ok := routes[route]; !ok && route != unknownRun {
 			delete(r.kinds, route)
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -60,10 +60,10 @@
 	serving bool
 	// closing tells that the answer under way ends the connection.
 	closing bool
-	// looked tells that the server has taken its look back; changed is told of that.
-	looked  bool
-	changed *sync.Cond
-	queue   queue
+	// withdrawn tells that the server no longer waits for its look; changed is told of that.
+	withdrawn bool
+	changed   *sync.Cond
+	queue     queue
 	// turn is the run that was begun ahead for the request whose head was handed out last, nil for none.
 	turn *run
 }
@@ -78,7 +78,7 @@
 // SetReadDeadline bounds reads; a time in the past is how the server takes its look back.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
-	c.looked = !t.IsZero() && t.Before(time.Now())
+	c.withdrawn = !t.IsZero() && t.Before(time.Now())
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(t)
@@ -88,7 +88,7 @@
 func (c *connection) Close() error {
 	c.left()
 	c.mu.Lock()
-	c.looked = true
+	c.withdrawn = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.Close()
@@ -170,7 +170,7 @@
 		}
 		c.begin()
 	}
-	for !c.looked {
+	for !c.withdrawn {
 		c.changed.Wait()
 	}
 	return 0, os.ErrDeadlineExceeded
