What ends an attempt, a walk over nested calls and the fading of a measurement are written once

No behaviour changes; the tests are as they were. - ended (relayer/delivery.go) says what the end of an attempt's context means; it stood three times, in the reading of answers, at other nodes and at the endpoint. - countBytes serves attempts and questions for tokens, pathOf the three places that match a request's path. - callsOf (conductor/graph.go) gives the nested calls of a run to the walk over chains and to the search for a run's home. - staleness (router/member.go) is the fading with age that stood five times.

--- a/internal/conductor/graph.go
+++ b/internal/conductor/graph.go
@@ -5,6 +5,7 @@
 // Example: "browse" at portal calls "order" once and that calls "hours" four times at clock: browse costs 4 at clock.
 
 import (
+	"iter"
 	"slices"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -115,28 +116,10 @@
 		return
 	}
 	above = append(slices.Clone(above), at)
-	for _, route := range []identifier.Route{at.route, unknownRun} {
-		k, ok := s.kinds[route]
-		if !ok {
-			continue
-		}
-		for nested, n := range k.calls {
-			g.descend(costs, nested, times*n/k.knowing, above)
-		}
-	}
-}
-
-func (g *graph) descend(
-	costs map[identifier.Service]float64,
-	route identifier.Route,
-	times float64,
-	above []origin,
-) {
-	for service, part := range g.shares[route] {
-		next := origin{route: route, service: service}
+	for next, n := range s.callsOf(at.route, g.shares) {
 		// Services that call each other would be walked round and round.
-		if times*part >= leastCost && !slices.Contains(above, next) {
-			g.visit(costs, next, times*part, above)
+		if times*n >= leastCost && !slices.Contains(above, next) {
+			g.visit(costs, next, times*n, above)
 		}
 	}
 }
@@ -148,16 +131,28 @@
 	if !ok {
 		return calls
 	}
-	for _, route := range []identifier.Route{from.route, unknownRun} {
-		k, ok := s.kinds[route]
-		if !ok {
-			continue
-		}
-		for nested, n := range k.calls {
-			for service, part := range g.shares[nested] {
-				calls[service] += n / k.knowing * part
+	for next, n := range s.callsOf(from.route, g.shares) {
+		calls[next.service] += n
+	}
+	return calls
+}
+
+// callsOf gives where the nested calls of one run of a route go, and how many; those of which nobody can say whose they are
+// count to all runs.
+func (s *stage) callsOf(route identifier.Route, shares map[identifier.Route]share) iter.Seq2[origin, float64] {
+	return func(yield func(origin, float64) bool) {
+		for _, of := range []identifier.Route{route, unknownRun} {
+			k, ok := s.kinds[of]
+			if !ok {
+				continue
+			}
+			for nested, n := range k.calls {
+				for service, part := range shares[nested] {
+					if !yield(origin{route: nested, service: service}, n/k.knowing*part) {
+						return
+					}
+				}
 			}
 		}
 	}
-	return calls
 }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 
@@ -38,16 +37,7 @@
 		a.body, a.read = body, true
 		return a
 	}
-	switch {
-	case lost(ctx):
-		return failed(conductor.Broken, conductor.InDoubt)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return failed(conductor.Late, conductor.Deadline)
-	case ctx.Err() != nil:
-		return failed(conductor.Abandoned, conductor.InDoubt)
-	default:
-		return failed(conductor.Broken, conductor.InDoubt)
-	}
+	return ended(ctx)
 }
 
 // rest is a body of which a part was read already.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -119,12 +119,8 @@
 	switch {
 	case lost(ctx) && errors.As(err, &dial):
 		return failed(conductor.Unreached, conductor.EndpointDown)
-	case lost(ctx):
-		return failed(conductor.Broken, conductor.InDoubt)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return failed(conductor.Late, conductor.Deadline)
 	case ctx.Err() != nil:
-		return failed(conductor.Abandoned, conductor.InDoubt)
+		return ended(ctx)
 	case errors.As(err, &body):
 		return unread(err)
 	case errors.As(err, &dial):
--- a/internal/relayer/crossing.go
+++ b/internal/relayer/crossing.go
@@ -17,15 +17,7 @@
 	if s.Crossing == router.Inside {
 		return func() {}
 	}
-	out.Traffic = &requester.Traffic{}
-	return func() {
-		r.options.Recorder.Crossed(recorder.Crossing{
-			Cause:    crossingCause(s),
-			Reason:   string(s.Crossing),
-			Sent:     out.Traffic.Sent.Load(),
-			Received: out.Traffic.Received.Load(),
-		})
-	}
+	return r.countBytes(out, crossingCause(s), string(s.Crossing))
 }
 
 // countQuestion is countCrossing for a question for a token.
@@ -33,13 +25,17 @@
 	if !d.Crosses {
 		return func() {}
 	}
-	question.Traffic = &requester.Traffic{}
+	return r.countBytes(question, "token", "bucketElsewhere")
+}
+
+func (r *Relayer) countBytes(out *requester.Request, cause, reason string) func() {
+	out.Traffic = &requester.Traffic{}
 	return func() {
 		r.options.Recorder.Crossed(recorder.Crossing{
-			Cause:    "token",
-			Reason:   "bucketElsewhere",
-			Sent:     question.Traffic.Sent.Load(),
-			Received: question.Traffic.Received.Load(),
+			Cause:    cause,
+			Reason:   reason,
+			Sent:     out.Traffic.Sent.Load(),
+			Received: out.Traffic.Received.Load(),
 		})
 	}
 }
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"syscall"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -64,15 +63,29 @@
 	return a
 }
 
+// ended is the outcome of an attempt that was sent and has no whole answer, by what has ended it: its node can't be reached, the
+// time was up, the caller has left, or else the connection broke.
+func ended(ctx context.Context) answer {
+	switch {
+	case lost(ctx):
+		return failed(conductor.Broken, conductor.InDoubt)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failed(conductor.Late, conductor.Deadline)
+	case ctx.Err() != nil:
+		return failed(conductor.Abandoned, conductor.InDoubt)
+	default:
+		return failed(conductor.Broken, conductor.InDoubt)
+	}
+}
+
 // deliver runs a request at the local endpoint.
 func (r *Relayer) deliver(ctx context.Context, p parcel) answer {
 	id := r.newID()
-	path, _, _ := strings.Cut(p.request.URI, "?")
 	effect := r.apply(id, conductor.DeliveryArrived{
 		ID:       id,
 		Request:  identifier.Request(p.id),
 		Host:     p.request.Host,
-		Path:     path,
+		Path:     pathOf(p.request.URI),
 		Endpoint: p.endpoint,
 		Rank:     p.rank,
 		Deadline: p.deadline,
@@ -155,10 +168,8 @@
 		return failed(conductor.Unreached, conductor.EndpointDown)
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return failed(conductor.Late, conductor.Deadline)
 	case ctx.Err() != nil:
-		return failed(conductor.Abandoned, conductor.InDoubt)
+		return ended(ctx)
 	case errors.As(err, &body):
 		return unread(err)
 	default:
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -28,7 +28,7 @@
 	h := r.options.Headers
 	left, _ := milliseconds(request.Header, h.TimeLeft)
 	key, _ := strings.CutPrefix(request.Header.Get(h.Key), h.KeyScheme)
-	path, _, _ := strings.Cut(request.RequestURI, "?")
+	path := pathOf(request.RequestURI)
 	started := r.options.Clock.Now()
 	effect := r.apply(id, conductor.RequestArrived{
 		ID:     id,
@@ -104,7 +104,7 @@
 	if r.stopping.Load() || r.options.Connections.Crowded() {
 		return false
 	}
-	path, _, _ := strings.Cut(request.RequestURI, "?")
+	path := pathOf(request.RequestURI)
 	idempotent := false
 	r.View(func(c *conductor.Conductor, _ clock.Time) {
 		if m := c.Matcher(); m != nil {
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -80,6 +80,12 @@
 	return to
 }
 
+// pathOf returns a request target without its query, as routes are matched by it.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 func setMilliseconds(h http.Header, name string, d clock.Duration) {
 	h[name] = []string{strconv.FormatInt(int64(max(0, d)), 10)}
 }
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -48,14 +48,18 @@
 	return own + m.used(now, o) + slowCost*slow + refusedCost*m.refusals(now, o)
 }
 
+// staleness tells how old what was measured is, as a part of the time for which it counts: 0 is fresh, 1 too old to count.
+func (m *member) staleness(now clock.Time, counts clock.Duration) float64 {
+	return min(1, max(0, float64(now.Sub(m.measured))/float64(counts)))
+}
+
 // unmeasured is how many of this node's own calls the measured use does not hold: those that were sent since. Counted with
 // all that are in flight, a node that sends most of an endpoint's calls would take it for full at half of its slots.
 func (m *member) unmeasured(now clock.Time, o Options) float64 {
 	if !m.known {
 		return float64(m.inFlight)
 	}
-	age := float64(now.Sub(m.measured)) / float64(o.HeadroomAge)
-	held := float64(m.measuredOwn) * (1 - min(1, max(0, age)))
+	held := float64(m.measuredOwn) * (1 - m.staleness(now, o.HeadroomAge))
 	return max(0, float64(m.inFlight)-held)
 }
 
@@ -77,8 +81,7 @@
 	if within <= 0 {
 		within = usualWithin
 	}
-	age := float64(now.Sub(m.measured)) / float64(o.HeadroomAge)
-	return float64(m.wait) / float64(within) * (1 - min(1, max(0, age)))
+	return float64(m.wait) / float64(within) * (1 - m.staleness(now, o.HeadroomAge))
 }
 
 // lateness is by how much an endpoint's slow runs go beyond the time in which an answer is due. Calls with time to
@@ -123,9 +126,7 @@
 		return 1
 	}
 	ratio := min(mostSlowness, max(1.0/mostSlowness, m.latency/m.service.latency))
-	age := float64(now.Sub(m.measured)) / float64(latencyAges*o.HeadroomAge)
-	fade := min(1, max(0, age))
-	return ratio + fade*(1-ratio)
+	return ratio + m.staleness(now, latencyAges*o.HeadroomAge)*(1-ratio)
 }
 
 // refusedCost weighs the part of its calls that an endpoint refuses. Refusals are quick and keep an endpoint looking idle:
@@ -145,8 +146,7 @@
 
 // refusals is that part, fading with age.
 func (m *member) refusals(now clock.Time, o Options) float64 {
-	age := float64(now.Sub(m.measured)) / float64(o.HeadroomAge)
-	return m.refused * (1 - min(1, max(0, age)))
+	return m.refused * (1 - m.staleness(now, o.HeadroomAge))
 }
 
 // used is the measured used part of the endpoint's limit, fading to its service's mean with age. An endpoint that has
@@ -157,9 +157,7 @@
 		return 0
 	}
 	used := m.measuredUse()
-	age := float64(now.Sub(m.measured)) / float64(o.HeadroomAge)
-	fade := min(1, max(0, age))
-	return used + fade*(m.service.used-used)
+	return used + m.staleness(now, o.HeadroomAge)*(m.service.used-used)
 }
 
 func (m *member) measuredUse() float64 {
