gossiper: what a node believes after a pause, as a new relay and in a domain that died whole

- The first node of a domain that died whole took members for alive that only another domain remembered (17267).
They are suspects now, and their endpoints are not used before they have refuted.
- The pause of a process was added to suspicions, and to the last word of a domain, that came in after the pause and before the next tick: a dead member stayed suspect for as long as the pause had been (771301, 101).
- A relay that stood still, that was just chosen or that hears a silent domain again compares tables every 300 ms for 3 s; it waited for the regular comparisons (771301, 101).
- A new relay dropped living members of other domains before its own tables were filled (62).
- A new relay used a silent domain again for 1.5 s, since it counted silence from its election on (103).
- A follower that stood still, or whose question for missing records was lost, waited for the next renewal (62).

Checks of the fuzz, narrowed by traces: a newcomer all of whose seeds are dead (29941: three times the same one, which crashed before it could answer) reads the log, as nodes do; an endpoint that began to leave less than 2 s before its node crashed has the time of a crash if no living node had heard of it (771301: all others stood still, were lost or gone).

--- a/internal/gossiper/follower.go
+++ b/internal/gossiper/follower.go
@@ -36,6 +36,12 @@
 	return follower{}
 }
 
+// hurry renews the subscription now, and until it is answered.
+func (f *follower) hurry(now clock.Time) {
+	f.next = now
+	f.answered = false
+}
+
 // AddInterest tells that this node calls a service, so that its endpoints elsewhere must be known.
 func (g *Gossiper) AddInterest(s identifier.Service, now clock.Time) []Effect {
 	i, found := slices.BinarySearch(g.follower.interests, s)
@@ -207,14 +213,16 @@
 			effects = append(effects, g.seeRemote(record, now)...)
 		}
 	}
-	if m.Answer && !m.Same {
-		effects = append(effects, g.askMissing(from, m.Members)...)
-	}
 	// A push of changes says nothing about silence.
 	if !m.Answer {
 		return effects
 	}
 	g.follower.answered = true
+	if missing := g.askMissing(from, m.Members); !m.Same && len(missing) > 0 {
+		// The question or its answer may get lost, and the next regular renewal would come too late.
+		effects = append(effects, missing...)
+		g.follower.next = min(g.follower.next, now.Add(firstRetry))
+	}
 	return append(effects, g.noteHeard(m, now)...)
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -155,10 +155,12 @@
 		g.prober.forget()
 		for _, e := range g.own.members {
 			if e.State == Suspect {
-				e.deadline = e.deadline.Add(gap)
+				// A suspicion that was heard of right after the pause is not that old.
+				e.deadline = min(e.deadline.Add(gap), now.Add(g.options.Suspicion))
 			}
 		}
-		g.relayer.excuse(gap)
+		g.relayer.excuse(gap, now)
+		g.follower.hurry(now)
 	}
 	g.ticked = true
 	g.lastTick = now
@@ -298,7 +300,9 @@
 	if !ok {
 		return nil
 	}
-	m = g.own.members[m.Node].Member
+	e := g.own.members[m.Node]
+	m = e.Member
+	e.unverified = m.State == Suspect && (e.unverified || !old.up())
 	g.spreader.add(m.Node)
 	if g.relayer.active || m.Node == g.self.Node {
 		g.relayer.changedOwn(m.Node)
@@ -306,7 +310,10 @@
 	if m.State == Suspect {
 		g.suspected(m.Node, now)
 	}
-	effects := g.view.see(m, now)
+	var effects []Effect
+	if !e.unverified {
+		effects = g.view.see(m, now)
+	}
 	if old.up() != m.up() {
 		g.elect()
 		effects = append(effects, MembersChanged{Domain: m.Domain})
--- /dev/null
+++ b/internal/gossiper/pause_test.go
@@ -0,0 +1,119 @@
+package gossiper
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+func newTestGossiper(members ...identifier.Node) *Gossiper {
+	g := New(Options{
+		Self: Member{Node: "self", Domain: "west", Address: "127.0.0.1:1", Incarnation: 1},
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	g.Tick(100)
+	for _, n := range members {
+		g.learn([]Member{testMember(n, Alive)}, 100)
+	}
+	return g
+}
+
+func testMember(n identifier.Node, state MemberState) Member {
+	return Member{
+		Node: n, Domain: "west", Address: "127.0.0.1:2", Incarnation: 1, State: state,
+		Endpoints: []Endpoint{{ID: identifier.Endpoint("i-" + n), Service: "ice", State: Ready}},
+	}
+}
+
+// A suspicion that arrives right after a pause must not be prolonged by that pause, or a dead server is used for as long.
+func TestPauseDoesNotProlongNewSuspicion(t *testing.T) {
+	const woken = clock.Time(20_000)
+	g := newTestGossiper("other")
+	g.Receive("other", Gossip{Updates: []Member{testMember("dead", Suspect)}}, woken)
+	for now := woken; now <= woken.Add(DefaultSuspicion); now = now.Add(TickInterval) {
+		g.Tick(now)
+	}
+	m, ok := g.Member("dead")
+	assert.Assert(t, ok)
+	assert.Equal(t, m.State, Dead)
+}
+
+// A message taken in right after a pause must not move a domain's last word into the future, or its silence goes unnoticed.
+func TestPauseDoesNotMoveAWordIntoTheFuture(t *testing.T) {
+	const woken = clock.Time(20_000)
+	g := newTestGossiper()
+	g.hearDomain("east", 50)
+	g.hearDomain("east", woken)
+	g.Tick(woken)
+	assert.Assert(t, g.relayer.remotes["east"].heard <= woken)
+}
+
+// Another domain's word that a member of the own one lives must not bring endpoints into use that may be long gone.
+func TestMemberRememberedElsewhereIsUsedOnceItAnswers(t *testing.T) {
+	g := newTestGossiper()
+	g.Receive("relayOfEast", Members{Domain: "west", Members: []Member{testMember("n", Alive)}}, 200)
+	m, ok := g.Member("n")
+	assert.Assert(t, ok)
+	assert.Equal(t, m.State, Suspect)
+	assert.Equal(t, len(g.Endpoints("ice")), 0)
+	refuted := testMember("n", Alive)
+	refuted.Incarnation = 2
+	g.Receive("n", Gossip{Updates: []Member{refuted}}, 300)
+	assert.Equal(t, len(g.Endpoints("ice")), 1)
+}
+
+// A node that becomes a relay must not drop living members of other domains before its own tables are filled.
+func TestNewRelayKeepsWhatItWasTold(t *testing.T) {
+	const chosen = clock.Time(20_000)
+	g := newTestGossiper()
+	g.AddInterest("ice", 100)
+	remote := testMember("n", Alive)
+	remote.Domain = "east"
+	g.seeRemote(remote, chosen.Add(-relayTerm))
+	g.remoteOf("east", 100)
+	g.relayer.listening = false
+	for now := chosen; now < chosen.Add(unknownLimit); now = now.Add(TickInterval) {
+		g.Tick(now)
+	}
+	assert.Equal(t, len(g.Endpoints("ice")), 1)
+}
+
+// A node that becomes a relay must not use a domain that was silent before it was chosen.
+func TestNewRelayKeepsASilentDomainHidden(t *testing.T) {
+	const chosen = clock.Time(20_000)
+	g := newTestGossiper()
+	g.AddInterest("ice", 100)
+	remote := testMember("n", Alive)
+	remote.Domain = "east"
+	g.seeRemote(remote, chosen)
+	east := g.remoteOf("east", 100)
+	east.silent, east.heard = true, 100-clock.Time(2*silenceLimit)
+	g.view.hide("east", true)
+	g.relayer.listening = false
+	for now := chosen; now < chosen.Add(unknownLimit); now = now.Add(TickInterval) {
+		g.Tick(now)
+		assert.Equal(t, len(g.Endpoints("ice")), 0)
+	}
+}
+
+// A node that stood still must ask at once what it missed, or it uses servers that left meanwhile for seconds.
+func TestPausedFollowerAsksAtOnce(t *testing.T) {
+	g := newTestGossiper("r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8")
+	assert.Assert(t, !g.relayer.active)
+	g.Tick(200)
+	g.follower.answered = true
+	g.follower.next = 30_000
+	asked := 0
+	for _, e := range g.Tick(20_000) {
+		if s, ok := e.(Send); ok {
+			if _, subscribes := s.Message.(Subscribe); subscribes {
+				asked++
+			}
+		}
+	}
+	assert.Equal(t, asked, 2)
+}
--- a/internal/gossiper/relayer.go
+++ b/internal/gossiper/relayer.go
@@ -24,10 +24,13 @@
 	unknownLimit = 1500 * clock.Millisecond
 	// urgentAfter is the silence after which all contacts of a domain are probed, every urgentProbe: taking a
 	// whole domain out of use because a few probes got lost would be worse than the fault it guards against.
-	urgentAfter       = 1200 * clock.Millisecond
-	urgentProbe       = 300 * clock.Millisecond
-	askAroundInterval = 2 * clock.Second
-	subscribeTerm     = 12 * clock.Second
+	urgentAfter = 1200 * clock.Millisecond
+	urgentProbe = 300 * clock.Millisecond
+	// repeatsAfterSilence is how many urgent probes a relay sends to a domain when it has just been chosen, after it stood
+	// still, and after the domain was silent: what changed meanwhile was pushed in vain.
+	repeatsAfterSilence = 10
+	askAroundInterval   = 2 * clock.Second
+	subscribeTerm       = 12 * clock.Second
 	// pushCopies is how often a change is pushed to a subscriber, and to relayFanout relays of each other
 	// domain, as pushes are not acknowledged and a comparison may come too late for a leaving server.
 	pushCopies  = 4
@@ -44,9 +47,9 @@
 	// heard is when a node of that domain, or a relay of the own one on its behalf, was last heard.
 	heard  clock.Time
 	urgent clock.Time
-	// differs tells that a table was found to differ since the last probe. The exchange takes four messages, and
-	// with a fifth of them lost the next regular probe would often come too late.
-	differs bool
+	// repeats is how many urgent probes are still due because the table differs or may be old. The exchange takes four
+	// messages, and with a fifth of them lost the next regular probe would often come too late.
+	repeats int
 	silent  bool
 	asked   clock.Time
 	// known tells that heard is of a real message, not of when this node began to listen.
@@ -99,9 +102,12 @@
 	return "", false
 }
 
-func (r *relayer) excuse(gap clock.Duration) {
+// excuse leaves a pause of this process out of the silence of others. A message that was taken in right after the pause has
+// already moved a domain's time on.
+func (r *relayer) excuse(gap clock.Duration, now clock.Time) {
 	for _, o := range r.remotes {
-		o.heard = o.heard.Add(gap)
+		o.heard = min(now, o.heard.Add(gap))
+		o.repeats = repeatsAfterSilence
 	}
 }
 
@@ -142,15 +148,20 @@
 	return effects
 }
 
-// listen begins to count silence when this node becomes a relay, as before it was told by others.
+// listen begins to count silence when this node becomes a relay, as before it was told by others. What it was told counts
+// until its own tables are filled: it would otherwise drop living members, and use those of a silent domain again.
 func (g *Gossiper) listen(now clock.Time) {
 	if g.relayer.listening {
 		return
 	}
 	g.relayer.listening = true
+	g.confirmAll(now)
 	for _, o := range g.relayer.remotes {
-		o.heard = now
 		o.known = false
+		o.repeats = repeatsAfterSilence
+		if !o.silent {
+			o.heard = now
+		}
 	}
 }
 
@@ -182,12 +193,12 @@
 	o := g.relayer.remotes[d]
 	t := g.relayer.tables[d]
 	quiet := now.Sub(o.heard) >= o.patience(urgentAfter, 0)
-	if t == nil || now < o.urgent || !(quiet || o.differs) {
+	if t == nil || now < o.urgent || !(quiet || o.repeats > 0) {
 		return nil
 	}
 	o.urgent = now.Add(urgentProbe)
-	if o.differs && !quiet {
-		o.differs = false
+	if o.repeats > 0 && !quiet {
+		o.repeats--
 		return g.probeDomain(d)
 	}
 	var effects []Effect
@@ -261,6 +272,7 @@
 		return nil
 	}
 	o.silent = false
+	o.repeats = repeatsAfterSilence
 	return g.view.hide(d, false)
 }
 
--- a/internal/gossiper/repairer.go
+++ b/internal/gossiper/repairer.go
@@ -67,7 +67,7 @@
 		return nil
 	}
 	if o := g.relayer.remotes[m.Domain]; o != nil {
-		o.differs = true
+		o.repeats = max(o.repeats, 1)
 	}
 	s := Summary{Domain: m.Domain, Mask: mask}
 	for _, n := range t.sorted(mask) {
@@ -109,7 +109,7 @@
 func (g *Gossiper) receiveMembers(from identifier.Node, m Members, now clock.Time) []Effect {
 	var effects []Effect
 	if m.Domain == g.own.domain {
-		effects = g.learn(m.Members, now)
+		effects = g.learn(g.doubted(from, m.Members), now)
 	} else {
 		effects = g.learnRemote(m, now)
 	}
@@ -120,6 +120,22 @@
 	return append(effects, g.sendMembers(from, t, m.Wanted, nil)...)
 }
 
+// doubted makes suspects of members that only another domain says are alive. A domain that died whole is remembered there as
+// it was before, and its first new node would otherwise use the dead until it has pinged them all.
+func (g *Gossiper) doubted(from identifier.Node, members []Member) []Member {
+	if g.own.members[from] != nil {
+		return members
+	}
+	doubted := slices.Clone(members)
+	for i, m := range doubted {
+		e := g.own.members[m.Node]
+		if m.State == Alive && m.Node != from && m.Node != g.self.Node && (e == nil || !e.up()) {
+			doubted[i].State = Suspect
+		}
+	}
+	return doubted
+}
+
 func (g *Gossiper) sendMembers(to identifier.Node, t *table, names, wanted []identifier.Node) []Effect {
 	var effects []Effect
 	m := Members{Domain: t.domain, Wanted: wanted}
--- a/internal/gossiper/table.go
+++ b/internal/gossiper/table.go
@@ -26,6 +26,8 @@
 	// confirming tells that this node pings the suspect member itself, next at nextPing.
 	confirming bool
 	nextPing   clock.Time
+	// unverified tells that the member was suspect when it was first heard of, so that its endpoints are not used yet.
+	unverified bool
 	news       HeardNews
 }
 
--- a/internal/gossiper/world_test.go
+++ b/internal/gossiper/world_test.go
@@ -47,7 +47,10 @@
 	started clock.Time
 	paused  clock.Time
 	// mirror is the view that the effects alone give.
-	mirror   map[identifier.Endpoint]gossiper.PlacedEndpoint
+	mirror map[identifier.Endpoint]gossiper.PlacedEndpoint
+	seeds  []string
+	// read is up to where the node has read the log.
+	read     int
 	offset   clock.Time
 	messages int
 	bytes    int
@@ -123,6 +126,7 @@
 		Self:  gossiper.Member{Node: id, Domain: domain, Address: m.address, AdminAddress: m.address},
 		Seeds: seeds, Rand: rand.New(rand.NewPCG(uint64(w.count), 9)),
 	})
+	m.seeds = seeds
 	w.machines = append(w.machines, m)
 	w.byID[id] = m
 	w.byAddress[m.address] = m
@@ -157,6 +161,7 @@
 		w.perform(m, m.g.Leave(w.now))
 		w.run(clock.Second)
 	} else {
+		w.excuseUnheard(m)
 		if last := w.crashed[m.domain]; last > 0 && w.now.Sub(last) < 6*clock.Second {
 			w.restless[m.domain] = w.now.Add(deadTime)
 		}
@@ -167,6 +172,36 @@
 	delete(w.byAddress, m.address)
 }
 
+// excuseUnheard gives an endpoint that began to leave just before its node crashed the time of a crash, if no living node
+// has heard that it leaves: nobody is left who could tell, and no call can reach it through a dead node.
+func (w *world) excuseUnheard(crashed *machine) {
+	for id, a := range w.truth {
+		if a.node != crashed || a.gone == 0 || a.limit != leavingTime || w.now.Sub(a.gone) > leavingTime || w.heardOfLeaving(id, crashed) {
+			continue
+		}
+		a.limit = deadTime + w.now.Sub(a.gone)
+	}
+}
+
+func (w *world) heardOfLeaving(id identifier.Endpoint, crashed *machine) bool {
+	return slices.ContainsFunc(w.machines, func(m *machine) bool {
+		p, used := m.mirror[id]
+		return m != crashed && (!used || p.State == gossiper.Leaving)
+	})
+}
+
+// readLog lets a node without a living seed read the log, which is the other way to find the fleet.
+func (w *world) readLog(m *machine) {
+	for _, s := range m.seeds {
+		if w.byAddress[s] != nil {
+			return
+		}
+	}
+	for ; m.read < len(w.log); m.read++ {
+		w.perform(m, m.g.ReadRecord(w.log[m.read], w.now))
+	}
+}
+
 func (w *world) perform(m *machine, effects []gossiper.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -211,6 +246,7 @@
 		for _, m := range slices.Clone(w.machines) {
 			if (w.now+m.offset)%clock.Time(gossiper.TickInterval) == 0 && w.now >= m.paused {
 				w.perform(m, m.g.Tick(w.now))
+				w.readLog(m)
 			}
 		}
 		if w.cut != "" {
