Reports are collected a failure domain at a time, and a new configuration is passed on instead of read by every node

Change: a domain's nodes exchange with the first of them by name, and those collectors with the first of all, to which they pass on what changed. The fleet's collector alone reads the operators' topic, every fifth of the time in which a configuration must be in force; collectors and nodes wait at the one before for the next configuration. A node reads for itself when the proof that it is told is older than eight tenths of that time, collectors at six, so that a collector that is silently cut off delays no change past the bound (a test plays that). New setting bounds.configurationInForce. Calls to the store are counted by topic and kind, in metrics and every 4 s in the log.

Checks changed: TestReadWait states the new bounds (a proof is enough for 1.6 s instead of 3 s); its last case has a configuration now, and one without one is new.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -27,6 +27,8 @@
 type Bounds struct {
 	// Revoke is how long after its withdrawal a key may still be served.
 	Revoke clock.Duration
+	// InForce is how long after it was accepted a configuration is in force everywhere.
+	InForce clock.Duration
 	// RepeatRatio of the requests for a service may arrive at a second endpoint, and RepeatSlack more, over
 	// RepeatWindow and all nodes.
 	RepeatRatio  float64
@@ -115,7 +117,7 @@
 		self:    o.Self,
 		members: map[identifier.Node]exchanger.Member{},
 		learned: map[identifier.Node]clock.Time{},
-		table:   exchanger.NewTable(o.Self.Node, uint64(o.Self.Incarnation)),
+		table:   exchanger.NewTable(o.Self.Node, o.Self.Domain, uint64(o.Self.Incarnation)),
 		router: router.New(router.Options{
 			Domain:          o.Self.Domain,
 			Rand:            o.Random,
@@ -187,7 +189,7 @@
 	case MemberLearned:
 		c.learnMember(e, now)
 	case ReportsHeard:
-		c.hear(e.Reports, now)
+		c.hear(e.Reports, c.self, now)
 	case PeerFailed:
 		c.peerFailed(e, now)
 	case PeerAnswered:
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -141,6 +141,7 @@
 
 // ProofHeard tells that another node knew of no configuration newer than Version at AsOf, by the boot clock here.
 type ProofHeard struct {
+	From    identifier.Node
 	Version identifier.Version
 	AsOf    clock.Time
 }
--- a/internal/conductor/freshness.go
+++ b/internal/conductor/freshness.go
@@ -1,32 +1,37 @@
 package conductor
 
-// Each node needs a proof, every few seconds, that its configuration is the newest. If each asked the store for it, the
-// store would answer all nodes all the time: 18 nodes that asked every 1.7 s made 540 of the 966 calls of a calm day. So
-// only the node that the others exchange reports with asks often, and its answers carry its proof. The others keep one
-// long read open, by which they learn of a new configuration at once.
+// Each node needs a proof, every few seconds, that its configuration is the newest. The fleet's collector reads the
+// operators' topic of the store often, and its answers carry its proof and a new configuration to the collectors of the
+// failure domains, whose answers carry them to their nodes. So a change costs the store one call and not one of every node.
+// A node whose proof grows old reads the store by itself, collectors before the others.
 //
-// Example: a node heard 300 ms ago that version 7 was the newest 900 ms before: its read may stay open. It then hears
-// nothing for 1.5 s: the read is ended, and it asks for itself.
+// Example: a node heard 300 ms ago that version 7 was the newest 900 ms before: it waits for version 8 at its collector. It
+// then hears nothing for 1.5 s: that read is ended, and it asks the store.
 
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 const (
-	// A proof is as old as the read that brought it was open, and once more as old when the next one comes. So a node that
-	// others rely on keeps reads open for a fifth of the time in which a withdrawn key must be dead: with the exchange's
-	// period, a proof is half of that time old at most. One that asks only for itself keeps them open for a third.
-	providePart = 5
-	askPart     = 3
-	// coveredTenths of that time are the age up to which another node's proof is enough; what is left is for an own read
-	// and one more try.
-	coveredTenths = 6
+	// The fleet's collector keeps its reads open for provideTenths of the time in which a new configuration must be in
+	// force. Its proof is twice that old at most, and the exchanges add less than half of that time on the way to a node.
+	provideTenths = 2
+	// collectorTenths and coveredTenths of that time are the ages up to which another node's proof is enough for a collector
+	// and for any other node. Collectors read earlier, so that their nodes need not; what is left is for the read.
+	collectorTenths = 6
+	coveredTenths   = 8
 	// coveredFor is how long one exchange counts: three periods.
 	coveredFor = 1500 * clock.Millisecond
-	// longWait is how long a read stays open where others' proofs are enough; by it alone a silenced connection to the
-	// store would not be noticed before. It is a little less than the longest that stores of this kind allow.
+	// askPart of the time in which a withdrawn key must be dead is how long a node keeps its reads open that asks only for
+	// itself: a proof is as old as the read that brought it was open, and once more as old when the next one comes.
+	askPart = 3
+	// longWait is how long a read stays open where others' proofs are enough, a little less than the longest that stores of
+	// this kind allow.
 	longWait = 28 * clock.Second
+	// firstWait is how long a read stays open before there is any configuration, whose proof could grow old.
+	firstWait = 10 * clock.Second
 	// newerPatience is how long after hearing of a newer configuration the node's own open read may take to bring it:
 	// both come by different ways, with some tens of milliseconds between them on a busy VM.
 	newerPatience = 200 * clock.Millisecond
@@ -40,34 +45,63 @@
 	heard clock.Time
 	asOf  clock.Time
 	any   bool
+	from  identifier.Node
 	// newer is a version that this node lacks, since when it was first heard of.
 	newer identifier.Version
 	since clock.Time
 }
 
 func (c *Conductor) hearProof(e ProofHeard, now clock.Time) {
-	c.prove(ConfigurationProved(e))
+	c.prove(ConfigurationProved{Version: e.Version, AsOf: e.AsOf})
 	if e.Version > c.Version() {
 		if c.proofs.newer <= c.Version() {
 			c.proofs.since = now
 		}
 		c.proofs.newer = e.Version
 	}
-	c.proofs.heard, c.proofs.asOf, c.proofs.any = now, e.AsOf, true
+	c.proofs.heard, c.proofs.asOf, c.proofs.any, c.proofs.from = now, e.AsOf, true, e.From
+}
+
+// covered tells whether the proof of the node that reports were last exchanged with is enough. The fleet's collector has
+// nobody to rely on: those that it asks rely on it.
+func (c *Conductor) covered(now, boot clock.Time) bool {
+	if c.IsAsked(now) {
+		return false
+	}
+	tenths := clock.Duration(coveredTenths)
+	if c.Collects(now) {
+		tenths = collectorTenths
+	}
+	p := c.proofs
+	return p.any && now.Sub(p.heard) <= coveredFor && boot.Sub(p.asOf) <= c.options.Bounds.InForce*tenths/10
+}
+
+// lacksNewer tells whether a newer configuration has been known of for longer than it should take to come.
+func (c *Conductor) lacksNewer(now clock.Time) bool {
+	return c.proofs.newer > c.Version() && now.Sub(c.proofs.since) > newerPatience
 }
 
 // ReadWait returns how long a read of the configuration may stay open at this moment, by both clocks.
 func (c *Conductor) ReadWait(now, boot clock.Time) clock.Duration {
-	revoke := c.options.Bounds.Revoke
-	p := c.proofs
 	switch {
-	case p.newer > c.Version() && now.Sub(p.since) > newerPatience:
+	case c.lacksNewer(now):
 		return newerWait
-	case p.any && now.Sub(p.heard) <= coveredFor && boot.Sub(p.asOf) <= revoke*coveredTenths/10:
+	case c.covered(now, boot):
 		return longWait
-	case c.IsAsked(now):
-		return revoke / providePart
+	case c.matcher == nil:
+		return firstWait
+	case c.Collects(now):
+		return c.options.Bounds.InForce * provideTenths / 10
 	default:
-		return revoke / askPart
+		return c.options.Bounds.Revoke / askPart
+	}
+}
+
+// ConfigurationSource returns the node to wait at for a newer configuration; with none the store has to be read.
+func (c *Conductor) ConfigurationSource(now, boot clock.Time) (exchanger.Member, bool) {
+	if c.unanswered || c.lacksNewer(now) || !c.covered(now, boot) {
+		return exchanger.Member{}, false
 	}
+	m, ok := c.members[c.proofs.from]
+	return m, ok
 }
--- a/internal/conductor/freshness_test.go
+++ b/internal/conductor/freshness_test.go
@@ -19,13 +19,14 @@
 		after   clock.Duration
 		want    clock.Duration
 	}{
-		"a fresh proof elsewhere":          {version: 3, age: 900, after: 300, want: longWait},
-		"an old proof elsewhere":           {version: 3, age: 3100, after: 0, want: revoke / askPart},
-		"a proof that has grown old":       {version: 3, age: 2200, after: 1000, want: revoke / askPart},
-		"nothing heard for long":           {version: 3, age: 0, after: 1600, want: revoke / askPart},
-		"a newer configuration, just now":  {version: 4, age: 100, after: 100, want: longWait},
-		"a newer configuration, and again": {version: 4, age: 100, after: 300, want: newerWait},
-		"an older configuration elsewhere": {version: 2, age: 100, after: 300, want: longWait},
+		"a fresh proof elsewhere":           {version: 3, age: 900, after: 300, want: longWait},
+		"an old proof elsewhere":            {version: 3, age: 3100, after: 0, want: revoke / askPart},
+		"a proof that has grown old":        {version: 3, age: 2200, after: 1000, want: revoke / askPart},
+		"a proof as old as a change may be": {version: 3, age: 1500, after: 200, want: revoke / askPart},
+		"nothing heard for long":            {version: 3, age: 0, after: 1600, want: revoke / askPart},
+		"a newer configuration, just now":   {version: 4, age: 100, after: 100, want: longWait},
+		"a newer configuration, and again":  {version: 4, age: 100, after: 300, want: newerWait},
+		"an older configuration elsewhere":  {version: 2, age: 100, after: 300, want: longWait},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -39,7 +40,65 @@
 	}
 	// A node that nobody answers is the one that the others will ask.
 	c := newConductor("desk")
-	assert.Equal(t, c.ReadWait(heard, boot), revoke/providePart)
+	assert.Equal(t, c.ReadWait(heard, boot), firstWait)
+	configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent)), 0)
+	assert.Equal(t, c.ReadWait(heard, boot), 2000*provideTenths/10*clock.Millisecond)
+}
+
+// The node that provides the proofs is cut off from the store without a word, and a new configuration is accepted. The others
+// must read the store while there is still time to put it in force.
+func TestSilentProviderDoesNotDelayAConfiguration(t *testing.T) {
+	c := newConductor("desk")
+	configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent)), 0)
+	learn(c, peer("a", "portal"))
+	proved := boot
+	for after := clock.Duration(0); after < 2000; after += 100 {
+		now := clock.Time(10_000).Add(after)
+		c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Reports: []exchanger.Report{
+			{Member: peer("a", "portal"), Number: int64(after) + 1},
+		}}}, now)
+		c.Apply(ProofHeard{From: "a", Version: 3, AsOf: proved}, now)
+		source, relayed := c.ConfigurationSource(now, proved.Add(after))
+		assert.Equal(t, relayed, after <= 1600, "at %d", after)
+		assert.Equal(t, relayed, c.ReadWait(now, proved.Add(after)) == longWait, "at %d", after)
+		assert.Equal(t, relayed, source.Node == "a", "at %d", after)
+	}
+}
+
+// A collector that is gone, or a newer configuration that it does not hand out, must not keep a node from reading the store.
+func TestConfigurationSourceIsLeft(t *testing.T) {
+	tests := map[string]Event{
+		"no answer":       PeerFailed{Node: "a"},
+		"a newer version": ProofHeard{From: "a", Version: 4, AsOf: boot},
+	}
+	for name, event := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newConductor("desk")
+			configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent)), 0)
+			learn(c, peer("a", "portal"))
+			c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Reports: []exchanger.Report{{Member: peer("a", "portal"), Number: 1}}}}, 1000)
+			c.Apply(ProofHeard{From: "a", Version: 3, AsOf: boot}, 1000)
+			_, relayed := c.ConfigurationSource(1000, boot)
+			assert.Assert(t, relayed)
+			c.Apply(event, 1000)
+			_, relayed = c.ConfigurationSource(1000+clock.Time(newerPatience)+1, boot)
+			assert.Assert(t, !relayed)
+		})
+	}
+}
+
+// The fleet's collector looks for members that are missing, and must not take their word for the store's: they rely on it.
+func TestFleetsCollectorReadsTheStore(t *testing.T) {
+	c := newConductor("desk")
+	configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent)), 0)
+	announce(c, 10, 1, false, 0)
+	z := peer("z", "portal")
+	learn(c, z)
+	c.Apply(PeerAnswered{Node: "z", Answer: exchanger.Answer{Reports: []exchanger.Report{{Member: z, Number: 1}}}}, 1000)
+	c.Apply(ProofHeard{From: "z", Version: 3, AsOf: boot}, 1000)
+	assert.Assert(t, c.IsAsked(1000))
+	_, relayed := c.ConfigurationSource(1000, boot)
+	assert.Assert(t, !relayed)
 }
 
 // A configuration comes by the read that has been open for long, so that its answer proves nothing of the last seconds.
--- a/internal/conductor/fuzz_test.go
+++ b/internal/conductor/fuzz_test.go
@@ -124,7 +124,7 @@
 	n.c = New(Options{
 		Self: w.member(i),
 		Bounds: Bounds{
-			Revoke: fuzzRevoke, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
+			Revoke: fuzzRevoke, InForce: 2000, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
 			Rate: apportioner.Tolerance{Window: 5, Part: 0.1, Requests: 20},
 		},
 		EndpointAddress: "e",
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -137,17 +137,17 @@
 	c.table.Answered(e.Node)
 	c.answered, c.unanswered = now, false
 	c.detector.Word(e.Node, now)
-	c.hear(c.table.Hear(e.Node, e.Answer), now)
+	c.hear(c.table.Hear(e.Node, e.Answer), c.members[e.Node], now)
 }
 
-func (c *Conductor) hear(reports []exchanger.Report, now clock.Time) {
+func (c *Conductor) hear(reports []exchanger.Report, from exchanger.Member, now clock.Time) {
 	heard := make([]apportioner.Heard, 0, len(reports))
 	for _, r := range reports {
 		if r.Member.Node == c.self.Node {
 			c.outlive(r.Member, now)
 			continue
 		}
-		if !c.table.Put(r, now) {
+		if !c.table.Put(r, from, now) {
 			continue
 		}
 		c.learnMember(MemberLearned{Member: r.Member}, now)
@@ -194,22 +194,29 @@
 		NestedPace: c.paces.nested.time(),
 	}
 	c.router.Learn(c.self.Endpoint, pacesOf(r))
-	c.table.Put(r, now)
+	c.table.Put(r, c.self, now)
 	return r
 }
 
 // Answer takes another node's question in and returns what it has not heard yet.
 func (c *Conductor) Answer(q exchanger.Question, now clock.Time) exchanger.Answer {
-	c.detector.Word(q.Report.Member.Node, now)
-	c.hear([]exchanger.Report{q.Report}, now)
-	return c.table.Answer(q.Report.Member.Node, q.Heard, now)
+	asking := q.Report.Member
+	c.detector.Word(asking.Node, now)
+	c.hear([]exchanger.Report{q.Report}, asking, now)
+	c.hear(q.Passed, asking, now)
+	return c.table.Answer(asking.Node, q.Heard, now)
 }
 
-// IsAsked tells whether this node is the one that the others exchange reports with, as far as it knows.
+// IsAsked tells whether this node is the fleet's collector, which has nobody to ask itself, as far as it knows.
 func (c *Conductor) IsAsked(now clock.Time) bool {
 	return c.table.Next(c.members, now) == c.self.Node
 }
 
+// Collects tells whether this node is its failure domain's collector of reports, as far as it knows.
+func (c *Conductor) Collects(now clock.Time) bool {
+	return c.table.Collects(c.members, now)
+}
+
 // Asking is the next exchange of reports.
 type Asking struct {
 	Member   exchanger.Member
@@ -218,19 +225,18 @@
 	Seeks bool
 }
 
-// Ask returns the next exchange. The node that the others ask has nobody to ask itself; it looks for members that are
-// missing, and where all are there it has none.
+// Ask returns the next exchange. The fleet's collector has nobody to ask; it looks for members that are missing, and where
+// all are there it has none.
 func (c *Conductor) Ask(now clock.Time) (Asking, bool) {
 	own := c.Report(now)
-	node := c.table.Next(c.members, now)
-	seeks := node == c.self.Node
-	if seeks {
-		var ok bool
-		if node, ok = c.table.Seek(c.members, now); !ok {
-			return Asking{}, false
-		}
+	if node := c.table.Next(c.members, now); node != c.self.Node {
+		return Asking{Member: c.members[node], Question: c.table.Ask(c.members[node], own, now)}, true
+	}
+	node, ok := c.table.Missing(c.members, now)
+	if !ok {
+		return Asking{}, false
 	}
-	return Asking{Member: c.members[node], Question: c.table.Ask(node, own), Seeks: seeks}, true
+	return Asking{Member: c.members[node], Question: c.table.Seek(c.members[node], own), Seeks: true}, true
 }
 
 // coveredByReports is how long an exchange shows that reports bring every change of the members: three periods.
--- a/internal/conductor/pool_test.go
+++ b/internal/conductor/pool_test.go
@@ -42,7 +42,7 @@
 		c := New(Options{
 			Self: self,
 			Bounds: Bounds{
-				Revoke: 5000, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
+				Revoke: 5000, InForce: 2000, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
 				Rate: apportioner.Tolerance{Window: 5, Part: 0.1, Requests: 20},
 			},
 			EndpointAddress: "e",
--- a/internal/conductor/world_test.go
+++ b/internal/conductor/world_test.go
@@ -22,7 +22,7 @@
 			Node: "self", Deliver: "10.0.0.1:1", Peer: "10.0.0.1:2", Domain: "west", Service: service, Incarnation: 1,
 		},
 		Bounds: Bounds{
-			Revoke: 5000, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
+			Revoke: 5000, InForce: 2000, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
 			Rate: apportioner.Tolerance{Window: 5, Part: 0.1, Requests: 20},
 		},
 		EndpointAddress: "10.0.0.1:80",
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -45,9 +45,10 @@
 type wireCalls map[string]map[string]float32
 
 type wireQuestion struct {
-	Report wireReport `cbor:"1,keyasint"`
-	Table  uint64     `cbor:"2,keyasint,omitempty"`
-	Change uint64     `cbor:"3,keyasint,omitempty"`
+	Report wireReport   `cbor:"1,keyasint"`
+	Table  uint64       `cbor:"2,keyasint,omitempty"`
+	Change uint64       `cbor:"3,keyasint,omitempty"`
+	Passed []wireReport `cbor:"4,keyasint,omitempty"`
 }
 
 type wireAnswer struct {
@@ -72,7 +73,11 @@
 
 // EncodeQuestion returns the bytes of a question.
 func EncodeQuestion(q Question) ([]byte, error) {
-	return cbor.Marshal(wireQuestion{Report: reportToWire(q.Report), Table: q.Heard.Table, Change: q.Heard.Change})
+	w := wireQuestion{Report: reportToWire(q.Report), Table: q.Heard.Table, Change: q.Heard.Change}
+	for _, r := range q.Passed {
+		w.Passed = append(w.Passed, reportToWire(r))
+	}
+	return cbor.Marshal(w)
 }
 
 // DecodeQuestion reads a question.
@@ -81,11 +86,28 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Question{}, fmt.Errorf("decode question: %w", err)
 	}
-	r, err := reportFromWire(w.Report)
+	q := Question{Heard: Mark{Table: w.Table, Change: w.Change}}
+	var err error
+	if q.Report, err = wholeReportFromWire(w.Report); err != nil {
+		return Question{}, err
+	}
+	for _, wire := range w.Passed {
+		r, err := wholeReportFromWire(wire)
+		if err != nil {
+			return Question{}, err
+		}
+		q.Passed = append(q.Passed, r)
+	}
+	return q, nil
+}
+
+// wholeReportFromWire reads a report that has to hold the member's record.
+func wholeReportFromWire(w wireReport) (Report, error) {
+	r, err := reportFromWire(w)
 	if err == nil && r.Brief {
 		err = fmt.Errorf("decode question of %q: the member is missing", r.Member.Node)
 	}
-	return Question{Report: r, Heard: Mark{Table: w.Table, Change: w.Change}}, err
+	return r, err
 }
 
 // EncodeAnswer returns the bytes of an answer.
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -1,14 +1,16 @@
 package exchanger
 
-// All nodes send their report to the same node and get everybody's back: with n nodes that are n small exchanges a
-// period instead of n squared. Nothing is agreed on: if two nodes are asked by different parts of the fleet, each
-// part knows less for a moment, and a later report replaces an earlier one wherever they meet. So that they do meet, the
-// node that is asked looks for members that nobody reports of.
+// Reports are collected in two steps, without anything being agreed on. Within a failure domain all nodes exchange reports
+// with the same one, the first by name that answers: the domain's collector. Collectors exchange with the first of them by
+// name, the fleet's collector. With n nodes in d domains that are n exchanges a period, of which d - 1 cross domains. If two
+// nodes are asked by different parts of the fleet, each part knows less for a moment, and a later report replaces an earlier
+// one wherever they meet. So that they do meet, the fleet's collector looks for members that nobody reports of.
 //
-// A node that asks says up to where it has heard, and gets only what changed since; of members whose record is the same,
-// only what they report. Whole bundles would grow with the square of the fleet.
+// A node that asks says up to where it has heard, and gets only what changed since; of members whose record is the
+// same, only what they report. Whole bundles would grow with the square of the fleet.
 //
-// Example: nodes a, b and c ask a; when a gives no answer, they ask b, and a again after a while.
+// Example: a and b are in the domain west, c and d in east. b asks a, d asks c, and c asks a, to which it passes on what
+// d reports. When a gives no answer, b and c ask the next one, and a again after a while.
 
 import (
 	"iter"
@@ -34,6 +36,7 @@
 // Table holds the newest report of each node; it is not safe for concurrent use.
 type Table struct {
 	self    identifier.Node
+	domain  identifier.FailureDomain
 	reports map[identifier.Node]held
 	// order holds the nodes with reports, sorted, so that what is summed up from them does not hang on a map's order.
 	order   []identifier.Node
@@ -43,6 +46,10 @@
 	// mark is this table's, heard what other tables' marks were when they last answered.
 	mark  Mark
 	heard map[identifier.Node]Mark
+	// passed is up to which of its own changes this table has told other nodes, by their tables; asked is up to which it
+	// does so with the question under way.
+	passed map[identifier.Node]Mark
+	asked  map[identifier.Node]uint64
 }
 
 // avoidance is until when a node is not asked, and how long that was set for.
@@ -57,21 +64,27 @@
 	made clock.Time
 	// changed is the table's change that brought the report, member the one that brought the member's record.
 	changed, member uint64
+	// from is the node that told of it, and far tells that it was one of another failure domain.
+	from identifier.Node
+	far  bool
 }
 
 // NewTable returns an empty table; id tells it from the tables that the node had before it was started anew.
-func NewTable(self identifier.Node, id uint64) *Table {
+func NewTable(self identifier.Node, domain identifier.FailureDomain, id uint64) *Table {
 	return &Table{
 		self:    self,
+		domain:  domain,
 		reports: map[identifier.Node]held{},
 		avoided: map[identifier.Node]avoidance{},
 		mark:    Mark{Table: id},
 		heard:   map[identifier.Node]Mark{},
+		passed:  map[identifier.Node]Mark{},
+		asked:   map[identifier.Node]uint64{},
 	}
 }
 
-// Put takes a report over if it is newer than what is held.
-func (t *Table) Put(r Report, now clock.Time) bool {
+// Put takes over a report that a member told of if it is newer than what is held.
+func (t *Table) Put(r Report, from Member, now clock.Time) bool {
 	h, ok := t.reports[r.Member.Node]
 	if ok && !r.Newer(h.report) {
 		return false
@@ -85,16 +98,50 @@
 		place, _ := slices.BinarySearch(t.order, r.Member.Node)
 		t.order = slices.Insert(t.order, place, r.Member.Node)
 	}
-	t.reports[r.Member.Node] = held{report: r, made: now.Add(-r.Age), changed: t.mark.Change, member: member}
+	t.reports[r.Member.Node] = held{
+		report:  r,
+		made:    now.Add(-r.Age),
+		changed: t.mark.Change,
+		member:  member,
+		from:    from.Node,
+		far:     from.Domain != t.domain,
+	}
 	return true
 }
 
-// Ask returns the question for a node.
-func (t *Table) Ask(node identifier.Node, own Report) Question {
-	return Question{Report: own, Heard: t.heard[node]}
+// Seek returns the question for a member of which nothing is known.
+func (t *Table) Seek(sought Member, own Report) Question {
+	t.asked[sought.Node] = t.passed[sought.Node].Change
+	return Question{Report: own, Heard: t.heard[sought.Node]}
+}
+
+// Ask returns the question for a member, with the reports that it lacks as far as is known here.
+func (t *Table) Ask(asked Member, own Report, now clock.Time) Question {
+	q := t.Seek(asked, own)
+	told := t.passed[asked.Node]
+	if told.Table != q.Heard.Table {
+		told.Change = 0
+	}
+	t.asked[asked.Node] = t.mark.Change
+	for r := range t.All(now) {
+		h := t.reports[r.Member.Node]
+		if r.Member.Node != t.self && h.changed > told.Change && h.passedTo(asked, t.domain) {
+			q.Passed = append(q.Passed, r)
+		}
+	}
+	return q
+}
+
+// passedTo tells whether a report is passed on with a question. To another failure domain all are, and within the own one
+// those that its collector may not have: what a node told itself, and what came from another domain.
+func (h held) passedTo(asked Member, domain identifier.FailureDomain) bool {
+	if h.from == asked.Node || h.report.Member.Node == asked.Node {
+		return false
+	}
+	return asked.Domain != domain || h.far || h.from == h.report.Member.Node
 }
 
-// Answer returns what a node has not heard yet, itself left out.
+// Answer returns what a node has not heard yet, itself and what it told left out.
 func (t *Table) Answer(asking identifier.Node, heard Mark, now clock.Time) Answer {
 	if heard.Table != t.mark.Table {
 		heard.Change = 0
@@ -102,7 +149,8 @@
 	a := Answer{Mark: t.mark}
 	for r := range t.All(now) {
 		h := t.reports[r.Member.Node]
-		if r.Member.Node == asking || h.changed <= heard.Change {
+		known := h.changed <= heard.Change || h.from == asking && heard.Change > 0
+		if r.Member.Node == asking || known {
 			continue
 		}
 		if r.Brief = h.member <= heard.Change; r.Brief {
@@ -117,6 +165,12 @@
 // next time.
 func (t *Table) Hear(node identifier.Node, a Answer) []Report {
 	reports := make([]Report, 0, len(a.Reports))
+	before := t.heard[node]
+	t.passed[node] = Mark{Table: a.Mark.Table, Change: t.asked[node]}
+	if before.Table != 0 && before.Table != a.Mark.Table {
+		// The node was started anew and has got only what was new.
+		t.passed[node] = Mark{}
+	}
 	t.heard[node] = a.Mark
 	for _, r := range a.Reports {
 		if r.Brief {
@@ -197,14 +251,29 @@
 	delete(t.avoided, node)
 }
 
-// Next returns the node to ask, which may be this one: the first by name of those whose reports are fresh and that have
-// not failed lately. A node that hears nobody goes through all others, those with the fewest failures first. The store
-// keeps the records of machines that are gone, and those must not come first for ever.
+// Next returns the node to ask, which may be this one: the first by name in the own failure domain of those whose reports
+// are fresh and that have not failed lately, and for that one the first of all domains. A node that hears nobody goes
+// through all others, those of its domain and with the fewest failures first. The store keeps the records of machines
+// that are gone, and those must not come first for ever.
 func (t *Table) Next(members map[identifier.Node]Member, now clock.Time) identifier.Node {
 	names := slices.Sorted(maps.Keys(members))
 	if !t.hears(members, now) {
-		return t.leastFailed(names, now)
+		return t.leastFailed(names, members, now)
+	}
+	near := slices.DeleteFunc(slices.Clone(names), func(node identifier.Node) bool { return members[node].Domain != t.domain })
+	if collector := t.first(near, now); collector != t.self {
+		return collector
 	}
+	return t.first(names, now)
+}
+
+// Collects tells whether this node is its failure domain's collector, as far as it knows.
+func (t *Table) Collects(members map[identifier.Node]Member, now clock.Time) bool {
+	next := t.Next(members, now)
+	return next == t.self || members[next].Domain != t.domain
+}
+
+func (t *Table) first(names []identifier.Node, now clock.Time) identifier.Node {
 	for _, node := range names {
 		if node == t.self || now >= t.avoided[node].until && t.fresh(node, now) {
 			return node
@@ -213,10 +282,10 @@
 	return t.self
 }
 
-// Seek returns a member of which nothing fresh is known, each in turn, and none if there is no such member. Two parts of a
+// Missing returns a member of which nothing fresh is known, each in turn, and none if there is no such member. Two parts of a
 // fleet that started while they could not reach each other would else stay apart for good: each asks the first node
 // that it hears of, and hears only of its own part.
-func (t *Table) Seek(members map[identifier.Node]Member, now clock.Time) (identifier.Node, bool) {
+func (t *Table) Missing(members map[identifier.Node]Member, now clock.Time) (identifier.Node, bool) {
 	var missing []identifier.Node
 	for _, node := range slices.Sorted(maps.Keys(members)) {
 		if node != t.self && !t.fresh(node, now) {
@@ -234,14 +303,24 @@
 	return t.sought, true
 }
 
-func (t *Table) leastFailed(names []identifier.Node, now clock.Time) identifier.Node {
+func (t *Table) leastFailed(
+	names []identifier.Node,
+	members map[identifier.Node]Member,
+	now clock.Time,
+) identifier.Node {
 	best := t.self
-	for _, node := range names {
-		a := t.avoided[node]
-		if node == t.self || now < a.until {
-			continue
+	better := func(node identifier.Node) bool {
+		if best == t.self {
+			return true
 		}
-		if best == t.self || a.span < t.avoided[best].span {
+		near, bestNear := members[node].Domain == t.domain, members[best].Domain == t.domain
+		if near != bestNear {
+			return near
+		}
+		return t.avoided[node].span < t.avoided[best].span
+	}
+	for _, node := range names {
+		if node != t.self && now >= t.avoided[node].until && better(node) {
 			best = node
 		}
 	}
--- a/internal/exchanger/table_test.go
+++ b/internal/exchanger/table_test.go
@@ -16,12 +16,12 @@
 }
 
 func TestNewerReportsReplaceOlderOnes(t *testing.T) {
-	table := NewTable("a", 1)
-	assert.Assert(t, table.Put(Report{Member: member("b"), Number: 2, Excess: 0.2}, 1000))
-	assert.Assert(t, !table.Put(Report{Member: member("b"), Number: 1, Excess: 0.1}, 1100))
+	table := NewTable("a", "west", 1)
+	assert.Assert(t, table.Put(Report{Member: member("b"), Number: 2, Excess: 0.2}, member("b"), 1000))
+	assert.Assert(t, !table.Put(Report{Member: member("b"), Number: 1, Excess: 0.1}, member("b"), 1100))
 	again := member("b")
 	again.Incarnation = 6
-	assert.Assert(t, table.Put(Report{Member: again, Number: 1, Excess: 0.3}, 1200))
+	assert.Assert(t, table.Put(Report{Member: again, Number: 1, Excess: 0.3}, again, 1200))
 	reports := table.Reports(1200)
 	assert.Equal(t, len(reports), 1)
 	assert.Equal(t, reports[0].Excess, 0.3)
@@ -30,8 +30,8 @@
 // A report that has come a long way round is as old as when it was made. Counted from its arrival, a node that died
 // would look alive for as long as others pass its last report on.
 func TestAgeCountsFromTheMaking(t *testing.T) {
-	table := NewTable("a", 1)
-	table.Put(Report{Member: member("b"), Number: 1, Age: 3000}, 10000)
+	table := NewTable("a", "west", 1)
+	table.Put(Report{Member: member("b"), Number: 1, Age: 3000}, member("b"), 10000)
 	age, ok := table.Age("b", 10500)
 	assert.Assert(t, ok)
 	assert.Equal(t, age, clock.Duration(3500))
@@ -43,8 +43,8 @@
 // them, since their clocks stood still, and they would go on hearing only of each other.
 func TestWokenNodeLooksForOthers(t *testing.T) {
 	members := map[identifier.Node]Member{"a": member("a"), "b": member("b"), "c": member("c")}
-	table := NewTable("a", 1)
-	table.Put(Report{Member: member("b"), Number: 1}, 1000)
+	table := NewTable("a", "west", 1)
+	table.Put(Report{Member: member("b"), Number: 1}, member("b"), 1000)
 	assert.Equal(t, table.Next(members, 1000), identifier.Node("a"))
 	table.Elapse(3000)
 	assert.Assert(t, table.Next(members, 1000) != "a")
@@ -55,7 +55,7 @@
 // The node that everybody asks dies. Nodes that kept asking it would know nothing of each other until it is back.
 func TestNextPassesOverFailedNodes(t *testing.T) {
 	members := map[identifier.Node]Member{"a": member("a"), "b": member("b"), "c": member("c")}
-	table := NewTable("c", 1)
+	table := NewTable("c", "west", 1)
 	assert.Equal(t, table.Next(members, 0), identifier.Node("a"))
 	table.Failed("a", 0)
 	assert.Equal(t, table.Next(members, 10), identifier.Node("b"))
@@ -63,8 +63,8 @@
 	assert.Equal(t, table.Next(members, 20), identifier.Node("c"))
 	assert.Equal(t, table.Next(members, clock.Time(avoidFirst)+1), identifier.Node("a"))
 	// Among nodes that are heard of, a failed one is passed over as well, and this node may be the first.
-	table.Put(Report{Member: member("a"), Number: 1}, 4000)
-	table.Put(Report{Member: member("b"), Number: 1}, 4000)
+	table.Put(Report{Member: member("a"), Number: 1}, member("a"), 4000)
+	table.Put(Report{Member: member("b"), Number: 1}, member("b"), 4000)
 	assert.Equal(t, table.Next(members, 4001), identifier.Node("a"))
 	table.Failed("a", 4001)
 	assert.Equal(t, table.Next(members, 4002), identifier.Node("b"))
@@ -152,7 +152,7 @@
 			Member: m, Number: number, Excess: 0.1, NestedPace: 60, Load: 40,
 			Demand: map[identifier.Team]float64{"parish-1": 3.5, "parish-2": 4.25},
 			Calls:  map[identifier.Route]map[identifier.Route]float64{"browse": {"desk": 1, "clock": 4}},
-		}, now)
+		}, m, now)
 	}
 }
 
@@ -160,7 +160,7 @@
 // failure domains. Whole bundles have 11.7 kB here, in brief 6.6 kB; with the demands of 87 teams they had 82 kB, and cost
 // more than all requests did.
 func TestKnownNodesAreToldInBrief(t *testing.T) {
-	table := NewTable("n50", 1)
+	table := NewTable("n50", "west", 1)
 	tell(table, 88, 1, 1000)
 	first, whole := bundle(t, table, Mark{}, 1000)
 	assert.Equal(t, len(first.Reports), 87)
@@ -177,24 +177,24 @@
 // The node that is asked was started anew, or the asking one has dropped a member: marks and records of before say
 // nothing then. Taken for known, a node's state would be missing for as long as it does not change.
 func TestBriefReportsNeedARecord(t *testing.T) {
-	asked, asking := NewTable("a", 1), NewTable("n00", 2)
+	asked, asking := NewTable("a", "west", 1), NewTable("n00", "west", 2)
 	tell(asked, 3, 1, 1000)
-	reports := asking.Hear("a", asked.Answer("n00", asking.Ask("a", Report{}).Heard, 1000))
+	reports := asking.Hear("a", asked.Answer("n00", asking.Ask(member("a"), Report{}, 0).Heard, 1000))
 	assert.Equal(t, len(reports), 2)
 	for _, r := range reports {
-		asking.Put(r, 1000)
+		asking.Put(r, member("a"), 1000)
 	}
 	asking.Drop("n01")
 	tell(asked, 3, 2, 1500)
-	reports = asking.Hear("a", asked.Answer("n00", asking.Ask("a", Report{}).Heard, 1500))
+	reports = asking.Hear("a", asked.Answer("n00", asking.Ask(member("a"), Report{}, 0).Heard, 1500))
 	assert.Equal(t, len(reports), 1)
 	assert.Equal(t, reports[0].Member.Endpoint, identifier.Endpoint("i-0123456789"))
 	// Asked again for everything, it tells of all.
-	reports = asking.Hear("a", asked.Answer("n00", asking.Ask("a", Report{}).Heard, 1600))
+	reports = asking.Hear("a", asked.Answer("n00", asking.Ask(member("a"), Report{}, 0).Heard, 1600))
 	assert.Equal(t, len(reports), 2)
-	again := NewTable("a", 3)
+	again := NewTable("a", "west", 3)
 	tell(again, 3, 3, 2000)
-	reports = asking.Hear("a", again.Answer("n00", asking.Ask("a", Report{}).Heard, 2000))
+	reports = asking.Hear("a", again.Answer("n00", asking.Ask(member("a"), Report{}, 0).Heard, 2000))
 	assert.Equal(t, len(reports), 2)
 	assert.Assert(t, !reports[0].Brief && reports[0].Member.Deliver != "")
 }
@@ -208,7 +208,7 @@
 		name := identifier.Node(fmt.Sprintf("a-%02d", i))
 		members[name] = member(name)
 	}
-	table := NewTable("z-self", 1)
+	table := NewTable("z-self", "west", 1)
 	now := clock.Time(0)
 	for asked := 0; ; asked++ {
 		assert.Assert(t, asked < 40, "the living node is not asked")
@@ -219,14 +219,14 @@
 		table.Failed(node, now)
 		now += 400
 	}
-	table.Put(Report{Member: member("y-alive"), Number: 1}, now)
+	table.Put(Report{Member: member("y-alive"), Number: 1}, member("y-alive"), now)
 	assert.Equal(t, table.Next(members, now+2000), identifier.Node("y-alive"))
 }
 
 // A node that answers again is asked as before.
 func TestAnsweredNodeIsNotAvoided(t *testing.T) {
 	members := map[identifier.Node]Member{"a": member("a"), "b": member("b")}
-	table := NewTable("b", 1)
+	table := NewTable("b", "west", 1)
 	table.Failed("a", 0)
 	table.Answered("a")
 	assert.Equal(t, table.Next(members, 1), identifier.Node("a"))
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -58,9 +58,10 @@
 	Change uint64
 }
 
-// Question is a node's own report, and what it has heard so far from the node that it asks.
+// Question is a node's own report, those that it passes on, and what it has heard so far from the node that it asks.
 type Question struct {
 	Report Report
+	Passed []Report
 	Heard  Mark
 }
 
--- a/internal/loader/sidecar.go
+++ b/internal/loader/sidecar.go
@@ -46,6 +46,8 @@
 type SidecarBounds struct {
 	// Revoke is how long a withdrawn key may still be served.
 	Revoke clock.Duration
+	// ConfigurationInForce is how long after it was accepted a configuration is in force everywhere.
+	ConfigurationInForce clock.Duration
 	// Drain is how long an endpoint that leaves may still get requests.
 	Drain clock.Duration
 	// Grace is the time from SIGTERM to SIGKILL.
@@ -64,6 +66,7 @@
 // Defaults of the bounds, for a platform that does not give them: the figures that its pages name.
 const (
 	defaultRevoke       = 5 * clock.Second
+	defaultInForce      = 2 * clock.Second
 	defaultDrain        = 2 * clock.Second
 	defaultGrace        = 6 * clock.Second
 	defaultRepeatWindow = 10 * clock.Second
@@ -113,14 +116,15 @@
 
 func readSidecarBounds(t *checker.Table) SidecarBounds {
 	return SidecarBounds{
-		Revoke:       t.DurationOr("revoke", defaultRevoke, minBound, maxTimeout),
-		Drain:        t.DurationOr("drain", defaultDrain, minBound, maxTimeout),
-		Grace:        t.DurationOr("grace", defaultGrace, minBound, maxTimeout),
-		RepeatRatio:  t.NumberOr("repeatRatio", defaultRepeatRatio, 0, 1),
-		RepeatSlack:  int(t.WholeOr("repeatSlack", defaultRepeatSlack, 0, maxCount)),
-		RepeatWindow: t.DurationOr("repeatWindow", defaultRepeatWindow, minBound, maxTimeout),
-		RateWindow:   t.DurationOr("rateWindow", defaultRateWindow, minBound, maxTimeout),
-		RateExcess:   t.NumberOr("rateExcess", 0, 0, 1),
-		RateSlack:    int(t.WholeOr("rateSlack", 0, 0, maxCount)),
+		Revoke:               t.DurationOr("revoke", defaultRevoke, minBound, maxTimeout),
+		ConfigurationInForce: t.DurationOr("configurationInForce", defaultInForce, minBound, maxTimeout),
+		Drain:                t.DurationOr("drain", defaultDrain, minBound, maxTimeout),
+		Grace:                t.DurationOr("grace", defaultGrace, minBound, maxTimeout),
+		RepeatRatio:          t.NumberOr("repeatRatio", defaultRepeatRatio, 0, 1),
+		RepeatSlack:          int(t.WholeOr("repeatSlack", defaultRepeatSlack, 0, maxCount)),
+		RepeatWindow:         t.DurationOr("repeatWindow", defaultRepeatWindow, minBound, maxTimeout),
+		RateWindow:           t.DurationOr("rateWindow", defaultRateWindow, minBound, maxTimeout),
+		RateExcess:           t.NumberOr("rateExcess", 0, 0, 1),
+		RateSlack:            int(t.WholeOr("rateSlack", 0, 0, maxCount)),
 	}
 }
--- a/internal/loader/sidecar_test.go
+++ b/internal/loader/sidecar_test.go
@@ -49,6 +49,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Bounds.Revoke, 4*clock.Second)
 	assert.Equal(t, s.Bounds.RateExcess, 0.1)
+	assert.Equal(t, s.Bounds.ConfigurationInForce, defaultInForce)
 	// A platform that gives no figure gets the default of its pages, not none.
 	assert.Equal(t, s.Bounds.Grace, defaultGrace)
 	assert.Equal(t, s.MemoryMB, 284)
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -142,8 +142,9 @@
 			n.relayer.Expire()
 			n.logLoad()
 		}
-		if count%ticksPerCrossings == 0 {
+		if count%ticksPerTotals == 0 {
 			n.recorder.Crossings()
+			n.recorder.StoreCalls()
 		}
 	}
 }
@@ -170,8 +171,8 @@
 // two lines of the local endpoint's load.
 const ticksPerSecond = int(clock.Second / conductor.TickPeriod)
 
-// ticksPerCrossings is how many ticks pass between two lines of what has crossed failure domains.
-const ticksPerCrossings = 4 * ticksPerSecond
+// ticksPerTotals is how many ticks pass between two lines of what has crossed failure domains, and of the store's calls.
+const ticksPerTotals = 4 * ticksPerSecond
 
 // logLoad writes how the local endpoint fares, so that a refusal can be understood from the second in which it fell.
 func (n *node) logLoad() {
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -71,6 +71,9 @@
 	// written is the sequence of the record that was written last.
 	written atomic.Int64
 	client  *http.Client
+	// waiting is the client for reads that stay open at another node, newest what others wait for here.
+	waiting *http.Client
+	newest  newestRecord
 	servers []*http.Server
 	cancel  context.CancelFunc
 	asked   chan struct{}
@@ -137,6 +140,7 @@
 func boundsOf(b loader.SidecarBounds) conductor.Bounds {
 	return conductor.Bounds{
 		Revoke:       b.Revoke,
+		InForce:      b.ConfigurationInForce,
 		RepeatRatio:  b.RepeatRatio,
 		RepeatSlack:  float64(b.RepeatSlack),
 		RepeatWindow: b.RepeatWindow,
@@ -155,12 +159,15 @@
 const mostAhead = 4
 
 func newNode(o Options, c *clock.Clock, k *conductor.Conductor, log *recorder.Recorder) *node {
+	o.Outside.Operators = countedTopic{Topic: o.Outside.Operators, name: "operators", recorder: log}
+	o.Outside.Members = countedTopic{Topic: o.Outside.Members, name: "members", recorder: log}
 	n := &node{
 		options:  o,
 		clock:    c,
 		recorder: log,
 		records:  make(chan exchanger.Member, waitingRecords),
 		client:   newPeerClient(),
+		waiting:  newPeerClient(),
 		asked:    make(chan struct{}, 1),
 
 		connections: requester.NewConnections(o.Settings.Descriptors),
--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -119,7 +119,7 @@
 		},
 		MemoryMB: 256, Descriptors: 128,
 		Bounds: loader.SidecarBounds{
-			Revoke: clock.Second, Drain: clock.Second, Grace: 6 * clock.Second,
+			Revoke: clock.Second, ConfigurationInForce: clock.Second, Drain: clock.Second, Grace: 6 * clock.Second,
 			RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * clock.Second,
 		},
 	}}
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -1,7 +1,7 @@
 package mesher
 
-// Reports are exchanged twice a second with one node, which answers with everybody's; a change of the local endpoint
-// is told at once. The same port serves the state dump.
+// Reports are exchanged twice a second with the failure domain's collector, which answers with everybody's and exchanges with
+// the other domains' more often; a change of the local endpoint is told at once. The same port serves the state dump.
 //
 // Example: POST /reports with one report, answered with those of all other nodes that are new.
 
@@ -29,6 +29,8 @@
 )
 
 const (
+	// collectorPeriod is the time between two exchanges of collectors, by which news cross failure domains.
+	collectorPeriod = 100 * clock.Millisecond
 	// exchangePeriod is how old a report may grow on a calm day, pressedPeriod while some service has more load than it
 	// can take: the excess moves by a twentieth in that time.
 	exchangePeriod = 500 * clock.Millisecond
@@ -58,7 +60,10 @@
 		}
 		period := exchangePeriod
 		n.relayer.View(func(c *conductor.Conductor, now clock.Time) {
-			if c.Pressed(now) {
+			switch {
+			case c.Collects(now) && !c.IsAsked(now):
+				period = collectorPeriod
+			case c.Pressed(now):
 				period = pressedPeriod
 			}
 		})
@@ -140,13 +145,14 @@
 	if !ok {
 		return answer, nil, nil
 	}
-	return answer, &conductor.ProofHeard{Version: version, AsOf: asOf}, nil
+	return answer, &conductor.ProofHeard{From: member.Node, Version: version, AsOf: asOf}, nil
 }
 
 func (n *node) peerRouter() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/reports", n.serveReports).Methods(http.MethodPost)
 	router.HandleFunc(relayer.TokensPath, n.relayer.ServeTokens).Methods(http.MethodPost)
+	router.HandleFunc(configurationPath, n.serveConfiguration).Methods(http.MethodGet)
 	router.HandleFunc("/state", n.serveState).Methods(http.MethodGet)
 	return router
 }
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -27,14 +27,14 @@
 	// membersRest gathers the records of nodes that start together: 14 nodes that read each by itself made 266 calls in
 	// their first 15 s. Changes while they run come with the reports.
 	membersRest = clock.Second
-	// configurationRest gathers configurations that come in quick succession: one each third of a second, a read for each, were
-	// a call of every node for each. A fifth of the time in which a change must be in force.
+	// configurationRest gathers configurations that come in quick succession. A fifth of the time in which a change must be in
+	// force.
 	configurationRest = 400 * clock.Millisecond
 )
 
 func (n *node) newConfigurationWatcher() *watcher.Watcher {
 	return watcher.New(watcher.Options{
-		Topic: n.options.Outside.Operators,
+		Topic: relayedTopic{Topic: n.options.Outside.Operators, node: n},
 		Wait:  n.readWait,
 		Rest:  configurationRest,
 		Slack: storeSlack,
@@ -75,6 +75,9 @@
 	for _, r := range u.Records {
 		if r.Key == n.options.Outside.ConfigurationKey && len(r.Value) > 0 {
 			n.readConfiguration(r)
+			n.newest.set(r)
+			// Its collector's proof comes at once, so that the node need not ask the store for its own.
+			n.exchangeSoon()
 		}
 	}
 	if !u.Complete {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -153,6 +153,18 @@
 	}
 }
 
+// StoreCalled counts a call to the platform's store, by topic and kind of call.
+func (r *Recorder) StoreCalled(topic, call string) {
+	r.meters.add("store_calls", 1, "topic", topic, "call", call)
+}
+
+// StoreCalls logs how many calls to the platform's store were made so far.
+func (r *Recorder) StoreCalls() {
+	if calls := r.meters.counts("store_calls"); len(calls) > 0 {
+		r.Event("store calls", "calls", calls)
+	}
+}
+
 // Drawn counts a token that another node was asked for, by how that ended.
 func (r *Recorder) Drawn(outcome string, took clock.Duration) {
 	r.meters.time("tokens", "outcome", outcome, took)
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -24,6 +24,8 @@
 type Batch struct {
 	Records []Record
 	End     identifier.Offset
+	// Relayed tells that another node passed the records on, which proves nothing about the topic's end.
+	Relayed bool
 }
 
 // Topic is a keyed topic of the store.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -19,6 +19,8 @@
 // Update is what one answer of the store told.
 type Update struct {
 	Records []Record
+	// Next is the offset from which the topic is read next.
+	Next identifier.Offset
 	// AsOf is the boot time at which the question was sent.
 	AsOf clock.Time
 	// Complete tells that no record up to AsOf is missing.
@@ -37,7 +39,8 @@
 	MostPause func() clock.Duration
 	// Slack is how much later than Wait an answer may come before the connection is taken for dead.
 	Slack clock.Duration
-	// Rest is how long after an answer with news the next read is sent: when a whole fleet starts, news come one by one.
+	// Rest is how long after an answer of the store with news the next read is sent: when a whole fleet starts, news come one
+	// by one.
 	Rest clock.Duration
 	// Now reads the boot time.
 	Now func() clock.Time
@@ -64,7 +67,7 @@
 	next    identifier.Offset
 	known   bool
 	failing bool
-	// news tells that the last answer had records.
+	// news tells that the last answer had records and came from the store.
 	news  bool
 	pause clock.Duration
 
@@ -154,14 +157,16 @@
 	if err != nil {
 		return err
 	}
-	if b.End < w.next {
+	if b.End < w.next && !b.Relayed {
 		// The topic has been made anew; what was read no longer says where to go on.
 		w.known = false
 		return nil
 	}
-	w.next += identifier.Offset(len(b.Records))
-	w.news = len(b.Records) > 0
-	w.options.Took(Update{Records: b.Records, AsOf: asked, Complete: w.next >= b.End})
+	if n := len(b.Records); n > 0 {
+		w.next = b.Records[n-1].Offset + 1
+		w.news = !b.Relayed
+	}
+	w.options.Took(Update{Records: b.Records, Next: w.next, AsOf: asked, Complete: w.next >= b.End && !b.Relayed})
 	return nil
 }
 
@@ -200,6 +205,7 @@
 	}
 	w.next = b.End
 	w.known = true
-	w.options.Took(Update{Records: b.Records, AsOf: asked, Complete: true})
+	w.news = true
+	w.options.Took(Update{Records: b.Records, Next: w.next, AsOf: asked, Complete: true})
 	return nil
 }
