--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -29,8 +29,8 @@
 	refused map[origin]*[throttler.Classes]float64
 	// arriving is how many calls a second come to each service.
 	arriving map[identifier.Service]float64
-	// severed is the part of the requests of each origin whose nested calls meet a service without an endpoint.
-	severed map[origin]float64
+	// missing is the part of the requests of each origin whose nested calls meet a service without an endpoint.
+	missing map[origin]float64
 	// homes are the domains in which the calls of what is sent from here find endpoints, where this one is none of them.
 	homes map[origin][]identifier.FailureDomain
 	// leaf holds the services that are known to make no nested calls.
@@ -75,7 +75,7 @@
 		excess:   map[identifier.Service]float64{},
 		refused:  map[origin]*[throttler.Classes]float64{},
 		arriving: map[identifier.Service]float64{},
-		severed:  map[origin]float64{},
+		missing:  map[origin]float64{},
 		homes:    map[origin][]identifier.FailureDomain{},
 		leaf:     map[identifier.Service]bool{},
 	}
@@ -86,7 +86,7 @@
 		costs[from] = c.graph.costsOf(from)
 	}
 	there := c.presence()
-	c.planSevered(costs, there, now)
+	c.planMissing(costs, there, now)
 	c.planHomes(there)
 	if !pressed {
 		return
--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -48,7 +48,7 @@
 // takes 20 a second, short enough to follow a shift of callers.
 const arrivalMemory = 2 * clock.Second
 
-func (a *arrivals) note(from origin, c class) {
+func (a *arrivals) add(from origin, c class) {
 	if a.counts == nil {
 		a.counts = map[origin]*throttler.Mix{}
 	}
@@ -60,8 +60,8 @@
 	m[c]++
 }
 
-// leastArrivals is the faded count below which an origin is dropped; routes come and go.
-const leastArrivals = 0.001
+// minArrivals is the faded count below which an origin is dropped; routes come and go.
+const minArrivals = 0.001
 
 // fade lets old arrivals count less; it is called every chainPeriod or later.
 func (a *arrivals) fade(now clock.Time) {
@@ -74,7 +74,7 @@
 			m[c] *= keep
 			total += m[c]
 		}
-		if total < leastArrivals {
+		if total < minArrivals {
 			delete(a.counts, from)
 		}
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -98,7 +98,7 @@
 	limiter   *limiter.Limiter
 	throttler *throttler.Throttler
 	runs      runCounter
-	paces     paces
+	runTimes  runTimes
 
 	calls map[CallID]*call
 	// awaiting are requests that wait for an endpoint.
@@ -163,11 +163,11 @@
 	case RequestClosed:
 		c.close(e.ID)
 	case TokenDrawn:
-		c.drawn(e, now)
+		c.tokenDrawn(e, now)
 	case TokenAsked:
-		c.give(e, now)
+		c.grantToken(e, now)
 	case Probed:
-		c.probed(e, now)
+		c.probeEnded(e, now)
 	case DeliveryArrived:
 		c.deliver(e, now)
 	case DeliveryEnded:
@@ -183,13 +183,13 @@
 	case ConfigurationRead:
 		c.configure(e, now)
 	case ConfigurationProved:
-		c.prove(e)
+		c.acceptProof(e)
 	case ProofHeard:
 		c.hearProof(e, now)
 	case MemberLearned:
 		c.learnMember(e, now)
 	case ReportsHeard:
-		c.hear(e.Reports, c.self, now)
+		c.takeReports(e.Reports, c.self, now)
 	case PeerFailed:
 		c.peerFailed(e, now)
 	case PeerAnswered:
@@ -237,9 +237,9 @@
 	c.apportioner.Tick(now)
 	c.judgeSilence(now)
 	c.probe(now)
-	c.doubtAssumed(now)
+	c.expireAssumed(now)
 	c.resume(now)
-	c.stepBack(now)
+	c.announceStop(now)
 	if c.limiter == nil {
 		return
 	}
@@ -256,8 +256,8 @@
 	c.stopping, c.stopAsked = true, now
 }
 
-// stepBack tells the others that this node stops, when it will soon take no more for its endpoint.
-func (c *Conductor) stepBack(now clock.Time) {
+// announceStop tells the others that this node stops, when it will soon take no more for its endpoint.
+func (c *Conductor) announceStop(now clock.Time) {
 	if c.stopping && c.self.State == exchanger.Ready && now.Sub(c.stopAsked) >= stillServing {
 		c.publish(now)
 	}
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -20,7 +20,7 @@
 	// A proof of the version before holds for this one: what was withdrawn by then is missing here as well.
 	c.matcher, c.readAt = e.Matcher, e.At
 	c.shares = sharesOf(e.Matcher.Configuration())
-	c.runs.keep(c.shares)
+	c.runs.retain(c.shares)
 	clear(c.sent)
 	c.graph = nil
 	for _, t := range e.Matcher.Configuration().Teams {
@@ -32,7 +32,7 @@
 	}
 }
 
-func (c *Conductor) prove(e ConfigurationProved) {
+func (c *Conductor) acceptProof(e ConfigurationProved) {
 	if c.matcher == nil || e.Version > c.matcher.Version() {
 		return
 	}
--- a/internal/conductor/freshness.go
+++ b/internal/conductor/configuration_proof.go
@@ -32,9 +32,9 @@
 	longWait = 28 * clock.Second
 	// firstWait is how long a read stays open before there is any configuration, whose proof could grow old.
 	firstWait = 10 * clock.Second
-	// newerPatience is how long after hearing of a newer configuration the node's own open read may take to bring it:
+	// newerTimeout is how long after hearing of a newer configuration the node's own open read may take to bring it:
 	// both come by different ways, with some tens of milliseconds between them on a busy VM.
-	newerPatience = 200 * clock.Millisecond
+	newerTimeout = 200 * clock.Millisecond
 	// newerWait is how long a read waits while a newer configuration is known of. It is not nothing, since one that can't be
 	// put in force here would be asked for without pause.
 	newerWait = 100 * clock.Millisecond
@@ -52,7 +52,7 @@
 }
 
 func (c *Conductor) hearProof(e ProofHeard, now clock.Time) {
-	c.prove(ConfigurationProved{Version: e.Version, AsOf: e.AsOf})
+	c.acceptProof(ConfigurationProved{Version: e.Version, AsOf: e.AsOf})
 	if e.Version > c.Version() {
 		if c.proofs.newer <= c.Version() {
 			c.proofs.since = now
@@ -65,11 +65,11 @@
 // covered tells whether the proof of the node that reports were last exchanged with is enough. The fleet's collector has
 // nobody to rely on: those that it asks rely on it.
 func (c *Conductor) covered(now, boot clock.Time) bool {
-	if c.IsAsked(now) {
+	if c.CollectsForFleet(now) {
 		return false
 	}
 	tenths := clock.Duration(coveredTenths)
-	if c.Collects(now) {
+	if c.CollectsForDomain(now) {
 		tenths = collectorTenths
 	}
 	p := c.proofs
@@ -78,7 +78,7 @@
 
 // lacksNewer tells whether a newer configuration has been known of for longer than it should take to come.
 func (c *Conductor) lacksNewer(now clock.Time) bool {
-	return c.proofs.newer > c.Version() && now.Sub(c.proofs.since) > newerPatience
+	return c.proofs.newer > c.Version() && now.Sub(c.proofs.since) > newerTimeout
 }
 
 // ReadWait returns how long a read of the configuration may stay open at this moment, by both clocks.
@@ -90,7 +90,7 @@
 		return longWait
 	case c.matcher == nil:
 		return firstWait
-	case c.Collects(now):
+	case c.CollectsForDomain(now):
 		return c.options.Bounds.InForce * provideTenths / 10
 	default:
 		return c.options.Bounds.Revoke / askPart
--- a/internal/conductor/freshness_test.go
+++ b/internal/conductor/configuration_proof_test.go
@@ -81,7 +81,7 @@
 			_, relayed := c.ConfigurationSource(1000, boot)
 			assert.Assert(t, relayed)
 			c.Apply(event, 1000)
-			_, relayed = c.ConfigurationSource(1000+clock.Time(newerPatience)+1, boot)
+			_, relayed = c.ConfigurationSource(1000+clock.Time(newerTimeout)+1, boot)
 			assert.Assert(t, !relayed)
 		})
 	}
@@ -96,7 +96,7 @@
 	learn(c, z)
 	c.Apply(PeerAnswered{Node: "z", Answer: exchanger.Answer{Reports: []exchanger.Report{{Member: z, Number: 1}}}}, 1000)
 	c.Apply(ProofHeard{From: "z", Version: 3, AsOf: boot}, 1000)
-	assert.Assert(t, c.IsAsked(1000))
+	assert.Assert(t, c.CollectsForFleet(1000))
 	_, relayed := c.ConfigurationSource(1000, boot)
 	assert.Assert(t, !relayed)
 }
@@ -131,7 +131,7 @@
 	c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Reports: []exchanger.Report{report}}}, 1000)
 	assert.Assert(t, !c.FollowsStore(1100))
 	assert.Assert(t, c.FollowsStore(2600))
-	c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Mark: exchanger.Mark{Change: 1}}}, 2700)
+	c.Apply(PeerAnswered{Node: "a", Answer: exchanger.Answer{Cursor: exchanger.Cursor{Change: 1}}}, 2700)
 	assert.Assert(t, !c.FollowsStore(2800))
 	c.Apply(PeerFailed{Node: "a"}, 2900)
 	assert.Assert(t, c.FollowsStore(2900))
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -45,20 +45,20 @@
 		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: EndpointGone})
 		return
 	}
-	if e.Unpaid != "" && !c.apportioner.Spare(e.Unpaid, now) {
+	if e.RateUnchecked != "" && !c.apportioner.Spare(e.RateUnchecked, now) {
 		c.emit(TurnAway{ID: e.ID, Outcome: Over, Reason: OverRate})
 		return
 	}
 	if !e.Again {
 		c.throttler.Arrived()
 	}
-	c.deliveries[e.ID] = &delivery{nested: e.Nested, request: e.Request, route: c.routeOf(e), paid: e.Unpaid}
+	c.deliveries[e.ID] = &delivery{nested: e.Nested, request: e.Request, route: c.routeOf(e), paid: e.RateUnchecked}
 	offered := limiter.Call{
 		ID:        limiter.CallID(e.ID),
 		Rank:      e.Rank,
 		Deadline:  e.Deadline,
 		Due:       e.Due,
-		WaitUntil: now.Add(e.Patience),
+		WaitUntil: now.Add(e.QueueTimeout),
 	}
 	c.verdicts = c.limiter.Offer(offered, now, c.verdicts[:0])
 	c.settle(now)
@@ -123,9 +123,9 @@
 	}
 	if took := now.Sub(d.started); e.Outcome == Answered {
 		c.throttler.Answered()
-		c.paces.of(d.nested).learn(took)
+		c.runTimes.of(d.nested).learn(took)
 	} else {
-		c.paces.of(d.nested).atLeast(took)
+		c.runTimes.of(d.nested).atLeast(took)
 	}
 	c.verdicts = c.limiter.Done(limiter.CallID(e.ID), limiterOutcome(e.Outcome), now, c.verdicts[:0])
 	c.settle(now)
@@ -203,7 +203,7 @@
 	}, now)
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]identifier.Route{}
-	c.paces = paces{}
+	c.runTimes = runTimes{}
 }
 
 // shedQueue turns away what is queued; what runs goes on.
--- a/internal/conductor/delivery_test.go
+++ b/internal/conductor/delivery_test.go
@@ -10,7 +10,7 @@
 )
 
 func delivered(id CallID) DeliveryArrived {
-	return DeliveryArrived{ID: id, Endpoint: "i-self", Deadline: 5000, Patience: 300, Due: 1200}
+	return DeliveryArrived{ID: id, Endpoint: "i-self", Deadline: 5000, QueueTimeout: 300, Due: 1200}
 }
 
 func TestDeliveries(t *testing.T) {
@@ -88,7 +88,7 @@
 	assert.Equal(t, len(c.Apply(StopAsked{}, 10)), 0)
 	assert.Assert(t, !c.Ready())
 	assert.Equal(t, len(c.Apply(Ticked{}, 1200)), 0)
-	one[Run](t, c.Apply(DeliveryArrived{ID: 9, Endpoint: "i-self", Deadline: 3000, Patience: 100, Due: 3000}, 1205))
+	one[Run](t, c.Apply(DeliveryArrived{ID: 9, Endpoint: "i-self", Deadline: 3000, QueueTimeout: 100, Due: 3000}, 1205))
 	p := one[Publish](t, c.Apply(Ticked{}, 1210))
 	assert.Equal(t, p.Member.State, exchanger.Stopping)
 	assert.Equal(t, len(c.Apply(Ticked{}, 1235)), 0)
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -71,15 +71,15 @@
 	Repeat bool
 	// Again tells that another node was asked before and counted the request among its endpoint's arrivals.
 	Again bool
-	// Unpaid tells that the team's rate has yet to be taken from, at the node that gets the request.
-	Unpaid bool
+	// RateUnchecked tells that the team's rate has yet to be taken from, at the node that gets the request.
+	RateUnchecked bool
 	// Idempotent tells that the request may run again.
-	Idempotent bool
-	Deadline   clock.Time
-	Patience   clock.Duration
-	Due        clock.Time
-	Route      string
-	Version    identifier.Version
+	Idempotent   bool
+	Deadline     clock.Time
+	QueueTimeout clock.Duration
+	Due          clock.Time
+	Route        string
+	Version      identifier.Version
 	// Crossing is why the request leaves this node's failure domain.
 	Crossing router.Crossing
 }
--- a/internal/conductor/ending.go
+++ b/internal/conductor/ending.go
@@ -28,7 +28,7 @@
 		return
 	}
 	c.learnAttempt(r, e, now)
-	c.learnReach(r, e.Outcome, now)
+	c.learnReachability(r, e.Outcome, now)
 	if e.Member != nil {
 		// Else each further request would go there as well, until the record comes by the store or a report.
 		c.learnMember(MemberLearned{Member: *e.Member}, now)
@@ -53,17 +53,17 @@
 		c.attempt(r, now)
 		return
 	}
-	if e.Replayable && c.await(r, now) {
+	if e.Replayable && c.awaitEndpoint(r, now) {
 		return
 	}
-	c.giveUp(r, reasonOf(e.Outcome), now)
+	c.rejectCall(r, reasonOf(e.Outcome), now)
 }
 
 // learnAttempt tells the router how an attempt went.
 func (c *Conductor) learnAttempt(r *call, e AttemptEnded, now clock.Time) {
 	result := router.Result{Latency: now.Sub(r.sent), Headroom: e.Headroom, Wait: e.Wait}
 	if e.Outcome != Over && !e.Outcome.NotRun() {
-		r.unpaid = false
+		r.rateUnchecked = false
 	}
 	switch e.Outcome {
 	case Answered:
@@ -82,7 +82,7 @@
 }
 
 func (c *Conductor) mayTryAgain(r *call, e AttemptEnded, now clock.Time) bool {
-	if !e.Replayable || r.tries >= mostTries || e.Outcome == Late {
+	if !e.Replayable || r.tries >= maxTries || e.Outcome == Late {
 		return false
 	}
 	if r.doubt && r.route.Kind != matcher.Idempotent {
@@ -113,8 +113,8 @@
 	}
 }
 
-// giveUp answers at once. Only what has certainly not run may say so.
-func (c *Conductor) giveUp(r *call, reason Reason, now clock.Time) {
+// rejectCall answers at once. Only what has certainly not run may say so.
+func (c *Conductor) rejectCall(r *call, reason Reason, now clock.Time) {
 	switch {
 	case r.doubt && reason == Deadline:
 		c.refuse(r.id, http.StatusGatewayTimeout, reason, 0)
@@ -127,8 +127,8 @@
 	default:
 		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(retryNoRoom))
 	}
-	if !r.doubt && r.arrivals == 0 && r.team != nil && !r.unpaid {
-		c.payBack(r.team.Name, now)
+	if !r.doubt && r.arrivals == 0 && r.team != nil && !r.rateUnchecked {
+		c.refundToken(r.team.Name, now)
 	}
 	c.close(r.id)
 }
--- a/internal/conductor/await.go
+++ b/internal/conductor/endpoint_wait.go
@@ -14,31 +14,31 @@
 // awaitPart of the time that a root request may be queued may go by without an endpoint.
 const awaitPart = 1.0 / 2
 
-// await has a request wait for an endpoint, if it may and there is hope: whoever was turned away has met one.
-func (c *Conductor) await(r *call, now clock.Time) bool {
-	if r.turnedAway || r.unpaid || r.doubt || c.stopping {
+// awaitEndpoint has a request wait for an endpoint, if it may and there is hope: whoever was turned away has met one.
+func (c *Conductor) awaitEndpoint(r *call, now clock.Time) bool {
+	if r.turnedAway || r.rateUnchecked || r.doubt || c.stopping {
 		return false
 	}
 	if r.awaits == 0 {
-		r.awaits = r.arrived.Add(c.hope(r))
+		r.awaits = r.arrived.Add(c.endpointWait(r))
 	}
 	if now >= r.awaits {
 		return false
 	}
 	r.excluded = nil
-	r.tries = min(r.tries, mostTries-1)
+	r.tries = min(r.tries, maxTries-1)
 	c.awaiting = append(c.awaiting, r.id)
 	c.emit(Hold{ID: r.id})
 	return true
 }
 
-// hope is how long after its arrival a request may wait for an endpoint.
-func (c *Conductor) hope(r *call) clock.Duration {
-	patience := c.patience(r, r.arrived)
+// endpointWait is how long after its arrival a request may wait for an endpoint.
+func (c *Conductor) endpointWait(r *call) clock.Duration {
+	timeout := c.queueTimeout(r, r.arrived)
 	if r.nested {
-		return patience
+		return timeout
 	}
-	return clock.Duration(awaitPart * float64(patience))
+	return clock.Duration(awaitPart * float64(timeout))
 }
 
 // resume sends on what waits for an endpoint, or gives it up; it is called on each tick.
@@ -52,7 +52,7 @@
 		case now < r.awaits:
 			c.awaiting = append(c.awaiting, id)
 		default:
-			c.giveUp(r, NoEndpoint, now)
+			c.rejectCall(r, NoEndpoint, now)
 		}
 	}
 }
@@ -61,11 +61,11 @@
 	// returnParts of the time left is how long a caller is sent away, on average, where no endpoint is left: callers
 	// return after a third at most, and the later, the likelier there is one.
 	returnParts = 2.0 / 9
-	// mostAbsence is how long a killed node and its endpoint take to be back.
-	mostAbsence = clock.Second
+	// maxAbsence is how long a killed node and its endpoint take to be back.
+	maxAbsence = clock.Second
 )
 
 func (r *call) returnsAfter(now clock.Time) clock.Duration {
 	part := clock.Duration(returnParts * float64(r.deadline.Sub(now)))
-	return max(retryNoRoom, min(mostAbsence, part))
+	return max(retryNoRoom, min(maxAbsence, part))
 }
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -42,9 +42,9 @@
 	turnedAway bool
 	// awaits is until when the request waits for an endpoint, 0 if it has not waited yet.
 	awaits clock.Time
-	// unpaid tells that this node had no token for the request; wait is until it has one.
-	unpaid bool
-	wait   clock.Duration
+	// rateUnchecked tells that this node had no token for the request; wait is until it has one.
+	rateUnchecked bool
+	wait          clock.Duration
 }
 
 func (c *Conductor) arrive(e RequestArrived, now clock.Time) {
@@ -117,12 +117,12 @@
 	if r.nested {
 		return true
 	}
-	c.arrivals.note(r.origin(), r.class)
+	c.arrivals.add(r.origin(), r.class)
 	if part := c.refusedPart(r, now); part > 0 && c.random.Float64() < part {
 		c.refuse(r.id, http.StatusServiceUnavailable, Pressure, c.spread(retryPressed))
 		return false
 	}
-	if c.isSevered(r) {
+	if c.lacksService(r) {
 		c.refuse(r.id, http.StatusServiceUnavailable, NoEndpoint, c.spread(r.returnsAfter(now)))
 		return false
 	}
@@ -136,7 +136,7 @@
 	if v.Allowed {
 		return true
 	}
-	r.unpaid, r.wait = true, max(v.Wait, retryOverRate)
+	r.rateUnchecked, r.wait = true, max(v.Wait, retryOverRate)
 	if v.Elsewhere {
 		return true
 	}
--- a/internal/conductor/entry_test.go
+++ b/internal/conductor/entry_test.go
@@ -256,19 +256,19 @@
 	learn(entry, peer("a", "portal"), peer("b", "portal"))
 	one[Send](t, entry.Apply(arrival(1, "/obs/x"), 0))
 	asked := one[Send](t, entry.Apply(arrival(2, "/obs/x"), 0))
-	assert.Assert(t, asked.Unpaid)
+	assert.Assert(t, asked.RateUnchecked)
 
 	beside := newConductor("portal")
 	configure(t, beside, config, 0)
 	announce(beside, 5, 1, false, 0)
 	d := delivered(1)
-	d.Unpaid = "parish"
+	d.RateUnchecked = "parish"
 	one[Run](t, beside.Apply(d, 0))
 	d.ID = 2
 	assert.Equal(t, one[TurnAway](t, beside.Apply(d, 0)).Outcome, Over)
 
 	again := one[Send](t, entry.Apply(AttemptEnded{ID: 2, Outcome: Over, Replayable: true}, 0))
-	assert.Assert(t, again.Unpaid && again.Endpoint != asked.Endpoint)
+	assert.Assert(t, again.RateUnchecked && again.Endpoint != asked.Endpoint)
 	refused := entry.Apply(AttemptEnded{ID: 2, Outcome: Over, Replayable: true}, 0)
 	assert.Equal(t, one[Refuse](t, refused).Status, 429)
 }
@@ -284,7 +284,7 @@
 	one[Run](t, c.Apply(delivered(1), 0))
 	for id := CallID(2); id < 5; id++ {
 		d := delivered(id)
-		d.Unpaid = "parish"
+		d.RateUnchecked = "parish"
 		one[Hold](t, c.Apply(d, 0))
 		c.Apply(DeliveryCancelled{ID: id}, 0)
 	}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -88,16 +88,16 @@
 	Path     string
 	Endpoint identifier.Endpoint
 	Rank     identifier.Rank
-	// Deadline is when the caller stops waiting, Patience how long the request may be queued.
-	Deadline clock.Time
-	Patience clock.Duration
+	// Deadline is when the caller stops waiting, QueueTimeout how long the request may be queued.
+	Deadline     clock.Time
+	QueueTimeout clock.Duration
 	// Due is when the answer is expected.
 	Due    clock.Time
 	Nested bool
 	// Again tells that the arrival was counted at another node.
 	Again bool
-	// Unpaid is the team whose rate the request still has to be counted against, empty for none.
-	Unpaid identifier.Team
+	// RateUnchecked is the team whose rate the request still has to be counted against, empty for none.
+	RateUnchecked identifier.Team
 }
 
 // DeliveryEnded is how a request that a Run let through ended at the local endpoint.
--- a/internal/conductor/fuzz_test.go
+++ b/internal/conductor/fuzz_test.go
@@ -368,9 +368,9 @@
 	life := n.life
 	w.lastID++
 	local := w.lastID
-	unpaid := identifier.Team("")
-	if s.Unpaid {
-		unpaid = s.Team
+	rateUnchecked := identifier.Team("")
+	if s.RateUnchecked {
+		rateUnchecked = s.Team
 	}
 	var decided func(Effect)
 	decided = func(e Effect) {
@@ -384,8 +384,8 @@
 		}
 	}
 	decided(w.apply(to, local, DeliveryArrived{
-		ID: local, Endpoint: s.Endpoint, Rank: s.Rank, Deadline: s.Deadline, Patience: s.Patience, Due: s.Due, Again: s.Again,
-		Unpaid: unpaid,
+		ID: local, Endpoint: s.Endpoint, Rank: s.Rank, Deadline: s.Deadline, QueueTimeout: s.QueueTimeout, Due: s.Due, Again: s.Again,
+		RateUnchecked: rateUnchecked,
 	}))
 }
 
--- a/internal/conductor/graph.go
+++ b/internal/conductor/graph.go
@@ -37,7 +37,7 @@
 
 // stage is a service and the calls of its runs, as its nodes report them.
 type stage struct {
-	kinds map[identifier.Route]*kindCalls
+	byRoute map[identifier.Route]*kindCalls
 }
 
 // kindCalls are the nested calls of one run of a route, summed over the nodes that know them.
@@ -48,12 +48,12 @@
 
 // leaf tells whether a service is known to make no nested calls.
 func (s *stage) leaf() bool {
-	for _, k := range s.kinds {
+	for _, k := range s.byRoute {
 		if len(k.calls) > 0 {
 			return false
 		}
 	}
-	return len(s.kinds) > 0
+	return len(s.byRoute) > 0
 }
 
 // graph is who calls whom.
@@ -78,14 +78,14 @@
 func (g *graph) add(report exchanger.Report) {
 	s, ok := g.stages[report.Member.Service]
 	if !ok {
-		s = &stage{kinds: map[identifier.Route]*kindCalls{}}
+		s = &stage{byRoute: map[identifier.Route]*kindCalls{}}
 		g.stages[report.Member.Service] = s
 	}
 	for route, calls := range report.Calls {
-		k, ok := s.kinds[route]
+		k, ok := s.byRoute[route]
 		if !ok {
 			k = &kindCalls{calls: map[identifier.Route]float64{}}
-			s.kinds[route] = k
+			s.byRoute[route] = k
 		}
 		k.knowing++
 		for nested, n := range calls {
@@ -142,7 +142,7 @@
 func (s *stage) callsOf(route identifier.Route, shares map[identifier.Route]share) iter.Seq2[origin, float64] {
 	return func(yield func(origin, float64) bool) {
 		for _, of := range []identifier.Route{route, unknownRun} {
-			k, ok := s.kinds[of]
+			k, ok := s.byRoute[of]
 			if !ok {
 				continue
 			}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -137,21 +137,21 @@
 	c.table.Answered(e.Node)
 	c.answered, c.unanswered = now, false
 	c.detector.Word(e.Node, now)
-	c.hear(c.table.Hear(e.Node, e.Answer), c.members[e.Node], now)
+	c.takeReports(c.table.Hear(e.Node, e.Answer), c.members[e.Node], now)
 }
 
-func (c *Conductor) hear(reports []exchanger.Report, from exchanger.Member, now clock.Time) {
+func (c *Conductor) takeReports(reports []exchanger.Report, from exchanger.Member, now clock.Time) {
 	heard := make([]apportioner.Heard, 0, len(reports))
 	for _, r := range reports {
 		if r.Member.Node == c.self.Node {
-			c.outlive(r.Member, now)
+			c.supersede(r.Member, now)
 			continue
 		}
 		if !c.table.Put(r, from, now) {
 			continue
 		}
 		c.learnMember(MemberLearned{Member: r.Member}, now)
-		c.router.Learn(r.Member.Endpoint, pacesOf(r))
+		c.router.Learn(r.Member.Endpoint, runTimesOf(r))
 		heard = append(heard, apportioner.Heard{Node: r.Member.Node, Demand: r.Demand, Made: now.Add(-r.Age)})
 	}
 	c.apportioner.Hear(heard, now)
@@ -190,10 +190,10 @@
 		Load:   c.throttler.Demand(),
 		Calls:  c.runs.calls(),
 
-		RootPace:   c.paces.root.time(),
-		NestedPace: c.paces.nested.time(),
+		RootTime:   c.runTimes.root.time(),
+		NestedTime: c.runTimes.nested.time(),
 	}
-	c.router.Learn(c.self.Endpoint, pacesOf(r))
+	c.router.Learn(c.self.Endpoint, runTimesOf(r))
 	c.table.Put(r, c.self, now)
 	return r
 }
@@ -202,18 +202,18 @@
 func (c *Conductor) Answer(q exchanger.Question, now clock.Time) exchanger.Answer {
 	asking := q.Report.Member
 	c.detector.Word(asking.Node, now)
-	c.hear([]exchanger.Report{q.Report}, asking, now)
-	c.hear(q.Passed, asking, now)
+	c.takeReports([]exchanger.Report{q.Report}, asking, now)
+	c.takeReports(q.Passed, asking, now)
 	return c.table.Answer(asking.Node, q.Heard, now)
 }
 
-// IsAsked tells whether this node is the fleet's collector, which has nobody to ask itself, as far as it knows.
-func (c *Conductor) IsAsked(now clock.Time) bool {
+// CollectsForFleet tells whether this node is the fleet's collector, which has nobody to ask itself, as far as it knows.
+func (c *Conductor) CollectsForFleet(now clock.Time) bool {
 	return c.table.Next(c.members, now) == c.self.Node
 }
 
-// Collects tells whether this node is its failure domain's collector of reports, as far as it knows.
-func (c *Conductor) Collects(now clock.Time) bool {
+// CollectsForDomain tells whether this node is its failure domain's collector of reports, as far as it knows.
+func (c *Conductor) CollectsForDomain(now clock.Time) bool {
 	return c.table.Collects(c.members, now)
 }
 
@@ -232,7 +232,7 @@
 // ExchangePeriod returns the time between two exchanges of reports at this moment.
 func (c *Conductor) ExchangePeriod(now clock.Time) clock.Duration {
 	switch {
-	case now.Sub(c.started) < startingFor || c.Collects(now) && !c.IsAsked(now):
+	case now.Sub(c.started) < startingFor || c.CollectsForDomain(now) && !c.CollectsForFleet(now):
 		return quickPeriod
 	case c.Pressed(now):
 		return pressedPeriod
@@ -271,9 +271,9 @@
 // would cost a call of every node.
 func (c *Conductor) FollowsStore(now clock.Time) bool {
 	covered := c.answered > 0 && !c.unanswered && now.Sub(c.answered) <= coveredByReports
-	return !covered || c.IsAsked(now)
+	return !covered || c.CollectsForFleet(now)
 }
 
-func pacesOf(r exchanger.Report) router.Paces {
-	return router.Paces{Root: r.RootPace, Nested: r.NestedPace}
+func runTimesOf(r exchanger.Report) router.RunTimes {
+	return router.RunTimes{Root: r.RootTime, Nested: r.NestedTime}
 }
--- a/internal/conductor/severed.go
+++ b/internal/conductor/missing_service.go
@@ -12,16 +12,16 @@
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
-// severedAfter is how long a service has been without an endpoint before it counts as severed: nested calls wait about as
+// missingAfter is how long a service has been without an endpoint before it counts as missing: nested calls wait about as
 // long for one to come back.
-const severedAfter = 300 * clock.Millisecond
+const missingAfter = 300 * clock.Millisecond
 
-// planSevered works out which part of the requests of each origin meets a severed service.
-func (c *Conductor) planSevered(costs map[origin]map[identifier.Service]float64, there presence, now clock.Time) {
+// planMissing works out which part of the requests of each origin meets a missing service.
+func (c *Conductor) planMissing(costs map[origin]map[identifier.Service]float64, there presence, now clock.Time) {
 	for from, services := range costs {
 		for below, times := range services {
 			if below != from.service && c.missing(below, len(there[below]) > 0, now) {
-				c.plan.severed[from] = max(c.plan.severed[from], min(1, times))
+				c.plan.missing[from] = max(c.plan.missing[from], min(1, times))
 			}
 		}
 	}
@@ -38,11 +38,11 @@
 		c.missed[service] = now
 		return false
 	}
-	return now.Sub(since) >= severedAfter
+	return now.Sub(since) >= missingAfter
 }
 
-// isSevered tells whether a request is refused since what it leads to is not there.
-func (c *Conductor) isSevered(r *call) bool {
-	part := c.plan.severed[r.origin()]
+// lacksService tells whether a request is refused since what it leads to is not there.
+func (c *Conductor) lacksService(r *call) bool {
+	part := c.plan.missing[r.origin()]
 	return part > 0 && c.random.Float64() < part
 }
--- a/internal/conductor/placing.go
+++ b/internal/conductor/placing.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	// mostTries bounds the nodes that are asked for room, of which only some pass the request to an endpoint.
-	mostTries = 4
-	// leastLeft is the least time with which an attempt makes sense: a round trip and some work.
-	leastLeft = 10 * clock.Millisecond
-	// rootPatience and nestedPatience are the parts of an objective, and of the time left, that a request may be
+	// maxTries bounds the nodes that are asked for room, of which only some pass the request to an endpoint.
+	maxTries = 4
+	// minTimeLeft is the least time with which an attempt makes sense: a round trip and some work.
+	minTimeLeft = 10 * clock.Millisecond
+	// rootQueueParts and nestedQueueParts are the parts of an objective, and of the time left, that a request may be
 	// queued. A root that waits longer than an eighth of its objective is late more often than not; a nested call
 	// has a parent whose work would be lost.
-	rootPatience   = 4
-	nestedPatience = 3
+	rootQueueParts   = 4
+	nestedQueueParts = 3
 )
 
 // due is when the answer is expected: the route's objective after the arrival, the deadline where there is none.
@@ -53,18 +53,18 @@
 
 // attempt sends a request to the next endpoint, has it wait for one, or gives it up.
 func (c *Conductor) attempt(r *call, now clock.Time) {
-	if r.deadline.Sub(now) < leastLeft {
-		c.giveUp(r, Deadline, now)
+	if r.deadline.Sub(now) < minTimeLeft {
+		c.rejectCall(r, Deadline, now)
 		return
 	}
-	if c.place(r, now) || c.await(r, now) {
+	if c.place(r, now) || c.awaitEndpoint(r, now) {
 		return
 	}
 	reason := NoEndpoint
-	if r.unpaid {
+	if r.rateUnchecked {
 		reason = OverRate
 	}
-	c.giveUp(r, reason, now)
+	c.rejectCall(r, reason, now)
 }
 
 // place sends a request to the next endpoint, if there is one.
@@ -78,7 +78,7 @@
 		return false
 	}
 	if r.tries == 0 {
-		c.countFirst(r.service, now)
+		c.earnRepeat(r.service, now)
 	}
 	r.tries++
 	r.picked = endpoint.ID
@@ -94,33 +94,33 @@
 		team = r.team.Name
 	}
 	c.emit(Send{
-		ID:         r.id,
-		Local:      local,
-		Address:    member.Deliver,
-		Node:       endpoint.Node,
-		Endpoint:   endpoint.ID,
-		Service:    r.service,
-		Team:       team,
-		Rank:       r.rank,
-		Nested:     r.nested,
-		Repeat:     r.arrivals > 0,
-		Again:      r.counted,
-		Unpaid:     r.unpaid,
-		Idempotent: r.route.Kind == matcher.Idempotent,
-		Deadline:   r.deadline,
-		Patience:   c.patience(r, now),
-		Due:        r.due(),
-		Route:      r.route.Name,
-		Version:    r.version,
-		Crossing:   endpoint.Crossing,
+		ID:            r.id,
+		Local:         local,
+		Address:       member.Deliver,
+		Node:          endpoint.Node,
+		Endpoint:      endpoint.ID,
+		Service:       r.service,
+		Team:          team,
+		Rank:          r.rank,
+		Nested:        r.nested,
+		Repeat:        r.arrivals > 0,
+		Again:         r.counted,
+		RateUnchecked: r.rateUnchecked,
+		Idempotent:    r.route.Kind == matcher.Idempotent,
+		Deadline:      r.deadline,
+		QueueTimeout:  c.queueTimeout(r, now),
+		Due:           r.due(),
+		Route:         r.route.Name,
+		Version:       r.version,
+		Crossing:      endpoint.Crossing,
 	})
 	return true
 }
 
-func (c *Conductor) patience(r *call, now clock.Time) clock.Duration {
+func (c *Conductor) queueTimeout(r *call, now clock.Time) clock.Duration {
 	left := r.deadline.Sub(now)
 	if r.nested || r.route.Objective <= 0 {
-		return left / nestedPatience
+		return left / nestedQueueParts
 	}
-	return min(left, r.route.Objective/rootPatience)
+	return min(left, r.route.Objective/rootQueueParts)
 }
--- a/internal/conductor/pool.go
+++ b/internal/conductor/pool.go
@@ -87,7 +87,7 @@
 // mostOverRate bounds the time after which a caller over its team's rate may come back: it has some seconds in all.
 const mostOverRate = 2 * clock.Second
 
-func (c *Conductor) drawn(e TokenDrawn, now clock.Time) {
+func (c *Conductor) tokenDrawn(e TokenDrawn, now clock.Time) {
 	r, ok := c.calls[e.ID]
 	if !ok {
 		return
@@ -113,7 +113,7 @@
 }
 
 // give answers another node's question, also while this node stops: the others hear of that and turn to another one.
-func (c *Conductor) give(e TokenAsked, now clock.Time) {
+func (c *Conductor) grantToken(e TokenAsked, now clock.Time) {
 	if !c.pools(e.Team) {
 		c.emit(Give{ID: e.ID})
 		return
@@ -122,8 +122,8 @@
 	c.emit(Give{ID: e.ID, Known: true, Grant: c.pooler.Give(e.Team, c.apportioner.Reach(now), now)})
 }
 
-// payBack gives a token back for a request that has certainly not run.
-func (c *Conductor) payBack(team identifier.Team, now clock.Time) {
+// refundToken gives a token back for a request that has certainly not run.
+func (c *Conductor) refundToken(team identifier.Team, now clock.Time) {
 	switch {
 	case !c.pools(team):
 		c.apportioner.Return(team)
--- a/internal/conductor/reach.go
+++ b/internal/conductor/reachability.go
@@ -16,8 +16,8 @@
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 )
 
-// learnReach takes from the end of an attempt whether its node can be reached.
-func (c *Conductor) learnReach(r *call, o Outcome, now clock.Time) {
+// learnReachability takes from the end of an attempt whether its node can be reached.
+func (c *Conductor) learnReachability(r *call, o Outcome, now clock.Time) {
 	if r.at == "" {
 		return
 	}
@@ -36,7 +36,7 @@
 	}
 }
 
-func (c *Conductor) probed(e Probed, now clock.Time) {
+func (c *Conductor) probeEnded(e Probed, now clock.Time) {
 	if e.Reached && c.detector.Lost(e.Node) {
 		c.table.Answered(e.Node)
 	}
--- a/internal/conductor/repeat.go
+++ b/internal/conductor/repeat.go
@@ -60,8 +60,8 @@
 	return b
 }
 
-// countFirst counts the first attempt of a request.
-func (c *Conductor) countFirst(service identifier.Service, now clock.Time) {
+// earnRepeat counts the first attempt of a request.
+func (c *Conductor) earnRepeat(service identifier.Service, now clock.Time) {
 	b := c.budget(service, now)
 	ratio := c.options.Bounds.RepeatRatio
 	if c.plan.leaf[service] {
--- a/internal/conductor/rebirth.go
+++ b/internal/conductor/restart.go
@@ -17,7 +17,7 @@
 
 // learnSelf takes over this node's own record from before its start.
 func (c *Conductor) learnSelf(m exchanger.Member, now clock.Time) {
-	if c.outlive(m, now) || m.Incarnation == c.self.Incarnation {
+	if c.supersede(m, now) || m.Incarnation == c.self.Incarnation {
 		return
 	}
 	stayed := m.State == exchanger.Ready || m.State == exchanger.Stopping
@@ -30,9 +30,9 @@
 	}
 }
 
-// outlive makes this node's word later than that of the process that it took over from, whose start had a later time of day:
+// supersede makes this node's word later than that of the process that it took over from, whose start had a later time of day:
 // clocks jump back. The others would else take every word of this node for an old one, and suspect it for good.
-func (c *Conductor) outlive(m exchanger.Member, now clock.Time) bool {
+func (c *Conductor) supersede(m exchanger.Member, now clock.Time) bool {
 	if m.Incarnation < c.self.Incarnation || m.Incarnation == c.self.Incarnation && m.Sequence <= c.self.Sequence {
 		return false
 	}
@@ -41,8 +41,8 @@
 	return true
 }
 
-// doubtAssumed ends the reliance on the record where no heartbeat has confirmed it.
-func (c *Conductor) doubtAssumed(now clock.Time) {
+// expireAssumed ends the reliance on the record where no heartbeat has confirmed it.
+func (c *Conductor) expireAssumed(now clock.Time) {
 	local := c.registrar.Local()
 	if local.Known && local.Assumed && now.Sub(c.started) > assumeFor && c.registrar.Suspend(local.Endpoint) {
 		c.shedQueue(now)
--- a/internal/conductor/rebirth_test.go
+++ b/internal/conductor/restart_test.go
@@ -25,11 +25,11 @@
 	assert.Equal(t, p.Member.State, exchanger.Ready)
 	s := one[Send](t, c.Apply(arrival(1, "/obs/x"), 20))
 	assert.Assert(t, s.Local)
-	one[Run](t, c.Apply(DeliveryArrived{ID: 2, Endpoint: "i-self", Deadline: 1000, Patience: 100}, 20))
+	one[Run](t, c.Apply(DeliveryArrived{ID: 2, Endpoint: "i-self", Deadline: 1000, QueueTimeout: 100}, 20))
 	// The heartbeat confirms it: nothing to tell the others.
 	assert.Equal(t, len(announce(c, 10, 40, false, 900)), 0)
 	assert.Equal(t, len(c.Apply(Ticked{}, 3000)), 0)
-	one[Run](t, c.Apply(DeliveryArrived{ID: 3, Endpoint: "i-self", Deadline: 4000, Patience: 100}, 3000))
+	one[Run](t, c.Apply(DeliveryArrived{ID: 3, Endpoint: "i-self", Deadline: 4000, QueueTimeout: 100}, 3000))
 }
 
 // The endpoint was lost with the node, or had left and nobody could write that down: it says nothing, and after two
--- a/internal/conductor/pace.go
+++ b/internal/conductor/run_time.go
@@ -5,23 +5,23 @@
 // nested calls are measured apart: a call whose runs make four more takes twice as long as the root request beside it, which
 // would seem late wherever it is run.
 //
-// Example: runs of 20, 20 and 50 ms, one in 32 weighed: a pace of 21 ms.
+// Example: runs of 20, 20 and 50 ms, one in 32 weighed: a run time of 21 ms.
 
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
 
-// newestRun is the weight of one run: a busy endpoint's pace follows within a tenth of a second, one that runs 20 a
+// newestRun is the weight of one run: a busy endpoint's run time follows within a tenth of a second, one that runs 20 a
 // second within two seconds.
 const newestRun = 1.0 / 32
 
-// pace is the mean time of a run at the local endpoint.
-type pace struct {
+// runTime is the mean time of a run at the local endpoint.
+type runTime struct {
 	mean  float64
 	known bool
 }
 
-func (p *pace) learn(took clock.Duration) {
+func (p *runTime) learn(took clock.Duration) {
 	if !p.known {
 		p.mean, p.known = float64(took), true
 	}
@@ -29,23 +29,23 @@
 }
 
 // atLeast learns from a run that was given up: it would have taken longer than that. An endpoint where every run is given
-// up would else keep the pace that it had when it was well.
-func (p *pace) atLeast(took clock.Duration) {
+// up would else keep the run time that it had when it was well.
+func (p *runTime) atLeast(took clock.Duration) {
 	if float64(took) > p.mean {
 		p.learn(took)
 	}
 }
 
-func (p *pace) time() clock.Duration {
+func (p *runTime) time() clock.Duration {
 	return clock.Duration(p.mean)
 }
 
-// paces are those of the root requests and of the nested calls.
-type paces struct {
-	root, nested pace
+// runTimes are those of the root requests and of the nested calls.
+type runTimes struct {
+	root, nested runTime
 }
 
-func (p *paces) of(nested bool) *pace {
+func (p *runTimes) of(nested bool) *runTime {
 	if nested {
 		return &p.nested
 	}
--- a/internal/conductor/pace_test.go
+++ b/internal/conductor/run_time_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestPaceFollowsTheRuns(t *testing.T) {
-	var p pace
+	var p runTime
 	assert.Equal(t, p.time(), clock.Duration(0))
 	p.learn(40)
 	assert.Equal(t, p.time(), clock.Duration(40))
--- a/internal/conductor/runs.go
+++ b/internal/conductor/runs.go
@@ -15,11 +15,11 @@
 
 // runCounter counts runs at the local endpoint and the nested calls that it makes.
 type runCounter struct {
-	kinds map[identifier.Route]*runKind
+	byRoute map[identifier.Route]*runCounts
 }
 
-// runKind counts the runs of one route.
-type runKind struct {
+// runCounts counts the runs of one route.
+type runCounts struct {
 	runs   float64
 	nested map[identifier.Route]float64
 }
@@ -28,20 +28,20 @@
 	// chainSample is how many runs are weighed before the counts are halved, so that a changed release is followed within
 	// some seconds.
 	chainSample = 400
-	// leastRuns is how many runs a count of nested calls must rest on.
-	leastRuns = 10
-	// leastCalls is the number of nested calls a run below which they do not count as part of a chain.
-	leastCalls = 0.05
+	// minRuns is how many runs a count of nested calls must rest on.
+	minRuns = 10
+	// minCalls is the number of nested calls a run below which they do not count as part of a chain.
+	minCalls = 0.05
 )
 
-func (r *runCounter) kind(route identifier.Route) *runKind {
-	k, ok := r.kinds[route]
+func (r *runCounter) countsOf(route identifier.Route) *runCounts {
+	k, ok := r.byRoute[route]
 	if !ok {
-		if r.kinds == nil {
-			r.kinds = map[identifier.Route]*runKind{}
+		if r.byRoute == nil {
+			r.byRoute = map[identifier.Route]*runCounts{}
 		}
-		k = &runKind{nested: map[identifier.Route]float64{}}
-		r.kinds[route] = k
+		k = &runCounts{nested: map[identifier.Route]float64{}}
+		r.byRoute[route] = k
 	}
 	return k
 }
@@ -49,12 +49,12 @@
 // started counts a run, of its route and of all.
 func (r *runCounter) started(route identifier.Route) {
 	if route != unknownRun {
-		r.kind(route).started()
+		r.countsOf(route).started()
 	}
-	r.kind(unknownRun).started()
+	r.countsOf(unknownRun).started()
 }
 
-func (k *runKind) started() {
+func (k *runCounts) started() {
 	k.runs++
 	if k.runs < chainSample {
 		return
@@ -67,14 +67,14 @@
 
 // called counts a nested call of a run of a route.
 func (r *runCounter) called(of, route identifier.Route) {
-	r.kind(of).nested[route]++
+	r.countsOf(of).nested[route]++
 }
 
-// keep drops what was counted of routes that are gone.
-func (r *runCounter) keep(routes map[identifier.Route]share) {
-	for route := range r.kinds {
+// retain drops what was counted of routes that are gone.
+func (r *runCounter) retain(routes map[identifier.Route]share) {
+	for route := range r.byRoute {
 		if _, ok := routes[route]; !ok && route != unknownRun {
-			delete(r.kinds, route)
+			delete(r.byRoute, route)
 		}
 	}
 }
@@ -82,13 +82,13 @@
 // calls returns the nested calls a run, of the routes with runs enough.
 func (r *runCounter) calls() map[identifier.Route]map[identifier.Route]float64 {
 	all := map[identifier.Route]map[identifier.Route]float64{}
-	for route, k := range r.kinds {
-		if k.runs < leastRuns {
+	for route, k := range r.byRoute {
+		if k.runs < minRuns {
 			continue
 		}
 		calls := map[identifier.Route]float64{}
 		for nested, n := range k.nested {
-			if n/k.runs > leastCalls {
+			if n/k.runs > minCalls {
 				calls[nested] = n / k.runs
 			}
 		}
--- a/internal/conductor/stop_test.go
+++ b/internal/conductor/stop_test.go
@@ -40,7 +40,7 @@
 	c := newConductor("portal")
 	announce(c, 10, 1, false, 0)
 	c.Apply(StopAsked{}, 1000)
-	inTime := DeliveryArrived{ID: 1, Endpoint: "i-self", Deadline: 9000, Patience: 100, Due: 9000}
+	inTime := DeliveryArrived{ID: 1, Endpoint: "i-self", Deadline: 9000, QueueTimeout: 100, Due: 9000}
 	one[Run](t, c.Apply(inTime, 2900))
 	late := inTime
 	late.ID = 2
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -86,7 +86,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Question{}, fmt.Errorf("decode question: %w", err)
 	}
-	q := Question{Heard: Mark{Table: w.Table, Change: w.Change}}
+	q := Question{Heard: Cursor{Table: w.Table, Change: w.Change}}
 	var err error
 	if q.Report, err = wholeReportFromWire(w.Report); err != nil {
 		return Question{}, err
@@ -104,7 +104,7 @@
 // wholeReportFromWire reads a report that has to hold the member's record.
 func wholeReportFromWire(w wireReport) (Report, error) {
 	r, err := reportFromWire(w)
-	if err == nil && r.Brief {
+	if err == nil && r.Compact {
 		err = fmt.Errorf("decode question of %q: the member is missing", r.Member.Node)
 	}
 	return r, err
@@ -112,7 +112,7 @@
 
 // EncodeAnswer returns the bytes of an answer.
 func EncodeAnswer(a Answer) ([]byte, error) {
-	w := wireAnswer{Table: a.Mark.Table, Change: a.Mark.Change, Reports: make([]wireReport, 0, len(a.Reports))}
+	w := wireAnswer{Table: a.Cursor.Table, Change: a.Cursor.Change, Reports: make([]wireReport, 0, len(a.Reports))}
 	for _, r := range a.Reports {
 		w.Reports = append(w.Reports, reportToWire(r))
 	}
@@ -125,7 +125,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Answer{}, fmt.Errorf("decode answer: %w", err)
 	}
-	a := Answer{Mark: Mark{Table: w.Table, Change: w.Change}, Reports: make([]Report, 0, len(w.Reports))}
+	a := Answer{Cursor: Cursor{Table: w.Table, Change: w.Change}, Reports: make([]Report, 0, len(w.Reports))}
 	for _, wire := range w.Reports {
 		r, err := reportFromWire(wire)
 		if err != nil {
@@ -143,11 +143,11 @@
 		Demand: toFloats(r.Demand),
 		Excess: float32(r.Excess),
 		Calls:  toCalls(r.Calls),
-		Nested: int64(r.NestedPace),
-		Root:   int64(r.RootPace),
+		Nested: int64(r.NestedTime),
+		Root:   int64(r.RootTime),
 		Load:   float32(r.Load),
 	}
-	if r.Brief {
+	if r.Compact {
 		w.Node = string(r.Member.Node)
 		return w
 	}
@@ -158,18 +158,18 @@
 
 func reportFromWire(w wireReport) (Report, error) {
 	r := Report{
-		Brief:  w.Member == nil,
-		Age:    clock.Duration(max(0, w.Age)),
-		Number: w.Number,
-		Demand: fromFloats[identifier.Team](w.Demand),
-		Excess: min(1, float64(w.Excess)),
-		Calls:  fromCalls(w.Calls),
-		Load:   max(0, float64(w.Load)),
-
-		NestedPace: clock.Duration(max(0, w.Nested)),
-		RootPace:   clock.Duration(max(0, w.Root)),
-	}
-	if !r.Brief {
+		Compact: w.Member == nil,
+		Age:     clock.Duration(max(0, w.Age)),
+		Number:  w.Number,
+		Demand:  fromFloats[identifier.Team](w.Demand),
+		Excess:  min(1, float64(w.Excess)),
+		Calls:   fromCalls(w.Calls),
+		Load:    max(0, float64(w.Load)),
+
+		NestedTime: clock.Duration(max(0, w.Nested)),
+		RootTime:   clock.Duration(max(0, w.Root)),
+	}
+	if !r.Compact {
 		var err error
 		r.Member, err = memberFromWire(*w.Member)
 		return r, err
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -22,15 +22,15 @@
 )
 
 const (
-	// avoidFirst is how long a node that gave no answer is not asked again: a restart takes one to three seconds. Each
-	// further failure doubles that up to avoidMost. With a fixed time, a node would ask the dead again before it is
+	// minBackoff is how long a node that gave no answer is not asked again: a restart takes one to three seconds. Each
+	// further failure doubles that up to maxBackoff. With a fixed time, a node would ask the dead again before it is
 	// through with them as soon as there are some ten, such as the nodes of a failure domain that is cut off.
-	avoidFirst = 3 * clock.Second
-	avoidMost  = 30 * clock.Second
+	minBackoff = 3 * clock.Second
+	maxBackoff = 30 * clock.Second
 	// freshFor is the age up to which a report shows that its node is there: five periods of the reports.
 	freshFor = 2500 * clock.Millisecond
-	// oldest is the age from which a report is not passed on.
-	oldest = 10 * clock.Second
+	// maxReportAge is the age from which a report is not passed on.
+	maxReportAge = 10 * clock.Second
 )
 
 // Table holds the newest report of each node; it is not safe for concurrent use.
@@ -39,21 +39,21 @@
 	domain  identifier.FailureDomain
 	reports map[identifier.Node]held
 	// order holds the nodes with reports, sorted, so that what is summed up from them does not hang on a map's order.
-	order   []identifier.Node
-	avoided map[identifier.Node]avoidance
+	order    []identifier.Node
+	backoffs map[identifier.Node]backoff
 	// sought is the member that was last looked for.
 	sought identifier.Node
-	// mark is this table's, heard what other tables' marks were when they last answered.
-	mark  Mark
-	heard map[identifier.Node]Mark
+	// cursor is this table's, heard what other tables' cursors were when they last answered.
+	cursor Cursor
+	heard  map[identifier.Node]Cursor
 	// passed is up to which of its own changes this table has told other nodes, by their tables; asked is up to which it
 	// does so with the question under way.
-	passed map[identifier.Node]Mark
+	passed map[identifier.Node]Cursor
 	asked  map[identifier.Node]uint64
 }
 
-// avoidance is until when a node is not asked, and how long that was set for.
-type avoidance struct {
+// backoff is until when a node is not asked, and how long that was set for.
+type backoff struct {
 	until clock.Time
 	span  clock.Duration
 }
@@ -64,22 +64,22 @@
 	made clock.Time
 	// changed is the table's change that brought the report, member the one that brought the member's record.
 	changed, member uint64
-	// from is the node that told of it, and far tells that it was one of another failure domain.
-	from identifier.Node
-	far  bool
+	// from is the node that told of it, and remote tells that it was one of another failure domain.
+	from   identifier.Node
+	remote bool
 }
 
 // NewTable returns an empty table; id tells it from the tables that the node had before it was started anew.
 func NewTable(self identifier.Node, domain identifier.FailureDomain, id uint64) *Table {
 	return &Table{
-		self:    self,
-		domain:  domain,
-		reports: map[identifier.Node]held{},
-		avoided: map[identifier.Node]avoidance{},
-		mark:    Mark{Table: id},
-		heard:   map[identifier.Node]Mark{},
-		passed:  map[identifier.Node]Mark{},
-		asked:   map[identifier.Node]uint64{},
+		self:     self,
+		domain:   domain,
+		reports:  map[identifier.Node]held{},
+		backoffs: map[identifier.Node]backoff{},
+		cursor:   Cursor{Table: id},
+		heard:    map[identifier.Node]Cursor{},
+		passed:   map[identifier.Node]Cursor{},
+		asked:    map[identifier.Node]uint64{},
 	}
 }
 
@@ -89,8 +89,8 @@
 	if ok && !r.Newer(h.report) {
 		return false
 	}
-	t.mark.Change++
-	member := t.mark.Change
+	t.cursor.Change++
+	member := t.cursor.Change
 	if ok && r.Member == h.report.Member {
 		member = h.member
 	}
@@ -101,10 +101,10 @@
 	t.reports[r.Member.Node] = held{
 		report:  r,
 		made:    now.Add(-r.Age),
-		changed: t.mark.Change,
+		changed: t.cursor.Change,
 		member:  member,
 		from:    from.Node,
-		far:     from.Domain != t.domain,
+		remote:  from.Domain != t.domain,
 	}
 	return true
 }
@@ -122,7 +122,7 @@
 	if told.Table != q.Heard.Table {
 		told.Change = 0
 	}
-	t.asked[asked.Node] = t.mark.Change
+	t.asked[asked.Node] = t.cursor.Change
 	for r := range t.All(now) {
 		h := t.reports[r.Member.Node]
 		if r.Member.Node != t.self && h.changed > told.Change && h.passedTo(asked, t.domain) {
@@ -138,22 +138,22 @@
 	if h.from == asked.Node || h.report.Member.Node == asked.Node {
 		return false
 	}
-	return asked.Domain != domain || h.far || h.from == h.report.Member.Node
+	return asked.Domain != domain || h.remote || h.from == h.report.Member.Node
 }
 
 // Answer returns what a node has not heard yet, itself and what it told left out.
-func (t *Table) Answer(asking identifier.Node, heard Mark, now clock.Time) Answer {
-	if heard.Table != t.mark.Table {
+func (t *Table) Answer(asking identifier.Node, heard Cursor, now clock.Time) Answer {
+	if heard.Table != t.cursor.Table {
 		heard.Change = 0
 	}
-	a := Answer{Mark: t.mark}
+	a := Answer{Cursor: t.cursor}
 	for r := range t.All(now) {
 		h := t.reports[r.Member.Node]
 		known := h.changed <= heard.Change || h.from == asking && heard.Change > 0
 		if r.Member.Node == asking || known {
 			continue
 		}
-		if r.Brief = h.member <= heard.Change; r.Brief {
+		if r.Compact = h.member <= heard.Change; r.Compact {
 			r.Member = Member{Node: r.Member.Node}
 		}
 		a.Reports = append(a.Reports, r)
@@ -166,20 +166,20 @@
 func (t *Table) Hear(node identifier.Node, a Answer) []Report {
 	reports := make([]Report, 0, len(a.Reports))
 	before := t.heard[node]
-	t.passed[node] = Mark{Table: a.Mark.Table, Change: t.asked[node]}
-	if before.Table != 0 && before.Table != a.Mark.Table {
+	t.passed[node] = Cursor{Table: a.Cursor.Table, Change: t.asked[node]}
+	if before.Table != 0 && before.Table != a.Cursor.Table {
 		// The node was started anew and has got only what was new.
-		t.passed[node] = Mark{}
+		t.passed[node] = Cursor{}
 	}
-	t.heard[node] = a.Mark
+	t.heard[node] = a.Cursor
 	for _, r := range a.Reports {
-		if r.Brief {
+		if r.Compact {
 			h, ok := t.reports[r.Member.Node]
 			if !ok {
 				delete(t.heard, node)
 				continue
 			}
-			r.Member, r.Brief = h.report.Member, false
+			r.Member, r.Compact = h.report.Member, false
 		}
 		reports = append(reports, r)
 	}
@@ -206,7 +206,7 @@
 		for _, node := range t.order {
 			h := t.reports[node]
 			age := now.Sub(h.made)
-			if age > oldest {
+			if age > maxReportAge {
 				continue
 			}
 			r := h.report
@@ -240,15 +240,15 @@
 
 // Failed notes that a node gave no answer.
 func (t *Table) Failed(node identifier.Node, now clock.Time) {
-	a := t.avoided[node]
-	a.span = min(avoidMost, max(avoidFirst, 2*a.span))
+	a := t.backoffs[node]
+	a.span = min(maxBackoff, max(minBackoff, 2*a.span))
 	a.until = now.Add(a.span)
-	t.avoided[node] = a
+	t.backoffs[node] = a
 }
 
 // Answered notes that a node gave an answer.
 func (t *Table) Answered(node identifier.Node) {
-	delete(t.avoided, node)
+	delete(t.backoffs, node)
 }
 
 // Next returns the node to ask, which may be this one: the first by name in the own failure domain of those whose reports
@@ -275,7 +275,7 @@
 
 func (t *Table) first(names []identifier.Node, now clock.Time) identifier.Node {
 	for _, node := range names {
-		if node == t.self || now >= t.avoided[node].until && t.fresh(node, now) {
+		if node == t.self || now >= t.backoffs[node].until && t.fresh(node, now) {
 			return node
 		}
 	}
@@ -317,10 +317,10 @@
 		if near != bestNear {
 			return near
 		}
-		return t.avoided[node].span < t.avoided[best].span
+		return t.backoffs[node].span < t.backoffs[best].span
 	}
 	for _, node := range names {
-		if node != t.self && now >= t.avoided[node].until && better(node) {
+		if node != t.self && now >= t.backoffs[node].until && better(node) {
 			best = node
 		}
 	}
--- a/internal/exchanger/table_test.go
+++ b/internal/exchanger/table_test.go
@@ -61,7 +61,7 @@
 	assert.Equal(t, table.Next(members, 10), identifier.Node("b"))
 	table.Failed("b", 10)
 	assert.Equal(t, table.Next(members, 20), identifier.Node("c"))
-	assert.Equal(t, table.Next(members, clock.Time(avoidFirst)+1), identifier.Node("a"))
+	assert.Equal(t, table.Next(members, clock.Time(minBackoff)+1), identifier.Node("a"))
 	// Among nodes that are heard of, a failed one is passed over as well, and this node may be the first.
 	table.Put(Report{Member: member("a"), Number: 1}, member("a"), 4000)
 	table.Put(Report{Member: member("b"), Number: 1}, member("b"), 4000)
@@ -86,19 +86,19 @@
 				Sequence:    rapid.Int64().Draw(t, "sequence"),
 			},
 			Number: rapid.Int64().Draw(t, "number"),
-			Excess: 0.5, Load: 40, NestedPace: 12, RootPace: 7,
+			Excess: 0.5, Load: 40, NestedTime: 12, RootTime: 7,
 			Demand: map[identifier.Team]float64{"parish": 2.5},
 			Calls:  map[identifier.Route]map[identifier.Route]float64{"order": {"hours": 4}, "": {}},
 		}
-		question := Question{Report: in, Heard: Mark{Table: 7, Change: rapid.Uint64().Draw(t, "change")}}
+		question := Question{Report: in, Heard: Cursor{Table: 7, Change: rapid.Uint64().Draw(t, "change")}}
 		data, err := EncodeQuestion(question)
 		assert.NilError(t, err)
 		asked, err := DecodeQuestion(data)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, asked, question)
 		brief := in
-		brief.Brief, brief.Member = true, Member{Node: in.Member.Node}
-		answer := Answer{Mark: question.Heard, Reports: []Report{in, brief}}
+		brief.Compact, brief.Member = true, Member{Node: in.Member.Node}
+		answer := Answer{Cursor: question.Heard, Reports: []Report{in, brief}}
 		data, err = EncodeAnswer(answer)
 		assert.NilError(t, err)
 		out, err := DecodeAnswer(data)
@@ -110,7 +110,7 @@
 // Bytes from the network may be anything; they must give an error, never a panic or a member without an address.
 func FuzzDecodeAnswer(f *testing.F) {
 	full := Report{Member: member("b"), Number: 1, Demand: map[identifier.Team]float64{"x": 1}}
-	good, err := EncodeAnswer(Answer{Reports: []Report{full, {Brief: true, Member: Member{Node: "c"}}}})
+	good, err := EncodeAnswer(Answer{Reports: []Report{full, {Compact: true, Member: Member{Node: "c"}}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -119,7 +119,7 @@
 	f.Add([]byte{0x9f})
 	f.Add(good[:len(good)-3])
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if q, err := DecodeQuestion(data); err == nil && (q.Report.Brief || q.Report.Member.Deliver == "") {
+		if q, err := DecodeQuestion(data); err == nil && (q.Report.Compact || q.Report.Member.Deliver == "") {
 			t.Fatalf("taken: %+v", q)
 		}
 		answer, err := DecodeAnswer(data)
@@ -127,15 +127,15 @@
 			return
 		}
 		for _, r := range answer.Reports {
-			if r.Member.Node == "" || !r.Brief && r.Member.Deliver == "" || r.Age < 0 || r.Excess < 0 || r.Excess > 1 {
+			if r.Member.Node == "" || !r.Compact && r.Member.Deliver == "" || r.Age < 0 || r.Excess < 0 || r.Excess > 1 {
 				t.Fatalf("taken: %+v", r)
 			}
 		}
 	})
 }
 
-// bundle is what a table of many nodes tells a node that has heard up to a mark.
-func bundle(t testing.TB, table *Table, heard Mark, now clock.Time) (Answer, int) {
+// bundle is what a table of many nodes tells a node that has heard up to a cursor.
+func bundle(t testing.TB, table *Table, heard Cursor, now clock.Time) (Answer, int) {
 	t.Helper()
 	a := table.Answer("n00", heard, now)
 	data, err := EncodeAnswer(a)
@@ -149,7 +149,7 @@
 		m := member(identifier.Node(fmt.Sprintf("n%02d", i)))
 		m.Endpoint = "i-0123456789"
 		table.Put(Report{
-			Member: m, Number: number, Excess: 0.1, NestedPace: 60, Load: 40,
+			Member: m, Number: number, Excess: 0.1, NestedTime: 60, Load: 40,
 			Demand: map[identifier.Team]float64{"parish-1": 3.5, "parish-2": 4.25},
 			Calls:  map[identifier.Route]map[identifier.Route]float64{"browse": {"desk": 1, "clock": 4}},
 		}, m, now)
@@ -162,19 +162,19 @@
 func TestKnownNodesAreToldInBrief(t *testing.T) {
 	table := NewTable("n50", "west", 1)
 	tell(table, 88, 1, 1000)
-	first, whole := bundle(t, table, Mark{}, 1000)
+	first, whole := bundle(t, table, Cursor{}, 1000)
 	assert.Equal(t, len(first.Reports), 87)
 	tell(table, 88, 2, 1500)
-	second, brief := bundle(t, table, first.Mark, 1500)
+	second, brief := bundle(t, table, first.Cursor, 1500)
 	assert.Equal(t, len(second.Reports), 87)
 	t.Logf("%d bytes at first, %d then", whole, brief)
 	assert.Assert(t, brief < whole*7/10, "%d bytes of %d", brief, whole)
-	none, empty := bundle(t, table, second.Mark, 1600)
+	none, empty := bundle(t, table, second.Cursor, 1600)
 	assert.Equal(t, len(none.Reports), 0)
 	assert.Assert(t, empty < 32)
 }
 
-// The node that is asked was started anew, or the asking one has dropped a member: marks and records of before say
+// The node that is asked was started anew, or the asking one has dropped a member: cursors and records of before say
 // nothing then. Taken for known, a node's state would be missing for as long as it does not change.
 func TestBriefReportsNeedARecord(t *testing.T) {
 	asked, asking := NewTable("a", "west", 1), NewTable("n00", "west", 2)
@@ -196,7 +196,7 @@
 	tell(again, 3, 3, 2000)
 	reports = asking.Hear("a", again.Answer("n00", asking.Ask(member("a"), Report{}, 0).Heard, 2000))
 	assert.Equal(t, len(reports), 2)
-	assert.Assert(t, !reports[0].Brief && reports[0].Member.Deliver != "")
+	assert.Assert(t, !reports[0].Compact && reports[0].Member.Deliver != "")
 }
 
 // A failure domain with many nodes is cut off, and its nodes come first by name. Whoever asks them one after the other must
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -51,8 +51,8 @@
 	return m.Sequence > o.Sequence
 }
 
-// Mark is up to where a node has heard what another node's table holds.
-type Mark struct {
+// Cursor is up to where a node has heard what another node's table holds.
+type Cursor struct {
 	// Table is the other node's table, which is made anew at each start; Change counts the changes in it.
 	Table  uint64
 	Change uint64
@@ -62,20 +62,20 @@
 type Question struct {
 	Report Report
 	Passed []Report
-	Heard  Mark
+	Heard  Cursor
 }
 
 // Answer is what the asking node has not heard yet.
 type Answer struct {
-	Mark    Mark
+	Cursor  Cursor
 	Reports []Report
 }
 
 // Report is what a node tells about half a second.
 type Report struct {
 	Member Member
-	// Brief tells that only the node's name is given of the member, whose record has not changed.
-	Brief bool
+	// Compact tells that only the node's name is given of the member, whose record has not changed.
+	Compact bool
 	// Age is how old the report is at the moment of sending.
 	Age clock.Duration
 	// Number grows with each report of one incarnation.
@@ -84,9 +84,9 @@
 	Demand map[identifier.Team]float64
 	// Excess is the part of the load on the endpoint beside the node that is too much (see throttler).
 	Excess float64
-	// RootPace and NestedPace are the mean times of a run at the endpoint beside the node, of root requests and of nested
+	// RootTime and NestedTime are the mean times of a run at the endpoint beside the node, of root requests and of nested
 	// calls, 0 before there was one.
-	RootPace, NestedPace clock.Duration
+	RootTime, NestedTime clock.Duration
 	// Load is the calls a second that would arrive at the endpoint if nothing were refused.
 	Load float64
 	// Calls is how many nested calls one run at the endpoint makes, by the route of the run and that of the call. Calls of
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -56,7 +56,7 @@
 
 func (n *node) storeBackoff() watcher.Backoff {
 	relied := false
-	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { relied = c.FollowsStore(now) || c.Collects(now) })
+	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { relied = c.FollowsStore(now) || c.CollectsForDomain(now) })
 	if relied {
 		return watcher.DefaultBackoff
 	}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -41,16 +41,16 @@
 	var a answer
 	if s.Local {
 		a = r.deliver(ctx, parcel{
-			request:  out,
-			id:       request.Header.Get(h.RequestID),
-			endpoint: s.Endpoint,
-			rank:     s.Rank,
-			deadline: s.Deadline,
-			patience: s.Patience,
-			due:      s.Due,
-			nested:   s.Nested,
-			again:    s.Again,
-			unpaid:   unpaid(s),
+			request:       out,
+			id:            request.Header.Get(h.RequestID),
+			endpoint:      s.Endpoint,
+			rank:          s.Rank,
+			deadline:      s.Deadline,
+			patience:      s.QueueTimeout,
+			due:           s.Due,
+			nested:        s.Nested,
+			again:         s.Again,
+			rateUnchecked: rateUnchecked(s),
 		})
 		r.View(func(c *conductor.Conductor, _ clock.Time) { a.headroom, a.wait = c.Headroom(), c.QueueDelay() })
 	} else {
@@ -63,18 +63,18 @@
 func (r *Relayer) ask(ctx context.Context, s conductor.Send, out *requester.Request, body *replayable) answer {
 	now := r.options.Clock.Now()
 	out.Header[callField] = []string{handover{
-		left:     s.Deadline.Sub(now),
-		patience: s.Patience,
-		due:      s.Due.Sub(now),
-		rank:     s.Rank,
-		nested:   s.Nested,
-		again:    s.Again,
-		endpoint: s.Endpoint,
-		unpaid:   unpaid(s),
+		left:          s.Deadline.Sub(now),
+		patience:      s.QueueTimeout,
+		due:           s.Due.Sub(now),
+		rank:          s.Rank,
+		nested:        s.Nested,
+		again:         s.Again,
+		endpoint:      s.Endpoint,
+		rateUnchecked: rateUnchecked(s),
 	}.String()}
 	delete(out.Header, r.options.Headers.TimeLeft)
 	// A team that is over its rate is mostly refused there as well, and a body would cross the domains for nothing.
-	out.Hesitant = body.streamed() || s.Unpaid && s.Crossing != router.Inside
+	out.Hesitant = body.streamed() || s.RateUnchecked && s.Crossing != router.Inside
 	count := r.countCrossing(s, out)
 	asked := r.options.Boot.Now()
 	response, err := r.peers.Do(ctx, s.Address, out)
@@ -106,8 +106,8 @@
 	}
 }
 
-func unpaid(s conductor.Send) identifier.Team {
-	if s.Unpaid {
+func rateUnchecked(s conductor.Send) identifier.Team {
+	if s.RateUnchecked {
 		return s.Team
 	}
 	return ""
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -21,16 +21,16 @@
 
 // parcel is a request on its way to the local endpoint.
 type parcel struct {
-	request  *requester.Request
-	id       string
-	endpoint identifier.Endpoint
-	rank     identifier.Rank
-	deadline clock.Time
-	patience clock.Duration
-	due      clock.Time
-	nested   bool
-	again    bool
-	unpaid   identifier.Team
+	request       *requester.Request
+	id            string
+	endpoint      identifier.Endpoint
+	rank          identifier.Rank
+	deadline      clock.Time
+	patience      clock.Duration
+	due           clock.Time
+	nested        bool
+	again         bool
+	rateUnchecked identifier.Team
 }
 
 // answer is what came of an attempt; Response is set where the outcome is Answered.
@@ -82,18 +82,18 @@
 func (r *Relayer) deliver(ctx context.Context, p parcel) answer {
 	id := r.newID()
 	effect := r.apply(id, conductor.DeliveryArrived{
-		ID:       id,
-		Request:  identifier.Request(p.id),
-		Host:     p.request.Host,
-		Path:     pathOf(p.request.URI),
-		Endpoint: p.endpoint,
-		Rank:     p.rank,
-		Deadline: p.deadline,
-		Patience: p.patience,
-		Due:      p.due,
-		Nested:   p.nested,
-		Again:    p.again,
-		Unpaid:   p.unpaid,
+		ID:            id,
+		Request:       identifier.Request(p.id),
+		Host:          p.request.Host,
+		Path:          pathOf(p.request.URI),
+		Endpoint:      p.endpoint,
+		Rank:          p.rank,
+		Deadline:      p.deadline,
+		QueueTimeout:  p.patience,
+		Due:           p.due,
+		Nested:        p.nested,
+		Again:         p.again,
+		RateUnchecked: p.rateUnchecked,
 	})
 	if h, ok := effect.(held); ok {
 		woken, err := r.wait(ctx, h)
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -24,8 +24,8 @@
 	rank                identifier.Rank
 	nested, again       bool
 	endpoint            identifier.Endpoint
-	// unpaid is the team whose rate has yet to be taken from, empty for none.
-	unpaid identifier.Team
+	// rateUnchecked is the team whose rate has yet to be taken from, empty for none.
+	rateUnchecked identifier.Team
 }
 
 const (
@@ -47,8 +47,8 @@
 	}
 	text := fmt.Sprintf("%d %d %d %d %s %s", max(0, o.left), max(0, o.patience), max(0, o.due), o.rank, flags,
 		url.QueryEscape(string(o.endpoint)))
-	if o.unpaid != "" {
-		text += " " + url.QueryEscape(string(o.unpaid))
+	if o.rateUnchecked != "" {
+		text += " " + url.QueryEscape(string(o.rateUnchecked))
 	}
 	return text
 }
@@ -102,7 +102,7 @@
 		endpoint: identifier.Endpoint(names[1]),
 	}
 	if len(names) > 2 {
-		o.unpaid = identifier.Team(names[2])
+		o.rateUnchecked = identifier.Team(names[2])
 	}
 	return o, nil
 }
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -24,14 +24,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		time := rapid.Int64Range(0, 1<<40)
 		o := handover{
-			left:     clock.Duration(time.Draw(t, "left")),
-			patience: clock.Duration(time.Draw(t, "patience")),
-			due:      clock.Duration(time.Draw(t, "due")),
-			rank:     identifier.Rank(rapid.Uint16().Draw(t, "rank")),
-			nested:   rapid.Bool().Draw(t, "nested"),
-			again:    rapid.Bool().Draw(t, "again"),
-			endpoint: identifier.Endpoint(rapid.StringN(1, 20, 40).Draw(t, "endpoint")),
-			unpaid:   identifier.Team(rapid.StringN(0, 20, 40).Draw(t, "unpaid")),
+			left:          clock.Duration(time.Draw(t, "left")),
+			patience:      clock.Duration(time.Draw(t, "patience")),
+			due:           clock.Duration(time.Draw(t, "due")),
+			rank:          identifier.Rank(rapid.Uint16().Draw(t, "rank")),
+			nested:        rapid.Bool().Draw(t, "nested"),
+			again:         rapid.Bool().Draw(t, "again"),
+			endpoint:      identifier.Endpoint(rapid.StringN(1, 20, 40).Draw(t, "endpoint")),
+			rateUnchecked: identifier.Team(rapid.StringN(0, 20, 40).Draw(t, "rateUnchecked")),
 		}
 		read, err := parseHandover(o.String())
 		assert.NilError(t, err)
@@ -127,8 +127,8 @@
 		out := &requester.Request{Method: http.MethodPost, URI: "/obs/1", Host: "h.example", Header: http.Header{}}
 		out.Body, out.Length = held.reader()
 		a := entry.ask(context.Background(), conductor.Send{
-			Address: beside.member.Deliver, Endpoint: "i-beside", Team: "parish", Unpaid: true, Crossing: router.NoneNear,
-			Deadline: entry.options.Clock.Now().Add(clock.Second), Patience: 100,
+			Address: beside.member.Deliver, Endpoint: "i-beside", Team: "parish", RateUnchecked: true, Crossing: router.NoneNear,
+			Deadline: entry.options.Clock.Now().Add(clock.Second), QueueTimeout: 100,
 		}, out, held)
 		a.finish(true)
 		return a.outcome
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -29,16 +29,16 @@
 	defer cancel()
 	now := r.options.Clock.Now()
 	p := parcel{
-		id:       request.Header.Get(r.options.Headers.RequestID),
-		endpoint: order.endpoint,
-		rank:     order.rank,
-		deadline: now.Add(order.left),
-		patience: order.patience,
-		due:      now.Add(order.due),
-		nested:   order.nested,
-		again:    order.again,
-		unpaid:   order.unpaid,
-		request:  outgoing(request, endToEnd(request.Header)),
+		id:            request.Header.Get(r.options.Headers.RequestID),
+		endpoint:      order.endpoint,
+		rank:          order.rank,
+		deadline:      now.Add(order.left),
+		patience:      order.patience,
+		due:           now.Add(order.due),
+		nested:        order.nested,
+		again:         order.again,
+		rateUnchecked: order.rateUnchecked,
+		request:       outgoing(request, endToEnd(request.Header)),
 	}
 	a := r.deliver(ctx, p)
 	r.setState(w.Header())
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -29,8 +29,8 @@
 	known       bool
 	refused     float64
 	latency     float64
-	// paces are as the node beside the endpoint says.
-	paces Paces
+	// runTimes are as the node beside the endpoint says.
+	runTimes RunTimes
 
 	failures  int
 	ejections int
@@ -87,11 +87,11 @@
 // lateness is by how much an endpoint's slow runs go beyond the time in which an answer is due. Calls with time to
 // spare stay in their failure domain.
 func (m *member) lateness(n Need) float64 {
-	pace := m.paces.of(n.Nested)
-	if n.Within <= 0 || pace <= 0 {
+	runTime := m.runTimes.of(n.Nested)
+	if n.Within <= 0 || runTime <= 0 {
 		return 0
 	}
-	return min(mostLateness, max(0, float64(tail*pace)/float64(n.Within)-1))
+	return min(mostLateness, max(0, float64(tail*runTime)/float64(n.Within)-1))
 }
 
 const (
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -69,9 +69,9 @@
 }
 
 // Learn takes over how long a run at an endpoint takes on average, as the node beside it says.
-func (r *Router) Learn(id identifier.Endpoint, p Paces) {
-	if m, ok := r.members[id]; ok && p != (Paces{}) {
-		m.paces = p
+func (r *Router) Learn(id identifier.Endpoint, p RunTimes) {
+	if m, ok := r.members[id]; ok && p != (RunTimes{}) {
+		m.runTimes = p
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -241,24 +241,24 @@
 	const runs = 400
 	for name, c := range map[string]struct {
 		within      clock.Duration
-		slow        Paces
+		slow        RunTimes
 		nested      bool
 		farHeadroom uint8
 		least, most int
 	}{
-		"due soon":                    {within: 150, slow: Paces{Root: 100}, farHeadroom: 200, least: 390, most: 400},
-		"mostly in time":              {within: 150, slow: Paces{Root: 50}, farHeadroom: 200, least: 0, most: 0},
-		"time to spare":               {within: 1500, slow: Paces{Root: 100}, farHeadroom: 200, least: 0, most: 0},
-		"due at no time":              {within: 0, slow: Paces{Root: 100}, farHeadroom: 200, least: 0, most: 0},
-		"due soon, no room elsewhere": {within: 150, slow: Paces{Root: 100}, farHeadroom: 10, least: 0, most: 40},
-		"only nested calls are slow":  {within: 150, slow: Paces{Root: 50, Nested: 170}, farHeadroom: 200, least: 0, most: 0},
-		"a slow nested call":          {within: 150, slow: Paces{Root: 50, Nested: 170}, nested: true, farHeadroom: 200, least: 390, most: 400},
+		"due soon":                    {within: 150, slow: RunTimes{Root: 100}, farHeadroom: 200, least: 390, most: 400},
+		"mostly in time":              {within: 150, slow: RunTimes{Root: 50}, farHeadroom: 200, least: 0, most: 0},
+		"time to spare":               {within: 1500, slow: RunTimes{Root: 100}, farHeadroom: 200, least: 0, most: 0},
+		"due at no time":              {within: 0, slow: RunTimes{Root: 100}, farHeadroom: 200, least: 0, most: 0},
+		"due soon, no room elsewhere": {within: 150, slow: RunTimes{Root: 100}, farHeadroom: 10, least: 0, most: 40},
+		"only nested calls are slow":  {within: 150, slow: RunTimes{Root: 50, Nested: 170}, farHeadroom: 200, least: 0, most: 0},
+		"a slow nested call":          {within: 150, slow: RunTimes{Root: 50, Nested: 170}, nested: true, farHeadroom: 200, least: 390, most: 400},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(1, 2)
 			r.Learn("0", c.slow)
-			r.Learn("1", Paces{Root: 20, Nested: 20})
-			r.Learn("2", Paces{Root: 20, Nested: 20})
+			r.Learn("1", RunTimes{Root: 20, Nested: 20})
+			r.Learn("2", RunTimes{Root: 20, Nested: 20})
 			far := 0
 			for i := range runs {
 				now := clock.Time(i)
@@ -303,8 +303,8 @@
 // What goes to the slow one is lost after its whole time; what the full one turns away is known at once.
 func TestEndpointTooSlowForAnyCallIsLeftAlone(t *testing.T) {
 	r := newRouter(1, 1)
-	r.Learn("0", Paces{Root: 480})
-	r.Learn("1", Paces{Root: 50})
+	r.Learn("0", RunTimes{Root: 480})
+	r.Learn("1", RunTimes{Root: 50})
 	counts := map[identifier.Endpoint]int{}
 	for i := range 1000 {
 		now := clock.Time(i)
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -41,14 +41,14 @@
 	State           State
 }
 
-// Paces are the mean times of an endpoint's runs; 0 where there was none.
-type Paces struct {
+// RunTimes are the mean times of an endpoint's runs; 0 where there was none.
+type RunTimes struct {
 	// Root is that of root requests, Nested that of nested calls.
 	Root, Nested clock.Duration
 }
 
-// of returns the pace of one kind of call, that of the other kind where there was none.
-func (p Paces) of(nested bool) clock.Duration {
+// of returns the run time of one kind of call, that of the other kind where there was none.
+func (p RunTimes) of(nested bool) clock.Duration {
 	if nested && p.Nested > 0 || p.Root == 0 {
 		return p.Nested
 	}
