--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -40,6 +40,7 @@
 	}
 	c.router.Remove(m.Endpoint)
 	delete(c.members, node)
+	c.table.MembersChanged()
 	delete(c.learned, node)
 	c.detector.Forget(node)
 	c.table.Drop(node)
@@ -56,6 +57,9 @@
 	if m.Node != c.self.Node {
 		c.detector.Know(m.Node, m.Domain)
 	}
+	if !ok {
+		c.table.MembersChanged()
+	}
 	if !ok || m.Incarnation != known.Incarnation {
 		c.learned[m.Node] = now
 	}
--- a/internal/exchanger/table.go
+++ b/internal/exchanger/table.go
@@ -41,6 +41,8 @@
 	// order holds the nodes with reports, sorted, so that what is summed up from them does not hang on a map's order.
 	order    []identifier.Node
 	backoffs map[identifier.Node]backoff
+	// names are the members' names, sorted; nil when they have to be sorted anew.
+	names []identifier.Node
 	// sought is the member that was last looked for.
 	sought identifier.Node
 	// cursor is this table's, heard what other tables' cursors were when they last answered.
@@ -256,15 +258,42 @@
 // through all others, those of its domain and with the fewest failures first. The store keeps the records of machines
 // that are gone, and those must not come first for ever.
 func (t *Table) Next(members map[identifier.Node]Member, now clock.Time) identifier.Node {
-	names := slices.Sorted(maps.Keys(members))
+	names := t.sorted(members)
 	if !t.hears(members, now) {
 		return t.leastFailed(names, members, now)
 	}
-	near := slices.DeleteFunc(slices.Clone(names), func(node identifier.Node) bool { return members[node].Domain != t.domain })
-	if collector := t.first(near, now); collector != t.self {
-		return collector
+	for _, node := range names {
+		if members[node].Domain == t.domain && t.answers(node, now) {
+			if node != t.self {
+				return node
+			}
+			break
+		}
+	}
+	for _, node := range names {
+		if t.answers(node, now) {
+			return node
+		}
+	}
+	return t.self
+}
+
+// answers tells whether a node may be asked: this one, or one that is heard of and has not failed lately.
+func (t *Table) answers(node identifier.Node, now clock.Time) bool {
+	return node == t.self || now >= t.backoffs[node].until && t.fresh(node, now)
+}
+
+// MembersChanged tells that a member came or went.
+func (t *Table) MembersChanged() {
+	t.names = nil
+}
+
+// sorted returns the members' names. They are needed dozens of times a second, and change rarely.
+func (t *Table) sorted(members map[identifier.Node]Member) []identifier.Node {
+	if len(t.names) != len(members) {
+		t.names = slices.Sorted(maps.Keys(members))
 	}
-	return t.first(names, now)
+	return t.names
 }
 
 // Collects tells whether this node is its failure domain's collector, as far as it knows.
@@ -273,21 +302,12 @@
 	return next == t.self || members[next].Domain != t.domain
 }
 
-func (t *Table) first(names []identifier.Node, now clock.Time) identifier.Node {
-	for _, node := range names {
-		if node == t.self || now >= t.backoffs[node].until && t.fresh(node, now) {
-			return node
-		}
-	}
-	return t.self
-}
-
 // Missing returns a member of which nothing fresh is known, each in turn, and none if there is no such member. Two parts of a
 // fleet that started while they could not reach each other would else stay apart for good: each asks the first node
 // that it hears of, and hears only of its own part.
 func (t *Table) Missing(members map[identifier.Node]Member, now clock.Time) (identifier.Node, bool) {
 	var missing []identifier.Node
-	for _, node := range slices.Sorted(maps.Keys(members)) {
+	for _, node := range t.sorted(members) {
 		if node != t.self && !t.fresh(node, now) {
 			missing = append(missing, node)
 		}
