--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -112,7 +112,12 @@
 	}
 	for {
 		var s stateBody
-		if err := a.request(ctx, http.MethodGet, a.path(), nil, &s); err != nil {
+		err := a.request(ctx, http.MethodGet, a.path(), nil, &s)
+		if isUnknown(err) {
+			// Its heartbeats came late, and the node took it for gone: it sends nothing more.
+			return nil
+		}
+		if err != nil {
 			return fmt.Errorf("wait for the last calls: %w", err)
 		}
 		if s.InFlight == 0 {
@@ -168,13 +173,18 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	err := a.request(ctx, http.MethodPost, a.path()+"/heartbeat", heartbeatBody{Load: a.load()}, nil)
-	var e StatusError
-	if errors.As(err, &e) && e.Status == http.StatusNotFound {
+	if isUnknown(err) {
 		// The next heartbeat tries again if this fails too.
 		_ = a.announce(ctx)
 	}
 }
 
+// isUnknown tells whether a node answered that it does not know the backend server.
+func isUnknown(err error) bool {
+	var e StatusError
+	return errors.As(err, &e) && e.Status == http.StatusNotFound
+}
+
 func (a *Announcement) path() string {
 	return "/-/backends/" + url.PathEscape(a.backend.Endpoint)
 }
