--- /dev/null
+++ b/internal/mesher/relay_test.go
@@ -0,0 +1,84 @@
+package mesher
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// storeReads are the calls that a node has made to follow the operators' topic, as its metrics tell.
+func storeReads(n *runningNode) (calls int) {
+	_, text := n.get(n.settings.Listen.Metrics, "/metrics")
+	for line := range strings.Lines(text) {
+		var count int
+		for _, call := range []string{"newest", "read", "wait"} {
+			format := `jackdawtide_store_calls_total{topic="operators",call="` + call + `"} %d`
+			if _, err := fmt.Sscanf(line, format, &count); err == nil {
+				calls += count
+			}
+		}
+	}
+	return calls
+}
+
+func versionOf(n *runningNode) string {
+	_, text := n.get(n.settings.Listen.Peer, "/state")
+	_, after, _ := strings.Cut(text, `"version":`)
+	return strings.TrimRight(after[:min(2, len(after))], ",}")
+}
+
+// Each change of the configuration must reach a node by its collector, not by a call of its own to the store: with hundreds of
+// nodes those calls are the largest price of a day.
+func TestConfigurationComesByTheCollector(t *testing.T) {
+	w := &world{}
+	assert.NilError(t, w.operators.Write(context.Background(), "rules", []byte("version 1")))
+	beside := w.start(t, "beside", "portal")
+	entry := w.start(t, "entry", "desk")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	// The node waits at its collector once it has heard a proof there, and a first read of its own has ended.
+	time.Sleep(time.Second)
+	before := storeReads(entry)
+	assert.Assert(t, before > 0)
+	for version := 2; version < 6; version++ {
+		assert.NilError(t, w.operators.Write(context.Background(), "rules", fmt.Appendf(nil, "version %d", version)))
+		want := fmt.Sprint(version)
+		eventually(t, "version "+want, func() bool { return versionOf(beside) == want && versionOf(entry) == want })
+	}
+	assert.Assert(t, storeReads(entry) <= before+1, "%d calls before, %d after four changes", before, storeReads(entry))
+}
+
+// The collector is gone without a word: a change must still reach the others in time, by the store.
+func TestConfigurationComesWithoutTheCollector(t *testing.T) {
+	w := &world{}
+	assert.NilError(t, w.operators.Write(context.Background(), "rules", []byte("version 1")))
+	beside := w.start(t, "beside", "portal")
+	entry := w.start(t, "entry", "desk")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	beside.stop()
+	<-beside.done
+	beside.done <- nil
+	assert.NilError(t, w.operators.Write(context.Background(), "rules", []byte("version 2")))
+	eventually(t, "version 2", func() bool { return versionOf(entry) == "2" })
+}
+
+// A question that can't be read must be refused by field and value.
+func TestFaultyQuestionForAConfiguration(t *testing.T) {
+	w := &world{}
+	n := w.start(t, "beside", "portal")
+	for name, c := range map[string]struct{ query, want string }{
+		"no offset":     {query: "?waitMs=5", want: "from"},
+		"negative wait": {query: "?from=1&waitMs=-5", want: `waitMs: "-5"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			status, text := firstAnswer(t, func() (int, string) {
+				return n.get(n.settings.Listen.Peer, configurationPath+c.query)
+			})
+			assert.Equal(t, status, 400, text)
+			assert.Assert(t, strings.Contains(text, c.want), text)
+		})
+	}
+}
