Cold endpoints get the rate that they bear, and a fleet comes back after a loss of all power

Change: the node beside an endpoint dispatches by a token bucket (rate x coldExcess, burst half of coldSlack) while the endpoint is cold by its heartbeats, by its health answer after a restart of the node, or by assumption until either is heard. Reports carry how long an endpoint is still cold; routers use what is warm; the throttler takes the rate for the capacity and measures anew when the endpoint is warm.

--- a/internal/admitter/loop_test.go
+++ b/internal/admitter/loop_test.go
@@ -258,7 +258,7 @@
 	picked, _ := e.router.Pick(to, w.now, refused)
 	h := w.byID[picked.ID]
 	h.offer(q, func(ok, ran bool) {
-		own, headroom := h.gate.Threshold(), h.limit.Headroom()
+		own, headroom := h.gate.Threshold(), h.limit.Headroom(h.w.now)
 		effective := h.chain.Effective(own, q.route, w.now)
 		w.after(lag, func() {
 			e.board.Learn(to, own, w.now)
--- /dev/null
+++ b/internal/conductor/cold.go
@@ -0,0 +1,147 @@
+package conductor
+
+// An endpoint that has just started, or was out of use, bears only a few requests a second and crashes at many more; then it
+// comes back cold again, and so on. All requests for an endpoint pass the node beside it, so that node holds them to the rate
+// that the configuration gives, from the first moment at which the endpoint may be cold. The other nodes hear of it with the
+// reports, and use what is warm.
+//
+// Example: 8.7 requests a second, an excess of 1.5 and a slack of 8: 13 a second and bursts of 4 are let through.
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/limiter"
+)
+
+// ColdBound is how many requests may reach a cold endpoint in one second from all nodes together: Excess times the rate of
+// its service, and Slack more. An Excess of 0 sets no bound.
+type ColdBound struct {
+	Excess, Slack float64
+}
+
+const (
+	// coldSlackPart of the slack is used as a burst; the rest covers what is dispatched late.
+	coldSlackPart = 0.5
+	// coldMargin is for how much longer an endpoint counts as cold than it says: its word was under way.
+	coldMargin = 100 * clock.Millisecond
+	// unknownColdStart is how long an endpoint counts as cold whose service's figure is not known yet.
+	unknownColdStart = 3 * clock.Second
+)
+
+// boundsCold tells whether requests to cold endpoints are bounded here.
+func (c *Conductor) boundsCold() bool {
+	return c.options.Bounds.Cold.Excess > 0
+}
+
+// coldRate returns the requests a second that a cold endpoint of a service bears, 0 where no such bound is known.
+func (c *Conductor) coldRate(service identifier.Service) float64 {
+	if !c.boundsCold() || c.matcher == nil {
+		return 0
+	}
+	return c.matcher.Service(service).ColdRate
+}
+
+// coldLeft returns how much longer the endpoint beside a node counts as cold.
+func (c *Conductor) coldLeft(node identifier.Node, now clock.Time) clock.Duration {
+	until := c.othersCold[node]
+	if node == c.self.Node {
+		until = c.coldUntil
+	}
+	return max(0, until.Sub(now))
+}
+
+// learnCold takes over how much longer the local endpoint is cold; it tells whether it was warm before.
+func (c *Conductor) learnCold(left clock.Duration, now clock.Time) bool {
+	if left <= 0 || !c.boundsCold() {
+		return false
+	}
+	wasWarm := c.coldUntil <= now
+	c.coldUntil = max(c.coldUntil, now.Add(left+coldMargin))
+	c.limitCold(now)
+	return wasWarm
+}
+
+// limitCold holds the local endpoint to the rate that it bears while it is cold.
+func (c *Conductor) limitCold(now clock.Time) {
+	if c.limiter == nil || c.coldUntil <= now {
+		return
+	}
+	rate := c.coldRate(c.self.Service)
+	if rate == 0 && c.matcher != nil {
+		// The configuration bounds nothing for this service.
+		c.coldUntil = now
+		c.limiter.SetCold(limiter.ColdLimit{}, now, now)
+		return
+	}
+	limit := limiter.ColdLimit{
+		PerSecond: rate * c.options.Bounds.Cold.Excess,
+		Burst:     max(1, coldSlackPart*c.options.Bounds.Cold.Slack),
+	}
+	c.limiter.SetCold(limit, c.coldUntil, now)
+	c.throttler.Limit(max(1, limit.PerSecond))
+}
+
+// warm ends the limit when the local endpoint is warm.
+func (c *Conductor) warm(now clock.Time) {
+	if c.coldUntil <= now {
+		c.throttler.Limit(0)
+	}
+}
+
+// assumeCold takes an endpoint for cold of which it is not known what it did while this node was away.
+func (c *Conductor) assumeCold(now clock.Time) {
+	left := clock.Duration(unknownColdStart)
+	if c.matcher != nil {
+		left = c.matcher.Service(c.self.Service).ColdStart
+	}
+	c.learnCold(left, now)
+}
+
+// checkAssumed asks an assumed endpoint whether it is cold: if only this node was started anew, it is not.
+func (c *Conductor) checkAssumed() {
+	if c.boundsCold() && c.matcher != nil && c.registrar.Local().Assumed {
+		c.checkEndpoint()
+	}
+}
+
+func (c *Conductor) checkEndpoint() {
+	if path := c.matcher.Service(c.self.Service).HealthPath; path != "" {
+		c.emit(CheckEndpoint{Path: path})
+	}
+}
+
+// endpointChecked takes the local endpoint's own answer, which is newer than any heartbeat.
+func (c *Conductor) endpointChecked(e EndpointChecked, now clock.Time) {
+	if !e.Known || c.limiter == nil || e.Endpoint != c.registrar.Local().Endpoint {
+		return
+	}
+	c.coldUntil = now
+	if e.ColdLeft > 0 {
+		c.learnCold(e.ColdLeft, now)
+		return
+	}
+	c.limiter.SetCold(limiter.ColdLimit{}, now, now)
+	c.warm(now)
+	c.routeSelf(now)
+}
+
+// learnOthersCold takes over from a report how much longer the endpoint beside another node is cold.
+func (c *Conductor) learnOthersCold(r exchanger.Report, now clock.Time) {
+	node := r.Member.Node
+	wasCold := c.coldLeft(node, now) > 0
+	if r.ColdLeft > 0 {
+		c.othersCold[node] = now.Add(r.ColdLeft - r.Age)
+	} else {
+		delete(c.othersCold, node)
+	}
+	if m := c.members[node]; wasCold != (c.coldLeft(node, now) > 0) && m.Endpoint != "" && m.State == exchanger.Ready {
+		c.route(m, now, false)
+	}
+}
+
+func (c *Conductor) routeSelf(now clock.Time) {
+	if c.self.State == exchanger.Ready && c.self.Endpoint != "" {
+		c.route(c.self, now, false)
+	}
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -36,6 +36,8 @@
 	RepeatWindow clock.Duration
 	// Rate is by how much a team's requests may exceed its rate and burst.
 	Rate apportioner.Tolerance
+	// Cold is how many requests may reach a cold endpoint.
+	Cold ColdBound
 }
 
 // Options set a conductor up.
@@ -100,6 +102,10 @@
 	runs      runCounter
 	runTimes  runTimes
 
+	// coldUntil is until when the local endpoint counts as cold, othersCold the same of the endpoints beside other nodes.
+	coldUntil  clock.Time
+	othersCold map[identifier.Node]clock.Time
+
 	calls map[CallID]*call
 	// awaiting are requests that wait for an endpoint.
 	awaiting   []CallID
@@ -138,6 +144,7 @@
 		throttler:   throttler.New(now),
 		calls:       map[CallID]*call{},
 		deliveries:  map[CallID]*delivery{},
+		othersCold:  map[identifier.Node]clock.Time{},
 	}
 }
 
@@ -180,6 +187,8 @@
 		c.removed(e, now)
 	case EndpointUnreachable:
 		c.unreachable(e, now)
+	case EndpointChecked:
+		c.endpointChecked(e, now)
 	case ConfigurationRead:
 		c.configure(e, now)
 	case ConfigurationProved:
@@ -245,6 +254,7 @@
 	}
 	c.verdicts = c.limiter.Tick(now, c.verdicts[:0])
 	c.settle(now)
+	c.warm(now)
 	c.refreshPlan(now)
 	c.throttler.Observe(c.limiter.Queued(), c.plan.excess[c.self.Service], now)
 }
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -30,6 +30,8 @@
 	for name := range c.splits {
 		delete(c.splits, name)
 	}
+	c.limitCold(now)
+	c.checkAssumed()
 }
 
 func (c *Conductor) acceptProof(e ConfigurationProved) {
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
+	"github.com/jackdawtide/jackdawtide/internal/registrar"
 )
 
 // delivery is a request that is queued for or running at the local endpoint.
@@ -169,21 +170,35 @@
 
 func (c *Conductor) announced(e EndpointAnnounced, now clock.Time) {
 	changed, err := c.registrar.Announce(e.Announcement, now)
-	if err != nil || !changed {
+	if err != nil {
+		return
+	}
+	if !changed {
+		c.announcedAgain(e.Announcement, now)
 		return
 	}
 	local := c.registrar.Local()
+	restarted := c.limiter == nil || c.self.Endpoint != local.Endpoint || c.self.State != exchanger.Ready
 	switch {
 	case !local.Usable():
 		c.shedQueue(now)
-	case c.limiter == nil || c.self.Endpoint != local.Endpoint || c.self.State != exchanger.Ready:
+	case restarted:
 		c.startLimiter(local.Slots, local.ColdLeft, now)
 	default:
 		c.limiter.SetSlots(usedSlots(local.Slots), now)
+		c.learnCold(local.ColdLeft, now)
 	}
 	c.publish(now)
 }
 
+// announcedAgain takes from a heartbeat that changes nothing else whether the endpoint has become cold again.
+func (c *Conductor) announcedAgain(a registrar.Announcement, now clock.Time) {
+	local := c.registrar.Local()
+	if local.Usable() && local.Endpoint == a.Endpoint && local.Sequence == a.Sequence && c.learnCold(a.ColdLeft, now) {
+		c.publish(now)
+	}
+}
+
 // queuePerSlot bounds the queue. Calls wait for up to a third of what they have left, some 200 ms; at 15 ms a call, 16
 // calls a slot are run in that time. A shorter queue turns calls away that would have been run in time.
 const queuePerSlot = 16
@@ -194,13 +209,19 @@
 
 func (c *Conductor) startLimiter(slots int64, coldLeft clock.Duration, now clock.Time) {
 	c.shedQueue(now)
+	ramp := coldLeft
+	if c.boundsCold() {
+		ramp = 0
+	}
 	c.limiter = limiter.New(limiter.Options{
 		Slots:     usedSlots(slots),
-		ColdStart: coldLeft,
+		ColdStart: ramp,
 		Law:       limiter.FixedLaw,
 		Order:     limiter.DueFirst,
 		Queue:     queuePerSlot * usedSlots(slots),
 	}, now)
+	c.coldUntil = now
+	c.learnCold(coldLeft, now)
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]identifier.Route{}
 	c.runTimes = runTimes{}
@@ -237,17 +258,17 @@
 }
 
 // QueueDelay returns how long a request would be queued here.
-func (c *Conductor) QueueDelay() clock.Duration {
+func (c *Conductor) QueueDelay(now clock.Time) clock.Duration {
 	if c.limiter == nil {
 		return 0
 	}
-	return c.limiter.QueueDelay(0)
+	return c.limiter.QueueDelay(now)
 }
 
 // Headroom returns the free part of the local endpoint as answers carry it.
-func (c *Conductor) Headroom() uint8 {
+func (c *Conductor) Headroom(now clock.Time) uint8 {
 	if c.limiter == nil {
 		return 0
 	}
-	return c.limiter.Headroom()
+	return c.limiter.Headroom(now)
 }
--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -44,7 +44,7 @@
 		s.Running, s.Queued, s.Limit = c.limiter.InFlight(), c.limiter.Queued(), c.limiter.Limit()
 	}
 	s.Arriving, s.Capable = c.throttler.Rates()
-	s.QueueDelay = c.QueueDelay()
+	s.QueueDelay = c.QueueDelay(now)
 	s.Excesses = maps.Clone(c.plan.excess)
 	for _, node := range slices.Sorted(maps.Keys(c.members)) {
 		s.Members = append(s.Members, c.members[node])
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -106,22 +106,29 @@
 	Reason  Reason
 }
 
+// CheckEndpoint asks the local endpoint which one it is and whether it is cold; EndpointChecked follows.
+type CheckEndpoint struct {
+	// Path is where the endpoint's health is asked for.
+	Path string
+}
+
 // Publish writes this node's record, to the store and to its peers.
 type Publish struct {
 	Member exchanger.Member
 }
 
-func (Refuse) effect()   {}
-func (Draw) effect()     {}
-func (Give) effect()     {}
-func (Probe) effect()    {}
-func (Abort) effect()    {}
-func (Send) effect()     {}
-func (Reply) effect()    {}
-func (Run) effect()      {}
-func (Hold) effect()     {}
-func (TurnAway) effect() {}
-func (Publish) effect()  {}
+func (Refuse) effect()        {}
+func (Draw) effect()          {}
+func (Give) effect()          {}
+func (Probe) effect()         {}
+func (Abort) effect()         {}
+func (Send) effect()          {}
+func (Reply) effect()         {}
+func (Run) effect()           {}
+func (Hold) effect()          {}
+func (TurnAway) effect()      {}
+func (CheckEndpoint) effect() {}
+func (Publish) effect()       {}
 
 // Reason says in a log line and a metric why a request was refused.
 type Reason string
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -126,6 +126,15 @@
 	Endpoint identifier.Endpoint
 }
 
+// EndpointChecked is how a CheckEndpoint ended.
+type EndpointChecked struct {
+	// Endpoint is the one that answered, empty where none did.
+	Endpoint identifier.Endpoint
+	// ColdLeft is how much longer it is cold, Known where it said so.
+	ColdLeft clock.Duration
+	Known    bool
+}
+
 // ConfigurationRead is a configuration that was read whole and checked.
 type ConfigurationRead struct {
 	Matcher *matcher.Matcher
@@ -202,6 +211,7 @@
 func (EndpointAnnounced) event()   {}
 func (EndpointRemoved) event()     {}
 func (EndpointUnreachable) event() {}
+func (EndpointChecked) event()     {}
 func (ConfigurationRead) event()   {}
 func (ConfigurationProved) event() {}
 func (ProofHeard) event()          {}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -42,6 +42,7 @@
 	delete(c.members, node)
 	c.table.MembersChanged()
 	delete(c.learned, node)
+	delete(c.othersCold, node)
 	c.detector.Forget(node)
 	c.table.Drop(node)
 	c.apportioner.Forget(node)
@@ -64,6 +65,9 @@
 		c.learned[m.Node] = now
 	}
 	c.apportioner.SetNodes(len(c.members))
+	if m.Node != c.self.Node && m.ColdLeft > 0 {
+		c.othersCold[m.Node] = now.Add(m.ColdLeft)
+	}
 	if m.Endpoint == "" {
 		return
 	}
@@ -85,6 +89,10 @@
 		state = router.Suspect
 	case m.State == exchanger.Stopping:
 		state = router.Stopping
+	case c.coldRate(m.Service) > 0:
+		if c.coldLeft(m.Node, now) > 0 {
+			state = router.Limited
+		}
 	case m.ColdLeft > 0:
 		state = router.Cold
 	}
@@ -104,7 +112,7 @@
 	c.self.Sequence++
 	c.self.Endpoint = local.Endpoint
 	c.self.Slots = int(local.Slots)
-	c.self.ColdLeft = local.ColdLeft
+	c.self.ColdLeft = max(local.ColdLeft, c.coldLeft(c.self.Node, now))
 	switch {
 	case local.Known && local.Leaving:
 		c.self.State = exchanger.Leaving
@@ -155,6 +163,7 @@
 			continue
 		}
 		c.learnMember(MemberLearned{Member: r.Member}, now)
+		c.learnOthersCold(r, now)
 		c.router.Learn(r.Member.Endpoint, runTimesOf(r))
 		heard = append(heard, apportioner.Heard{Node: r.Member.Node, Demand: r.Demand, Made: now.Add(-r.Age)})
 	}
@@ -196,6 +205,7 @@
 
 		RootTime:   c.runTimes.root.time(),
 		NestedTime: c.runTimes.nested.time(),
+		ColdLeft:   c.coldLeft(c.self.Node, now),
 	}
 	c.router.Learn(c.self.Endpoint, runTimesOf(r))
 	c.table.Put(r, c.self, now)
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -39,6 +39,7 @@
 	// Node stands in place of a member whose record the other side has.
 	Node string `cbor:"9,keyasint,omitempty"`
 	Root int64  `cbor:"10,keyasint,omitempty"`
+	Cold int64  `cbor:"11,keyasint,omitempty"`
 }
 
 // wireCalls holds calls by the run's route and the call's.
@@ -145,6 +146,7 @@
 		Calls:  toCalls(r.Calls),
 		Nested: int64(r.NestedTime),
 		Root:   int64(r.RootTime),
+		Cold:   int64(r.ColdLeft),
 		Load:   float32(r.Load),
 	}
 	if r.Compact {
@@ -168,6 +170,7 @@
 
 		NestedTime: clock.Duration(max(0, w.Nested)),
 		RootTime:   clock.Duration(max(0, w.Root)),
+		ColdLeft:   clock.Duration(max(0, w.Cold)),
 	}
 	if !r.Compact {
 		var err error
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -87,6 +87,8 @@
 	// RootTime and NestedTime are the mean times of a run at the endpoint beside the node, of root requests and of nested
 	// calls, 0 before there was one.
 	RootTime, NestedTime clock.Duration
+	// ColdLeft is how much longer the endpoint beside the node is cold.
+	ColdLeft clock.Duration
 	// Load is the calls a second that would arrive at the endpoint if nothing were refused.
 	Load float64
 	// Calls is how many nested calls one run at the endpoint makes, by the route of the run and that of the call. Calls of
--- /dev/null
+++ b/internal/limiter/cold.go
@@ -0,0 +1,105 @@
+package limiter
+
+// A cold backend server bears a few calls a second and crashes at many more, however few run at once. So while it is cold,
+// calls are dispatched by a token bucket, and few wait for a token: the others are turned away while they can still be run
+// elsewhere.
+//
+// Example: 13 calls a second and a burst of 4: the first 4 calls run at once, then one each 77 ms.
+
+import (
+	"math"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+// ColdLimit is the rate that a cold backend server bears.
+type ColdLimit struct {
+	// PerSecond is in calls a second, Burst in calls.
+	PerSecond, Burst float64
+}
+
+// coldWait is for how much of the rate calls may wait: a nested call rarely waits longer than this.
+const coldWait = 200 * clock.Millisecond
+
+// cold is the state of a limiter whose backend server is cold.
+type cold struct {
+	limit    ColdLimit
+	until    clock.Time
+	tokens   float64
+	refilled clock.Time
+}
+
+func (c *cold) refill(now clock.Time) {
+	seconds := float64(now.Sub(c.refilled)) / float64(clock.Second)
+	c.refilled = now
+	c.tokens = min(c.limit.Burst, c.tokens+seconds*c.limit.PerSecond)
+}
+
+func (c *cold) queue() int {
+	return max(1, int(c.limit.PerSecond*float64(coldWait)/float64(clock.Second)))
+}
+
+// SetCold holds calls to a rate until a moment; one that is not later than now ends that.
+func (l *Limiter) SetCold(limit ColdLimit, until, now clock.Time) {
+	if !l.isCold(now) {
+		l.cold.refilled, l.cold.tokens = now, l.coldTokens(limit, now)
+	}
+	l.cold.limit, l.cold.until = limit, until
+}
+
+// coldTokens is what is left of a burst after the calls that were dispatched within the last second.
+func (l *Limiter) coldTokens(limit ColdLimit, now clock.Time) float64 {
+	if l.dispatched && now.Sub(l.lastDispatch) < clock.Second {
+		return 0
+	}
+	return limit.Burst
+}
+
+// ColdUntil returns until when the backend server counts as cold.
+func (l *Limiter) ColdUntil() clock.Time {
+	return l.cold.until
+}
+
+func (l *Limiter) isCold(now clock.Time) bool {
+	return now < l.cold.until
+}
+
+// mayStart tells whether a cold backend server bears another call now.
+func (l *Limiter) mayStart(now clock.Time) bool {
+	if !l.isCold(now) {
+		return true
+	}
+	l.cold.refill(now)
+	return l.cold.tokens >= 1
+}
+
+// start counts a dispatched call.
+func (l *Limiter) start(now clock.Time) {
+	l.lastDispatch, l.dispatched = now, true
+	if l.isCold(now) {
+		l.cold.tokens--
+	}
+}
+
+// longestQueue is how many calls may wait.
+func (l *Limiter) longestQueue(now clock.Time) int {
+	if l.isCold(now) {
+		return min(l.options.Queue, l.cold.queue())
+	}
+	return l.options.Queue
+}
+
+func (l *Limiter) coldHeadroom() uint8 {
+	if l.queue.len() > 0 || l.cold.tokens < 1 {
+		return 0
+	}
+	return uint8(math.MaxUint8 * min(1, l.cold.tokens/max(1, l.cold.limit.Burst)))
+}
+
+func (l *Limiter) coldDelay() clock.Duration {
+	if l.cold.limit.PerSecond <= 0 {
+		return coldWait
+	}
+	seconds := float64(l.queue.len()) / l.cold.limit.PerSecond
+	return clock.Duration(math.Ceil(seconds * float64(clock.Second)))
+}
--- a/internal/limiter/dispatch.go
+++ b/internal/limiter/dispatch.go
@@ -46,6 +46,7 @@
 	e.running = true
 	e.dispatched = now
 	l.inFlight++
+	l.start(now)
 	return append(out, Verdict{e.call.ID, Dispatch})
 }
 
@@ -54,7 +55,7 @@
 	for l.queue.len() > 0 {
 		number := l.next(now)
 		c := l.entries[number].call
-		if !l.mayRun(c.Rank, now) {
+		if !l.mayRun(c.Rank, now) || !l.mayStart(now) {
 			return out
 		}
 		if l.doomed(c, now) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -34,6 +34,10 @@
 	// waiting tells that calls are queued, waitingSince since when without a gap.
 	waiting      bool
 	waitingSince clock.Time
+	cold         cold
+	// lastDispatch is when a call was last dispatched, if one was.
+	lastDispatch clock.Time
+	dispatched   bool
 }
 
 // New returns a limiter whose cold start begins now.
@@ -67,14 +71,14 @@
 	l.slack.add(float64(c.Deadline.Sub(now)))
 	out = l.Tick(now, out)
 	number := l.take(c)
-	if l.mayRun(c.Rank, now) && l.queue.len() == 0 {
+	if l.mayRun(c.Rank, now) && l.mayStart(now) && l.queue.len() == 0 {
 		return l.dispatch(number, now, out)
 	}
 	l.queue.push(number, c)
 	queued := len(out)
 	out = append(out, Verdict{c.ID, Queue})
 	out = l.dispatchAll(now, out)
-	if l.queue.len() > l.options.Queue {
+	if l.queue.len() > l.longestQueue(now) {
 		out = l.shedWorst(out)
 	}
 	return l.settle(c.ID, queued, out)
@@ -168,7 +172,10 @@
 }
 
 // Headroom returns the free part of the limit as answers carry it: 0 is none, 255 all.
-func (l *Limiter) Headroom() uint8 {
+func (l *Limiter) Headroom(now clock.Time) uint8 {
+	if l.isCold(now) && !l.draining {
+		return l.coldHeadroom()
+	}
 	free := l.limit - l.inFlight - l.queue.len()
 	if l.draining || free <= 0 {
 		return 0
@@ -178,7 +185,9 @@
 
 // QueueDelay returns how long a call would wait behind all that is queued, by the measured service time.
 func (l *Limiter) QueueDelay(now clock.Time) clock.Duration {
-	_ = now
+	if l.isCold(now) {
+		return l.coldDelay()
+	}
 	wait := float64(l.queue.len()) * l.service.mean / float64(l.limit)
 	return clock.Duration(math.Ceil(wait))
 }
--- a/internal/loader/sidecar.go
+++ b/internal/loader/sidecar.go
@@ -54,13 +54,19 @@
 	Grace clock.Duration
 	// RepeatRatio of the requests for a service, and RepeatSlack more, may reach a second endpoint in RepeatWindow.
 	RepeatRatio  float64
-	RepeatSlack  int
+	RepeatSlack  float64
 	RepeatWindow clock.Duration
 	// RateExcess is the part, and RateSlack the number of requests, by which a team may exceed its rate and burst in any
 	// RateWindow.
 	RateWindow clock.Duration
 	RateExcess float64
-	RateSlack  int
+	RateSlack  float64
+	// ColdExcess times the requests a second that a cold endpoint bears, and ColdSlack more, may reach it in one second from
+	// all nodes together; a ColdExcess of 0 sets no such bound.
+	ColdExcess float64
+	ColdSlack  float64
+	// Evacuate is how long after it was asked for an evacuated failure domain's endpoints may still get requests.
+	Evacuate clock.Duration
 }
 
 // Defaults of the bounds, for a platform that does not give them: the figures that its pages name.
@@ -73,7 +79,9 @@
 	defaultRepeatRatio  = 0.2
 	defaultRepeatSlack  = 50
 	defaultRateWindow   = 5 * clock.Second
+	defaultEvacuate     = 5 * clock.Second
 	minBound            = 100 * clock.Millisecond
+	maxColdExcess       = 100
 	defaultMemoryMB     = 256
 	defaultDescriptors  = 1024
 )
@@ -121,10 +129,13 @@
 		Drain:                t.DurationOr("drain", defaultDrain, minBound, maxTimeout),
 		Grace:                t.DurationOr("grace", defaultGrace, minBound, maxTimeout),
 		RepeatRatio:          t.NumberOr("repeatRatio", defaultRepeatRatio, 0, 1),
-		RepeatSlack:          int(t.WholeOr("repeatSlack", defaultRepeatSlack, 0, maxCount)),
+		RepeatSlack:          t.NumberOr("repeatSlack", defaultRepeatSlack, 0, maxCount),
 		RepeatWindow:         t.DurationOr("repeatWindow", defaultRepeatWindow, minBound, maxTimeout),
 		RateWindow:           t.DurationOr("rateWindow", defaultRateWindow, minBound, maxTimeout),
 		RateExcess:           t.NumberOr("rateExcess", 0, 0, 1),
-		RateSlack:            int(t.WholeOr("rateSlack", 0, 0, maxCount)),
+		RateSlack:            t.NumberOr("rateSlack", 0, 0, maxCount),
+		ColdExcess:           t.NumberOr("coldExcess", 0, 0, maxColdExcess),
+		ColdSlack:            t.NumberOr("coldSlack", 0, 0, maxCount),
+		Evacuate:             t.DurationOr("evacuate", defaultEvacuate, minBound, maxTimeout),
 	}
 }
--- a/internal/loader/sidecar_test.go
+++ b/internal/loader/sidecar_test.go
@@ -55,6 +55,49 @@
 	assert.Equal(t, s.MemoryMB, 284)
 }
 
+// A bound that is worked out may have a fraction; a node that does not start for it leaves its endpoint without service.
+func TestBoundsWithFractions(t *testing.T) {
+	tests := map[string]func(SidecarBounds) float64{
+		"repeatRatio": func(b SidecarBounds) float64 { return b.RepeatRatio },
+		"repeatSlack": func(b SidecarBounds) float64 { return b.RepeatSlack },
+		"rateExcess":  func(b SidecarBounds) float64 { return b.RateExcess },
+		"rateSlack":   func(b SidecarBounds) float64 { return b.RateSlack },
+		"coldExcess":  func(b SidecarBounds) float64 { return b.ColdExcess },
+		"coldSlack":   func(b SidecarBounds) float64 { return b.ColdSlack },
+	}
+	plain := strings.Replace(goodSidecar, "rateExcess = 0.1\n", "", 1)
+	for name, read := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := ParseSidecar([]byte(plain + name + " = 0.408163265306122\n"))
+			assert.NilError(t, err)
+			assert.Equal(t, read(s.Bounds), 0.408163265306122)
+			s, err = ParseSidecar([]byte(plain + name + " = 1\n"))
+			assert.NilError(t, err)
+			assert.Equal(t, read(s.Bounds), 1.0)
+			_, err = ParseSidecar([]byte(plain + name + " = -0.5\n"))
+			assert.ErrorContains(t, err, name)
+		})
+	}
+	for name, read := range map[string]func(SidecarBounds) clock.Duration{
+		"revoke":               func(b SidecarBounds) clock.Duration { return b.Revoke },
+		"configurationInForce": func(b SidecarBounds) clock.Duration { return b.ConfigurationInForce },
+		"drain":                func(b SidecarBounds) clock.Duration { return b.Drain },
+		"grace":                func(b SidecarBounds) clock.Duration { return b.Grace },
+		"repeatWindow":         func(b SidecarBounds) clock.Duration { return b.RepeatWindow },
+		"rateWindow":           func(b SidecarBounds) clock.Duration { return b.RateWindow },
+		"evacuate":             func(b SidecarBounds) clock.Duration { return b.Evacuate },
+	} {
+		t.Run(name, func(t *testing.T) {
+			faulty := strings.Replace(plain, "revoke = \"4s\"\n", "", 1)
+			s, err := ParseSidecar([]byte(faulty + name + " = \"2.5s\"\n"))
+			assert.NilError(t, err)
+			assert.Equal(t, read(s.Bounds), 2500*clock.Millisecond)
+			_, err = ParseSidecar([]byte(faulty + name + " = 2500\n"))
+			assert.ErrorContains(t, err, name)
+		})
+	}
+}
+
 // A faulty file must stop the node before it listens, with every fault named by field and value.
 func TestFaultySidecarSettings(t *testing.T) {
 	tests := map[string][3]string{
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -19,6 +19,7 @@
 	configuration Configuration
 	hosts         map[string][]*Route
 	keys          map[string]*Team
+	services      map[identifier.Service]Service
 }
 
 // InvalidError names the field of a configuration that can't be put in force.
@@ -42,6 +43,10 @@
 		configuration: c,
 		hosts:         map[string][]*Route{},
 		keys:          map[string]*Team{},
+		services:      map[identifier.Service]Service{},
+	}
+	for _, s := range c.Services {
+		m.services[s.Name] = s
 	}
 	for i := range c.Routes {
 		r := &m.configuration.Routes[i]
@@ -63,6 +68,13 @@
 	known := map[identifier.Service]bool{}
 	for _, s := range c.Services {
 		known[s.Name] = true
+		if !(s.ColdRate >= 0) || s.ColdStart < 0 {
+			return InvalidError{
+				Field: "cold start of service " + string(s.Name),
+				Value: fmt.Sprintf("%d ms at %v a second", s.ColdStart, s.ColdRate),
+				Want:  "none below zero",
+			}
+		}
 	}
 	for _, r := range c.Routes {
 		if err := checkRoute(r, known); err != nil {
@@ -141,6 +153,11 @@
 	return t, ok
 }
 
+// Service returns a service, and a zero one where the configuration has none of that name.
+func (m *Matcher) Service(name identifier.Service) Service {
+	return m.services[name]
+}
+
 // HasTeams tells whether callers need keys at all.
 func (m *Matcher) HasTeams() bool {
 	return len(m.configuration.Teams) > 0
--- a/internal/matcher/types.go
+++ b/internal/matcher/types.go
@@ -65,6 +65,12 @@
 	Name identifier.Service
 	// Connections is how many connections one endpoint takes from all nodes together; 0 is unlimited.
 	Connections int
+	// HealthPath is where its endpoints answer how they fare.
+	HealthPath string
+	// ColdStart is how long an endpoint is cold after its start, ColdRate how many requests a second it bears meanwhile; a
+	// ColdRate of 0 tells of no such bound.
+	ColdStart clock.Duration
+	ColdRate  float64
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -142,12 +142,13 @@
 		Revoke:       b.Revoke,
 		InForce:      b.ConfigurationInForce,
 		RepeatRatio:  b.RepeatRatio,
-		RepeatSlack:  float64(b.RepeatSlack),
+		RepeatSlack:  b.RepeatSlack,
 		RepeatWindow: b.RepeatWindow,
+		Cold:         conductor.ColdBound{Excess: b.ColdExcess, Slack: b.ColdSlack},
 		Rate: apportioner.Tolerance{
 			Window:   float64(b.RateWindow) / float64(clock.Second),
 			Part:     b.RateExcess,
-			Requests: float64(b.RateSlack),
+			Requests: b.RateSlack,
 		},
 	}
 }
--- a/internal/reducer/delivery.go
+++ b/internal/reducer/delivery.go
@@ -211,7 +211,7 @@
 	}
 	own := b.gate.Threshold()
 	t.Threshold = b.chain.Effective(own, d.route, s.now)
-	t.Headroom = b.limiter.Headroom()
+	t.Headroom = b.limiter.Headroom(s.now)
 	t.RetryRatio = b.meter.Hint(own < identifier.MaxRank, s.now)
 	t.Share = d.share
 	return t
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -52,7 +52,7 @@
 			again:         s.Again,
 			rateUnchecked: rateUnchecked(s),
 		})
-		r.View(func(c *conductor.Conductor, _ clock.Time) { a.headroom, a.wait = c.Headroom(), c.QueueDelay() })
+		r.View(func(c *conductor.Conductor, now clock.Time) { a.headroom, a.wait = c.Headroom(now), c.QueueDelay(now) })
 	} else {
 		a = r.ask(ctx, s, out, body)
 	}
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -66,8 +66,8 @@
 
 // setState tells the asking node how the endpoint fares and how fresh the configuration is here.
 func (r *Relayer) setState(h http.Header) {
-	r.View(func(c *conductor.Conductor, _ clock.Time) {
-		h[stateField] = []string{condition{headroom: c.Headroom(), wait: c.QueueDelay(), proof: r.proof(c)}.String()}
+	r.View(func(c *conductor.Conductor, now clock.Time) {
+		h[stateField] = []string{condition{headroom: c.Headroom(now), wait: c.QueueDelay(now), proof: r.proof(c)}.String()}
 	})
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -164,6 +164,8 @@
 		r.options.Publish(e.Member)
 	case conductor.Probe:
 		go r.probe(e)
+	case conductor.CheckEndpoint:
+		go r.check(e)
 	case conductor.Abort:
 		if abort, ok := r.aborts[e.ID]; ok {
 			abort(errLost)
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -29,6 +29,10 @@
 	Signature string
 	// Parent returns the id of the request whose run makes the one with an id, empty where it does not tell.
 	Parent func(id string) string
+	// Instance and ColdLeft are the fields of a health answer with the endpoint's id and the milliseconds for which it is
+	// still cold.
+	Instance string
+	ColdLeft string
 	// Load is the field with an endpoint's own word of its load, which only the node beside it could use.
 	Load string
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -158,7 +158,7 @@
 }
 
 func (r *Router) lastResort(s *service, q request) *member {
-	for _, g := range []*group{&s.stopping, &s.ejected, &s.suspect} {
+	for _, g := range []*group{&s.limited, &s.stopping, &s.ejected, &s.suspect} {
 		if m := r.draw(g, q); m != nil {
 			return m
 		}
@@ -267,6 +267,8 @@
 		return &s.suspect
 	case m.until != 0:
 		return &s.ejected
+	case m.endpoint.State == Limited:
+		return &s.limited
 	case m.endpoint.State == Stopping:
 		return &s.stopping
 	case m.endpoint.Domain == r.options.Domain:
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -26,6 +26,8 @@
 	Leaving
 	// Suspect may be dead; it is picked only when there is nothing else.
 	Suspect
+	// Limited is cold and bears only a few calls a second; it is picked when no warm one is left.
+	Limited
 	// Stopping is about to close for a while; it is picked when no sound one is left, and before those in doubt.
 	Stopping
 )
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -46,6 +46,10 @@
 	mostAhead = 1.5
 	// Most is the largest excess: something is always let through, or nobody would notice that the load has gone.
 	Most = 0.95
+	// mostCold is the largest excess of a cold endpoint, whose limit is known and ends by itself; coldGain is the weight of one
+	// window in it.
+	mostCold = 0.999
+	coldGain = 0.8
 )
 
 // Throttler follows the excess load of one endpoint; it is not safe for concurrent use.
@@ -56,7 +60,9 @@
 	arriving, capable float64
 	demand            float64
 	excess            float64
-	history           []past
+	// limit is the calls a second that a cold endpoint bears, 0 while it is warm.
+	limit   float64
+	history []past
 }
 
 // past is the part of the service's load that was refused from a moment on.
@@ -70,6 +76,15 @@
 	return &Throttler{opened: now, full: true}
 }
 
+// Limit holds the endpoint for able to run a given number of calls a second, since it is cold; 0 ends that, and what it can
+// do is measured anew.
+func (t *Throttler) Limit(perSecond float64) {
+	if perSecond == 0 && t.limit > 0 {
+		t.capable, t.excess = 0, 0
+	}
+	t.limit = perSecond
+}
+
 // Arrived counts a call that came for the endpoint for the first time.
 func (t *Throttler) Arrived() {
 	t.arrived++
@@ -90,8 +105,7 @@
 	if span < windowAtLeast || span < windowAtMost && t.arrived < windowCalls {
 		return
 	}
-	seconds := float64(span) / float64(clock.Second)
-	t.learn(seconds)
+	t.learn(float64(span) / float64(clock.Second))
 	t.judge(float64(waiting), refused, now)
 	t.opened, t.arrived, t.run, t.full = now, 0, 0, true
 }
@@ -100,6 +114,8 @@
 	t.arriving += arrivingGain * (t.arrived/seconds - t.arriving)
 	rate := t.run / seconds
 	switch {
+	case t.limit > 0:
+		t.capable = t.limit
 	case t.full && t.capable == 0:
 		t.capable = rate
 	case t.full:
@@ -116,11 +132,15 @@
 	if t.capable > 0 && t.demand > 0 {
 		want = 1 - (usedCapacity*t.capable-waiting/drainSeconds)/t.demand
 	}
-	t.excess += excessGain * (min(Most, max(0, want)) - t.excess)
+	gain, most := excessGain, Most
+	if t.limit > 0 {
+		gain, most = coldGain, mostCold
+	}
+	t.excess += gain * (min(most, max(0, want)) - t.excess)
 	if t.excess < leastExcess {
 		t.excess = 0
 	}
-	t.history = append(t.history, past{at: now, refused: min(Most, refused)})
+	t.history = append(t.history, past{at: now, refused: min(mostCold, refused)})
 	for len(t.history) > 1 && now.Sub(t.history[1].at) >= loop {
 		t.history = t.history[1:]
 	}
