Evacuated failure domains get nothing, and are cold when they are taken back

Routers never pick an endpoint of an evacuated domain, the node beside one turns away what is queued and what still comes, as moved. A domain that is taken back counts as cold until its endpoints say otherwise (one health answer each).

--- a/cmd/jackdawtide/sidecar.go
+++ b/cmd/jackdawtide/sidecar.go
@@ -32,6 +32,7 @@
 			Members:          store.Topic(platform.MembersTopic),
 			ConfigurationKey: platform.ConfigurationKey,
 			Decode:           platform.DecodeConfiguration,
+			EvacuatedDomain:  platform.EvacuatedDomain,
 			Announcements:    platform.Announcements,
 		},
 	})
--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -119,7 +119,7 @@
 func (c *Conductor) planLoads(now clock.Time) bool {
 	loads := map[identifier.Service]*load{}
 	for report := range c.table.All(now) {
-		if !counts(report) {
+		if !counts(report) || c.evacuated[report.Member.Domain] {
 			continue
 		}
 		l, ok := loads[report.Member.Service]
--- a/internal/conductor/chain_placement.go
+++ b/internal/conductor/chain_placement.go
@@ -22,7 +22,8 @@
 func (c *Conductor) presence() presence {
 	there := presence{}
 	for _, m := range c.members {
-		if m.State != exchanger.Ready && m.State != exchanger.Stopping || c.detector.Lost(m.Node) {
+		usable := m.State == exchanger.Ready || m.State == exchanger.Stopping
+		if !usable || c.detector.Lost(m.Node) || c.evacuated[m.Domain] {
 			continue
 		}
 		domains, ok := there[m.Service]
--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -98,6 +98,13 @@
 	c.learnCold(left, now)
 }
 
+// assumeOtherCold takes the endpoint beside another node for cold until that node reports otherwise.
+func (c *Conductor) assumeOtherCold(m exchanger.Member, now clock.Time) {
+	if c.coldRate(m.Service) > 0 {
+		c.othersCold[m.Node] = now.Add(c.matcher.Service(m.Service).ColdStart)
+	}
+}
+
 // checkAssumed asks an assumed endpoint whether it is cold: if only this node was started anew, it is not.
 func (c *Conductor) checkAssumed() {
 	if c.boundsCold() && c.matcher != nil && c.registrar.Local().Assumed {
@@ -123,7 +130,7 @@
 	}
 	c.limiter.SetCold(limiter.ColdLimit{}, now, now)
 	c.warm(now)
-	c.routeSelf(now)
+	c.routeAnew(c.self, now)
 }
 
 // learnOthersCold takes over from a report how much longer the endpoint beside another node is cold.
@@ -135,13 +142,14 @@
 	} else {
 		delete(c.othersCold, node)
 	}
-	if m := c.members[node]; wasCold != (c.coldLeft(node, now) > 0) && m.Endpoint != "" && m.State == exchanger.Ready {
-		c.route(m, now, false)
+	if wasCold != (c.coldLeft(node, now) > 0) {
+		c.routeAnew(c.members[node], now)
 	}
 }
 
-func (c *Conductor) routeSelf(now clock.Time) {
-	if c.self.State == exchanger.Ready && c.self.Endpoint != "" {
-		c.route(c.self, now, false)
+// routeAnew tells the router of a member's endpoint where something else than its record has changed.
+func (c *Conductor) routeAnew(m exchanger.Member, now clock.Time) {
+	if m.State == exchanger.Ready && m.Endpoint != "" {
+		c.route(m, now, c.silent(m.Node, now))
 	}
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -65,6 +65,10 @@
 	provedAt clock.Time
 	proved   bool
 	proofs   proofs
+	// ordersNext is up to which offset the operators' orders are known.
+	ordersNext identifier.Offset
+	// evacuated are the failure domains whose endpoints get nothing.
+	evacuated map[identifier.FailureDomain]bool
 
 	self    exchanger.Member
 	members map[identifier.Node]exchanger.Member
@@ -195,6 +199,10 @@
 		c.acceptProof(e)
 	case ProofHeard:
 		c.hearProof(e, now)
+	case OrdersRead:
+		c.ordersNext = max(c.ordersNext, e.Next)
+	case DomainsEvacuated:
+		c.evacuate(e, now)
 	case MemberLearned:
 		c.learnMember(e, now)
 	case ReportsHeard:
--- a/internal/conductor/configuration_proof.go
+++ b/internal/conductor/configuration_proof.go
@@ -46,19 +46,20 @@
 	asOf  clock.Time
 	any   bool
 	from  identifier.Node
-	// newer is a version that this node lacks, since when it was first heard of.
+	// newer is a version that this node lacks, next an offset up to which it does not know the operators' orders, and since
+	// when one of them was first heard of.
 	newer identifier.Version
+	next  identifier.Offset
 	since clock.Time
 }
 
 func (c *Conductor) hearProof(e ProofHeard, now clock.Time) {
 	c.acceptProof(ConfigurationProved{Version: e.Version, AsOf: e.AsOf})
-	if e.Version > c.Version() {
-		if c.proofs.newer <= c.Version() {
-			c.proofs.since = now
-		}
-		c.proofs.newer = e.Version
+	if !c.heardOfNewer() {
+		c.proofs.since = now
 	}
+	c.proofs.newer = max(c.proofs.newer, e.Version)
+	c.proofs.next = max(c.proofs.next, e.Next)
 	c.proofs.heard, c.proofs.asOf, c.proofs.any, c.proofs.from = now, e.AsOf, true, e.From
 }
 
@@ -76,9 +77,19 @@
 	return p.any && now.Sub(p.heard) <= coveredFor && boot.Sub(p.asOf) <= c.options.Bounds.InForce*tenths/10
 }
 
-// lacksNewer tells whether a newer configuration has been known of for longer than it should take to come.
+// heardOfNewer tells whether another node knows a newer configuration or later orders.
+func (c *Conductor) heardOfNewer() bool {
+	return c.proofs.newer > c.Version() || c.proofs.next > c.ordersNext
+}
+
+// lacksNewer tells whether a newer configuration or order has been known of for longer than it should take to come.
 func (c *Conductor) lacksNewer(now clock.Time) bool {
-	return c.proofs.newer > c.Version() && now.Sub(c.proofs.since) > newerTimeout
+	return c.heardOfNewer() && now.Sub(c.proofs.since) > newerTimeout
+}
+
+// OrdersNext returns up to which offset the operators' orders are known.
+func (c *Conductor) OrdersNext() identifier.Offset {
+	return c.ordersNext
 }
 
 // ReadWait returns how long a read of the configuration may stay open at this moment, by both clocks.
@@ -99,7 +110,15 @@
 
 // ConfigurationSource returns the node to wait at for a newer configuration; with none the store has to be read.
 func (c *Conductor) ConfigurationSource(now, boot clock.Time) (exchanger.Member, bool) {
-	if c.unanswered || c.lacksNewer(now) || !c.covered(now, boot) {
+	if c.unanswered || c.lacksNewer(now) {
+		return exchanger.Member{}, false
+	}
+	return c.ProvingNode(now, boot)
+}
+
+// ProvingNode returns the node whose proof is relied on.
+func (c *Conductor) ProvingNode(now, boot clock.Time) (exchanger.Member, bool) {
+	if !c.covered(now, boot) {
 		return exchanger.Member{}, false
 	}
 	m, ok := c.members[c.proofs.from]
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -42,7 +42,8 @@
 func (c *Conductor) deliver(e DeliveryArrived, now clock.Time) {
 	local := c.registrar.Local()
 	stopped := c.stopping && now.Sub(c.stopAsked) > lastDeliveries
-	if stopped || !local.Usable() || local.Endpoint != e.Endpoint || c.limiter == nil {
+	evacuated := c.evacuated[c.self.Domain]
+	if stopped || evacuated || !local.Usable() || local.Endpoint != e.Endpoint || c.limiter == nil {
 		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: EndpointGone})
 		return
 	}
--- /dev/null
+++ b/internal/conductor/evacuation.go
@@ -0,0 +1,49 @@
+package conductor
+
+// Operators evacuate a failure domain before its VMs are worked on: no request may reach its endpoints any more, and what runs
+// there ends. Its nodes go on taking requests in and send them to other failure domains. When it is taken back, its endpoints
+// may be cold.
+//
+// Example: DomainsEvacuated{Domains: ["west"]}: a delivery to an endpoint of west is turned away as moved.
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+func (c *Conductor) evacuate(e DomainsEvacuated, now clock.Time) {
+	before := c.evacuated
+	c.evacuated = map[identifier.FailureDomain]bool{}
+	for _, domain := range e.Domains {
+		c.evacuated[domain] = true
+	}
+	own := c.self.Domain
+	if c.evacuated[own] && !before[own] {
+		c.shedQueue(now)
+	}
+	if before[own] && !c.evacuated[own] {
+		c.takeBack(now)
+	}
+	for node, m := range c.members {
+		if c.evacuated[m.Domain] == before[m.Domain] {
+			continue
+		}
+		if before[m.Domain] && node != c.self.Node {
+			c.assumeOtherCold(m, now)
+		}
+		c.routeAnew(m, now)
+	}
+}
+
+// takeBack uses the local endpoint again, as a cold one unless it says that it is warm.
+func (c *Conductor) takeBack(now clock.Time) {
+	local := c.registrar.Local()
+	if !local.Usable() {
+		return
+	}
+	c.startLimiter(local.Slots, 0, now)
+	c.assumeCold(now)
+	if c.boundsCold() && c.matcher != nil {
+		c.checkEndpoint()
+	}
+}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -153,6 +153,18 @@
 	From    identifier.Node
 	Version identifier.Version
 	AsOf    clock.Time
+	// Next is up to which offset that node knows the operators' orders, 0 if it does not say.
+	Next identifier.Offset
+}
+
+// OrdersRead tells up to which offset the operators' orders are known.
+type OrdersRead struct {
+	Next identifier.Offset
+}
+
+// DomainsEvacuated tells which failure domains are evacuated; all others are not.
+type DomainsEvacuated struct {
+	Domains []identifier.FailureDomain
 }
 
 // MemberLearned is a node's record; Dropped tells that the node took it back.
@@ -215,6 +227,8 @@
 func (ConfigurationRead) event()   {}
 func (ConfigurationProved) event() {}
 func (ProofHeard) event()          {}
+func (OrdersRead) event()          {}
+func (DomainsEvacuated) event()    {}
 func (MemberLearned) event()       {}
 func (ReportsHeard) event()        {}
 func (PeerFailed) event()          {}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -85,6 +85,8 @@
 	switch {
 	case m.State == exchanger.Leaving:
 		state = router.Leaving
+	case c.evacuated[m.Domain]:
+		state = router.Evacuated
 	case silent:
 		state = router.Suspect
 	case m.State == exchanger.Stopping:
@@ -181,17 +183,24 @@
 	}
 	c.judged = now
 	for node, m := range c.members {
-		if node == c.self.Node || m.State != exchanger.Ready {
-			continue
-		}
-		age, heard := c.table.Age(node, now)
-		if !heard {
-			age = now.Sub(c.learned[node])
+		if m.State == exchanger.Ready {
+			c.route(m, now, c.silent(node, now))
 		}
-		c.route(m, now, age > silentAfter)
 	}
 }
 
+// silent tells whether another node's reports have stopped or never come.
+func (c *Conductor) silent(node identifier.Node, now clock.Time) bool {
+	if node == c.self.Node {
+		return false
+	}
+	age, heard := c.table.Age(node, now)
+	if !heard {
+		age = now.Sub(c.learned[node])
+	}
+	return age > silentAfter
+}
+
 // Report makes this node's next report.
 func (c *Conductor) Report(now clock.Time) exchanger.Report {
 	c.reported++
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -40,6 +40,8 @@
 	Members          watcher.Topic
 	ConfigurationKey string
 	Decode           func([]byte) (matcher.Configuration, error)
+	// EvacuatedDomain returns the failure domain that a key of the operators' topic asks to evacuate, if it does.
+	EvacuatedDomain func(key string) (identifier.FailureDomain, bool)
 	// Announcements serves the local endpoint's heartbeats.
 	Announcements func(
 		accept func(registrar.Announcement),
@@ -71,9 +73,9 @@
 	// written is the sequence of the record that was written last.
 	written atomic.Int64
 	client  *http.Client
-	// waiting is the client for reads that stay open at another node, newest what others wait for here.
+	// waiting is the client for reads that stay open at another node, orders what others wait for here.
 	waiting *http.Client
-	newest  newestRecord
+	orders  orders
 	servers []*http.Server
 	cancel  context.CancelFunc
 	asked   chan struct{}
--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -101,6 +101,16 @@
 }
 
 func (w *world) start(t *testing.T, name string, service identifier.Service) *runningNode {
+	t.Helper()
+	return w.startIn(t, name, service, "west")
+}
+
+func (w *world) startIn(
+	t *testing.T,
+	name string,
+	service identifier.Service,
+	domain identifier.FailureDomain,
+) *runningNode {
 	t.Helper()
 	endpoint := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if w.work != nil {
@@ -111,7 +121,7 @@
 	}))
 	t.Cleanup(endpoint.Close)
 	n := &runningNode{done: make(chan error, 1), settings: loader.Sidecar{
-		Name: identifier.Node(name), Domain: "west", Service: service,
+		Name: identifier.Node(name), Domain: domain, Service: service,
 		Endpoint: netip.MustParseAddrPort(strings.TrimPrefix(endpoint.URL, "http://")),
 		Listen: loader.SidecarListen{
 			Outbound: freeAddress(t), Inbound: freeAddress(t), Readiness: freeAddress(t),
@@ -145,6 +155,10 @@
 				Teams:    []matcher.Team{{Name: "parish", Keys: []string{"k"}}},
 			}, nil
 		},
+		EvacuatedDomain: func(key string) (identifier.FailureDomain, bool) {
+			domain, ok := strings.CutPrefix(key, "evacuate ")
+			return identifier.FailureDomain(domain), ok
+		},
 		Announcements: func(accept func(registrar.Announcement), _ func(identifier.Endpoint), _ func(error)) http.Handler {
 			accepted <- accept
 			return http.NotFoundHandler()
--- /dev/null
+++ b/internal/mesher/orders_test.go
@@ -0,0 +1,45 @@
+package mesher
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/watcher"
+)
+
+func isTestOrder(key string) (followed, evacuation bool) {
+	return key != "other", key != "rules"
+}
+
+func record(key, value string, offset identifier.Offset) watcher.Record {
+	return watcher.Record{Key: key, Value: []byte(value), Offset: offset}
+}
+
+// The end of an evacuation whose record the store no longer keeps must not be missed: its endpoints would stay unused for good.
+func TestSnapshotEndsWhatItLacks(t *testing.T) {
+	var o orders
+	first := o.take(watcher.Update{Records: []watcher.Record{record("rules", "1", 3), record("east", "{}", 4)}, Next: 5}, isTestOrder)
+	assert.Assert(t, first.evacuations)
+	assert.Equal(t, len(first.configurations("rules")), 1)
+	again := o.take(watcher.Update{Records: []watcher.Record{record("rules", "1", 3)}, Next: 9, Snapshot: true}, isTestOrder)
+	assert.Assert(t, again.evacuations)
+	assert.Equal(t, len(again.configurations("rules")), 0)
+	passed, changed := o.from(5)
+	assert.Assert(t, changed == nil)
+	assert.Equal(t, len(passed), 1)
+	assert.Equal(t, passed[0].Key, "east")
+	assert.Equal(t, len(passed[0].Value), 0)
+	assert.Equal(t, o.next(), identifier.Offset(9))
+}
+
+// An order that comes late must not undo a later one.
+func TestOlderOrderIsPassedOver(t *testing.T) {
+	var o orders
+	o.take(watcher.Update{Records: []watcher.Record{record("east", "", 7), record("other", "x", 8)}, Next: 9}, isTestOrder)
+	late := o.take(watcher.Update{Records: []watcher.Record{record("east", "{}", 5)}, Next: 6}, isTestOrder)
+	assert.Equal(t, len(late.records), 0)
+	assert.Equal(t, len(o.all()), 1)
+	assert.Equal(t, o.next(), identifier.Offset(8))
+}
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -128,18 +128,18 @@
 	if err != nil {
 		return exchanger.Answer{}, nil, err
 	}
-	version, asOf, ok := relayer.ReadProof(response.Header, asked)
+	proof, ok := relayer.ReadProof(response.Header, asked)
 	if !ok {
 		return answer, nil, nil
 	}
-	return answer, &conductor.ProofHeard{From: member.Node, Version: version, AsOf: asOf}, nil
+	return answer, &conductor.ProofHeard{From: member.Node, Version: proof.Version, AsOf: proof.AsOf, Next: proof.Next}, nil
 }
 
 func (n *node) peerRouter() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/reports", n.serveReports).Methods(http.MethodPost)
 	router.HandleFunc(relayer.TokensPath, n.relayer.ServeTokens).Methods(http.MethodPost)
-	router.HandleFunc(configurationPath, n.serveConfiguration).Methods(http.MethodGet)
+	router.HandleFunc(ordersPath, n.serveOrders).Methods(http.MethodGet)
 	router.HandleFunc("/state", n.serveState).Methods(http.MethodGet)
 	return router
 }
--- a/internal/mesher/relay.go
+++ b/internal/mesher/relay.go
@@ -1,18 +1,20 @@
 package mesher
 
-// A new configuration is read from the store by the fleet's collector, and passed on by the collectors of the failure
-// domains to nodes that wait there for it. A change of the configuration would otherwise cost the store a call of every node.
+// What operators order, a new configuration or the evacuation of a failure domain, is read from the store by the fleet's
+// collector, and passed on by the collectors of the failure domains to nodes that wait there for it. Each order would
+// otherwise cost the store a call of every node.
 //
-// Example: GET /configuration?from=7&waitMs=28000 is answered when a record of offset 7 or later is known, or with 204.
+// Example: GET /orders?from=7&waitMilliseconds=28000 is answered with the records from offset 7 on as soon as there is one,
+// or with 204.
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -25,86 +27,45 @@
 )
 
 const (
-	configurationPath = "/configuration"
+	ordersPath    = "/orders"
+	waitParameter = "waitMilliseconds"
 	// relayPause is the wait after a collector gave no answer: half a period of the exchanges, by which another one is found.
 	relayPause = 250 * clock.Millisecond
-	// longestRelay bounds how long a node may wait for a configuration here.
+	// longestRelay bounds how long a node may wait for orders here.
 	longestRelay = 30 * clock.Second
-	// largestConfiguration bounds a record that is passed on.
-	largestConfiguration = 8 << 20
+	// largestOrders bounds what is passed on at once.
+	largestOrders = 8 << 20
 )
 
-// newestRecord is the newest configuration that a node knows, for those that wait for it.
-type newestRecord struct {
-	mu      sync.Mutex
-	record  watcher.Record
-	known   bool
-	changed chan struct{}
-}
-
-func (n *newestRecord) set(r watcher.Record) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.record, n.known = r, true
-	if n.changed != nil {
-		close(n.changed)
-		n.changed = nil
-	}
-}
-
-// get returns the record if its offset is at least from, or a channel that is closed at the next change.
-func (n *newestRecord) get(from identifier.Offset) (watcher.Record, <-chan struct{}) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.known && n.record.Offset >= from {
-		return n.record, nil
-	}
-	if n.changed == nil {
-		n.changed = make(chan struct{})
-	}
-	return watcher.Record{}, n.changed
-}
-
-// wait returns the first record of offset from or later, and none when the context ends.
-func (n *newestRecord) wait(ctx context.Context, from identifier.Offset) (watcher.Record, bool) {
-	for {
-		r, changed := n.get(from)
-		if changed == nil {
-			return r, true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return watcher.Record{}, false
-		}
-	}
-}
-
-type wireConfiguration struct {
+type wireRecord struct {
 	Key    string `cbor:"1,keyasint"`
 	Offset int64  `cbor:"2,keyasint"`
-	Value  []byte `cbor:"3,keyasint"`
+	Value  []byte `cbor:"3,keyasint,omitempty"`
 }
 
-func (n *node) serveConfiguration(w http.ResponseWriter, r *http.Request) {
+func (n *node) serveOrders(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.ParseInt(r.FormValue("from"), 10, 64)
 	if err != nil {
 		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	waitMs, err := strconv.ParseInt(r.FormValue("waitMs"), 10, 64)
-	if err != nil || waitMs < 0 {
-		http.Error(w, fmt.Sprintf("waitMs: %q is not a time", r.FormValue("waitMs")), http.StatusBadRequest)
+	wait, err := strconv.ParseInt(r.FormValue(waitParameter), 10, 64)
+	if err != nil || wait < 0 {
+		http.Error(w, fmt.Sprintf("%s: %q is not a time", waitParameter, r.FormValue(waitParameter)), http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), min(clock.Duration(waitMs), longestRelay).Std())
+	ctx, cancel := context.WithTimeout(r.Context(), min(clock.Duration(wait), longestRelay).Std())
 	defer cancel()
-	record, ok := n.newest.wait(ctx, identifier.Offset(from))
-	if !ok {
+	records := n.orders.wait(ctx, identifier.Offset(from))
+	if len(records) == 0 {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	data, err := cbor.Marshal(wireConfiguration{Key: record.Key, Offset: int64(record.Offset), Value: record.Value})
+	wire := make([]wireRecord, 0, len(records))
+	for _, r := range records {
+		wire = append(wire, wireRecord{Key: r.Key, Offset: int64(r.Offset), Value: r.Value})
+	}
+	data, err := cbor.Marshal(wire)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -123,7 +84,7 @@
 func (t relayedTopic) Read(ctx context.Context, from identifier.Offset, wait clock.Duration) (watcher.Batch, error) {
 	source, ok := t.node.configurationSource()
 	if !ok {
-		return t.Topic.Read(ctx, from, wait)
+		return t.readStore(ctx, from, wait)
 	}
 	batch, err := t.node.readRelayed(ctx, source, from, wait)
 	if err != nil && ctx.Err() == nil {
@@ -133,6 +94,27 @@
 	return batch, nil
 }
 
+// readStore reads from the store, and if that fails takes what a collector that still answers has.
+func (t relayedTopic) readStore(ctx context.Context, from identifier.Offset, wait clock.Duration) (watcher.Batch, error) {
+	batch, failed := t.Topic.Read(ctx, from, wait)
+	var dropped watcher.DroppedError
+	if failed == nil || errors.As(failed, &dropped) {
+		return batch, failed
+	}
+	var source exchanger.Member
+	known := false
+	boot := clock.Boot{}.Now()
+	t.node.relayer.View(func(c *conductor.Conductor, now clock.Time) { source, known = c.ProvingNode(now, boot) })
+	if !known {
+		return batch, failed
+	}
+	relayed, err := t.node.readRelayed(ctx, source, from, 0)
+	if err != nil || len(relayed.Records) == 0 {
+		return batch, failed
+	}
+	return relayed, nil
+}
+
 // retryAtCollector ends the wait after a failed call of the store when a collector has a proof again: a configuration that
 // follows an outage closely would otherwise be late by that wait.
 func (n *node) retryAtCollector() {
@@ -154,38 +136,40 @@
 	wait clock.Duration,
 ) (watcher.Batch, error) {
 	batch := watcher.Batch{End: from, Relayed: true}
-	query := url.Values{"from": {strconv.FormatInt(int64(from), 10)}, "waitMs": {strconv.FormatInt(int64(wait), 10)}}
-	address := "http://" + source.Peer + configurationPath + "?" + query.Encode()
+	query := url.Values{"from": {strconv.FormatInt(int64(from), 10)}, waitParameter: {strconv.FormatInt(int64(wait), 10)}}
+	address := "http://" + source.Peer + ordersPath + "?" + query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return batch, err
 	}
 	response, err := n.waiting.Do(request)
 	if err != nil {
-		return batch, fmt.Errorf("wait for a configuration: %w", err)
+		return batch, fmt.Errorf("wait for orders: %w", err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, largestConfiguration))
+	data, err := io.ReadAll(io.LimitReader(response.Body, largestOrders))
 	if err != nil {
-		return batch, fmt.Errorf("read a configuration: %w", err)
+		return batch, fmt.Errorf("read orders: %w", err)
 	}
 	switch response.StatusCode {
 	case http.StatusNoContent:
 		return batch, nil
 	case http.StatusOK:
 	default:
-		return batch, fmt.Errorf("wait for a configuration: status %d", response.StatusCode)
+		return batch, fmt.Errorf("wait for orders: status %d", response.StatusCode)
 	}
-	var w wireConfiguration
-	if err := cbor.Unmarshal(data, &w); err != nil {
-		return batch, fmt.Errorf("decode a configuration: %w", err)
+	var wire []wireRecord
+	if err := cbor.Unmarshal(data, &wire); err != nil {
+		return batch, fmt.Errorf("decode orders: %w", err)
 	}
-	if identifier.Offset(w.Offset) < from {
-		return batch, fmt.Errorf("decode a configuration: offset %d, asked from %d", w.Offset, from)
+	for _, w := range wire {
+		if identifier.Offset(w.Offset) < from {
+			return batch, fmt.Errorf("decode orders: offset %d, asked from %d", w.Offset, from)
+		}
+		batch.Records = append(batch.Records, watcher.Record{Key: w.Key, Value: w.Value, Offset: identifier.Offset(w.Offset)})
 	}
 	if source.Domain != n.options.Settings.Domain {
 		n.recorder.Crossed(recorder.Crossing{Cause: "configuration", Reason: "relayed", Received: int64(len(data))})
 	}
-	batch.Records = []watcher.Record{{Key: w.Key, Value: w.Value, Offset: identifier.Offset(w.Offset)}}
 	return batch, nil
 }
--- a/internal/mesher/relay_test.go
+++ b/internal/mesher/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -70,15 +71,53 @@
 	w := &world{}
 	n := w.start(t, "beside", "portal")
 	for name, c := range map[string]struct{ query, want string }{
-		"no offset":     {query: "?waitMs=5", want: "from"},
-		"negative wait": {query: "?from=1&waitMs=-5", want: `waitMs: "-5"`},
+		"no offset":     {query: "?waitMilliseconds=5", want: "from"},
+		"negative wait": {query: "?from=1&waitMilliseconds=-5", want: `waitMilliseconds: "-5"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			status, text := firstAnswer(t, func() (int, string) {
-				return n.get(n.settings.Listen.Peer, configurationPath+c.query)
+				return n.get(n.settings.Listen.Peer, ordersPath+c.query)
 			})
 			assert.Equal(t, status, 400, text)
 			assert.Assert(t, strings.Contains(text, c.want), text)
 		})
 	}
 }
+
+// An evacuation, and its end, must reach every node by its collector, and its endpoints get nothing in between.
+func TestEvacuationComesByTheCollector(t *testing.T) {
+	w := &world{}
+	ctx := context.Background()
+	assert.NilError(t, w.operators.Write(ctx, "rules", []byte("version 1")))
+	w.startIn(t, "beside", "portal", "east")
+	entry := w.start(t, "entry", "desk")
+	served := func() bool { status, _ := entry.request(); return status == 200 }
+	eventually(t, "served", served)
+	time.Sleep(time.Second)
+	before := storeReads(entry)
+	assert.NilError(t, w.operators.Write(ctx, "evacuate east", []byte("{}")))
+	eventually(t, "refused", func() bool {
+		status, text := entry.request()
+		return status == 503 && strings.HasPrefix(text, "noEndpoint")
+	})
+	assert.NilError(t, w.operators.Write(ctx, "evacuate east", nil))
+	eventually(t, "served again", served)
+	assert.Assert(t, storeReads(entry) <= before+1, "%d calls before, %d after", before, storeReads(entry))
+}
+
+// A node that starts during an evacuation must know of it before it sends anything.
+func TestEvacuationIsKnownAtTheStart(t *testing.T) {
+	w := &world{}
+	ctx := context.Background()
+	assert.NilError(t, w.operators.Write(ctx, "rules", []byte("version 1")))
+	assert.NilError(t, w.operators.Write(ctx, "evacuate east", []byte("{}")))
+	reached := make(chan struct{}, 100)
+	w.work = func(*http.Request) { reached <- struct{}{} }
+	w.startIn(t, "beside", "portal", "east")
+	entry := w.start(t, "entry", "desk")
+	eventually(t, "refused", func() bool {
+		status, text := entry.request()
+		return status == 503 && strings.HasPrefix(text, "noEndpoint")
+	})
+	assert.Equal(t, len(reached), 0)
+}
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -70,13 +70,17 @@
 }
 
 func (n *node) takeConfiguration(u watcher.Update) {
-	for _, r := range u.Records {
-		if r.Key == n.options.Outside.ConfigurationKey && len(r.Value) > 0 {
-			n.readConfiguration(r)
-			n.newest.set(r)
-			// Its collector's proof comes at once, so that the node need not ask the store for its own.
-			n.exchangeSoon()
-		}
+	taken := n.orders.take(u, n.isOrder)
+	for _, r := range taken.configurations(n.options.Outside.ConfigurationKey) {
+		n.readConfiguration(r)
+	}
+	if taken.evacuations {
+		n.takeEvacuations()
+	}
+	if len(taken.records) > 0 {
+		n.relayer.Tell(conductor.OrdersRead{Next: n.orders.next()})
+		// Its collector's proof comes at once, so that the node need not ask the store for its own.
+		n.exchangeSoon()
 	}
 	if !u.Complete {
 		return
@@ -86,6 +90,32 @@
 	n.relayer.Tell(conductor.ConfigurationProved{Version: version, AsOf: u.AsOf})
 }
 
+// isOrder tells whether a key is one that nodes follow, and whether it asks for an evacuation.
+func (n *node) isOrder(key string) (followed, evacuation bool) {
+	if n.options.Outside.EvacuatedDomain != nil {
+		_, evacuation = n.options.Outside.EvacuatedDomain(key)
+	}
+	return evacuation || key == n.options.Outside.ConfigurationKey, evacuation
+}
+
+// takeEvacuations puts in force which failure domains are evacuated.
+func (n *node) takeEvacuations() {
+	domains := []identifier.FailureDomain{}
+	newest := identifier.Offset(-1)
+	for _, r := range n.orders.all() {
+		domain, ok := n.options.Outside.EvacuatedDomain(r.Key)
+		if !ok {
+			continue
+		}
+		newest = max(newest, r.Offset)
+		if len(r.Value) > 0 {
+			domains = append(domains, domain)
+		}
+	}
+	n.recorder.Event("evacuations read", "domains", domains, "offset", int64(newest))
+	n.relayer.Tell(conductor.DomainsEvacuated{Domains: domains})
+}
+
 func (n *node) readConfiguration(r watcher.Record) {
 	refuse := func(err error) {
 		n.recorder.Event("configuration refused", "offset", int64(r.Offset), "error", err.Error())
--- a/internal/relayer/proof.go
+++ b/internal/relayer/proof.go
@@ -3,7 +3,8 @@
 // Answers between nodes carry the version in force at the answering node, and how long ago it was the newest, so that a node
 // that the store turns away can go on serving keyed requests.
 //
-// Example: Jackdaw-Proved: 12,800 is version 12, which was the newest 800 ms before the answer.
+// Example: Jackdaw-Proved: 12,800,57 is version 12, which was the newest 800 ms before the answer, by a node that knows the
+// orders before offset 57.
 
 import (
 	"net/http"
@@ -32,53 +33,66 @@
 	if !ok {
 		return ""
 	}
-	return formatProof(version, r.options.Boot.Now().Sub(at))
+	return formatProof(version, r.options.Boot.Now().Sub(at), c.OrdersNext())
+}
+
+// Proof is another node's word that a version was the newest at a moment of this node's boot clock.
+type Proof struct {
+	Version identifier.Version
+	AsOf    clock.Time
+	// Next is up to which offset of the operators' orders the node knows them, 0 if it does not say.
+	Next identifier.Offset
 }
 
 // ReadProof reads what SetProof wrote at another node that was asked at a boot time. Its age is counted from that moment,
 // which was before the other node answered: so the proof is never taken for fresher than it is.
-func ReadProof(h http.Header, asked clock.Time) (version identifier.Version, asOf clock.Time, ok bool) {
+func ReadProof(h http.Header, asked clock.Time) (Proof, bool) {
 	return proofAt(h.Get(provedField), asked)
 }
 
-func proofAt(text string, asked clock.Time) (version identifier.Version, asOf clock.Time, ok bool) {
-	version, age, ok := parseProof(text)
-	return version, asked.Add(-age), ok
+func proofAt(text string, asked clock.Time) (Proof, bool) {
+	version, age, next, ok := parseProof(text)
+	return Proof{Version: version, AsOf: asked.Add(-age), Next: next}, ok
 }
 
-// formatProof and parseProof carry the version in force at a node, and how long ago it was the newest.
-func formatProof(version identifier.Version, age clock.Duration) string {
-	return strconv.FormatInt(int64(version), 10) + "," + strconv.FormatInt(int64(age), 10)
+// formatProof and parseProof carry the version in force at a node, how long ago it was the newest, and up to which offset the
+// node knows the operators' orders.
+func formatProof(version identifier.Version, age clock.Duration, next identifier.Offset) string {
+	text := strconv.FormatInt(int64(version), 10) + "," + strconv.FormatInt(int64(age), 10)
+	if next > 0 {
+		text += "," + strconv.FormatInt(int64(next), 10)
+	}
+	return text
 }
 
-func parseProof(text string) (version identifier.Version, age clock.Duration, ok bool) {
-	v, a, found := strings.Cut(text, ",")
-	if !found {
-		return 0, 0, false
-	}
-	number, err := strconv.ParseInt(v, 10, 64)
-	if err != nil {
-		return 0, 0, false
+func parseProof(text string) (version identifier.Version, age clock.Duration, next identifier.Offset, ok bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) < 2 || len(parts) > 3 {
+		return 0, 0, 0, false
 	}
-	milliseconds, err := strconv.ParseInt(a, 10, 64)
-	if err != nil || milliseconds < 0 {
-		return 0, 0, false
+	var numbers [3]int64
+	for i, part := range parts {
+		number, err := strconv.ParseInt(part, 10, 64)
+		if err != nil || number < 0 && i > 0 {
+			return 0, 0, 0, false
+		}
+		numbers[i] = number
 	}
-	return identifier.Version(number), clock.Duration(milliseconds), true
+	return identifier.Version(numbers[0]), clock.Duration(numbers[1]), identifier.Offset(numbers[2]), true
 }
 
 // learnProof takes over another node's proof.
 func (r *Relayer) learnProof(text string, asked clock.Time) {
-	version, asOf, ok := proofAt(text, asked)
+	proof, ok := proofAt(text, asked)
 	if !ok {
 		return
 	}
 	known, at, proved := identifier.Version(0), clock.Time(0), false
 	r.View(func(c *conductor.Conductor, _ clock.Time) { known, at, proved = c.ProvedAt() })
-	if known != version || proved && asOf.Sub(at) < worthwhile {
+	if known != proof.Version || proved && proof.AsOf.Sub(at) < worthwhile {
 		return
 	}
-	r.Tell(conductor.ConfigurationProved{Version: version, AsOf: asOf})
+	r.Tell(conductor.ConfigurationProved{Version: proof.Version, AsOf: proof.AsOf})
 }
 
 // worthwhile is by how much a proof must be fresher to be taken over; less would change nothing and cost a lock.
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -31,7 +31,7 @@
 	// near and far are the usable endpoints of the own failure domain and of the others.
 	near, far group
 	// ejected endpoints are probed; limited, stopping, ejected and suspect ones, in this order, are the last resort; leaving
-	// ones are never picked; full ones wait for one of their calls to end, so that no pick has to search past them.
+	// and evacuated ones are never picked; full ones wait for one of their calls to end, so that no pick has to search past them.
 	ejected, limited, stopping, suspect, leaving, full group
 	count                                              int
 	// used is the mean used part that answers told of, latency the mean over the answered calls.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -259,7 +259,7 @@
 
 func (r *Router) groupOf(s *service, m *member) *group {
 	switch {
-	case m.endpoint.State == Leaving:
+	case m.endpoint.State == Leaving || m.endpoint.State == Evacuated:
 		return &s.leaving
 	case m.full():
 		return &s.full
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -28,6 +28,8 @@
 	Suspect
 	// Limited is cold and bears only a few calls a second; it is picked when no warm one is left.
 	Limited
+	// Evacuated is in a failure domain that gets nothing.
+	Evacuated
 	// Stopping is about to close for a while; it is picked when no sound one is left, and before those in doubt.
 	Stopping
 )
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -25,6 +25,8 @@
 	AsOf clock.Time
 	// Complete tells that no record up to AsOf is missing.
 	Complete bool
+	// Snapshot tells that the records are the newest of all keys, and that a key without one has none.
+	Snapshot bool
 }
 
 // Options set a watcher up; Topic, Now and Took are required.
@@ -238,6 +240,6 @@
 	w.next = b.End
 	w.known = true
 	w.news = true
-	w.options.Took(Update{Records: b.Records, Next: w.next, AsOf: asked, Complete: true})
+	w.options.Took(Update{Records: b.Records, Next: w.next, AsOf: asked, Complete: true, Snapshot: true})
 	return nil
 }
