Routes and teams that are bound to regions keep to them

Change: the regions of failure domains come with the settings; a configuration that names an unknown region is refused with field and value, nothing applied. Placement, repeats, probes of ejected endpoints and the last resort take only endpoints in regions that both route and team allow; a request that no region may serve is refused at once as not run.

--- a/internal/checker/table.go
+++ b/internal/checker/table.go
@@ -100,6 +100,11 @@
 	return inner
 }
 
+// Keys returns the keys of this table, sorted; each has to be read.
+func (t *Table) Keys() []string {
+	return slices.Sorted(maps.Keys(t.values))
+}
+
 // Tables returns the tables of an array such as [[team]].
 func (t *Table) Tables(key string) []*Table {
 	v, given := t.take(key)
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -46,6 +46,8 @@
 	Bounds Bounds
 	// EndpointAddress is where the local endpoint listens.
 	EndpointAddress string
+	// Regions are those of the failure domains.
+	Regions map[identifier.FailureDomain]identifier.Region
 	// Random is the seeded source of all choices.
 	Random *rand.Rand
 }
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -32,6 +32,8 @@
 	// at is the other node that an attempt is under way at, empty for none.
 	at       identifier.Node
 	excluded []identifier.Endpoint
+	// allowed are the failure domains whose endpoints may run it, nil for all.
+	allowed map[identifier.FailureDomain]bool
 	// doubt tells that an attempt may have run.
 	doubt bool
 	// counted tells that a node has counted the request among its endpoint's arrivals. One that was only dialled in vain
@@ -73,6 +75,7 @@
 	if e.Left > 0 {
 		r.deadline = min(r.deadline, now.Add(e.Left))
 	}
+	r.allowed = c.allowedDomains(r)
 	r.class = classOf(r)
 	r.rank = r.class.rank(c.random.Uint64())
 	r.service = c.splitOf(route).next()
--- a/internal/conductor/placing.go
+++ b/internal/conductor/placing.go
@@ -44,7 +44,7 @@
 func (c *Conductor) need(r *call) router.Need {
 	from := r.origin()
 	c.sent[from] = true
-	n := router.Need{Within: r.route.Objective, Nested: r.nested, Domains: c.plan.homes[from]}
+	n := router.Need{Within: r.route.Objective, Nested: r.nested, Domains: c.plan.homes[from], Allowed: r.allowed}
 	if r.route.Kind == matcher.Upload {
 		n.Within = 0
 	}
@@ -57,6 +57,10 @@
 		c.rejectCall(r, Deadline, now)
 		return
 	}
+	if r.allowed != nil && len(r.allowed) == 0 {
+		c.rejectCall(r, NoEndpoint, now)
+		return
+	}
 	if c.place(r, now) || c.awaitEndpoint(r, now) {
 		return
 	}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -12,6 +12,9 @@
 // Route names a route of the configuration.
 type Route string
 
+// Region is the name of a region, which holds some failure domains.
+type Region string
+
 // FailureDomain is the name of a failure domain.
 type FailureDomain string
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -53,7 +53,7 @@
 func readNode(t *checker.Table, s *Settings) {
 	s.Name = NodeName(t.Name("name"))
 	s.Domain = identifier.FailureDomain(t.Name("failureDomain"))
-	s.Region = Region(t.Name("region"))
+	s.Region = identifier.Region(t.Name("region"))
 }
 
 func readListen(t *checker.Table) Listen {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -16,14 +16,11 @@
 // NodeName is the name of a VM's node in its settings; it stays the same when the process restarts.
 type NodeName string
 
-// Region is the name of a region, which holds some failure domains.
-type Region string
-
 // Settings are the checked settings of one node.
 type Settings struct {
 	Name   NodeName
 	Domain identifier.FailureDomain
-	Region Region
+	Region identifier.Region
 	Listen Listen
 	Log    Log
 	// Seeds are the peer addresses of some nodes, asked when the log is down at the start.
--- a/internal/loader/sidecar.go
+++ b/internal/loader/sidecar.go
@@ -17,6 +17,8 @@
 type Sidecar struct {
 	Name   identifier.Node
 	Domain identifier.FailureDomain
+	// Regions are those of the failure domains; empty where the platform does not tell.
+	Regions map[identifier.FailureDomain]identifier.Region
 	// Service and Endpoint name the endpoint on the same VM and where it listens.
 	Service  identifier.Service
 	Endpoint netip.AddrPort
@@ -99,6 +101,7 @@
 	node := t.Table("node")
 	s.Name = identifier.Node(node.Name("name"))
 	s.Domain = identifier.FailureDomain(node.Name("failureDomain"))
+	s.Regions = readRegions(t.Table("regions"))
 	endpoint := t.Table("endpoint")
 	s.Service = identifier.Service(endpoint.Name("service"))
 	s.Endpoint = endpoint.Address("address")
@@ -122,6 +125,14 @@
 	return s, nil
 }
 
+func readRegions(t *checker.Table) map[identifier.FailureDomain]identifier.Region {
+	regions := map[identifier.FailureDomain]identifier.Region{}
+	for _, domain := range t.Keys() {
+		regions[identifier.FailureDomain(domain)] = identifier.Region(t.Name(domain))
+	}
+	return regions
+}
+
 func readSidecarBounds(t *checker.Table) SidecarBounds {
 	return SidecarBounds{
 		Revoke:               t.DurationOr("revoke", defaultRevoke, minBound, maxTimeout),
--- a/internal/loader/sidecar_test.go
+++ b/internal/loader/sidecar_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/checker"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 const goodSidecar = `
@@ -36,6 +37,11 @@
 [store]
 address = "10.200.1.7:80"
 
+[regions]
+west = "mainland"
+east-1 = "mainland"
+south = "islands"
+
 [limits]
 memoryMb = 284
 
@@ -53,6 +59,9 @@
 	// A platform that gives no figure gets the default of its pages, not none.
 	assert.Equal(t, s.Bounds.Grace, defaultGrace)
 	assert.Equal(t, s.MemoryMB, 284)
+	assert.DeepEqual(t, s.Regions, map[identifier.FailureDomain]identifier.Region{
+		"west": "mainland", "east-1": "mainland", "south": "islands",
+	})
 }
 
 // A bound that is worked out may have a fraction; a node that does not start for it leaves its endpoint without service.
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -92,6 +93,31 @@
 	return nil
 }
 
+// CheckRegions tells of a region that a route or a team is bound to and that is none of the known ones.
+func (m *Matcher) CheckRegions(known map[identifier.FailureDomain]identifier.Region) error {
+	for _, r := range m.configuration.Routes {
+		if err := checkRegions("regions of route "+r.Name, r.Regions, known); err != nil {
+			return err
+		}
+	}
+	for _, t := range m.configuration.Teams {
+		if err := checkRegions("regions of team "+string(t.Name), t.Regions, known); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRegions(field string, regions []identifier.Region, known map[identifier.FailureDomain]identifier.Region) error {
+	there := slices.Collect(maps.Values(known))
+	for _, region := range regions {
+		if !slices.Contains(there, region) {
+			return InvalidError{Field: field, Value: string(region), Want: "a region of this deployment"}
+		}
+	}
+	return nil
+}
+
 func checkRoute(r Route, known map[identifier.Service]bool) error {
 	field := func(name string) string { return name + " of route " + r.Name }
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
--- a/internal/matcher/types.go
+++ b/internal/matcher/types.go
@@ -46,6 +46,8 @@
 	Attempts int
 	// Public routes need no key.
 	Public bool
+	// Regions are those whose endpoints may run its requests; empty allows all.
+	Regions []identifier.Region
 }
 
 // Team is a tenant with its keys and the rate that it bought.
@@ -58,6 +60,8 @@
 	// Rate is in requests a second, Burst in requests; a Rate of 0 is unlimited.
 	Rate  float64
 	Burst float64
+	// Regions are those whose endpoints may run its requests; empty allows all.
+	Regions []identifier.Region
 }
 
 // Service is a service that routes name.
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -135,6 +135,7 @@
 		},
 		Bounds:          boundsOf(s.Bounds),
 		EndpointAddress: s.Endpoint.String(),
+		Regions:         s.Regions,
 		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, c.Now())
 }
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -130,6 +130,10 @@
 		refuse(err)
 		return
 	}
+	if err := m.CheckRegions(n.options.Settings.Regions); err != nil {
+		refuse(err)
+		return
+	}
 	n.relayer.Tell(conductor.ConfigurationRead{Matcher: m, At: clock.Boot{}.Now()})
 	n.recorder.Event("configuration read", "version", int64(m.Version()), "offset", int64(r.Offset))
 }
--- a/internal/router/eject.go
+++ b/internal/router/eject.go
@@ -8,7 +8,6 @@
 
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
-	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 // keepFactor is how many usable endpoints must stay for each ejected one.
@@ -88,13 +87,13 @@
 }
 
 // probe returns an ejected endpoint whose time has come, for a single call.
-func (r *Router) probe(s *service, now clock.Time, exclude []identifier.Endpoint) *member {
+func (r *Router) probe(s *service, q request) *member {
 	n := len(s.ejected.members)
 	if n == 0 {
 		return nil
 	}
-	m := r.allowed(&s.ejected, r.options.Rand.IntN(n), exclude)
-	if m == nil || m.probing || now < m.until {
+	m := r.allowed(&s.ejected, r.options.Rand.IntN(n), q)
+	if m == nil || m.probing || q.now < m.until {
 		return nil
 	}
 	m.probing = true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -119,9 +119,14 @@
 	need    Need
 }
 
+// allows tells whether an endpoint is not excluded and may run the call.
+func (q request) allows(m *member) bool {
+	return !slices.Contains(q.exclude, m.endpoint.ID) && q.need.allows(m.endpoint)
+}
+
 // choose returns an endpoint, and why it would be one elsewhere.
 func (r *Router) choose(s *service, q request) (*member, Crossing) {
-	if m := r.probe(s, q.now, q.exclude); m != nil {
+	if m := r.probe(s, q); m != nil {
 		return m, Probing
 	}
 	if len(q.need.Domains) > 0 {
@@ -173,7 +178,7 @@
 		return nil
 	}
 	first := r.options.Rand.IntN(n)
-	a := r.allowed(g, first, q.exclude)
+	a := r.allowed(g, first, q)
 	if a == nil || n == 1 {
 		return a
 	}
@@ -181,7 +186,7 @@
 	if second >= first {
 		second++
 	}
-	b := r.allowed(g, second, q.exclude)
+	b := r.allowed(g, second, q)
 	if r.cost(b, q) < r.cost(a, q) {
 		return b
 	}
@@ -192,7 +197,7 @@
 func (r *Router) drawIn(g *group, q request) *member {
 	var best *member
 	for _, m := range g.members {
-		if !slices.Contains(q.need.Domains, m.endpoint.Domain) || slices.Contains(q.exclude, m.endpoint.ID) {
+		if !slices.Contains(q.need.Domains, m.endpoint.Domain) || !q.allows(m) {
 			continue
 		}
 		if m.score(q.now, r.options) < spillScore && (best == nil || r.cost(m, q) < r.cost(best, q)) {
@@ -202,12 +207,12 @@
 	return best
 }
 
-// allowed returns the member at the place, or the next one that is not excluded.
-func (r *Router) allowed(g *group, place int, exclude []identifier.Endpoint) *member {
+// allowed returns the member at the place, or the next one that may run the call.
+func (r *Router) allowed(g *group, place int, q request) *member {
 	n := len(g.members)
 	for i := range n {
 		m := g.members[(place+i)%n]
-		if !slices.Contains(exclude, m.endpoint.ID) {
+		if q.allows(m) {
 			return m
 		}
 	}
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -68,6 +68,13 @@
 	// Domains are the failure domains in which the call's own nested calls find endpoints, where the own domain is none of
 	// them; empty for no preference.
 	Domains []identifier.FailureDomain
+	// Allowed are the failure domains whose endpoints may run the call; nil allows all.
+	Allowed map[identifier.FailureDomain]bool
+}
+
+// allows tells whether an endpoint may run the call.
+func (n Need) allows(e Endpoint) bool {
+	return n.Allowed == nil || n.Allowed[e.Domain]
 }
 
 // Crossing is why a call leaves the own failure domain; Inside where it does not.
