conductor: the fleet's fuzz plays endpoints that crash and come back cold, and evacuations

It checks that a cold endpoint gets what it bears in every second, and that an endpoint whose node knows of its domain's evacuation gets nothing.

--- a/internal/conductor/fuzz_test.go
+++ b/internal/conductor/fuzz_test.go
@@ -68,6 +68,7 @@
 	// waiting holds what goes on when a held delivery is decided, aborts what ends an attempt under way.
 	waiting map[CallID]func(Effect)
 	aborts  map[CallID]func()
+	place   fuzzPlace
 }
 
 // told is one request as its caller and the endpoints saw it.
@@ -101,6 +102,9 @@
 	ran       []clock.Time
 	// rate is the team's, with as much burst.
 	rate float64
+	// places tells that endpoints crash and turn cold, and that failure domains are evacuated.
+	places    bool
+	evacuated map[identifier.FailureDomain]bool
 }
 
 func (w *fleetWorld) after(d clock.Duration, run func()) {
@@ -110,7 +114,7 @@
 
 func (w *fleetWorld) member(i int) exchanger.Member {
 	return exchanger.Member{
-		Node: identifier.Node(fmt.Sprintf("n%d", i)), Deliver: fmt.Sprint(i), Peer: "p", Domain: "west",
+		Node: identifier.Node(fmt.Sprintf("n%d", i)), Deliver: fmt.Sprint(i), Peer: "p", Domain: w.domainOf(i),
 		Service: "portal", Incarnation: int64(w.now) + 1,
 	}
 }
@@ -126,10 +130,12 @@
 		Bounds: Bounds{
 			Revoke: fuzzRevoke, InForce: 2000, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10000,
 			Rate: apportioner.Tolerance{Window: 5, Part: 0.1, Requests: 20},
+			Cold: w.coldBound(),
 		},
 		EndpointAddress: "e",
 		Random:          rand.New(rand.NewPCG(w.random.Uint64(), 1)),
 	}, w.now)
+	n.place.knowsEvacuated = false
 	life := n.life
 	w.every(i, life, 300, func() { w.poll(i) })
 	w.every(i, life, 500, func() { w.report(i) })
@@ -164,7 +170,7 @@
 	return matcher.Configuration{
 		Version:  w.version,
 		Routes:   []matcher.Route{idempotent, order},
-		Services: []matcher.Service{{Name: "portal"}},
+		Services: []matcher.Service{{Name: "portal", ColdRate: fuzzColdRate, ColdStart: fuzzColdStart}},
 		Teams:    []matcher.Team{{Name: "parish", Keys: keys, Rate: w.rate, Burst: w.rate}},
 	}
 }
@@ -176,7 +182,7 @@
 	}
 	n, asked := w.nodes[i], w.now
 	life := n.life
-	config := w.configuration()
+	config, evacuated := w.configuration(), w.evacuations()
 	w.after(clock.Duration(w.random.Int64N(400)), func() {
 		if n.life != life || !n.up || n.frozen {
 			return
@@ -187,6 +193,7 @@
 		}
 		w.apply(i, 0, ConfigurationRead{Matcher: m, At: w.now})
 		w.apply(i, 0, ConfigurationProved{Version: config.Version, AsOf: asked})
+		w.tellEvacuated(i, evacuated)
 	})
 }
 
@@ -205,10 +212,13 @@
 
 func (w *fleetWorld) beat(i int) {
 	n := w.nodes[i]
+	if n.place.down {
+		return
+	}
 	n.sequence++
 	w.apply(i, 0, EndpointAnnounced{Announcement: registrar.Announcement{
-		Endpoint: identifier.Endpoint(fmt.Sprintf("i%d", i)), Service: "portal", Address: "e", Slots: 4, Started: 1,
-		Sequence: n.sequence, Leaving: n.leaving,
+		Endpoint: identifier.Endpoint(fmt.Sprintf("i%d", i)), Service: "portal", Address: "e", Slots: 4, Started: 1 + n.place.restarts,
+		Sequence: n.sequence, Leaving: n.leaving, ColdLeft: n.place.coldLeft(w.now),
 	}})
 	if n.leaving && n.ackLeaving == 0 {
 		n.ackLeaving = w.now
@@ -395,6 +405,9 @@
 	if n.ackLeaving != 0 && w.now > n.ackLeaving {
 		w.t.Fatalf("%d: endpoint i%d got request %d though it said at %d that it leaves", w.now, to, id, n.ackLeaving)
 	}
+	if !w.reachesEndpoint(to, local, done) {
+		return
+	}
 	outcome := Answered
 	switch w.random.IntN(20) {
 	case 0:
@@ -440,7 +453,11 @@
 func (w *fleetWorld) trouble() {
 	i := w.random.IntN(len(w.nodes))
 	n := w.nodes[i]
-	switch w.random.IntN(8) {
+	kinds := 8
+	if w.places {
+		kinds = 11
+	}
+	switch w.random.IntN(kinds) {
 	case 0:
 		w.away = !w.away
 	case 1:
@@ -457,6 +474,7 @@
 		w.after(clock.Duration(w.random.Int64N(4000)), func() {
 			if n.life == life {
 				n.frozen = false
+				w.catchUp(i)
 			}
 		})
 	case 4:
@@ -467,6 +485,14 @@
 		for j := range w.nodes {
 			w.kill(j)
 		}
+	case 8:
+		w.crashEndpoint(i)
+	case 9:
+		for j := range w.nodes {
+			w.crashEndpoint(j)
+		}
+	case 10:
+		w.evacuateOrTakeBack(w.domainOf(i))
 	}
 }
 
@@ -492,6 +518,20 @@
 	})
 }
 
+// The same while endpoints crash and come back cold, and failure domains are evacuated and taken back: a cold endpoint gets
+// what it bears, and one whose node knows that its domain is evacuated gets nothing.
+func TestFuzzFleetOfPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		playFleet(t, fleetDay{
+			seed:      rapid.Uint64().Draw(t, "seed"),
+			rate:      fuzzPlacesRate,
+			perSecond: rapid.IntRange(100, 800).Draw(t, "perSecond"),
+			troubles:  rapid.IntRange(0, 16).Draw(t, "troubles"),
+			places:    true,
+		})
+	})
+}
+
 // Days that broke a promise once.
 func TestFleetDays(t *testing.T) {
 	tests := map[string]fleetDay{
@@ -509,6 +549,7 @@
 	seed                uint64
 	rate                float64
 	perSecond, troubles int
+	places              bool
 }
 
 func playFleet(t failer, d fleetDay) {
@@ -519,6 +560,8 @@
 		withdrawn: map[string]clock.Time{},
 		requests:  map[CallID]*told{},
 		rate:      d.rate,
+		places:    d.places,
+		evacuated: map[identifier.FailureDomain]bool{},
 	}
 	for range fuzzNodes {
 		w.nodes = append(w.nodes, &fuzzNode{})
@@ -540,6 +583,7 @@
 		next.run()
 	}
 	w.judgeRate()
+	w.judgeCold()
 }
 
 func (w *fleetWorld) judgeRate() {
