Nested calls have the rank of their root, and a standing queue is served by rank

Cause: nested calls drew a rank of their own at each node, and a queue that did not clear was served newest first.

Change: a node knows the request whose run makes a nested call, so the call takes its rank (class and hash of the root). A queue that has not cleared for 100 ms is served by rank, newest first among equals: whole chains come through and whole chains are turned away, the least important first.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -98,8 +98,8 @@
 	sent map[origin]bool
 	// missed is since when services that requests lead to have been without an endpoint.
 	missed map[identifier.Service]clock.Time
-	// parents are the routes of the requests that run at the local endpoint.
-	parents map[identifier.Request]identifier.Route
+	// parents are the requests that run at the local endpoint.
+	parents map[identifier.Request]parent
 	splits  map[string]*split
 
 	registrar *registrar.Registrar
@@ -145,7 +145,7 @@
 		splits:      map[string]*split{},
 		sent:        map[origin]bool{},
 		missed:      map[identifier.Service]clock.Time{},
-		parents:     map[identifier.Request]identifier.Route{},
+		parents:     map[identifier.Request]parent{},
 		registrar:   registrar.New(registrar.Options{Service: o.Self.Service, Address: o.EndpointAddress}),
 		throttler:   throttler.New(now),
 		calls:       map[CallID]*call{},
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -21,11 +21,18 @@
 	nested  bool
 	request identifier.Request
 	route   identifier.Route
+	rank    identifier.Rank
 	started clock.Time
 	// paid is the team that a token was taken from here, to be given back if the request is turned away.
 	paid identifier.Team
 }
 
+// parent is a request that runs at the local endpoint and may make nested calls.
+type parent struct {
+	route identifier.Route
+	rank  identifier.Rank
+}
+
 // slotPart of the announced slots is used. An endpoint that is nearly full works more slowly, and with all slots in
 // use each of its answers comes later than with one in twenty free.
 const slotPart = 0.94
@@ -42,8 +49,11 @@
 func (c *Conductor) deliver(e DeliveryArrived, now clock.Time) {
 	local := c.registrar.Local()
 	stopped := c.stopping && now.Sub(c.stopAsked) > lastDeliveries
-	evacuated := c.evacuated[c.self.Domain]
-	if stopped || evacuated || !local.Usable() || local.Endpoint != e.Endpoint || c.limiter == nil {
+	if c.evacuated[c.self.Domain] {
+		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: Evacuated})
+		return
+	}
+	if stopped || !local.Usable() || local.Endpoint != e.Endpoint || c.limiter == nil {
 		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: EndpointGone})
 		return
 	}
@@ -54,7 +64,7 @@
 	if !e.Again {
 		c.throttler.Arrived()
 	}
-	c.deliveries[e.ID] = &delivery{nested: e.Nested, request: e.Request, route: c.routeOf(e), paid: e.RateUnchecked}
+	c.deliveries[e.ID] = &delivery{nested: e.Nested, request: e.Request, route: c.routeOf(e), rank: e.Rank, paid: e.RateUnchecked}
 	offered := limiter.Call{
 		ID:        limiter.CallID(e.ID),
 		Rank:      e.Rank,
@@ -88,7 +98,7 @@
 				d.running, d.started = true, now
 				c.runs.started(d.route)
 				if d.request != "" {
-					c.parents[d.request] = d.route
+					c.parents[d.request] = parent{route: d.route, rank: d.rank}
 				}
 			}
 			c.emit(Run{ID: id})
@@ -96,7 +106,7 @@
 			c.emit(Hold{ID: id})
 		case limiter.Shed:
 			c.forget(id)
-			c.emit(TurnAway{ID: id, Outcome: Full, Reason: NoRoom})
+			c.emit(TurnAway{ID: id, Outcome: Full, Reason: c.shedReason(now)})
 		case limiter.Expire:
 			c.forget(id)
 			c.emit(TurnAway{ID: id, Outcome: Full, Reason: Expired})
@@ -105,6 +115,14 @@
 	c.verdicts = c.verdicts[:0]
 }
 
+// shedReason tells why the local endpoint has no room.
+func (c *Conductor) shedReason(now clock.Time) Reason {
+	if c.coldLeft(c.self.Node, now) > 0 {
+		return EndpointCold
+	}
+	return NoRoom
+}
+
 // forget drops a delivery that was turned away, and gives back what was taken for it.
 func (c *Conductor) forget(id CallID) {
 	if d, ok := c.deliveries[id]; ok && d.paid != "" {
@@ -224,7 +242,7 @@
 	c.coldUntil = now
 	c.learnCold(coldLeft, now)
 	c.deliveries = map[CallID]*delivery{}
-	c.parents = map[identifier.Request]identifier.Route{}
+	c.parents = map[identifier.Request]parent{}
 	c.runTimes = runTimes{}
 }
 
--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -28,6 +28,12 @@
 	Arriving, Capable float64
 	Excesses          map[identifier.Service]float64
 	Members           []exchanger.Member
+	// ColdLeft is how much longer the local endpoint counts as cold, ColdOthers how many endpoints beside other nodes do.
+	ColdLeft   clock.Duration
+	ColdOthers int
+	// Evacuated are the failure domains whose endpoints get nothing, known up to the offset OrdersNext.
+	Evacuated  []identifier.FailureDomain
+	OrdersNext identifier.Offset
 }
 
 // Dump returns what the conductor knows.
@@ -46,6 +52,13 @@
 	s.Arriving, s.Capable = c.throttler.Rates()
 	s.QueueDelay = c.QueueDelay(now)
 	s.Excesses = maps.Clone(c.plan.excess)
+	s.ColdLeft = c.coldLeft(c.self.Node, now)
+	s.Evacuated, s.OrdersNext = c.EvacuatedDomains(), c.ordersNext
+	for node := range c.othersCold {
+		if c.coldLeft(node, now) > 0 {
+			s.ColdOthers++
+		}
+	}
 	for _, node := range slices.Sorted(maps.Keys(c.members)) {
 		s.Members = append(s.Members, c.members[node])
 	}
@@ -64,6 +77,7 @@
 	return map[string]any{
 		"version": s.Version, "ready": s.Ready, "openRequests": s.Open, "deliveries": s.Deliveries,
 		"running": s.Running, "queued": s.Queued, "limit": s.Limit, "excess": s.Excess, "arriving": s.Arriving, "capable": s.Capable,
-		"excesses": s.Excesses, "members": members,
+		"excesses": s.Excesses, "members": members, "coldMs": int64(s.ColdLeft), "coldOthers": s.ColdOthers,
+		"evacuated": s.Evacuated, "ordersNext": int64(s.OrdersNext),
 	}
 }
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -142,6 +142,8 @@
 	OverRate        Reason = "overRate"
 	Pressure        Reason = "pressure"
 	NoEndpoint      Reason = "noEndpoint"
+	Evacuated       Reason = "evacuated"
+	EndpointCold    Reason = "endpointCold"
 	NoRoom          Reason = "noRoom"
 	Expired         Reason = "expired"
 	EndpointGone    Reason = "endpointGone"
--- a/internal/conductor/ending.go
+++ b/internal/conductor/ending.go
@@ -123,6 +123,9 @@
 	case reason == OverRate:
 		c.refuse(r.id, http.StatusTooManyRequests, OverRate, c.spread(r.wait))
 	case reason == NoEndpoint || reason == EndpointGone || reason == EndpointDown:
+		if c.onlyEvacuated(r.service) {
+			reason = Evacuated
+		}
 		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(r.returnsAfter(now)))
 	default:
 		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.spread(retryNoRoom))
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -80,7 +80,11 @@
 	r.rank = r.class.rank(c.random.Uint64())
 	r.service = c.splitOf(route).next()
 	if r.nested {
-		c.runs.called(c.parents[e.Parent], identifier.Route(route.Name))
+		of, known := c.parents[e.Parent]
+		if known {
+			r.rank = of.rank
+		}
+		c.runs.called(of.route, identifier.Route(route.Name))
 	}
 	if !c.admit(r, now) {
 		return
--- a/internal/conductor/evacuation.go
+++ b/internal/conductor/evacuation.go
@@ -7,7 +7,11 @@
 // Example: DomainsEvacuated{Domains: ["west"]}: a delivery to an endpoint of west is turned away as moved.
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -35,6 +39,26 @@
 	}
 }
 
+// onlyEvacuated tells whether a service has endpoints, and all of them are in evacuated failure domains.
+func (c *Conductor) onlyEvacuated(service identifier.Service) bool {
+	found := false
+	for _, m := range c.members {
+		if m.Service != service || m.Endpoint == "" || m.State == exchanger.Absent {
+			continue
+		}
+		if !c.evacuated[m.Domain] {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// EvacuatedDomains returns the failure domains whose endpoints get nothing, sorted.
+func (c *Conductor) EvacuatedDomains() []identifier.FailureDomain {
+	return slices.Sorted(maps.Keys(c.evacuated))
+}
+
 // takeBack uses the local endpoint again, as a cold one unless it says that it is warm.
 func (c *Conductor) takeBack(now clock.Time) {
 	local := c.registrar.Local()
--- a/internal/conductor/evacuation_test.go
+++ b/internal/conductor/evacuation_test.go
@@ -44,7 +44,7 @@
 	effects := c.Apply(Ticked{}, 600)
 	refused := one[Refuse](t, effects)
 	assert.Equal(t, refused.Status, 503)
-	assert.Equal(t, refused.Reason, NoEndpoint)
+	assert.Equal(t, refused.Reason, Evacuated)
 	evacuate(c, 700)
 	one[Send](t, c.Apply(arrival(2, "/obs/x"), 700))
 }
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -31,7 +31,7 @@
 	best     heap[uint64]
 	worst    heap[uint64]
 	soonest  heap[clock.Time]
-	newest   heap[uint64]
+	ranked   heap[uint64]
 	urgent   int
 }
 
@@ -39,7 +39,7 @@
 	q.best.grow(n)
 	q.worst.grow(n)
 	q.soonest.grow(n)
-	q.newest.grow(n)
+	q.ranked.grow(n)
 }
 
 func (q *queue) len() int {
@@ -51,7 +51,7 @@
 	q.best.push(number, q.dispatchKey(c))
 	q.worst.push(number, q.shedKey(c.Rank))
 	q.soonest.push(number, c.waitsUntil())
-	q.newest.push(number, sequenceMask&^q.sequence)
+	q.ranked.push(number, uint64(c.Rank)<<sequenceBits|sequenceMask&^q.sequence)
 	if c.Rank.Priority() == identifier.Urgent {
 		q.urgent++
 	}
@@ -61,7 +61,7 @@
 	q.best.remove(number)
 	q.worst.remove(number)
 	q.soonest.remove(number)
-	q.newest.remove(number)
+	q.ranked.remove(number)
 	if c.Rank.Priority() == identifier.Urgent {
 		q.urgent--
 	}
--- a/internal/limiter/standing.go
+++ b/internal/limiter/standing.go
@@ -28,7 +28,7 @@
 // next returns the queued call that runs next.
 func (l *Limiter) next(now clock.Time) int32 {
 	if l.options.Order == DueFirst && l.waiting && now.Sub(l.waitingSince) > standingAfter {
-		return l.queue.newest.first()
+		return l.queue.ranked.first()
 	}
 	return l.queue.best.first()
 }
--- a/internal/limiter/standing_test.go
+++ b/internal/limiter/standing_test.go
@@ -6,17 +6,19 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
 // chain is a request that makes calls one after the other and is of use only if all are run in time.
 type chain struct {
 	deadline clock.Time
 	left     int
+	rank     identifier.Rank
 }
 
 // playChains sends requests of some calls each to one endpoint, more than it can run, and returns the part of all requests
 // that came to their end in time.
-func playChains(order Order, perSecond float64, calls int, within clock.Duration) float64 {
+func playChains(order Order, perSecond float64, calls int, within clock.Duration, ranked bool) float64 {
 	const slots, runTime, length = 43, 50, 20000
 	l := New(Options{Slots: slots, Law: FixedLaw, Order: order, Queue: 1000}, 0)
 	chains := map[CallID]chain{}
@@ -28,7 +30,7 @@
 		id++
 		chains[id] = c
 		handle(l.Offer(Call{
-			ID: id, Deadline: c.deadline, Due: now.Add(300), WaitUntil: now.Add(c.deadline.Sub(now) / 3),
+			ID: id, Rank: c.rank, Deadline: c.deadline, Due: now.Add(300), WaitUntil: now.Add(c.deadline.Sub(now) / 3),
 		}, now, nil), now)
 	}
 	handle = func(out []Verdict, now clock.Time) {
@@ -59,7 +61,11 @@
 		delete(ends, now)
 		for credit += perSecond / 1000; credit >= 1; credit-- {
 			sent++
-			offer(chain{deadline: now.Add(within), left: calls}, now)
+			c := chain{deadline: now.Add(within), left: calls}
+			if ranked {
+				c.rank = identifier.MakeRank(identifier.Normal, 0, uint64(sent*7919))
+			}
+			offer(c, now)
 		}
 		if now%25 == 0 {
 			handle(l.Tick(now, nil), now)
@@ -86,10 +92,12 @@
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			got := playChains(DueFirst, c.perSecond, c.calls, c.within)
-			oldest := playChains(RankOldest, c.perSecond, c.calls, c.within)
-			t.Logf("%.2f served, %.2f oldest first", got, oldest)
+			got := playChains(DueFirst, c.perSecond, c.calls, c.within, false)
+			oldest := playChains(RankOldest, c.perSecond, c.calls, c.within, false)
+			ranked := playChains(DueFirst, c.perSecond, c.calls, c.within, true)
+			t.Logf("%.2f served, %.2f oldest first, %.2f by rank", got, oldest, ranked)
 			assert.Assert(t, got >= c.least, "%.2f", got)
+			assert.Assert(t, ranked >= c.least, "%.2f", ranked)
 		})
 	}
 }
--- a/internal/mesher/relay.go
+++ b/internal/mesher/relay.go
@@ -88,7 +88,7 @@
 	}
 	batch, err := t.node.readRelayed(ctx, source, from, wait)
 	if err != nil && ctx.Err() == nil {
-		t.node.recorder.Dependency("configuration at node "+string(source.Node), err)
+		t.node.recorder.Dependency("orders at node "+string(source.Node), err)
 		clock.Sleep(ctx, relayPause.Std())
 	}
 	return batch, nil
--- a/internal/mesher/relay_test.go
+++ b/internal/mesher/relay_test.go
@@ -98,7 +98,7 @@
 	assert.NilError(t, w.operators.Write(ctx, "evacuate east", []byte("{}")))
 	eventually(t, "refused", func() bool {
 		status, text := entry.request()
-		return status == 503 && strings.HasPrefix(text, "noEndpoint")
+		return status == 503 && strings.HasPrefix(text, "evacuated")
 	})
 	assert.NilError(t, w.operators.Write(ctx, "evacuate east", nil))
 	eventually(t, "served again", served)
@@ -117,7 +117,7 @@
 	entry := w.start(t, "entry", "desk")
 	eventually(t, "refused", func() bool {
 		status, text := entry.request()
-		return status == 503 && strings.HasPrefix(text, "noEndpoint")
+		return status == 503 && strings.HasPrefix(text, "evacuated")
 	})
 	assert.Equal(t, len(reached), 0)
 }
