A request's rank falls with the calls that its chain makes, as its place in shedding does

Cause: at the root lookups (one call at the leaf) went before orders (eight); in the leaf's standing queue order calls went before lookups, by the importance of their route alone. Lookups that were let in waited out their queue timeout at up to four endpoints.

Change: the rank of a root, which its nested calls have too, is made of its team's level, its route's level plus the logarithm of the most calls that its chain makes at one service, and chance.

--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -30,6 +30,8 @@
 	refused map[origin]*[throttler.Classes]float64
 	// arriving is how many calls a second come to each service.
 	arriving map[identifier.Service]float64
+	// costLevels are the logarithms to base two of the most calls that a request of each origin makes at one service.
+	costLevels map[origin]int
 	// missing is the part of the requests of each origin whose nested calls meet a service without an endpoint.
 	missing map[origin]float64
 	// homes are the domains in which the calls of what is sent from here find endpoints, where this one is none of them.
@@ -79,12 +81,15 @@
 		missing:  map[origin]float64{},
 		homes:    map[origin][]identifier.FailureDomain{},
 		leaf:     map[identifier.Service]bool{},
+
+		costLevels: map[origin]int{},
 	}
 	c.refreshGraph(now)
 	pressed := c.planLoads(now)
 	costs := map[origin]map[identifier.Service]float64{}
 	for from := range c.arrivals.counts {
 		costs[from] = c.graph.costsOf(from)
+		c.plan.costLevels[from] = costLevel(slices.Max(slices.Collect(maps.Values(costs[from]))))
 	}
 	there := c.presence()
 	c.planMissing(costs, there, now)
@@ -166,7 +171,7 @@
 		}
 		for i, count := range counts {
 			kinds = append(kinds, kind{from: from, class: class(i)})
-			demands = append(demands, throttler.Demand{Load: count * cost, Worth: class(i).worth() / costBand(cost)})
+			demands = append(demands, throttler.Demand{Load: count * cost, Worth: class(i).worth(costLevel(cost))})
 		}
 	}
 	for i, part := range throttler.Shed(demands, excess) {
@@ -179,8 +184,8 @@
 	}
 }
 
-// costBand rounds a cost to a power of two: measured costs of the same chain differ a little, and the parts of a split would
-// be refused one before the other.
-func costBand(cost float64) float64 {
-	return math.Exp2(math.Round(math.Log2(cost)))
+// costLevel rounds the logarithm of a cost: measured costs of the same chain differ a little, and the parts of a split would be
+// refused one before the other.
+func costLevel(cost float64) int {
+	return max(0, int(math.Round(math.Log2(cost))))
 }
--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -35,9 +35,11 @@
 	return class(team*levels + level(r.route.Rank))
 }
 
-// rank orders the requests of a class by chance.
-func (c class) rank(hash uint64) identifier.Rank {
-	return identifier.MakeRank(identifier.Priority(c/levels), uint8(c%levels), hash)
+// rank orders requests as they are shed: by their team, then by what they are worth for their calls, then by chance. A request
+// whose chain makes 2^costLevel calls at one service counts as that many levels less important.
+func (c class) rank(costLevel int, hash uint64) identifier.Rank {
+	level := min(int(c%levels)+costLevel, identifier.MaxOveruse)
+	return identifier.MakeRank(identifier.Priority(c/levels), uint8(level), hash)
 }
 
 // arrivals counts the root requests that arrive here, by their origin and their class.
@@ -89,7 +91,8 @@
 	routeWorth = 1.0 / 2
 )
 
-// worth is what a request of the class is worth, 1 for the most important.
-func (c class) worth() float64 {
-	return math.Pow(teamWorth, float64(c/levels)) * math.Pow(routeWorth, float64(c%levels))
+// worth is what a request of the class is worth for one of its calls at a service where it makes 2^costLevel, 1 for the most
+// important with one call.
+func (c class) worth(costLevel int) float64 {
+	return math.Pow(teamWorth, float64(c/levels)) * math.Pow(routeWorth, float64(c%levels)) / math.Exp2(float64(costLevel))
 }
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -77,8 +77,8 @@
 	}
 	r.allowed = c.allowedDomains(r)
 	r.class = classOf(r)
-	r.rank = r.class.rank(c.random.Uint64())
 	r.service = c.splitOf(route).next()
+	r.rank = r.class.rank(c.plan.costLevels[r.origin()], c.random.Uint64())
 	if r.nested {
 		of, known := c.parents[e.Parent]
 		if known {
--- a/internal/limiter/standing.go
+++ b/internal/limiter/standing.go
@@ -2,10 +2,10 @@
 
 // A queue that clears now and then absorbs bursts; one that does not clear only adds its length to each call. A request
 // that needs four nested calls one after the other then waits four times, and is late as a whole although each of its
-// calls was run: nothing that is run is of use. Newest first, the calls that are run hardly wait, those that wait are
-// turned away when their patience ends, and whole requests come through.
+// calls was run: nothing that is run is of use. By rank, which all calls of a request share, the calls of some requests
+// hardly wait, those of the others are turned away at their queue timeout, and whole requests come through.
 //
-// Example: calls have waited without a gap for 100 ms: the call that came last is run next.
+// Example: calls have waited without a gap for 100 ms: the call of the lowest rank is run next, of equals the newest.
 
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -89,7 +89,7 @@
 	ClassOldest
 	// DueFirst goes by when the answer is due. Where those that can't all be served have been refused before, it
 	// makes the fewest answers late: a lookup due in 100 ms passes nested calls of requests due in a second. While the
-	// queue does not clear it goes newest first (see standing.go).
+	// queue does not clear it goes by rank (see standing.go).
 	DueFirst
 )
 
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -1,7 +1,7 @@
 package mesher
 
-// Two topics of the platform's store are followed: the operators', for the configuration and the proof that it is the
-// newest, and the nodes' own, for who is there.
+// Two topics of the platform's store are followed: the operators', for the configuration, evacuations and the proof that these
+// are the newest, and the nodes' own, for who is there.
 //
 // Example: a configuration that can't be put in force leaves a line with the field that is wrong, and the old one.
 
@@ -41,7 +41,7 @@
 
 		Backoff: n.storeBackoff,
 		Now:     clock.Boot{}.Now,
-		Took:    n.takeConfiguration,
+		Took:    n.takeOrders,
 		Lost: func(err error) {
 			n.recorder.Event("store lost", "topic", "operators", "error", err.Error())
 		},
@@ -69,7 +69,7 @@
 	return wait
 }
 
-func (n *node) takeConfiguration(u watcher.Update) {
+func (n *node) takeOrders(u watcher.Update) {
 	taken := n.orders.take(u, n.isOrder)
 	for _, r := range taken.configurations(n.options.Outside.ConfigurationKey) {
 		n.readConfiguration(r)
