--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -107,8 +107,8 @@
 	c.checkPresumed(now)
 }
 
-// assumeOtherCold takes the endpoint beside another node for cold until that node reports otherwise.
-func (c *Conductor) assumeOtherCold(m exchanger.Member, now clock.Time) {
+// presumeOtherCold takes the endpoint beside another node for cold until that node reports otherwise.
+func (c *Conductor) presumeOtherCold(m exchanger.Member, now clock.Time) {
 	if c.coldRate(m.Service) > 0 {
 		c.othersCold[m.Node] = now.Add(c.matcher.Service(m.Service).ColdStart)
 	}
--- a/internal/conductor/evacuation.go
+++ b/internal/conductor/evacuation.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if before[m.Domain] && node != c.self.Node {
-			c.assumeOtherCold(m, now)
+			c.presumeOtherCold(m, now)
 		}
 		c.routeAnew(m, now)
 	}
