--- a/internal/conductor/control_bench_test.go
+++ b/internal/conductor/control_bench_test.go
@@ -12,7 +12,7 @@
 
 // benchFleet returns a node of a fleet of 68 in four failure domains with 76 teams, and what its collector answers: reports of
 // all others, each with the demand of 20 teams.
-func benchFleet(b *testing.B) (*Conductor, func(round int64, now clock.Time) exchanger.Answer) {
+func benchFleet(b *testing.B) (*Conductor, func(round int64) exchanger.Answer) {
 	b.Helper()
 	c := newConductor("desk")
 	config := configuration(3, route("obs", "portal", matcher.Idempotent), route("ord", "desk", matcher.NonIdempotent), route("in", "clock", matcher.Idempotent))
@@ -33,7 +33,7 @@
 		c.Apply(MemberLearned{Member: p}, 0)
 	}
 	calls := map[identifier.Route]map[identifier.Route]float64{"obs": {"in": 2}, "ord": {"in": 8}}
-	return c, func(round int64, now clock.Time) exchanger.Answer {
+	return c, func(round int64) exchanger.Answer {
 		var a exchanger.Answer
 		a.Cursor = exchanger.Cursor{Table: 9, Change: uint64(round * 67)}
 		for i, p := range members {
@@ -62,7 +62,7 @@
 		b.StopTimer()
 		round++
 		now += 200
-		data, _ = exchanger.EncodeAnswer(answer(round, now))
+		data, _ = exchanger.EncodeAnswer(answer(round))
 		b.StartTimer()
 		a, err := exchanger.DecodeAnswer(data)
 		if err != nil {
@@ -78,7 +78,7 @@
 func BenchmarkControlTick(b *testing.B) {
 	c, answer := benchFleet(b)
 	announce(c, 40, 1, false, 0)
-	c.Apply(PeerAnswered{Node: "n00", Answer: answer(1, 0)}, 0)
+	c.Apply(PeerAnswered{Node: "n00", Answer: answer(1)}, 0)
 	for i := range 30 {
 		c.Apply(arrival(CallID(i+1), "/obs/x"), 0)
 	}
@@ -87,7 +87,7 @@
 		now += 25
 		if now%1000 == 0 {
 			b.StopTimer()
-			c.Apply(PeerAnswered{Node: "n00", Answer: answer(int64(now/1000)+1, now)}, now)
+			c.Apply(PeerAnswered{Node: "n00", Answer: answer(int64(now/1000)+1)}, now)
 			b.StartTimer()
 		}
 		c.Apply(Ticked{}, now)
