--- a/internal/conductor/control_bench_test.go
+++ b/internal/conductor/control_bench_test.go
@@ -87,7 +87,7 @@
 		now += 25
 		if now%1000 == 0 {
 			b.StopTimer()
-			c.Apply(PeerAnswered{Node: "n00", Answer: answer(int64(now/1000)+1)}, now)
+			c.Apply(PeerAnswered{Node: "n00", Answer: answer(int64(now/1000) + 1)}, now)
 			b.StartTimer()
 		}
 		c.Apply(Ticked{}, now)
