--- a/internal/limiter/cold.go
+++ b/internal/limiter/cold.go
@@ -55,11 +55,6 @@
 	return limit.Burst
 }
 
-// ColdUntil returns until when the backend server counts as cold.
-func (l *Limiter) ColdUntil() clock.Time {
-	return l.cold.until
-}
-
 func (l *Limiter) isCold(now clock.Time) bool {
 	return now < l.cold.until
 }
--- a/internal/mesher/relay.go
+++ b/internal/mesher/relay.go
@@ -109,7 +109,10 @@
 		return batch, failed
 	}
 	relayed, err := t.node.readRelayed(ctx, source, from, 0)
-	if err != nil || len(relayed.Records) == 0 {
+	if err != nil {
+		t.node.recorder.Dependency("orders at node "+string(source.Node), err)
+	}
+	if len(relayed.Records) == 0 {
 		return batch, failed
 	}
 	return relayed, nil
