--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -179,8 +179,8 @@
 	delete(a.peers, node)
 }
 
-// sumPeriod is how often silence is judged: a fifteenth of the time after which a node counts as silent. At each tick it would be
-// three quarters of what a tick costs in a fleet of 68.
+// sumPeriod is how often silence is judged: a fifteenth of the time after which a node counts as silent. Summing up all peers is
+// most of what a tick costs in a large fleet.
 const sumPeriod = 100 * clock.Millisecond
 
 // Tick judges who is silent, and counts what the others have heard by now.
--- a/internal/conductor/cold_test.go
+++ b/internal/conductor/cold_test.go
@@ -32,6 +32,13 @@
 	return c
 }
 
+// ownRecord is the node's record from before its start.
+func ownRecord() exchanger.Member {
+	return exchanger.Member{
+		Node: "self", Deliver: "d", Peer: "p", Service: "desk", Endpoint: "i-1", Slots: 45, State: exchanger.Ready, Sequence: 7,
+	}
+}
+
 func announceCold(c *Conductor, id identifier.Endpoint, sequence int64, left clock.Duration, now clock.Time) []Effect {
 	return c.Apply(EndpointAnnounced{Announcement: registrar.Announcement{
 		Endpoint: id, Service: "desk", Address: "10.0.0.1:80", Slots: 45, Started: 1, Sequence: sequence, ColdLeft: left,
@@ -89,26 +96,17 @@
 			return "i-1"
 		},
 		"assumed after a restart of the node": func(_ *testing.T, c *Conductor) identifier.Endpoint {
-			c.Apply(MemberLearned{Member: exchanger.Member{
-				Node: "self", Deliver: "d", Peer: "p", Service: "desk", Endpoint: "i-1", Slots: 45,
-				State: exchanger.Ready, Incarnation: 0, Sequence: 7,
-			}}, 0)
+			c.Apply(MemberLearned{Member: ownRecord()}, 0)
 			return "i-1"
 		},
 		"assumed, and cold by its own word": func(t *testing.T, c *Conductor) identifier.Endpoint {
-			effects := c.Apply(MemberLearned{Member: exchanger.Member{
-				Node: "self", Deliver: "d", Peer: "p", Service: "desk", Endpoint: "i-1", Slots: 45,
-				State: exchanger.Ready, Incarnation: 0, Sequence: 7,
-			}}, 0)
+			effects := c.Apply(MemberLearned{Member: ownRecord()}, 0)
 			assert.Equal(t, effects[0].(CheckEndpoint).Path, "/health")
 			c.Apply(EndpointChecked{Endpoint: "i-1", ColdLeft: coldStartTime, Known: true}, 5)
 			return "i-1"
 		},
 		"assumed, and its word can't be read": func(_ *testing.T, c *Conductor) identifier.Endpoint {
-			c.Apply(MemberLearned{Member: exchanger.Member{
-				Node: "self", Deliver: "d", Peer: "p", Service: "desk", Endpoint: "i-1", Slots: 45,
-				State: exchanger.Ready, Incarnation: 0, Sequence: 7,
-			}}, 0)
+			c.Apply(MemberLearned{Member: ownRecord()}, 0)
 			c.Apply(EndpointChecked{Endpoint: "i-1"}, 5)
 			return "i-1"
 		},
@@ -134,9 +132,7 @@
 // If only the node was started anew, its endpoint is warm and must be used at once.
 func TestAssumedEndpointThatIsWarmIsUsed(t *testing.T) {
 	c := coldConductor(t)
-	c.Apply(MemberLearned{Member: exchanger.Member{
-		Node: "self", Deliver: "d", Peer: "p", Service: "desk", Endpoint: "i-1", Slots: 45, State: exchanger.Ready, Sequence: 7,
-	}}, 0)
+	c.Apply(MemberLearned{Member: ownRecord()}, 0)
 	c.Apply(EndpointChecked{Endpoint: "i-1", Known: true}, 5)
 	assert.Assert(t, runsPerSecond(c, "i-1", 10, 1200) > 150)
 }
@@ -145,9 +141,7 @@
 // all killed would refuse nearly everything for three seconds beside endpoints that are warm.
 func TestAssumedEndpointIsAskedAgain(t *testing.T) {
 	c := coldConductor(t)
-	c.Apply(MemberLearned{Member: exchanger.Member{
-		Node: "self", Deliver: "d", Peer: "p", Service: "desk", Endpoint: "i-1", Slots: 45, State: exchanger.Ready, Sequence: 7,
-	}}, 0)
+	c.Apply(MemberLearned{Member: ownRecord()}, 0)
 	c.Apply(EndpointChecked{Endpoint: "i-1"}, 5)
 	asked := 0
 	for now := clock.Time(25); now <= 1000; now += 25 {
--- a/internal/conductor/region.go
+++ b/internal/conductor/region.go
@@ -14,20 +14,23 @@
 // allowedDomains returns the failure domains whose endpoints may run a request, nil for all. A failure domain whose region is
 // not known is none of them.
 func (c *Conductor) allowedDomains(r *call) map[identifier.FailureDomain]bool {
-	bounds := [][]identifier.Region{r.route.Regions}
+	var team []identifier.Region
 	if r.team != nil {
-		bounds = append(bounds, r.team.Regions)
+		team = r.team.Regions
 	}
-	bounds = slices.DeleteFunc(bounds, func(regions []identifier.Region) bool { return len(regions) == 0 })
-	if len(bounds) == 0 {
+	if len(r.route.Regions) == 0 && len(team) == 0 {
 		return nil
 	}
 	allowed := map[identifier.FailureDomain]bool{}
 	for domain, region := range c.options.Regions {
-		within := func(regions []identifier.Region) bool { return slices.Contains(regions, region) }
-		if !slices.ContainsFunc(bounds, func(regions []identifier.Region) bool { return !within(regions) }) {
+		if permits(r.route.Regions, region) && permits(team, region) {
 			allowed[domain] = true
 		}
 	}
 	return allowed
 }
+
+// permits tells whether a bound allows a region; an empty one allows all.
+func permits(bound []identifier.Region, region identifier.Region) bool {
+	return len(bound) == 0 || slices.Contains(bound, region)
+}
--- a/internal/mesher/orders.go
+++ b/internal/mesher/orders.go
@@ -3,7 +3,7 @@
 // The newest record of each key by which operators give orders is kept, for those that wait for it here and to tell what is
 // in force. A key that was dropped stays with an empty record, which others have to hear of as well.
 //
-// Example: take of a snapshot without "evacuate/west", which was known before: that key now has an empty record.
+// Example: take of a snapshot without the key of an evacuation that was known before: that key now has an empty record.
 
 import (
 	"cmp"
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -145,7 +145,7 @@
 
 const copyBuffer = 16 << 10
 
-// copyBuffers are reused: a new one for each answer would be two fifths of all that a request allocates.
+// copyBuffers are reused: a new one for each answer would be much of what a request allocates.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
 
 func copyBody(w http.ResponseWriter, a answer) error {
