Grants that arrive late are spent; 'rateExceeded' only of a rate that is used up

What callers saw: teams within their rate got 429 rateExceeded while nodes' processors were busy, 677 of 1,183 requests of one team in TestDemoHolds beside 24 busy processes; on an idle machine 4 of 755, 4 of 314, 40 of 1,551.

Cause: a purse gave a request up 100 ms after sending it and threw its answer away. With a longer round trip each answer was thrown away, and the bank's tokens were spent by nobody. The waiting call was refused after 100 ms as if the rate were used up.

Evidence: new counters. Demo beside 12 busy processes, race detector (trial): 583 of 712 requests of a node unanswered in time, 515 late answers, 1,281 of 1,283 refusals for want of an answer, 2 for an empty bank.

Why this works: a late answer counts as long as its slice can be spent, and each slice's term still counts from its own request, so the sum is held. The timer and the lookahead follow the measured round trip. A call waits past 100 ms only while no bank has answered, never past its deadline, and is then refused with rateUnavailable.

--- a/internal/assembler/metrics.go
+++ b/internal/assembler/metrics.go
@@ -8,6 +8,7 @@
 import (
 	"expvar"
 
+	"github.com/jackdawtide/jackdawtide/internal/granter"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/inspector"
 	"github.com/jackdawtide/jackdawtide/internal/reducer"
@@ -23,6 +24,7 @@
 	Calls      int
 	Deliveries int
 	Counters   reducer.CountersDump
+	RateTokens granter.Counters
 	Backends   []reducer.BackendDump
 }
 
@@ -36,6 +38,7 @@
 			Calls:      d.Calls,
 			Deliveries: d.Deliveries,
 			Counters:   d.Counters,
+			RateTokens: d.Rates.Counters,
 			Backends:   d.Backends,
 		})
 	}))
--- a/internal/granter/asker.go
+++ b/internal/granter/asker.go
@@ -1,5 +1,6 @@
-// How a purse requests its slices: one request at a time, to the bank of its own domain as long as that bank answers,
-// otherwise to the bank of another domain. An unanswered request is abandoned for good before the next one is sent.
+// How a purse requests its slices: from the bank of its own domain as long as that bank answers, otherwise from the bank
+// of another domain. The next request is sent when the last one was answered or is overdue. The answer to an overdue
+// request is accepted as long as its tokens can be spent, unless a later answer of the same bank shows that it was lost.
 //
 // Example: the bank of alfa leaves two requests unanswered for 100 ms each; for the next second the purse asks the
 // bank of bravo, so the team continues with the tokens that bravo has, and then tries alfa again.
@@ -20,11 +21,22 @@
 	// domain.
 	maxUnansweredRequests = 2
 	avoidTerm             = clock.Second
+	// overdueTerms is the number of slice terms for which an unanswered request is remembered, so that tokens that
+	// arrive too late to be spent can be returned.
+	overdueTerms = 4
 	// minBurstShareCalls is the share of the burst, in calls, below which a team's tokens are pooled at the bank of
 	// one domain.
 	minBurstShareCalls = 2
 )
 
+// request is a purse's request to a bank.
+type request struct {
+	domain  *domain
+	node    identifier.Node
+	number  uint64
+	askedAt clock.Time
+}
+
 // orderDomains sets the order in which each purse asks the domains' banks. A team whose burst comes to less than two
 // calls in some domain can't be served from the separate shares, so all nodes ask the bank with the largest share
 // first, which borrows from the others. Otherwise two domains with half a call each would wait for one another
@@ -98,12 +110,12 @@
 
 // askBanks sends a request if tokens are needed or ended slices must be returned.
 func (g *Granter) askBanks(p *purse, now clock.Time) {
-	if p.pending && now < p.askedAt.Add(g.options.AnswerBound) {
+	if p.pending && now < p.current.askedAt.Add(g.answerBound(p)) {
 		return
 	}
-	g.abandonRequest(p, now)
+	g.markOverdue(p, now)
 	p.dropExpiredReports(now)
-	want := p.want(now, g.options.Lookahead)
+	want := p.want(now, g.lookahead(p))
 	if now < p.nextAsk {
 		want = 0
 	}
@@ -112,9 +124,8 @@
 			g.sendAsk(p, d, want, now)
 			p.pending = true
 			p.askedDomain = d
-			p.askedNode = d.holders[p.slot].node
-			p.number = g.number
-			p.askedAt = now
+			p.current = request{domain: d, node: d.holders[p.slot].node, number: g.number, askedAt: now}
+			g.counters.requests++
 		}
 	}
 	for len(p.ended) > 0 {
@@ -126,19 +137,61 @@
 	}
 }
 
-// abandonRequest counts an unanswered request and records that its answer, should it still arrive, will not be used.
-func (g *Granter) abandonRequest(p *purse, now clock.Time) {
+// answerBound is how long an answer is awaited before the next request. It follows the measured round trip: with a
+// bound below it, each request would be repeated although its answer is on the way.
+func (g *Granter) answerBound(p *purse) clock.Duration {
+	return min(max(g.options.AnswerBound, 2*p.roundTrip), g.options.SliceTerm-g.options.RenewBefore)
+}
+
+// lookahead is the time whose expected calls the tokens must cover; new tokens arrive a round trip after the request.
+func (g *Granter) lookahead(p *purse) clock.Duration {
+	return g.options.Lookahead + min(p.roundTrip, g.options.SliceTerm/2)
+}
+
+// markOverdue counts an unanswered request. Its answer is still accepted: a bank whose answers take longer than the
+// bound would otherwise give tokens out that nobody spends.
+func (g *Granter) markOverdue(p *purse, now clock.Time) {
+	p.overdue = slices.DeleteFunc(p.overdue, func(r request) bool {
+		return now >= r.askedAt.Add(overdueTerms*g.options.SliceTerm)
+	})
 	if !p.pending {
 		return
 	}
 	p.pending = false
-	until := p.askedAt.Add(g.options.SliceTerm)
-	p.queueReturn(p.askedDomain.name, Returned{Number: p.number, Unspent: Unapplied}, until)
+	p.overdue = append(p.overdue, p.current)
+	g.counters.unanswered++
 	p.unansweredRequests++
 	if p.unansweredRequests >= maxUnansweredRequests {
 		p.unansweredRequests = 0
-		p.askedDomain.holders[p.slot].avoidUntil = now.Add(avoidTerm)
+		p.current.domain.holders[p.slot].avoidUntil = now.Add(avoidTerm)
+	}
+}
+
+// takeRequest removes the request that an answer belongs to.
+func (p *purse) takeRequest(from identifier.Node, number uint64) (r request, ok bool) {
+	if p.pending && p.current.number == number && p.current.node == from {
+		p.pending = false
+		return p.current, true
 	}
+	i := slices.IndexFunc(p.overdue, func(r request) bool { return r.number == number && r.node == from })
+	if i < 0 {
+		return request{}, false
+	}
+	r = p.overdue[i]
+	p.overdue = slices.Delete(p.overdue, i, i+1)
+	return r, true
+}
+
+// abandonBefore abandons the requests to the same node that precede an answered one: messages between two nodes
+// arrive in order, so their answers were lost, and the bank takes their tokens back.
+func (g *Granter) abandonBefore(p *purse, answered request) {
+	p.overdue = slices.DeleteFunc(p.overdue, func(r request) bool {
+		lost := r.node == answered.node && r.number < answered.number
+		if lost {
+			p.queueReturn(r.domain.name, Returned{Number: r.number, Unspent: Unapplied}, r.askedAt.Add(g.options.SliceTerm))
+		}
+		return lost
+	})
 }
 
 // sendAsk includes the ended slices of the domain that is asked. They are reported once: if the message is lost,
@@ -204,15 +257,22 @@
 	return max(lookaheadTokens+parked-have, 0)
 }
 
-// receiveGrant accepts only the answer to the latest request, and no grant of an epoch known to be superseded. The
-// term counts from the sending of the request, so the slice ends here before the bank counts it as spent.
+// receiveGrant accepts the answers to the requests that have not been abandoned, and no grant of an epoch known to be
+// superseded.
 func (g *Granter) receiveGrant(from identifier.Node, m Grant, now clock.Time) {
 	p := g.purses[m.Team]
-	if p == nil || !p.pending || m.Number != p.number || from != p.askedNode {
+	if p == nil {
 		return
 	}
-	h := &p.askedDomain.holders[p.slot]
-	p.pending = false
+	wasPending := p.pending
+	r, ok := p.takeRequest(from, m.Number)
+	if !ok {
+		return
+	}
+	p.measureRoundTrip(now.Sub(r.askedAt))
+	g.countAnswer(now.Sub(r.askedAt), wasPending && !p.pending)
+	g.abandonBefore(p, r)
+	h := &r.domain.holders[p.slot]
 	p.unansweredRequests = 0
 	// Without a pause a refusal would be followed by the next request at once, in an endless loop if the bank is on
 	// this node.
@@ -220,23 +280,34 @@
 	switch {
 	case m.NotHolder:
 		h.avoidUntil = now.Add(avoidTerm / 4)
+		p.notHolderAt = now
 	case m.Epoch < h.epoch:
 		return
 	case m.Amount == 0:
+		h.avoidUntil = 0
 		p.nextAsk = now.Add(m.RetryIn)
+		p.emptyAt = now
 	default:
+		h.avoidUntil = 0
 		p.nextAsk = now.Add(min(m.RetryIn, g.options.Lookahead/4))
-		g.addSlice(p, from, m, now)
+		g.addSlice(p, r, m, now)
 	}
 	h.epoch = max(h.epoch, m.Epoch)
 	g.tickPurse(p, now)
 }
 
-func (g *Granter) addSlice(p *purse, from identifier.Node, m Grant, now clock.Time) {
-	until := p.askedAt.Add(g.options.shorten(g.options.SliceTerm))
+func (p *purse) measureRoundTrip(d clock.Duration) {
+	p.roundTrip = (p.roundTrip + d) / 2
+}
+
+// addSlice counts the term from the sending of the request, so the slice ends here before the bank counts it as spent.
+// The tokens of an answer that arrives after that are returned.
+func (g *Granter) addSlice(p *purse, r request, m Grant, now clock.Time) {
+	until := r.askedAt.Add(g.options.shorten(g.options.SliceTerm))
 	if now >= until {
+		p.queueReturn(m.Domain, Returned{Number: m.Number, Unspent: m.Amount}, now.Add(g.options.SliceTerm))
 		return
 	}
-	paid := Paid{Holder: from, Domain: m.Domain, Epoch: m.Epoch, Slice: m.Number}
+	paid := Paid{Holder: r.node, Domain: m.Domain, Epoch: m.Epoch, Slice: m.Number}
 	p.slices = append(p.slices, slice{paid: paid, left: m.Amount, until: until})
 }
--- a/internal/granter/dump.go
+++ b/internal/granter/dump.go
@@ -16,6 +16,7 @@
 	Purses   []PurseState
 	Accounts []AccountState
 	Holders  []HolderState
+	Counters Counters
 }
 
 // PurseState is the purse of one team.
@@ -58,7 +59,7 @@
 
 // Dump returns the state, sorted by team, slot and domain.
 func (g *Granter) Dump(now clock.Time) State {
-	var s State
+	s := State{Counters: g.Counters()}
 	for _, p := range g.sortedPurses {
 		s.Purses = append(s.Purses, p.dump(now))
 	}
--- a/internal/granter/fleet_test.go
+++ b/internal/granter/fleet_test.go
@@ -81,6 +81,8 @@
 	logDown      bool
 	// loss, repeat and late are probabilities per mille; loss and late also apply to appends.
 	loss, duplicate, late int
+	// latency is added to the one-way delay of each message, a quarter more or less.
+	latency int64
 	// partitions holds pairs of a sender and a receiver. It and partitionedFromLog name failure domains or single nodes.
 	partitions         map[[2]string]bool
 	partitionedFromLog map[string]bool
@@ -333,6 +335,9 @@
 	}
 	for range copies {
 		delay := 1 + f.random.Int64N(2)
+		if f.latency > 0 {
+			delay += f.latency*3/4 + f.random.Int64N(f.latency/2)
+		}
 		if f.chance(f.late) {
 			delay += f.random.Int64N(2000)
 		}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -43,12 +43,13 @@
 	effects       []Effect
 	localMessages []any
 	leaving       bool
+	counters      counters
 }
 
 // New returns a Granter without teams and without known holders of banks.
 func New(o Options) *Granter {
 	o.setDefaults()
-	g := &Granter{options: o, purses: map[identifier.Team]*purse{}}
+	g := &Granter{options: o, purses: map[identifier.Team]*purse{}, counters: counters{refused: map[Cause]uint64{}}}
 	g.domain(o.Domain)
 	for s := range o.Slots {
 		g.banks = append(g.banks, &bank{
--- a/internal/granter/messages.go
+++ b/internal/granter/messages.go
@@ -128,6 +128,8 @@
 	Verdict    Verdict
 	Paid       Paid
 	RetryAfter clock.Duration
+	// Cause is why a refused call got no token.
+	Cause Cause
 }
 
 // Call identifies a parked call.
@@ -152,6 +154,7 @@
 type Refuse struct {
 	Call       Call
 	RetryAfter clock.Duration
+	Cause      Cause
 }
 
 func (Send) effect()   {}
--- a/internal/granter/purse.go
+++ b/internal/granter/purse.go
@@ -30,9 +30,11 @@
 	until clock.Time
 }
 
+// waiter is a parked call.
 type waiter struct {
-	call  Call
-	until clock.Time
+	call     Call
+	parkedAt clock.Time
+	deadline clock.Time
 }
 
 // endedSlice is a slice whose end has not been reported to its bank yet.
@@ -63,15 +65,22 @@
 	firstCallAt clock.Time
 	lastCallAt  clock.Time
 
-	askedDomain *domain
-	// reportedDemand is the demand that was last reported to a bank.
-	reportedDemand     identifier.Tokens
-	askedNode          identifier.Node
-	number             uint64
-	askedAt            clock.Time
-	pending            bool
+	// reportedDemand is the demand that was last reported to a bank, and askedDomain that bank's domain.
+	reportedDemand identifier.Tokens
+	askedDomain    *domain
+	// current is the request whose answer is awaited if pending is set; overdue holds earlier ones whose answers are
+	// still accepted, oldest first.
+	current request
+	pending bool
+	overdue []request
+	// roundTrip is the smoothed time from a request to its answer.
+	roundTrip          clock.Duration
 	unansweredRequests int
 	nextAsk            clock.Time
+	// emptyAt is when a bank last answered that it has no tokens left, and notHolderAt when a node last answered that it
+	// has no authority.
+	emptyAt     clock.Time
+	notHolderAt clock.Time
 }
 
 func newPurse(t identifier.Team, slot, maxWaiters int) *purse {
@@ -79,14 +88,20 @@
 		team: t, slot: slot,
 		slices:  make([]slice, 0, maxSlices),
 		waiters: make([]waiter, 0, maxWaiters),
+		emptyAt: -1, notHolderAt: -1,
 	}
 }
 
 // Spend decides on one call of the team. If the call must wait, later effects name it by the given number.
 func (g *Granter) Spend(t identifier.Team, call Call, now clock.Time) Decision {
+	return g.SpendBefore(t, call, clock.Never, now)
+}
+
+// SpendBefore is Spend for a call that is of no use after its deadline.
+func (g *Granter) SpendBefore(t identifier.Team, call Call, deadline, now clock.Time) Decision {
 	p := g.purses[t]
 	if p == nil {
-		return Decision{Verdict: Refused, RetryAfter: clock.Second}
+		return Decision{Verdict: Refused, RetryAfter: clock.Second, Cause: Empty}
 	}
 	p.countArrival(now)
 	if len(p.waiters) == 0 {
@@ -94,11 +109,19 @@
 			return Decision{Verdict: Spent, Paid: paid}
 		}
 	}
+	w := waiter{call: call, parkedAt: now, deadline: deadline}
 	noGrantInTime := p.nextAsk >= now.Add(g.options.WaitBound)
-	if noGrantInTime || len(p.waiters) == g.options.MaxWaiters {
-		return Decision{Verdict: Refused, RetryAfter: p.retryAfter(now)}
+	switch {
+	case noGrantInTime:
+		return Decision{Verdict: Refused, RetryAfter: p.retryAfter(now), Cause: g.countRefusal(Empty)}
+	case len(p.waiters) == g.options.MaxWaiters:
+		cause := QueueFull
+		if p.causeOfWait(p.waiters[0], now) == Empty {
+			cause = Empty
+		}
+		return Decision{Verdict: Refused, RetryAfter: p.retryAfter(now), Cause: g.countRefusal(cause)}
 	}
-	p.waiters = append(p.waiters, waiter{call: call, until: now.Add(g.options.WaitBound)})
+	p.waiters = append(p.waiters, w)
 	return Decision{Verdict: Wait}
 }
 
@@ -149,28 +172,44 @@
 	p.active = len(p.slices)+len(p.waiters)+len(p.ended) > 0 || p.pending || p.demand > 0 || p.arrivals > 0 || p.reportedDemand > 0
 }
 
-// serveWaiters resumes parked calls in order of arrival, and refuses those whose wait bound has passed.
+// serveWaiters resumes parked calls in order of arrival, and refuses those that have waited long enough.
 func (g *Granter) serveWaiters(p *purse, now clock.Time) {
-	done := 0
+	kept := p.waiters[:0]
 	for _, w := range p.waiters {
-		if now >= w.until {
-			g.effects = append(g.effects, Refuse{Call: w.call, RetryAfter: p.retryAfter(now)})
-			done++
+		if !g.mayWait(p, w, now) {
+			cause := g.countRefusal(p.causeOfWait(w, now))
+			g.effects = append(g.effects, Refuse{Call: w.call, RetryAfter: p.retryAfter(now), Cause: cause})
 			continue
 		}
-		paid, ok := p.payFromSlices(now)
-		if !ok {
-			break
+		if len(kept) == 0 {
+			if paid, ok := p.payFromSlices(now); ok {
+				g.effects = append(g.effects, Resume{Call: w.call, Paid: paid})
+				continue
+			}
 		}
-		g.effects = append(g.effects, Resume{Call: w.call, Paid: paid})
-		done++
+		kept = append(kept, w)
+	}
+	p.waiters = kept
+}
+
+// mayWait reports whether a call may go on waiting. After the wait bound it waits only for an answer of a bank: none
+// says yet that the team has used up its rate.
+func (g *Granter) mayWait(p *purse, w waiter, now clock.Time) bool {
+	switch {
+	case now >= w.deadline:
+		return false
+	case now < w.parkedAt.Add(g.options.WaitBound):
+		return true
+	case now >= w.parkedAt.Add(g.options.SliceTerm):
+		return false
 	}
-	p.waiters = p.waiters[:copy(p.waiters, p.waiters[done:])]
+	cause := p.causeOfWait(w, now)
+	return cause == Unanswered || cause == NotHolder
 }
 
 func (g *Granter) refuseWaiters(p *purse) {
 	for _, w := range p.waiters {
-		g.effects = append(g.effects, Refuse{Call: w.call, RetryAfter: clock.Second})
+		g.effects = append(g.effects, Refuse{Call: w.call, RetryAfter: clock.Second, Cause: g.countRefusal(Empty)})
 	}
 	p.waiters = p.waiters[:0]
 }
--- a/internal/receiver/problem.go
+++ b/internal/receiver/problem.go
@@ -43,6 +43,7 @@
 	reducer.BadRequest:      "Request cannot be read",
 	reducer.BodyTooLarge:    "Request body too large",
 	reducer.RateExceeded:    "Team is over its rate",
+	reducer.RateUnavailable: "Team's rate could not be asked for in time",
 	reducer.Shed:            "Shed under overload",
 	reducer.NoBackend:       "No backend server",
 	reducer.Unreachable:     "Backend server cannot be reached",
--- a/internal/reducer/refusals.go
+++ b/internal/reducer/refusals.go
@@ -38,6 +38,7 @@
 	BadRequest      Reason = "badRequest"
 	BodyTooLarge    Reason = "bodyTooLarge"
 	RateExceeded    Reason = "rateExceeded"
+	RateUnavailable Reason = "rateUnavailable"
 	Shed            Reason = "shed"
 	EndpointFull    Reason = "endpointFull"
 	EndpointLeaving Reason = "endpointLeaving"
