Banks take loans whose answers come after the usual time of the next request

Cause: a bank asked a lender every 250 ms, and each request gave the previous one up. With a longer round trip no loan was ever taken.

Why this works: the time until the next request is twice the last round trip, doubled while none is answered, at most half of the loan term; a loan is usable for 1.45 s from its request.

TestLoanIsTakenAlthoughAnswersAreLate fails before and passes now.

--- a/internal/granter/borrower.go
+++ b/internal/granter/borrower.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// loanRequestsPerTerm is how often a lender is asked within a loan term. After an answer without a new loan it is
-	// asked again after borrowRetryPeriod if purses need tokens.
-	loanRequestsPerTerm = 8
-	borrowRetryPeriod   = 20 * clock.Millisecond
+	// loanRequestsPerTerm is how often a lender that answers quickly is asked within a loan term, and
+	// minLoanRequestsPerTerm how often any lender is. After an answer without a new loan it is asked again after
+	// borrowRetryPeriod if purses need tokens.
+	loanRequestsPerTerm    = 8
+	minLoanRequestsPerTerm = 2
+	borrowRetryPeriod      = 20 * clock.Millisecond
 	// loanAnswerTimeout is how long a lender's answer is expected; meanwhile purses are told to retry soon.
 	loanAnswerTimeout = 30 * clock.Millisecond
 	// returnedLoanRetention is how long a returned loan is repeated in the reports, in case one is lost.
@@ -44,6 +46,10 @@
 	askedAt       clock.Time
 	pending       bool
 	nextRequestAt clock.Time
+	// answerBound is how long an answer is awaited before the next request: twice the last round trip, and twice as long
+	// after each unanswered request. A next request abandons the previous one, so a constant bound below the round trip
+	// would abandon each.
+	answerBound clock.Duration
 }
 
 func (a *account) borrowedCap() (sum identifier.Tokens) {
@@ -121,7 +127,9 @@
 		lost := HeldLoan{Number: l.requestNumber, Back: Unapplied}
 		until := now.Add(returnedLoanRetention)
 		l.loans = append(l.loans, borrowedLoan{HeldLoan: lost, until: until, reportedUntil: until})
+		l.answerBound *= 2
 	}
+	l.answerBound = min(max(l.answerBound, g.options.LoanTerm/loanRequestsPerTerm), g.options.LoanTerm/minLoanRequestsPerTerm)
 	m := LoanRequest{Team: a.team, Domain: l.domain, Number: g.nextNumber(), WantRate: want, Unmet: a.unmet(now)}
 	for _, n := range l.loans {
 		m.Held = append(m.Held, n.HeldLoan)
@@ -129,7 +137,7 @@
 	l.requestNumber = m.Number
 	l.askedAt = now
 	l.pending = want > 0
-	l.nextRequestAt = now.Add(g.options.LoanTerm / loanRequestsPerTerm)
+	l.nextRequestAt = now.Add(l.answerBound)
 	g.send(l.node, m)
 }
 
@@ -148,6 +156,8 @@
 
 func (g *Granter) acceptLoan(a *account, l *lender, m Loan, now clock.Time) {
 	l.pending = false
+	l.answerBound = 2 * now.Sub(l.askedAt)
+	l.nextRequestAt = min(l.nextRequestAt, max(now, l.askedAt.Add(g.options.LoanTerm/loanRequestsPerTerm)))
 	until := l.askedAt.Add(g.options.shorten(g.options.LoanTerm) - g.options.SliceTerm)
 	if m.Extended {
 		for i := range l.loans {
--- a/internal/granter/latency_test.go
+++ b/internal/granter/latency_test.go
@@ -8,6 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/definer"
+	"github.com/jackdawtide/jackdawtide/internal/granter"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -47,3 +50,35 @@
 		}
 	}
 }
+
+// Guards against banks that keep to their own share because each lender's answer arrives after the next request.
+func TestLoanIsTakenAlthoughAnswersAreLate(t *testing.T) {
+	const roundTrip = 300
+	g := newGranter(1, "a", true)
+	g.SetTeams([]definer.Team{{Name: "team0", Rate: 1000, Burst: 8000}},
+		[]definer.DomainShare{{Domain: "alfa", PerMille: 500}, {Domain: "bravo", PerMille: 500}}, nil, 2, 0)
+	g.SetHolder("bravo", 0, "b", 5)
+	g.OpenBank(0, 5, 1000)
+	requests := map[clock.Time]granter.LoanRequest{}
+	keep := func(now clock.Time, effects []granter.Effect) {
+		for _, e := range effects {
+			if s, ok := e.(granter.Send); ok {
+				if m, ok := s.Message.(granter.LoanRequest); ok {
+					requests[now] = m
+				}
+			}
+		}
+	}
+	for now := clock.Time(1000); now < 3000; now += 10 {
+		if now%100 == 0 {
+			keep(now, g.Receive("c", granter.Ask{Team: "team0", Domain: "alfa", Number: uint64(now), Want: 4000, Demand: 4000}, now))
+		}
+		keep(now, g.Tick(now))
+		if q, ok := requests[now.Add(-roundTrip)]; ok {
+			m := granter.Loan{Team: "team0", Domain: "bravo", Number: q.Number, Epoch: 5, Extended: true, Cap: 4000, Rate: 500}
+			keep(now, g.Receive("b", m, now))
+		}
+	}
+	a := g.Dump(3000).Accounts[0]
+	assert.Check(t, a.BorrowedCap >= 4000, "%d requests: %+v", len(requests), a)
+}
