A holder goes on acting when it reads its own record back

What callers saw: refusals and ownerUnreachable for a round trip, seconds between busy nodes, each time a holder named another witness, as each does right after a fleet's start. Suspected of the one 429 in TestCallers.

Cause: reading the record back dropped the old witness's promise, and the new witness's promise was not there yet.

Evidence: 'claim lapsed' with lease witness and sinceMs 0 in the millisecond of the record, 'claim gained' 1.4 s later (trial, demo beside 12 busy processes). That rates are gained anew is normal: epoch 2 at each start, idle too.

Why this works: the witness that a record names waits a promise term from reading it, so the sending of the record counts like that of an answered request.

--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -163,3 +164,22 @@
 		}
 	}
 }
+
+// Guards against holders that stop acting, and banks that refuse within the rate, from the reading of their own record
+// until the first answer of the witness that it names.
+func TestHolderActsFromRecordThatNamesWitness(t *testing.T) {
+	c, witness, _ := newHolder(t)
+	c.SetMembers(slices.DeleteFunc([]identifier.Node{"a", "b", "c"}, func(n identifier.Node) bool { return n == witness }), 14_000)
+	var continuation Claim
+	for _, e := range c.Tick(14_000) {
+		if a, ok := e.(Append); ok {
+			continuation = a.Record
+		}
+	}
+	assert.Equal(t, continuation.Kind, Continuation)
+	c.ReadRecord(2, continuation, 14_100)
+	for now, held := range map[clock.Time]bool{14_100: true, 14_000 + 7799: true, 14_000 + 7800: false} {
+		_, ok := c.Holds("n", now)
+		assert.Equal(t, ok, held, "at %d ms; record sent at 14000 ms", now)
+	}
+}
--- a/internal/claimer/reader.go
+++ b/internal/claimer/reader.go
@@ -116,6 +116,11 @@
 	if l.nextPromise.witness == r.Witness && l.nextPromise.epoch == r.Epoch {
 		l.promise = l.nextPromise
 	}
+	// The witness that a record names waits a promise term from its reading of the record, so the sending of the record
+	// counts like a request that was answered.
+	if sentAt, ok := l.sentAt(r, c.options.Self); ok {
+		l.promise.until = max(l.promise.until, min(sentAt, now).Add(c.options.shorten(c.options.PromiseTerm)))
+	}
 	l.nextPromise = promiseState{}
 	l.successor = promiseState{}
 	l.released = l.released && c.leaving
