A witness's promise counts although the next request has been sent

Cause: requests go out every 2 s and only an answer to the latest one counted, because only its sending was known.

Why this works: the sendings of the last four requests are kept, and each promise counts from its own, as the witness's wait does.

TestPromiseCountsAfterNextRequest and TestHolderActsWhilePromisesAreLate (messages of 1.2 s each way) fail before and pass now.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -19,14 +19,22 @@
 type promiseState struct {
 	witness identifier.Node
 	epoch   identifier.Epoch
+	// number and sentAt are of the latest request, earlier holds those before it whose promises could still count.
 	number  uint64
 	sentAt  clock.Time
+	earlier []sentRequest
 	// answered is the number of the last request that was answered.
 	answered uint64
 	// until is the latest end of a promise received.
 	until clock.Time
 }
 
+// sentRequest is a promise request that was followed by another one.
+type sentRequest struct {
+	number uint64
+	sentAt clock.Time
+}
+
 type attempt struct {
 	number uint64
 	sentAt clock.Time
@@ -229,10 +237,8 @@
 		return
 	}
 	for _, l := range c.claims {
-		l.promise.until = 0
-		l.promise.number = 0
-		l.nextPromise.until = 0
-		l.nextPromise.number = 0
+		l.promise.forgetRequests()
+		l.nextPromise.forgetRequests()
 		l.witnessTimeoutAt = now.Add(c.options.PromiseTerm / 2)
 	}
 }
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -183,3 +183,23 @@
 		assert.Equal(t, ok, held, "at %d ms; record sent at 14000 ms", now)
 	}
 }
+
+// Guards against holders that stop acting because each promise arrives after the next request was sent.
+func TestPromiseCountsAfterNextRequest(t *testing.T) {
+	c, witness, _ := newHolder(t)
+	numbers := map[clock.Time]uint64{}
+	for now := clock.Time(9200); now <= 16_000; now += 100 {
+		for _, e := range c.Tick(now) {
+			if s, ok := e.(Send); ok && s.To == witness {
+				numbers[now] = s.Message.(PromiseRequest).Number
+			}
+		}
+		const roundTrip = 2500
+		if n, ok := numbers[now.Add(-roundTrip)]; ok {
+			c.Receive(witness, Promise{Name: "n", Epoch: 2, Number: n, Given: true}, now)
+		}
+	}
+	assert.Check(t, len(numbers) >= 3)
+	_, ok := c.Holds("n", 18_000)
+	assert.Check(t, ok, "requests were answered until 16000 ms")
+}
--- a/internal/claimer/holder.go
+++ b/internal/claimer/holder.go
@@ -93,6 +93,10 @@
 	if a.witness == "" || a.number != 0 && now < a.sentAt.Add(c.options.PromiseTerm/promisesPerTerm) {
 		return effects
 	}
+	if a.number != 0 {
+		a.earlier = append(a.earlier, sentRequest{number: a.number, sentAt: a.sentAt})
+		a.earlier = a.earlier[max(0, len(a.earlier)-promisesPerTerm):]
+	}
 	c.lastRequest++
 	a.number = c.lastRequest
 	a.sentAt = now
@@ -100,22 +104,42 @@
 	return append(effects, Send{To: a.witness, Message: r})
 }
 
-// receivePromise accepts only the answer to the latest request, since a promise counts from the sending of the
-// request that it answers; an answer to an older request would count from a time too late.
+// forgetRequests discards the promises, and the requests whose answers could bring further ones.
+func (a *promiseState) forgetRequests() {
+	a.until = 0
+	a.number = 0
+	a.earlier = nil
+}
+
+// sentAtOf returns when the request with a number was sent. Each promise counts from the request that it answers, so an
+// answer that takes longer than the interval of the requests is worth what is left of its term.
+func (a *promiseState) sentAtOf(number uint64) (clock.Time, bool) {
+	if number == a.number {
+		return a.sentAt, number != 0
+	}
+	for _, r := range a.earlier {
+		if r.number == number {
+			return r.sentAt, true
+		}
+	}
+	return 0, false
+}
+
 func (c *Claimer) receivePromise(from identifier.Node, p Promise, now clock.Time) []Effect {
 	l := c.byName[p.Name]
 	if l == nil || l.holder != c.options.Self {
 		return nil
 	}
 	for _, a := range []*promiseState{&l.promise, &l.nextPromise, &l.successor} {
-		if a.witness != from || a.epoch != p.Epoch || a.number != p.Number || a.answered == p.Number {
+		sentAt, ok := a.sentAtOf(p.Number)
+		if !ok || a.witness != from || a.epoch != p.Epoch || a.answered >= p.Number {
 			continue
 		}
 		a.answered = p.Number
 		if !p.Given {
 			continue
 		}
-		a.until = a.sentAt.Add(c.options.shorten(c.options.PromiseTerm))
+		a.until = max(a.until, sentAt.Add(c.options.shorten(c.options.PromiseTerm)))
 		if a == &l.promise {
 			l.witnessTimeoutAt = a.until.Add(-c.options.PromiseTerm / 2)
 		}
--- a/internal/granter/latency_test.go
+++ b/internal/granter/latency_test.go
@@ -82,3 +82,23 @@
 	a := g.Dump(3000).Accounts[0]
 	assert.Check(t, a.BorrowedCap >= 4000, "%d requests: %+v", len(requests), a)
 }
+
+// Guards against holders that stop acting because a witness's promises take longer than the interval of the requests.
+func TestHolderActsWhilePromisesAreLate(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(seed, 1, 3, false)
+			f.claimsOnly = true
+			f.run(20_000)
+			f.latency = 1200
+			for range 600 {
+				f.run(100)
+				for _, name := range f.claimNames {
+					assert.Equal(t, len(f.withAuthority(name)), 1, "at %d ms: %s", f.now, name)
+				}
+			}
+			assert.DeepEqual(t, f.faults, []string(nil))
+		})
+	}
+}
