A record sent before a pause of the process brings no authority after it

Same rule as for promises: if a machine was suspended and its clock stood still, the gap between two ticks is the only sign, and the time since the sending of a record isn't known.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -107,6 +107,8 @@
 	leaving     bool
 	outstanding clock.Duration
 	lastTick    clock.Time
+	// pauseSeenAt is when a pause of the process was last detected.
+	pauseSeenAt clock.Time
 	// lastAttempt and lastRequest are the numbers last given to an append and to a promise request.
 	lastAttempt uint64
 	lastRequest uint64
@@ -236,6 +238,7 @@
 	if gap <= c.options.PauseBound {
 		return
 	}
+	c.pauseSeenAt = now
 	for _, l := range c.claims {
 		l.promise.forgetRequests()
 		l.nextPromise.forgetRequests()
--- a/internal/claimer/reader.go
+++ b/internal/claimer/reader.go
@@ -118,7 +118,7 @@
 	}
 	// The witness that a record names waits a promise term from its reading of the record, so the sending of the record
 	// counts like a request that was answered.
-	if sentAt, ok := l.sentAt(r, c.options.Self); ok {
+	if sentAt, ok := l.sentAt(r, c.options.Self); ok && sentAt >= c.pauseSeenAt {
 		l.promise.until = max(l.promise.until, min(sentAt, now).Add(c.options.shorten(c.options.PromiseTerm)))
 	}
 	l.nextPromise = promiseState{}
