Leave repeats a request that a busy node does not answer in time

Cause: both requests wait for the node's state, and the client gave up the whole stop with the first one that took more than 2 s.

Why this works: a DELETE and a GET of an endpoint may be sent twice; the stop ends when the node answers, or with its context, or after 30 s.

TestLeaveOutlastsRequestsThatTheNodeDoesNotAnswer fails before, passes now.

--- a/pkg/announcer/announcer.go
+++ b/pkg/announcer/announcer.go
@@ -18,6 +18,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -30,6 +31,8 @@
 const (
 	requestTimeout = 2 * time.Second
 	leavePoll      = 50 * time.Millisecond
+	// leavePatience bounds how long Leave repeats a request that the node does not answer.
+	leavePatience = 30 * time.Second
 )
 
 // Backend describes a backend server to its node.
@@ -105,14 +108,18 @@
 }
 
 // Leave requests that the node send no new calls, waits until every running call has ended, and stops the heartbeats.
+// A request that a busy node leaves unanswered is repeated, since it may be sent twice.
 func (a *Announcement) Leave(ctx context.Context) error {
 	defer a.Stop()
-	if err := a.request(ctx, http.MethodDelete, a.path(), nil, nil); err != nil {
+	if err := a.repeat(ctx, http.MethodDelete, nil); err != nil {
+		if isUnknown(err) {
+			return nil
+		}
 		return fmt.Errorf("leave: %w", err)
 	}
 	for {
 		var s stateBody
-		err := a.request(ctx, http.MethodGet, a.path(), nil, &s)
+		err := a.repeat(ctx, http.MethodGet, &s)
 		if isUnknown(err) {
 			// The node has removed the backend server, because its heartbeats were late, and sends it no more calls.
 			return nil
@@ -131,6 +138,19 @@
 	}
 }
 
+// repeat sends a request that changes nothing when it is sent twice, until the node answers it.
+func (a *Announcement) repeat(ctx context.Context, method string, answer any) error {
+	giveUpAt := time.Now().Add(leavePatience)
+	for {
+		err := a.request(ctx, method, a.path(), nil, answer)
+		var e net.Error
+		unanswered := errors.As(err, &e) && e.Timeout()
+		if !unanswered || ctx.Err() != nil || time.Now().After(giveUpAt) {
+			return err
+		}
+	}
+}
+
 // Stop ends the heartbeats without a report to the node, as a crash would.
 func (a *Announcement) Stop() {
 	a.stopOnce.Do(func() { close(a.stop) })
