A node's own pause does not count as silence of its backend servers

What callers saw: noBackendServer, and 404 to the planned stop of a server that was there, at nodes with busy processors.

Cause: the node compared the time since the last heartbeat that it had handled with 1.5 s, and after standing still it handled its tick before the heartbeats that had waited.

Why this works: a gap between two ticks adds at most 200 ms to the silence.

--- a/internal/reducer/backends.go
+++ b/internal/reducer/backends.go
@@ -21,6 +21,9 @@
 const (
 	// heartbeatTimeout is three missed heartbeats.
 	heartbeatTimeout = 1500 * clock.Millisecond
+	// maxCountedGap is the most that one gap between two ticks adds to a backend server's silence: while the node itself
+	// stood still, heartbeats waited unread.
+	maxCountedGap = 200 * clock.Millisecond
 	// leavingGracePeriod is how long a leaving backend server still accepts calls, for those that were sent before other
 	// nodes knew that it is leaving.
 	leavingGracePeriod = clock.Second
@@ -29,18 +32,19 @@
 )
 
 type backend struct {
-	id            identifier.Endpoint
-	service       identifier.Service
-	slots         int
-	connections   int
-	limiter       *limiter.Limiter
-	gate          *admitter.Gate
-	chain         *admitter.Chain
-	meter         retrier.Meter
-	shares        *admitter.Shares
-	lastHeartbeat clock.Time
-	leaving       bool
-	leavingAt     clock.Time
+	id          identifier.Endpoint
+	service     identifier.Service
+	slots       int
+	connections int
+	limiter     *limiter.Limiter
+	gate        *admitter.Gate
+	chain       *admitter.Chain
+	meter       retrier.Meter
+	shares      *admitter.Shares
+	// silence is the time without a heartbeat, as far as the node was awake.
+	silence   clock.Duration
+	leaving   bool
+	leavingAt clock.Time
 }
 
 func (b *backend) refusesNew(now clock.Time) bool {
@@ -71,7 +75,7 @@
 	b.service = e.Service
 	b.slots = e.Slots
 	b.connections = e.ConnectionLimit
-	b.lastHeartbeat = s.now
+	b.silence = 0
 	b.leaving = false
 	b.limiter.SetSlots(e.Slots, s.now)
 	s.applyVerdicts(b, b.limiter.Tick(s.now, s.verdicts[:0]))
@@ -97,7 +101,7 @@
 	if !ok {
 		return
 	}
-	b.lastHeartbeat = s.now
+	b.silence = 0
 	b.limiter.ReportLoad(float64(e.Load)/fullLoad, s.now)
 }
 
@@ -125,20 +129,21 @@
 	return list
 }
 
-func (s *State) tickBackends() {
+func (s *State) tickBackends(gap clock.Duration) {
 	if len(s.backends) == 0 {
 		return
 	}
 	for _, b := range s.sortedBackends() {
-		s.tickBackend(b)
+		s.tickBackend(b, gap)
 	}
 }
 
-func (s *State) tickBackend(b *backend) {
+func (s *State) tickBackend(b *backend, gap clock.Duration) {
 	b.gate.SetTarget(b.limiter.ExpectedDelay())
 	b.gate.Observe(b.limiter.QueueDelay(s.now), s.now)
 	s.applyVerdicts(b, b.limiter.Tick(s.now, s.verdicts[:0]))
-	if s.now.Sub(b.lastHeartbeat) <= heartbeatTimeout {
+	b.silence += min(gap, maxCountedGap)
+	if b.silence <= heartbeatTimeout {
 		return
 	}
 	// Calls that are still running at the backend server are not ended here; they end with their connections.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -276,11 +276,13 @@
 )
 
 func (s *State) tick() {
+	gap := clock.Duration(0)
 	if s.lastTick != 0 {
-		s.counters.MaxTickGap = max(s.counters.MaxTickGap, s.now.Sub(s.lastTick))
+		gap = s.now.Sub(s.lastTick)
 	}
 	s.lastTick = s.now
-	s.tickBackends()
+	s.counters.MaxTickGap = max(s.counters.MaxTickGap, gap)
+	s.tickBackends(gap)
 	s.applyGrants(s.granter.Tick(s.now))
 	s.applyIdempotency(s.asker.Tick(s.now))
 	s.expireWaiting()
