Events are queued for the goroutine that applies them instead of waiting for it

What callers saw: beside busy processes nodes answered each other after seconds, with late grants, lapsed claims and operators' requests without headers for 2 s as consequences.

Cause: the lock around a node's state. A goroutine that is interrupted while it holds it waits behind all others that are ready to run, and everyone with an event, among them the readers of connections, waits for it in turn.

Why this works: an event is left to the goroutine at work, which applies all that are queued; the order of one goroutine's events is kept, and a view applies first what was queued before it.

--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -1,4 +1,5 @@
-// The reducer is a state machine without locks or I/O, and the performer is its only caller. A lock serializes the events.
+// The reducer is a state machine without locks or I/O, and the performer is its only caller. Events are queued, and one
+// goroutine at a time applies them, so that no other waits for it.
 // An effect for a call goes to the mailbox of the goroutine that serves the call; all others go to the EffectHandler,
 // which queues them, since a slow log or peer must not delay calls.
 //
@@ -34,6 +35,9 @@
 	Log(reducer.Log)
 }
 
+// maxDrained bounds the events that one goroutine applies in a row.
+const maxDrained = 256
+
 // Performer serializes events and dispatches the resulting effects.
 type Performer struct {
 	clock   *clock.Clock
@@ -41,9 +45,16 @@
 
 	nextCall atomic.Uint64
 
-	mu        sync.Mutex
-	machine   Machine
-	effects   []reducer.Effect
+	// queue holds the events that are not yet applied, in order; draining is set while a goroutine applies them.
+	queueMu  sync.Mutex
+	queue    []reducer.Event
+	draining bool
+
+	mu      sync.Mutex
+	machine Machine
+	effects []reducer.Effect
+	// spare is the emptied buffer of the previous batch.
+	spare     []reducer.Event
 	mailboxes map[reducer.CallID]chan reducer.CallEffect
 }
 
@@ -74,21 +85,70 @@
 	p.mu.Unlock()
 }
 
-// Apply passes one event to the reducer and dispatches the effects.
+// Apply passes one event to the reducer and dispatches the effects. While another goroutine applies events, it leaves the
+// event to that one and returns at once: a goroutine that is preempted while it applies an event would otherwise hold up
+// all connections that have an event too, and with them the messages of other nodes behind it.
 func (p *Performer) Apply(event reducer.Event) {
+	p.queueMu.Lock()
+	p.queue = append(p.queue, event)
+	draining := p.draining
+	p.draining = true
+	p.queueMu.Unlock()
+	if !draining {
+		p.drain()
+	}
+}
+
+// drain applies queued events until there are none. After maxDrained events another goroutine goes on, so that no caller
+// of Apply works for the others for long.
+func (p *Performer) drain() {
+	for n := 0; n < maxDrained; {
+		applied := p.applyQueued()
+		n += applied
+		if applied == 0 && p.endDrain() {
+			return
+		}
+	}
+	go p.drain()
+}
+
+// endDrain ends the draining unless events have arrived meanwhile.
+func (p *Performer) endDrain() bool {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	p.draining = len(p.queue) > 0
+	return !p.draining
+}
+
+// applyQueued applies the events queued at this moment and returns their number.
+func (p *Performer) applyQueued() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.effects = p.machine.Reduce(event, p.clock.Now(), p.effects[:0])
-	for i, e := range p.effects {
-		p.dispatchEffect(e)
-		p.effects[i] = nil
+	return p.applyQueuedLocked()
+}
+
+func (p *Performer) applyQueuedLocked() int {
+	p.queueMu.Lock()
+	batch := p.queue
+	p.queue = p.spare[:0]
+	p.queueMu.Unlock()
+	for i, event := range batch {
+		batch[i] = nil
+		p.effects = p.machine.Reduce(event, p.clock.Now(), p.effects[:0])
+		for k, e := range p.effects {
+			p.dispatchEffect(e)
+			p.effects[k] = nil
+		}
 	}
+	p.spare = batch[:0]
+	return len(batch)
 }
 
-// View runs read under the lock, so that it sees a consistent state.
+// View runs read under the lock after all events that were applied before it, so that it sees a consistent state.
 func (p *Performer) View(read func(now clock.Time)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.applyQueuedLocked()
 	read(p.clock.Now())
 }
 
