A call waits for a late token at most half of the time to its deadline

A call that gets its token at its deadline cannot run any more: the caller waits to the end for a refusal, and the token is lost to another call.

--- a/internal/reducer/spend.go
+++ b/internal/reducer/spend.go
@@ -14,7 +14,9 @@
 )
 
 func (s *State) spendRate(c *call) {
-	d := s.granter.SpendBefore(c.team, granter.Call(c.id), c.deadline, s.now)
+	// A call that got its token at its deadline could not run any more.
+	waitUntil := s.now.Add(c.deadline.Sub(s.now) / 2)
+	d := s.granter.SpendBefore(c.team, granter.Call(c.id), waitUntil, s.now)
 	switch d.Verdict {
 	case granter.Spent:
 		c.payment = d.Paid
