--- a/internal/demonstrator/promises.go
+++ b/internal/demonstrator/promises.go
@@ -141,7 +141,7 @@
 // id that is still in use.
 func (o *outcome) failedFromOverload() bool {
 	switch reducer.Reason(o.reason) {
-	case reducer.Shed, reducer.DeadlinePassed, reducer.NoBackend, reducer.Unreachable, reducer.LostAnswer, reducer.TooManyInFlight, backendError:
+	case reducer.Shed, reducer.RateUnavailable, reducer.DeadlinePassed, reducer.NoBackend, reducer.Unreachable, reducer.LostAnswer, reducer.TooManyInFlight, backendError:
 		return true
 	default:
 		return o.failure != ""
--- a/internal/granter/purse.go
+++ b/internal/granter/purse.go
@@ -34,8 +34,8 @@
 type waiter struct {
 	call     Call
 	parkedAt clock.Time
-	// useless is the time from which the call has no use for a token.
-	useless clock.Time
+	// uselessAt is the time from which the call has no use for a token.
+	uselessAt clock.Time
 }
 
 // endedSlice is a slice whose end has not been reported to its bank yet.
@@ -98,8 +98,8 @@
 	return g.SpendBefore(t, call, clock.Never, now)
 }
 
-// SpendBefore is Spend for a call that has no use for a token after the given time.
-func (g *Granter) SpendBefore(t identifier.Team, call Call, useless, now clock.Time) Decision {
+// SpendBefore is Spend for a call that has no use for a token from uselessAt on.
+func (g *Granter) SpendBefore(t identifier.Team, call Call, uselessAt, now clock.Time) Decision {
 	p := g.purses[t]
 	if p == nil {
 		return Decision{Verdict: Refused, RetryAfter: clock.Second, Cause: Empty}
@@ -110,7 +110,7 @@
 			return Decision{Verdict: Spent, Paid: paid}
 		}
 	}
-	w := waiter{call: call, parkedAt: now, useless: useless}
+	w := waiter{call: call, parkedAt: now, uselessAt: uselessAt}
 	noGrantInTime := p.nextAsk >= now.Add(g.options.WaitBound)
 	switch {
 	case noGrantInTime:
@@ -197,7 +197,7 @@
 // says yet that the team has used up its rate.
 func (g *Granter) mayWait(p *purse, w waiter, now clock.Time) bool {
 	switch {
-	case now >= w.useless:
+	case now >= w.uselessAt:
 		return false
 	case now < w.parkedAt.Add(g.options.WaitBound):
 		return true
