--- a/internal/granter/asker.go
+++ b/internal/granter/asker.go
@@ -123,7 +123,6 @@
 		if d := p.chooseBank(now); d != nil {
 			g.sendAsk(p, d, want, now)
 			p.pending = true
-			p.askedDomain = d
 			p.current = request{domain: d, node: d.holders[p.slot].node, number: g.number, askedAt: now}
 			g.counters.requests++
 		}
@@ -133,7 +132,7 @@
 		g.sendAsk(p, d, 0, now)
 	}
 	if !p.pending && p.reportedDemand > 0 && p.idle(now) {
-		g.sendAsk(p, p.askedDomain, 0, now)
+		g.sendAsk(p, p.current.domain, 0, now)
 	}
 }
 
@@ -264,13 +263,14 @@
 	if p == nil {
 		return
 	}
-	wasPending := p.pending
+	inTime := p.pending && p.current.number == m.Number
 	r, ok := p.takeRequest(from, m.Number)
 	if !ok {
 		return
 	}
-	p.measureRoundTrip(now.Sub(r.askedAt))
-	g.countAnswer(now.Sub(r.askedAt), wasPending && !p.pending)
+	roundTrip := now.Sub(r.askedAt)
+	p.roundTrip = (p.roundTrip + roundTrip) / 2
+	g.countAnswer(roundTrip, inTime)
 	g.abandonBefore(p, r)
 	h := &r.domain.holders[p.slot]
 	p.unansweredRequests = 0
@@ -296,10 +296,6 @@
 	g.tickPurse(p, now)
 }
 
-func (p *purse) measureRoundTrip(d clock.Duration) {
-	p.roundTrip = (p.roundTrip + d) / 2
-}
-
 // addSlice counts the term from the sending of the request, so the slice ends here before the bank counts it as spent.
 // The tokens of an answer that arrives after that are returned.
 func (g *Granter) addSlice(p *purse, r request, m Grant, now clock.Time) {
--- a/internal/granter/purse.go
+++ b/internal/granter/purse.go
@@ -66,11 +66,10 @@
 	firstCallAt clock.Time
 	lastCallAt  clock.Time
 
-	// reportedDemand is the demand that was last reported to a bank, and askedDomain that bank's domain.
+	// reportedDemand is the demand that was last reported to a bank.
 	reportedDemand identifier.Tokens
-	askedDomain    *domain
-	// current is the request whose answer is awaited if pending is set; overdue holds earlier ones whose answers are
-	// still accepted, oldest first.
+	// current is the latest request, whose answer is awaited if pending is set; overdue holds earlier ones whose answers
+	// are still accepted, oldest first.
 	current request
 	pending bool
 	overdue []request
