The queue of events is bounded

Fault of the queue that replaced the lock around a node's state: events that arrive while the node stands still were kept without end, where before each connection waited. From 4096 events on Apply waits again until they are applied. TestApplyWaitsWhileTheQueueIsFull fails before and passes now.

--- a/internal/performer/performer.go
+++ b/internal/performer/performer.go
@@ -35,6 +35,9 @@
 	Log(reducer.Log)
 }
 
+// maxQueued is the number of queued events from which Apply waits until they are applied.
+const maxQueued = 4096
+
 // maxDrained bounds the events that one goroutine applies in a row.
 const maxDrained = 256
 
@@ -86,16 +89,20 @@
 }
 
 // Apply passes one event to the reducer and dispatches the effects. While another goroutine applies events, it leaves the
-// event to that one and returns at once: a goroutine that is preempted while it applies an event would otherwise hold up
-// all connections that have an event too, and with them the messages of other nodes behind it.
+// event to that one and returns at once, unless the queue is full: a goroutine that is preempted while it applies an event
+// would otherwise hold up all connections that have an event too, and with them the messages of other nodes behind it.
 func (p *Performer) Apply(event reducer.Event) {
 	p.queueMu.Lock()
 	p.queue = append(p.queue, event)
 	draining := p.draining
 	p.draining = true
+	full := len(p.queue) > maxQueued
 	p.queueMu.Unlock()
-	if !draining {
+	switch {
+	case !draining:
 		p.drain()
+	case full:
+		p.applyQueued()
 	}
 }
 
--- a/internal/performer/performer_test.go
+++ b/internal/performer/performer_test.go
@@ -83,3 +83,25 @@
 	p.Apply(message(2))
 	p.View(func(clock.Time) { assert.Equal(t, len(m.order), 3) })
 }
+
+// Guards against nodes that stand still while their queue of events grows until the VM's memory is used up.
+func TestApplyWaitsWhileTheQueueIsFull(t *testing.T) {
+	p, m, first := newBlocked()
+	for i := range maxQueued {
+		p.Apply(message(i + 1))
+	}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		p.Apply(message(maxQueued + 1))
+	}()
+	select {
+	case <-applied:
+		t.Error("Apply queued an event more than the queue holds")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(m.resume)
+	first.Wait()
+	<-applied
+	p.View(func(clock.Time) { assert.Equal(t, len(m.order), maxQueued+2) })
+}
