A node whose ticks are late sheds root calls, the least urgent first

No gate measures the node itself.

Why this works: the gate that stands before backend servers, fed with the time between two ticks; the node's time goes to the most urgent calls.

The dump's list of names gains entryThreshold.

--- a/internal/reducer/backends.go
+++ b/internal/reducer/backends.go
@@ -21,8 +21,8 @@
 const (
 	// heartbeatTimeout is three missed heartbeats.
 	heartbeatTimeout = 1500 * clock.Millisecond
-	// maxCountedGap is the most that one gap between two ticks adds to a backend server's silence: while the node itself
-	// stood still, heartbeats waited unread.
+	// maxCountedGap is the most that one gap between two ticks counts: while the node itself stood still, heartbeats of its
+	// backend servers waited unread.
 	maxCountedGap = 200 * clock.Millisecond
 	// leavingGracePeriod is how long a leaving backend server still accepts calls, for those that were sent before other
 	// nodes knew that it is leaving.
@@ -142,7 +142,7 @@
 	b.gate.SetTarget(b.limiter.ExpectedDelay())
 	b.gate.Observe(b.limiter.QueueDelay(s.now), s.now)
 	s.applyVerdicts(b, b.limiter.Tick(s.now, s.verdicts[:0]))
-	b.silence += min(gap, maxCountedGap)
+	b.silence += gap
 	if b.silence <= heartbeatTimeout {
 		return
 	}
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -67,6 +67,8 @@
 	// endpointWaitUntil is the time up to which the call waits for endpoints of its service; zero if it has not waited.
 	endpointWaitUntil clock.Time
 	payment           granter.Paid
+	// passedEntryGate is set once the entry gate has admitted the call.
+	passedEntryGate bool
 }
 
 func (s *State) callArrived(e *CallArrived) {
@@ -114,7 +116,8 @@
 func (s *State) rankAndAdmit(c *call) {
 	s.fairness.CountCall(c.team, s.now)
 	c.rank = identifier.MakeRank(c.priority, s.fairness.Overuse(c.team, s.now), rootHash(c))
-	if !s.thresholds.AdmitRoute(c.service, c.route, c.rank, s.now) {
+	c.passedEntryGate = s.entryGate.Admit(c.rank, s.now)
+	if !c.passedEntryGate || !s.thresholds.AdmitRoute(c.service, c.route, c.rank, s.now) {
 		s.refuse(c, Refusal{Reason: Shed, RetryAfter: s.randomRetryAfter()})
 		return
 	}
@@ -266,6 +269,9 @@
 
 // forgetCall removes a call from this node and returns its unused retry allowance to the delivery that it is nested in.
 func (s *State) forgetCall(c *call) {
+	if c.passedEntryGate {
+		s.entryGate.Served(s.now)
+	}
 	if c.parent != nil {
 		c.parent.budget.Return(c.budget.Left(), c.allowanceFromParent)
 		c.parent.nestedCalls--
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -282,6 +282,9 @@
 	}
 	s.lastTick = s.now
 	s.counters.MaxTickGap = max(s.counters.MaxTickGap, gap)
+	// A longer gap is a pause, which shedding can't shorten.
+	gap = min(gap, maxCountedGap)
+	s.entryGate.Observe(gap, s.now)
 	s.tickBackends(gap)
 	s.applyGrants(s.granter.Tick(s.now))
 	s.applyIdempotency(s.asker.Tick(s.now))
--- a/internal/reducer/dump.go
+++ b/internal/reducer/dump.go
@@ -27,12 +27,14 @@
 	Calls      int
 	Deliveries int
 	Counters   CountersDump
-	Backends   []BackendDump
-	Members    []identifier.Node
-	Endpoints  []gossiper.PlacedEndpoint
-	Contacts   []gossiper.Contact
-	Claims     []claimer.State
-	Rates      granter.State
+	// EntryThreshold is the highest rank of root calls that is admitted while this node is late.
+	EntryThreshold identifier.Threshold
+	Backends       []BackendDump
+	Members        []identifier.Node
+	Endpoints      []gossiper.PlacedEndpoint
+	Contacts       []gossiper.Contact
+	Claims         []claimer.State
+	Rates          granter.State
 	// IDRecords is the number of idempotency ids that this node has a record of as their owner, IDReports the number of
 	// outcomes that it has reported to the owners of their ids and that are not acknowledged yet.
 	IDRecords int
@@ -87,21 +89,22 @@
 // Dump returns a snapshot of the state.
 func (s *State) Dump(now clock.Time) Dump {
 	d := Dump{
-		Node:       s.options.Self,
-		Domain:     s.options.Domain,
-		Address:    s.options.Address,
-		Leaving:    s.leaving != nil,
-		Status:     s.Status(now),
-		Offset:     s.configurer.Offset(),
-		Calls:      len(s.calls),
-		Deliveries: len(s.deliveries),
-		Counters:   s.Counters(),
-		Members:    s.gossiper.Members(),
-		Contacts:   s.gossiper.Contacts(),
-		Claims:     s.claimer.Dump(now),
-		Rates:      s.granter.Dump(now),
-		IDRecords:  s.owner.Records(),
-		IDReports:  s.asker.Reports(),
+		Node:           s.options.Self,
+		Domain:         s.options.Domain,
+		Address:        s.options.Address,
+		Leaving:        s.leaving != nil,
+		Status:         s.Status(now),
+		Offset:         s.configurer.Offset(),
+		Calls:          len(s.calls),
+		Deliveries:     len(s.deliveries),
+		Counters:       s.Counters(),
+		EntryThreshold: s.entryGate.Threshold(),
+		Members:        s.gossiper.Members(),
+		Contacts:       s.gossiper.Contacts(),
+		Claims:         s.claimer.Dump(now),
+		Rates:          s.granter.Dump(now),
+		IDRecords:      s.owner.Records(),
+		IDReports:      s.asker.Reports(),
 	}
 	for _, k := range s.configurer.Keys() {
 		d.Keys = append(d.Keys, KeyDump{Hash: k.Key.Hash, Team: k.Key.Team, Withdrawn: k.Withdrawn})
--- a/internal/reducer/new.go
+++ b/internal/reducer/new.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/admitter"
 	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/configurer"
 	"github.com/jackdawtide/jackdawtide/internal/deduplicator"
 	"github.com/jackdawtide/jackdawtide/internal/gossiper"
@@ -22,6 +23,9 @@
 // nodes.
 const RateSlots = 4
 
+// entryTarget is the time between two ticks up to which a node counts as having enough processor time.
+const entryTarget = 100 * clock.Millisecond
+
 // firstOffset is the offset of the first record in the history of the platform's log.
 const firstOffset identifier.Offset = 1
 
@@ -41,6 +45,7 @@
 		rand:                o.stream(streamReducer),
 		thresholds:          admitter.NewThresholdCache(admitter.ThresholdCacheOptions{}),
 		fairness:            admitter.NewFairness(admitter.FairnessOptions{}),
+		entryGate:           admitter.NewGate(admitter.GateOptions{Target: entryTarget}),
 		damper:              retrier.NewDamper(retrier.DamperOptions{}),
 		router:              router.New(router.Options{Domain: o.Domain, Rand: o.stream(streamRouter)}),
 		calls:               make(map[CallID]*call),
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -56,6 +56,8 @@
 	thresholds *admitter.ThresholdCache
 	fairness   *admitter.Fairness
 	damper     *retrier.Damper
+	// entryGate sheds root calls while this node itself is late.
+	entryGate *admitter.Gate
 
 	rules      *rules
 	calls      map[CallID]*call
