--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -79,6 +79,7 @@
 
 func (c *Conductor) makePlan(now clock.Time) {
 	c.arrivalCounts.decay(now)
+	c.recentArrivals.decay(now)
 	c.plan = plan{
 		madeAt:           now,
 		valid:            true,
--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -42,10 +42,11 @@
 	return identifier.MakeRank(identifier.Priority(c/rankLevels), uint8(level), hash)
 }
 
-// arrivalCounts counts the root requests that arrive at this node, by origin and class.
+// arrivalCounts counts the root requests that arrive at this node, by origin and class, with exponential decay.
 type arrivalCounts struct {
-	counts    map[origin]*throttler.Mix
-	decayedAt clock.Time
+	timeConstant clock.Duration
+	counts       map[origin]*throttler.Mix
+	decayedAt    clock.Time
 }
 
 // arrivalTimeConstant is the time constant of the exponential decay: long enough to cover a few requests of each class
@@ -69,7 +70,7 @@
 
 // decay reduces the weight of old arrivals; it is called once for each plan.
 func (a *arrivalCounts) decay(now clock.Time) {
-	age := float64(now.Sub(a.decayedAt)) / float64(arrivalTimeConstant)
+	age := float64(now.Sub(a.decayedAt)) / float64(a.timeConstant)
 	a.decayedAt = now
 	keep := 1 / (1 + max(0, age))
 	for from, m := range a.counts {
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -94,6 +94,8 @@
 	retryBudgets  map[identifier.Service]*retryBudget
 	plan          plan
 	arrivalCounts arrivalCounts
+	// recentArrivals follows changes of the arrivals faster than arrivalCounts; nodes report it to each other.
+	recentArrivals arrivalCounts
 	// routeShares holds, for each configured route, the services it is split over.
 	routeShares map[identifier.Route]serviceShares
 	// callGraph holds the nested calls between services.
@@ -165,6 +167,8 @@
 		parents:        map[identifier.Request]parent{},
 		registrar:      registrar.New(registrar.Options{Service: o.Self.Service, Address: o.EndpointAddress}),
 		throttler:      throttler.New(now),
+		arrivalCounts:  arrivalCounts{timeConstant: arrivalTimeConstant},
+		recentArrivals: arrivalCounts{timeConstant: recentArrivalTimeConstant},
 		calls:          map[CallID]*call{},
 		deliveries:     map[CallID]*delivery{},
 		otherColdUntil: map[identifier.Node]clock.Time{},
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -133,6 +133,7 @@
 		return true
 	}
 	c.arrivalCounts.add(r.origin(), r.class)
+	c.recentArrivals.add(r.origin(), r.class)
 	if ratio := c.refusedRatio(r, now); ratio > 0 && c.random.Float64() < ratio {
 		c.refuseForPressure(r, now)
 		return false
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -231,6 +231,7 @@
 		ColdLeft:   c.coldLeft(c.self.Node, now),
 	}
 	c.reportLimit(&r)
+	c.reportArrivals(&r, now)
 	c.router.SetRunTimes(c.self.Endpoint, runTimesOf(r))
 	c.table.Put(r, c.self, now)
 	return r
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -47,6 +47,11 @@
 	// Limit is the state of the endpoint's rate limit, RateLimit the limit.
 	Limit     uint8   `cbor:"12,keyasint,omitempty"`
 	RateLimit float64 `cbor:"13,keyasint,omitempty"`
+	// Arrivals holds rates by route and class.
+	Arrivals map[string]map[uint8]float32 `cbor:"14,keyasint,omitempty"`
+	Offered  float32                      `cbor:"15,keyasint,omitempty"`
+	Declined float32                      `cbor:"16,keyasint,omitempty"`
+	Capacity float32                      `cbor:"17,keyasint,omitempty"`
 }
 
 // wireCalls holds the number of calls by the run's route and the call's route.
@@ -158,6 +163,11 @@
 
 		Limit:     uint8(r.Limit),
 		RateLimit: r.RateLimit,
+
+		Arrivals: toArrivals(r.Arrivals),
+		Offered:  float32(r.Offered),
+		Declined: float32(r.Declined),
+		Capacity: float32(r.Capacity),
 	}
 	if r.Compact {
 		w.Node = string(r.Member.Node)
@@ -185,6 +195,9 @@
 	if w.Limit <= uint8(Limited) && w.RateLimit >= 0 {
 		r.Limit, r.RateLimit = LimitState(w.Limit), w.RateLimit
 	}
+	if err := w.readRates(&r); err != nil {
+		return Report{}, err
+	}
 	if !r.Compact {
 		var err error
 		r.Member, err = memberFromWire(*w.Member)
--- /dev/null
+++ b/internal/exchanger/rates_test.go
@@ -0,0 +1,52 @@
+package exchanger
+
+import (
+	"errors"
+	"math"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+)
+
+// Guards against rates that would spoil every sum over the fleet: a report with one is rejected as a whole.
+func TestReportsWithInvalidRatesAreRejected(t *testing.T) {
+	rateError, classError := RateError{}, ClassError{}
+	for name, c := range map[string]struct {
+		report wireReport
+		want   any
+	}{
+		"infinite offered":  {wireReport{Node: "a", Offered: float32(math.Inf(1))}, &rateError},
+		"negative declined": {wireReport{Node: "a", Declined: -1}, &rateError},
+		"huge capacity":     {wireReport{Node: "a", Capacity: 1e10}, &rateError},
+		"arrivals not a number": {
+			wireReport{Node: "a", Arrivals: map[string]map[uint8]float32{"browse": {2: float32(math.NaN())}}}, &rateError,
+		},
+		"unknown class": {wireReport{Node: "a", Arrivals: map[string]map[uint8]float32{"browse": {16: 1}}}, &classError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := cbor.Marshal(wireAnswer{Reports: []wireReport{{Node: "b", Number: 1}, c.report}})
+			assert.NilError(t, err)
+			answer, err := DecodeAnswer(data)
+			assert.Assert(t, errors.As(err, c.want), "%v", err)
+			assert.Equal(t, len(answer.Reports), 0)
+		})
+	}
+}
+
+// Guards against nodes that read each other's rates differently from how they were sent.
+func TestRatesSurviveEncoding(t *testing.T) {
+	sent := Report{
+		Member: Member{Node: "a"}, Compact: true, Number: 4, Offered: 900, Declined: 450, Capacity: 1500,
+		Arrivals: map[identifier.Route]map[identifier.Class]float64{"browse": {0: 12, 9: 0.5}, "order": {15: 3}},
+	}
+	data, err := EncodeAnswer(Answer{Reports: []Report{sent}})
+	assert.NilError(t, err)
+	answer, err := DecodeAnswer(data)
+	assert.NilError(t, err)
+	got := answer.Reports[0]
+	assert.DeepEqual(t, got.Arrivals, sent.Arrivals)
+	assert.Equal(t, [3]float64{got.Offered, got.Declined, got.Capacity}, [3]float64{900, 450, 1500})
+}
