Soak checks the bound on retries from outside

Retries of a service are bounded over the whole fleet, and no check of the soak counted them. retriesExceeded compares the arrivals that endpoints recorded with the requests that callers and endpoints recorded as sent, in every window of 10 s that ends with a retry. The nodes' settings name the bounds by which they are judged; the values are the loader's defaults, so nothing changes for them. An arrival names its service, a recorded nested call its path.

--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -49,6 +49,10 @@
 	// Contact after the endpoint first named a limit.
 	LimitWindow, LimitReaction, Contact time.Duration
 	LimitExcess, LimitSlack             float64
+	// Within RetryWindow, the arrivals of a service's requests beyond the first of each may be RetryRatio times the
+	// requests for the service, and RetrySlack more.
+	RetryWindow            time.Duration
+	RetryRatio, RetrySlack float64
 	// MinRecoveredRatio is the ratio of requests that must be served once all faults are over and recoveryGrace has
 	// passed.
 	MinRecoveredRatio float64
@@ -172,7 +176,7 @@
 	var all []Breach
 	for _, check := range []func(Terms) []Breach{
 		r.wrongAnswers, r.ranTwice, r.falseNotRun, r.unknownRuns, r.keyBreaches, r.rateExceeded, r.afterLeaving,
-		r.limitExceeded, r.afterLeavingAnswer, r.withoutRetryAfter, r.notRecovered, r.unexpectedExits,
+		r.limitExceeded, r.afterLeavingAnswer, r.withoutRetryAfter, r.retriesExceeded, r.notRecovered, r.unexpectedExits,
 	} {
 		found := check(t)
 		all = append(all, found[:min(len(found), maxBreachesPerCheck)]...)
--- a/internal/soaker/judge_test.go
+++ b/internal/soaker/judge_test.go
@@ -11,7 +11,8 @@
 )
 
 var terms = Terms{
-	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20, MinRecoveredRatio: 0.95,
+	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20,
+	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 5, MinRecoveredRatio: 0.95,
 }
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -47,6 +48,16 @@
 	r.AddArrival(standin.Arrival{Request: id, Instance: instance, At: second(at)})
 }
 
+// addSpread adds a request of portal that is served, and declined by another endpoint before if it is retried.
+func addSpread(r *Record, id string, at float64, retried bool) {
+	r.AddRequest(Sent{ID: id, Path: "/read/x", Team: "parish", Key: "k", At: second(at), Answer: standin.Answer{Status: 200, Correct: true}})
+	if retried {
+		r.AddArrival(standin.Arrival{Request: id, Instance: "i-1", Service: "portal", At: second(at)})
+	}
+	r.AddArrival(standin.Arrival{Request: id, Instance: "i-2", Service: "portal", At: second(at + 0.01)})
+	r.AddRun(standin.Run{Request: id, Instance: "i-2", Team: "parish", At: second(at + 0.01)})
+}
+
 // If a check could not fail, a soak would pass on a faulty fleet. Each check gets a record with one injected fault, and
 // exactly that check must report a breach.
 func TestEachCheckFindsItsFault(t *testing.T) {
@@ -131,6 +142,17 @@
 			s.Answer.RetryAfter = ""
 			r.AddRequest(s)
 		}, "withoutRetryAfter"},
+		"retries beyond their ratio": {func(r *Record) {
+			// 40 requests in 10 s, 14 of which reach a second endpoint: 0.2 x 40 + 5 = 13 are allowed.
+			for i := range 40 {
+				addSpread(r, fmt.Sprint("s", i), 20+float64(i)/4, i%3 == 0)
+			}
+		}, "retriesExceeded"},
+		"retries within their ratio": {func(r *Record) {
+			for i := range 40 {
+				addSpread(r, fmt.Sprint("s", i), 20+float64(i)/4, i%3 == 0 && i > 0)
+			}
+		}, ""},
 		"a process exited": {func(r *Record) { r.AddExit("node 3: exit status 2") }, "ended"},
 	}
 	for name, test := range tests {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -103,8 +103,9 @@
 	}
 	text := fmt.Sprintf("[node]\nname = %q\nfailureDomain = %q\n\n[endpoint]\nservice = %q\naddress = %q\n\n[listen]\n%s\n"+
 		"[store]\naddress = %q\n\n[limits]\nmemoryMb = 128\n\n[bounds]\nrevoke = \"5s\"\ndrain = \"2s\"\ngrace = \"6s\"\n"+
-		"rateExcess = 0.1\nrateSlack = 20\n",
-		n.name, n.domain, n.service, endpointAddress, listen.String(), storeAddress)
+		"rateExcess = 0.1\nrateSlack = 20\nrepeatRatio = %v\nrepeatSlack = %v\nrepeatWindow = %q\n",
+		n.name, n.domain, n.service, endpointAddress, listen.String(), storeAddress,
+		Promises.RetryRatio, Promises.RetrySlack, Promises.RetryWindow)
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
@@ -203,7 +204,7 @@
 	n.backend.Start(standin.BackendOptions{
 		Instance: n.instance, Service: service, Zone: n.domain, Slots: 16, Work: 10 * time.Millisecond,
 		Control: n.announcements, Outbound: n.outbound, Host: host, Nested: nested, Address: n.endpoint.Address(),
-		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name), Acknowledged: f.record.AddLeave,
+		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name, nested), Acknowledged: f.record.AddLeave,
 	})
 	go n.backend.Announce(ctx)
 	f.nodes = append(f.nodes, n)
@@ -211,9 +212,9 @@
 }
 
 // recordNestedCall returns a function that records a nested call of the endpoint beside a node as a request of that node.
-func (f *fleet) recordNestedCall(node string) func(standin.NestedCall) {
+func (f *fleet) recordNestedCall(node, path string) func(standin.NestedCall) {
 	return func(c standin.NestedCall) {
-		f.record.AddRequest(Sent{ID: c.Request, Node: node, Idempotent: true, At: c.At, Answered: c.Answered, Answer: c.Answer})
+		f.record.AddRequest(Sent{ID: c.Request, Node: node, Path: path, Idempotent: true, At: c.At, Answered: c.Answered, Answer: c.Answer})
 	}
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -26,6 +26,7 @@
 var Promises = Terms{
 	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20,
 	LimitWindow: 4 * time.Second, LimitReaction: 500 * time.Millisecond, Contact: 3 * time.Second, LimitExcess: 1.5, LimitSlack: 5,
+	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 	MinRecoveredRatio: 0.95,
 }
 
