Soak's callers return once after a refusal

The callers of the deployments with hard load return once after a refusal that says when; the soak's callers never did. A return is a request of its own, with an id of its own. Tests that start the fleet themselves run without returns, as before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	length := app.Flag("length", "How long faults are injected for each seed.").Default("20s").Duration()
 	faults := app.Flag("fault", "Name of a fault to inject; repeat it for several. Default: all faults.").Enums(soaker.FaultNames()...)
 	nodes := app.Flag("nodes", "Number of nodes.").Default("6").Int()
+	returns := app.Flag("returns", "Whether callers return once after a refusal that says when.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -37,6 +38,7 @@
 		}
 		report, err := soaker.Run(ctx, soaker.Options{
 			Program: *program, Directory: folder, Seed: s, Length: *length, Nodes: *nodes, Faults: *faults,
+			Returns: *returns,
 		})
 		app.FatalIfError(err, "seed %d", s)
 		breaches += len(report.Breaches)
--- a/internal/soaker/traffic.go
+++ b/internal/soaker/traffic.go
@@ -1,8 +1,8 @@
 package soaker
 
 // Callers reuse their connections and send at a constant rate whatever the outcome of the requests: a caller that
-// waited for answers would send less while the fleet is failing. Callers don't retry; each request is checked by
-// itself.
+// waited for answers would send less while the fleet is failing. With Options.Returns a caller that is refused and told when
+// to return does so once, with a new request; each request is checked by itself.
 //
 // Example: an order without an answer is recorded with status 0, and may have run once.
 
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +27,10 @@
 	fullRateNodes   = 12
 	callersPerNode  = 3
 	callTimeout     = 2 * time.Second
+	// maxReturnSeconds is the longest time that a refused caller waits to return. returnSuffix ends the id of its new
+	// request; it has no dot, which would mark a nested call.
+	maxReturnSeconds = 10
+	returnSuffix     = "-again"
 	// greedyRate is the rate of the team that sends several times its rate.
 	greedyRate  = 20
 	greedyBurst = 20
@@ -144,16 +149,36 @@
 		pending.Add(1)
 		go func() {
 			defer pending.Done()
-			f.send(client, n.name, q, team, idempotent)
+			f.sendAndReturn(ctx, client, n.name, q, team, idempotent)
 		}()
 	}
 }
 
-func (f *fleet) send(client *http.Client, node string, q standin.Request, team string, idempotent bool) {
+// sendAndReturn sends a request and, if callers return and it is refused with a time to return, a new request at that time,
+// unless the context has ended by then.
+func (f *fleet) sendAndReturn(ctx context.Context, client *http.Client, node string, q standin.Request, team string, idempotent bool) {
+	answer := f.send(client, node, q, team, idempotent)
+	seconds, err := strconv.ParseFloat(answer.RetryAfter, 64)
+	if !f.options.Returns || !answer.NotRun() || err != nil || seconds < 0 || seconds > maxReturnSeconds {
+		return
+	}
+	wait(ctx, time.Duration(seconds*float64(time.Second)))
+	if ctx.Err() != nil {
+		return
+	}
+	q.ID += returnSuffix
+	if q.Body != "" {
+		q.Body += returnSuffix
+	}
+	f.send(client, node, q, team, idempotent)
+}
+
+func (f *fleet) send(client *http.Client, node string, q standin.Request, team string, idempotent bool) standin.Answer {
 	limited, cancel := context.WithTimeout(context.Background(), q.Timeout)
 	defer cancel()
 	s := Sent{ID: q.ID, Node: node, Path: q.Path, Team: team, Key: q.Key, Idempotent: idempotent, At: time.Now()}
 	s.Answer = standin.Call(limited, client, q)
 	s.Answered = time.Now()
 	f.record.AddRequest(s)
+	return s.Answer
 }
--- a/internal/soaker/types.go
+++ b/internal/soaker/types.go
@@ -24,6 +24,9 @@
 	Nodes int
 	// Faults are the names of the faults to inject; empty means all.
 	Faults []string
+	// Returns makes callers return once after a refusal that says when. Without it the demand does not depend on the
+	// answers, as tests that compare the requests served with a limit need.
+	Returns bool
 }
 
 // Report is the outcome of a soak.
