Soak's endpoints decline calls and report a changing pace

No fault of the soak played a service that declines part of its calls although it has room, nor endpoints whose speed changes several times a second, as on the deployments with hard load. A fourth sequence draws them: a longer list in the other three would have changed the plan of every seed. The stand-in has one hook for it, BackendOptions.Condition; what decides on it is the soak's.

--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -17,8 +17,8 @@
 	"github.com/jackdawtide/jackdawtide/platform/standin"
 )
 
-// faultSequences is the number of sequences, and so of faults that may overlap.
-const faultSequences = 3
+// generalSequences is the number of sequences that draw from faults; one more draws from loadFaults.
+const generalSequences = 3
 
 const (
 	minFaultDuration = 300 * time.Millisecond
@@ -99,28 +99,31 @@
 		return nil
 	}},
 	{"serviceLimited", func(f *fleet, n *node, d time.Duration) error {
-		var all []*node
-		for _, other := range f.nodes {
-			if other.service == n.service {
-				all = append(all, other)
-			}
-		}
-		f.limitFor(d, all...)
+		f.limitFor(d, f.nodesOf(n.service)...)
 		return nil
 	}},
 }
 
 // FaultNames returns the names of all faults.
 func FaultNames() (names []string) {
-	for _, f := range faults {
+	for _, f := range slices.Concat(faults, loadFaults) {
 		names = append(names, f.name)
 	}
 	return names
 }
 
+// faultsBySequence returns the faults that each sequence draws from. The faults of loadFaults have a sequence of their own,
+// since a longer list in the other sequences would change the plan of every seed.
+func faultsBySequence(names []string) (sequences [][]fault) {
+	for range generalSequences {
+		sequences = append(sequences, selectedFaults(faults, names))
+	}
+	return append(sequences, selectedFaults(loadFaults, names))
+}
+
 // selectedFaults returns the faults with the given names, all if none is given.
-func selectedFaults(names []string) (selected []fault) {
-	for _, f := range faults {
+func selectedFaults(all []fault, names []string) (selected []fault) {
+	for _, f := range all {
 		if len(names) == 0 || slices.Contains(names, f.name) {
 			selected = append(selected, f)
 		}
@@ -128,6 +131,15 @@
 	return selected
 }
 
+func (f *fleet) nodesOf(service string) (nodes []*node) {
+	for _, n := range f.nodes {
+		if n.service == service {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
 func (f *fleet) returnEndpoint(n *node) {
 	n.backend.Return(func(at time.Time) {
 		f.record.AddReturn(n.instance, at)
@@ -172,9 +184,8 @@
 }
 
 // runFaultSequence injects faults one after another until the context ends, and records each.
-func (f *fleet) runFaultSequence(ctx context.Context, sequence uint64, recordFault func(string)) error {
+func (f *fleet) runFaultSequence(ctx context.Context, sequence uint64, kinds []fault, recordFault func(string)) error {
 	random := rand.New(rand.NewPCG(f.options.Seed, sequence))
-	kinds := selectedFaults(f.options.Faults)
 	started := time.Now()
 	for ctx.Err() == nil {
 		next := kinds[random.IntN(len(kinds))]
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -26,6 +26,9 @@
 // the same value.
 const terminationGrace = 6 * time.Second
 
+// slots is how many requests an endpoint runs at once.
+const slots = 16
+
 type node struct {
 	name, service, domain string
 	instance              string
@@ -34,7 +37,8 @@
 	program               string
 	record                *Record
 
-	backend *standin.Backend
+	backend   *standin.Backend
+	condition condition
 	// store, endpoint and callers are the proxies on the node's connections.
 	store, endpoint, callers *Proxy
 	// announcements and outbound are the addresses at which the node accepts announcements and callers' requests.
@@ -202,9 +206,10 @@
 		nested = "/inner/x"
 	}
 	n.backend.Start(standin.BackendOptions{
-		Instance: n.instance, Service: service, Zone: n.domain, Slots: 16, Work: 10 * time.Millisecond,
+		Instance: n.instance, Service: service, Zone: n.domain, Slots: slots, Work: 10 * time.Millisecond,
 		Control: n.announcements, Outbound: n.outbound, Host: host, Nested: nested, Address: n.endpoint.Address(),
 		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name, nested), Acknowledged: f.record.AddLeave,
+		Condition: n.condition.draw,
 	})
 	go n.backend.Announce(ctx)
 	f.nodes = append(f.nodes, n)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -111,12 +111,16 @@
 		defer mu.Unlock()
 		report.Faults = append(report.Faults, line)
 	}
-	failed := make([]error, faultSequences)
-	for sequence := range faultSequences {
+	sequences := faultsBySequence(f.options.Faults)
+	failed := make([]error, len(sequences))
+	for sequence, kinds := range sequences {
+		if len(kinds) == 0 {
+			continue
+		}
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			failed[sequence] = f.runFaultSequence(limited, uint64(sequence), recordFault)
+			failed[sequence] = f.runFaultSequence(limited, uint64(sequence), kinds, recordFault)
 		}()
 	}
 	all.Wait()
