--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -26,6 +26,7 @@
 var Promises = Terms{
 	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20,
 	LimitWindow: 4 * time.Second, LimitReaction: 500 * time.Millisecond, Contact: 3 * time.Second, LimitExcess: 1.5, LimitSlack: 5,
+	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 	MinRecoveredRatio: 0.95,
 }
 
@@ -110,12 +111,16 @@
 		defer mu.Unlock()
 		report.Faults = append(report.Faults, line)
 	}
-	failed := make([]error, faultSequences)
-	for sequence := range faultSequences {
+	sequences := faultsBySequence(f.options.Faults)
+	failed := make([]error, len(sequences))
+	for sequence, kinds := range sequences {
+		if len(kinds) == 0 {
+			continue
+		}
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			failed[sequence] = f.runFaultSequence(limited, uint64(sequence), recordFault)
+			failed[sequence] = f.runFaultSequence(limited, uint64(sequence), kinds, recordFault)
 		}()
 	}
 	all.Wait()
