--- /dev/null
+++ b/internal/throttler/full_rate_test.go
@@ -0,0 +1,54 @@
+package throttler
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+// Guards against a capacity that is unknown or drifts while no calls are queued: nodes compare it with the demand of the
+// whole fleet, and would admit too much or too little.
+func TestFullRate(t *testing.T) {
+	tests := map[string]struct {
+		// answered is per tick of 25 ms, inFlight of 100 slots, for the given number of ticks.
+		phases []struct{ answered, inFlight, ticks int }
+		want   float64
+	}{
+		"nearly idle":                  {[]struct{ answered, inFlight, ticks int }{{10, 40, 200}}, 0},
+		"busy":                         {[]struct{ answered, inFlight, ticks int }{{30, 75, 200}}, 1600},
+		"full":                         {[]struct{ answered, inFlight, ticks int }{{40, 100, 200}}, 1600},
+		"slower":                       {[]struct{ answered, inFlight, ticks int }{{40, 100, 200}, {20, 100, 200}}, 800},
+		"idle keeps it":                {[]struct{ answered, inFlight, ticks int }{{40, 100, 200}, {0, 0, 4000}}, 1600},
+		"recovered with few calls":     {[]struct{ answered, inFlight, ticks int }{{10, 100, 200}, {10, 25, 400}}, 1600},
+		"few calls on fast slots only": {[]struct{ answered, inFlight, ticks int }{{40, 100, 200}, {1, 10, 400}}, 1600},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			th := New(0)
+			now := clock.Time(0)
+			for _, p := range test.phases {
+				for range p.ticks {
+					now += 25
+					for range p.answered {
+						th.Arrived()
+						th.Answered()
+					}
+					th.ObserveSlots(p.inFlight, 100)
+					th.Observe(0, 0, now)
+				}
+			}
+			assert.Assert(t, math.Abs(th.FullRate()-test.want) <= 0.02*test.want, "got %v, want %v", th.FullRate(), test.want)
+		})
+	}
+}
+
+// A limited endpoint answers what it names.
+func TestFullRateOfLimitedEndpoint(t *testing.T) {
+	th := New(0)
+	th.SetRateLimit(40, false)
+	th.Observe(0, 0, 500)
+	assert.Equal(t, th.FullRate(), 40.0)
+}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -75,6 +75,9 @@
 	// spills is set if calls beyond rateLimit are run at other endpoints of the service, so that they are no excess here.
 	spills  bool
 	history []refusalSample
+	// occupied and usable are the calls in flight and the usable slots, summed over the observations of the window.
+	occupied, usable float64
+	fullRate         float64
 }
 
 // refusalSample is the fraction of the service's load that was refused from a given time on.
@@ -120,11 +123,13 @@
 	t.updateRates(float64(span) / float64(clock.Second))
 	t.updateExcess(float64(waiting), refused, now)
 	t.windowStart, t.arrived, t.answered, t.saturated = now, 0, 0, true
+	t.occupied, t.usable = 0, 0
 }
 
 func (t *Throttler) updateRates(seconds float64) {
 	t.arrivalRate += arrivingGain * (t.arrived/seconds - t.arrivalRate)
 	rate := t.answered / seconds
+	t.updateFullRate(rate, seconds)
 	switch {
 	case t.rateLimit > 0:
 		t.capacity = t.rateLimit
