--- a/internal/mesher/metrics.go
+++ b/internal/mesher/metrics.go
@@ -27,6 +27,9 @@
 	gauge("endpoint_queued", func(s conductor.State) float64 { return float64(s.Queued) })
 	gauge("endpoint_limit", func(s conductor.State) float64 { return float64(s.Limit) })
 	gauge("endpoint_excess", func(s conductor.State) float64 { return s.Excess })
+	gauge(`refused_fraction{reason="computed"}`, func(s conductor.State) float64 { return s.RefusedComputed })
+	gauge(`refused_fraction{reason="measured"}`, func(s conductor.State) float64 { return s.RefusedMeasured })
+	gauge("nodes_reporting_arrivals", func(s conductor.State) float64 { return float64(s.ArrivalReporters) })
 	gauge("endpoint_cold_seconds", func(s conductor.State) float64 { return float64(s.ColdLeft) / float64(clock.Second) })
 	gauge("other_endpoints_cold", func(s conductor.State) float64 { return float64(s.ColdOthers) })
 	gauge("endpoint_limited", func(s conductor.State) float64 {
