conductor: tell throttlers that nothing is refused where no known request leads; drop AnyOverloaded

With the fleet's arrivals known and none of them leading to an overloaded service, the plan named the measured excess as refused although no request was.

--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -72,12 +72,7 @@
 	return c.plan.divide(r, ratios[r.class])
 }
 
-// AnyOverloaded reports whether some service has more load than it can take.
-func (c *Conductor) AnyOverloaded(now clock.Time) bool {
-	c.refreshPlan(now)
-	return c.plan.overloaded()
-}
-
+// overloaded reports whether some service has more load than it can take.
 func (p *plan) overloaded() bool {
 	for _, excess := range p.excess {
 		if excess > 0 {
--- a/internal/conductor/service_demand.go
+++ b/internal/conductor/service_demand.go
@@ -35,6 +35,14 @@
 	return calls
 }
 
+// refused returns the part of all calls that the given parts of the kinds make up, 0 without any demand.
+func (d serviceDemand) refused(parts []float64) float64 {
+	if d.calls <= 0 {
+		return 0
+	}
+	return d.callsOf(parts) / d.calls
+}
+
 // slotTimeOf returns the slot time a second of the given parts of the kinds.
 func (d serviceDemand) slotTimeOf(parts []float64) float64 {
 	slotTime := 0.0
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -109,8 +109,8 @@
 	}
 	r.excess = excess
 	r.parts = rationer.Refuse(r.demand.rationed, (1-excess)*r.demand.slotTime)
-	if p.fleet && r.demand.calls > 0 {
-		r.excess = r.demand.callsOf(r.parts) / r.demand.calls
+	if p.fleet {
+		r.excess = r.demand.refused(r.parts)
 	}
 	r.ratios = map[origin]*throttler.Mix{}
 	for i, part := range r.parts {
