throttler: the end of a rate limit or cold phase makes the full rate unknown

An endpoint whose limit of 40 a second was lifted reported a full rate of 40 as its capacity from then on, and the fleet admitted that much. The window in which the limit ends is not measured.

Test: TestFullRateIsUnknownAfterLimit, fails before (40, not 0).

--- a/internal/throttler/full_rate.go
+++ b/internal/throttler/full_rate.go
@@ -34,6 +34,10 @@
 		t.fullRate = t.rateLimit
 		return
 	}
+	if t.limitEnded {
+		t.limitEnded = false
+		return
+	}
 	utilization := 0.0
 	if t.usable > 0 {
 		utilization = min(1, t.occupied/t.usable)
--- a/internal/throttler/full_rate_test.go
+++ b/internal/throttler/full_rate_test.go
@@ -52,3 +52,29 @@
 	th.Observe(0, 0, 500)
 	assert.Equal(t, th.FullRate(), 40.0)
 }
+
+// Guards against an endpoint whose capacity stays at the limit that it named before, or at that of its cold phase: the fleet
+// would admit only that much.
+func TestFullRateIsUnknownAfterLimit(t *testing.T) {
+	th := New(0)
+	th.SetRateLimit(40, false)
+	now := clock.Time(0)
+	observe := func(ticks, answered, inFlight int) {
+		for range ticks {
+			now += 25
+			for range answered {
+				th.Arrived()
+				th.Answered()
+			}
+			th.ObserveSlots(inFlight, 100)
+			th.Observe(0, 0, now)
+		}
+	}
+	observe(40, 1, 2)
+	assert.Equal(t, th.FullRate(), 40.0)
+	observe(1, 1, 2)
+	th.SetRateLimit(0, false)
+	assert.Equal(t, th.FullRate(), 0.0)
+	observe(40, 40, 100)
+	assert.Assert(t, math.Abs(th.FullRate()-1600) < 32, "%v", th.FullRate())
+}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -78,6 +78,8 @@
 	// occupied and usable are the calls in flight and the usable slots, summed over the observations of the window.
 	occupied, usable float64
 	fullRate         float64
+	// limitEnded is set if a rate limit ended in the current window, whose calls are therefore no measure of the capacity.
+	limitEnded bool
 }
 
 // refusalSample is the fraction of the service's load that was refused from a given time on.
@@ -96,6 +98,7 @@
 func (t *Throttler) SetRateLimit(perSecond float64, spills bool) {
 	if perSecond == 0 && t.rateLimit > 0 {
 		t.capacity, t.excess = 0, 0
+		t.fullRate, t.limitEnded = 0, true
 	}
 	t.rateLimit, t.spills = perSecond, spills && perSecond > 0
 }
