conductor: shares of teams from their arrivals at the threshold, not from token demand

Refused and pooled requests counted as token demand, which moved a team's rate to the nodes that refuse. Reports carry the arrivals by team and route (CBOR key 18) under the same condition as Arrivals. A team's claim is the slot time of its arrivals of the kinds at the threshold.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -293,25 +293,6 @@
 	return demand
 }
 
-// Count counts a request of the team that takes no token here, because it is refused for the load on a service or its
-// token comes from elsewhere, so that Demand and TotalDemand include it.
-func (a *Apportioner) Count(team identifier.Team, now clock.Time) {
-	if b, ok := a.teams[team]; ok {
-		b.decayDemand(now)
-		b.demand += float64(clock.Second) / float64(demandTimeConstant)
-	}
-}
-
-// TotalDemand returns the requests a second of a team that arrive at all nodes that report, as far as they are counted.
-func (a *Apportioner) TotalDemand(team identifier.Team, now clock.Time) float64 {
-	b, ok := a.teams[team]
-	if !ok {
-		return 0
-	}
-	b.decayDemand(now)
-	return b.demand + b.otherDemand - b.silentDemand
-}
-
 // Verdict is the decision whether a request is within its team's rate.
 type Verdict struct {
 	Allowed bool
--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -85,6 +85,7 @@
 func (c *Conductor) makePlan(now clock.Time) {
 	c.arrivalCounts.decay(now)
 	c.recentArrivals.decay(now)
+	c.teamArrivals.decay(now)
 	c.plan = plan{
 		madeAt:           now,
 		valid:            true,
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -96,6 +96,10 @@
 	arrivalCounts arrivalCounts
 	// recentArrivals follows changes of the arrivals faster than arrivalCounts; nodes report it to each other.
 	recentArrivals arrivalCounts
+	// teamArrivals has the same time constant; shares of teams are computed from it.
+	teamArrivals teamArrivals
+	// fleetTeams sums what other nodes report of teamArrivals.
+	fleetTeams fleetTeams
 	// arrivalTrends tells how the arrivals in the nodes' reports change.
 	arrivalTrends map[identifier.Node]arrivalTrend
 	// demandModels holds, for each overloaded service, what its measured demand says about the computed one.
@@ -250,6 +254,7 @@
 		c.tick(now)
 	case VMResumed:
 		c.table.AddElapsed(e.After)
+		c.fleetTeams.addElapsed(e.After)
 	case BoundsChanged:
 		c.options.Bounds = e.Bounds
 	case StopRequested:
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -22,6 +22,8 @@
 	c.matcher, c.configurationReadAt = e.Matcher, e.At
 	c.routeShares = sharesOf(e.Matcher.Configuration())
 	c.runs.retain(c.routeShares)
+	c.teamArrivals.keep(e.Matcher.Configuration().Teams)
+	c.fleetTeams.configure(e.Matcher.Configuration().Teams)
 	clear(c.sentOrigins)
 	c.callGraph = nil
 	for _, t := range e.Matcher.Configuration().Teams {
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -134,10 +134,10 @@
 	}
 	c.arrivalCounts.add(r.origin(), r.class)
 	c.recentArrivals.add(r.origin(), r.class)
+	if r.team != nil {
+		c.teamArrivals.add(r.team.Name, identifier.Route(r.route.Name))
+	}
 	if ratio := c.refusedRatio(r, now); ratio > 0 && c.random.Float64() < ratio {
-		if r.team != nil {
-			c.apportioner.Count(r.team.Name, now)
-		}
 		c.refuseForPressure(r, now)
 		return false
 	}
@@ -148,9 +148,6 @@
 	if r.team == nil {
 		return true
 	}
-	if c.sharesArrivals(now) && !c.takesOwnToken(r.team) {
-		c.apportioner.Count(r.team.Name, now)
-	}
 	if c.isPooled(r.team.Name) {
 		return c.draw(r, now)
 	}
--- a/internal/conductor/fleet_arrivals.go
+++ b/internal/conductor/fleet_arrivals.go
@@ -69,6 +69,8 @@
 		}
 		r.Arrivals[route] = byClass
 	}
+	c.teamArrivals.decay(now)
+	r.TeamArrivals = c.teamArrivals.rates()
 	if len(r.Arrivals) == 0 {
 		// Without any entry, the report would look like that of an older node, which reports no arrivals.
 		r.Arrivals[unknownRoute] = map[identifier.Class]float64{0: 0}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -46,6 +46,7 @@
 	delete(c.otherLimits, node)
 	delete(c.left, node)
 	delete(c.arrivalTrends, node)
+	c.fleetTeams.drop(node)
 	c.detector.Forget(node)
 	c.table.Drop(node)
 	c.apportioner.Forget(node)
@@ -182,6 +183,7 @@
 		c.learnReportedLimit(r, now)
 		c.router.SetRunTimes(r.Member.Endpoint, runTimesOf(r))
 		c.learnArrivalTrend(r, now.Add(-r.Age))
+		c.fleetTeams.learn(r, now.Add(-r.Age))
 		demands = append(demands, apportioner.DemandReport{Node: r.Member.Node, Demand: r.Demand, MadeAt: now.Add(-r.Age)})
 	}
 	c.apportioner.AddReports(demands, now)
--- a/internal/conductor/service_demand.go
+++ b/internal/conductor/service_demand.go
@@ -22,6 +22,8 @@
 	kinds     []requestKind
 	rationed  []rationer.Kind
 	callRates []float64
+	// slotTimes is the slot time of one request of each kind.
+	slotTimes []float64
 	// calls and slotTime are sums over the kinds.
 	calls, slotTime float64
 }
@@ -92,6 +94,7 @@
 			d.rationed = append(d.rationed, rationer.Kind{
 				Class: identifier.Class(i), Demand: rate * slotTime, Worth: class(i).worth(costLevel(slotTime)),
 			})
+			d.slotTimes = append(d.slotTimes, slotTime)
 			d.callRates = append(d.callRates, rate*calls)
 			d.calls += rate * calls
 			d.slotTime += rate * slotTime
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -166,7 +166,7 @@
 			c.plan.limits[k.from] = limit
 		}
 		if p.fleet && part < 1 {
-			divided.add(k, part)
+			divided.add(k, d.slotTimes[i], part)
 		}
 	}
 	if len(divided.kinds) > 0 {
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -52,6 +52,8 @@
 	Offered  float32                      `cbor:"15,keyasint,omitempty"`
 	Declined float32                      `cbor:"16,keyasint,omitempty"`
 	Capacity float32                      `cbor:"17,keyasint,omitempty"`
+	// TeamArrivals holds rates by team and route.
+	TeamArrivals map[string]map[string]float32 `cbor:"18,keyasint,omitempty"`
 }
 
 // wireCalls holds the number of calls by the run's route and the call's route.
@@ -168,6 +170,8 @@
 		Offered:  float32(r.Offered),
 		Declined: float32(r.Declined),
 		Capacity: float32(r.Capacity),
+
+		TeamArrivals: toTeamArrivals(r.TeamArrivals),
 	}
 	if r.Compact {
 		w.Node = string(r.Member.Node)
--- a/internal/exchanger/rates.go
+++ b/internal/exchanger/rates.go
@@ -74,6 +74,19 @@
 		}
 		r.Arrivals[identifier.Route(route)] = byClass
 	}
+	if len(w.TeamArrivals) > 0 {
+		r.TeamArrivals = make(map[identifier.Team]map[identifier.Route]float64, len(w.TeamArrivals))
+	}
+	for team, rates := range w.TeamArrivals {
+		byRoute := make(map[identifier.Route]float64, len(rates))
+		for route, rate := range rates {
+			if !validRate(rate) {
+				return RateError{Node: node, Field: "arrivals of team " + team + " for " + route, Value: float64(rate)}
+			}
+			byRoute[identifier.Route(route)] = float64(rate)
+		}
+		r.TeamArrivals[identifier.Team(team)] = byRoute
+	}
 	return nil
 }
 
@@ -96,3 +109,14 @@
 	}
 	return to
 }
+
+func toTeamArrivals(from map[identifier.Team]map[identifier.Route]float64) map[string]map[string]float32 {
+	if len(from) == 0 {
+		return nil
+	}
+	to := make(map[string]map[string]float32, len(from))
+	for team, rates := range from {
+		to[string(team)] = toFloats(rates)
+	}
+	return to
+}
--- a/internal/exchanger/rates_test.go
+++ b/internal/exchanger/rates_test.go
@@ -24,6 +24,12 @@
 		"arrivals not a number": {
 			wireReport{Node: "a", Arrivals: map[string]map[uint8]float32{"browse": {2: float32(math.NaN())}}}, &rateError,
 		},
+		"infinite arrivals of a team": {
+			wireReport{Node: "a", TeamArrivals: map[string]map[string]float32{"team": {"browse": float32(math.Inf(1))}}}, &rateError,
+		},
+		"negative arrivals of a team": {
+			wireReport{Node: "a", TeamArrivals: map[string]map[string]float32{"team": {"browse": -1}}}, &rateError,
+		},
 		"unknown class": {wireReport{Node: "a", Arrivals: map[string]map[uint8]float32{"browse": {16: 1}}}, &classError},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -40,7 +46,8 @@
 func TestRatesSurviveEncoding(t *testing.T) {
 	sent := Report{
 		Member: Member{Node: "a"}, Compact: true, Number: 4, Offered: 900, Declined: 450, Capacity: 1500,
-		Arrivals: map[identifier.Route]map[identifier.Class]float64{"browse": {0: 12, 9: 0.5}, "order": {15: 3}},
+		Arrivals:     map[identifier.Route]map[identifier.Class]float64{"browse": {0: 12, 9: 0.5}, "order": {15: 3}},
+		TeamArrivals: map[identifier.Team]map[identifier.Route]float64{"team1": {"browse": 8, "order": 0.5}, "team2": {"browse": 4}},
 	}
 	data, err := EncodeAnswer(Answer{Reports: []Report{sent}})
 	assert.NilError(t, err)
@@ -48,5 +55,6 @@
 	assert.NilError(t, err)
 	got := answer.Reports[0]
 	assert.DeepEqual(t, got.Arrivals, sent.Arrivals)
+	assert.DeepEqual(t, got.TeamArrivals, sent.TeamArrivals)
 	assert.Equal(t, [3]float64{got.Offered, got.Declined, got.Capacity}, [3]float64{900, 450, 1500})
 }
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -108,6 +108,9 @@
 	// Arrivals is the rate of root requests that arrive at the node, per second, by route and class, refused ones
 	// included. It is sent only while some service is or was just overloaded, or declines calls.
 	Arrivals map[identifier.Route]map[identifier.Class]float64
+	// TeamArrivals is the rate of root requests that arrive at the node, per second, by team and route, refused ones
+	// included. It is sent when Arrivals is, and has nothing for requests without a team.
+	TeamArrivals map[identifier.Team]map[identifier.Route]float64
 	// Offered is the rate of calls per second that the node passed to its endpoint, and Declined the rate of those that
 	// the endpoint answered as not run. They are sent only while the endpoint declines calls.
 	Offered, Declined float64
