throttler, conductor: the computed excess follows the end of a stall within half a second

The full rate rose by a tenth of the difference in each window, windows ended by arrivals, which are few while nearly all is refused, the mean slot time of an admitted call stayed too long for a second, and so did the run time of nested calls that were refused. Now the rate has windows of its own that end by answers, and a rate that is clearly higher is taken at once; the mix of admitted calls is kept as the part of root requests, and the ratio of root to nested run times moves by at most a tenth a second.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -104,6 +104,8 @@
 	arrivalTrends map[identifier.Node]arrivalTrend
 	// demandModels holds, for each overloaded service, what its measured demand says about the computed one.
 	demandModels map[identifier.Service]*demandModel
+	// runTimeRatios holds the ratio of the run times of root requests and nested calls at each service.
+	runTimeRatios map[identifier.Service]*runTimeRatio
 	// arrivalsNeededUntil is the time until which nodes report their arrivals.
 	arrivalsNeededUntil clock.Time
 	// routeShares holds, for each configured route, the services it is split over.
@@ -181,6 +183,7 @@
 		recentArrivals: arrivalCounts{timeConstant: recentArrivalTimeConstant},
 		arrivalTrends:  map[identifier.Node]arrivalTrend{},
 		demandModels:   map[identifier.Service]*demandModel{},
+		runTimeRatios:  map[identifier.Service]*runTimeRatio{},
 		calls:          map[CallID]*call{},
 		deliveries:     map[CallID]*delivery{},
 		otherColdUntil: map[identifier.Node]clock.Time{},
--- a/internal/conductor/demand_model.go
+++ b/internal/conductor/demand_model.go
@@ -44,8 +44,9 @@
 	updatedAt clock.Time
 	// ratio is the smoothed ratio of the measured to the computed demand.
 	ratio float64
-	// callCost is the mean slot time of an admitted call, 0 before the first plan.
-	callCost float64
+	// rootPart is the part of the admitted calls that are root requests, negative before the first plan. It is kept in place
+	// of the mean slot time of a call, which was too long for a second after a stall, so that nothing was refused.
+	rootPart float64
 	// settledExcess is the excess that the present one is compared with, changedAt when it was last replaced.
 	settledExcess float64
 	changedAt     clock.Time
@@ -55,27 +56,28 @@
 func (c *Conductor) demandModelOf(service identifier.Service, now clock.Time) *demandModel {
 	m, ok := c.demandModels[service]
 	if !ok {
-		m = &demandModel{ratio: 1, updatedAt: now}
+		m = &demandModel{ratio: 1, rootPart: -1, updatedAt: now}
 		c.demandModels[service] = m
 	}
 	return m
 }
 
-// excessOf returns the fraction of the computed demand to refuse, for a demand in calls and in slot time a second.
-func (m *demandModel) excessOf(l *serviceLoad, calls, slotTime float64) float64 {
-	if calls <= 0 || slotTime <= 0 {
+// excessOf returns the fraction of the computed demand to refuse.
+func (m *demandModel) excessOf(l *serviceLoad, d serviceDemand) float64 {
+	if d.calls <= 0 || d.slotTime <= 0 {
 		return 0
 	}
-	callCost := m.callCost
-	if callCost == 0 {
-		callCost = slotTime / calls
+	rootPart := m.rootPart
+	if rootPart < 0 {
+		rootPart = d.rootCalls / d.calls
 	}
+	callCost := l.slotTime(rootPart, 1-rootPart)
 	correction := min(maxCorrection, max(minCorrection, m.ratio))
-	return min(throttler.MaxExcess, max(0, 1-targetUtilization*l.capacity*callCost/(correction*slotTime)))
+	return min(throttler.MaxExcess, max(0, 1-targetUtilization*l.capacity*callCost/(correction*d.slotTime)))
 }
 
-// learn compares the measured demand, in calls a second, with the computed one, and updates the mean cost of an admitted
-// call. Ratios are only learned while the arrivals of all nodes are known: after a restart of all nodes, those of the first
+// learn compares the measured demand, in calls a second, with the computed one, and updates the mix of admitted calls.
+// Ratios are only learned while the arrivals of all nodes are known: after a restart of all nodes, those of the first
 // reports differed by a factor of two between nodes, which then set different thresholds for seconds.
 func (m *demandModel) learn(measured float64, d serviceDemand, r *refusal, complete bool, now clock.Time) {
 	// The span is bounded so that a single plan after a calm period counts as one.
@@ -92,11 +94,11 @@
 		m.ratio += weight * (min(maxRatio, measured/d.calls) - m.ratio)
 	}
 	if admitted := d.calls - d.callsOf(r.parts); admitted > 0 {
-		cost := (d.slotTime - d.slotTimeOf(r.parts)) / admitted
-		if m.callCost == 0 {
-			m.callCost = d.slotTime / d.calls
+		rootPart := min(1, max(0, (d.rootCalls-d.rootCallsOf(r.parts))/admitted))
+		if m.rootPart < 0 {
+			m.rootPart = d.rootCalls / d.calls
 		}
-		m.callCost += weightOf(span, mixTimeConstant) * (cost - m.callCost)
+		m.rootPart += weightOf(span, mixTimeConstant) * (rootPart - m.rootPart)
 	}
 }
 
--- a/internal/conductor/fleet_load_test.go
+++ b/internal/conductor/fleet_load_test.go
@@ -82,6 +82,8 @@
 	// cut is the domain that is cut off, -1 for none; duplicate is set while reports arrive twice and out of order.
 	cut       int
 	duplicate bool
+	// stalledFrom and stalledUntil bound a time in which calls run stallFactor times as long at all endpoints.
+	stalledFrom, stalledUntil clock.Time
 	// demand is the demanded slot time as a part of the capacity.
 	demand func(now clock.Time) float64
 	// teamWeight is the part of the demand that comes from each team.
@@ -175,6 +177,24 @@
 	f.events[at] = append(f.events[at], run)
 }
 
+// stallFactor is how much longer calls run during a stall.
+const stallFactor = 30
+
+// afterRun continues after a call that takes the given time without a stall.
+func (f *loadFleet) afterRun(took clock.Duration, run func()) {
+	left := took
+	at := f.now
+	if at < f.stalledFrom {
+		done := min(left, f.stalledFrom.Sub(at))
+		at, left = at.Add(done), left-done
+	}
+	if left > 0 && at >= f.stalledFrom && at < f.stalledUntil {
+		done := min(left, f.stalledUntil.Sub(at)/stallFactor)
+		at, left = at.Add(done*stallFactor), left-done
+	}
+	f.after(at.Add(left).Sub(f.now), run)
+}
+
 func (f *loadFleet) run(until clock.Time) {
 	for ; f.now < until; f.now++ {
 		for _, run := range f.events[f.now] {
@@ -363,7 +383,7 @@
 			return
 		}
 		took := clock.Duration(float64(k.runTime) * (0.5 + f.random.Float64()))
-		f.after(took, func() {
+		f.afterRun(took, func() {
 			if target.c == process && !target.killed {
 				f.apply(target, DeliveryEnded{ID: id, Outcome: Answered})
 				f.call(from, k, rank, calls-1, deadline, done)
--- a/internal/conductor/fleet_shedding_test.go
+++ b/internal/conductor/fleet_shedding_test.go
@@ -165,3 +165,26 @@
 		})
 	}
 }
+
+// Guards against a capacity that stays low after all endpoints answered little for some seconds: requests would be refused
+// although the slots are free.
+func TestFleetRecoversFromStall(t *testing.T) {
+	const begins, ends = 8000, 11000
+	for name, demand := range map[string]float64{"below the capacity": 0.8, "1.3 times the capacity": 1.3} {
+		t.Run(name, func(t *testing.T) {
+			var results [2]loadResult
+			for i, older := range []int{0, loadNodes} {
+				f := newLoadFleet(3, func(clock.Time) float64 { return demand })
+				f.older, f.stalledFrom, f.stalledUntil = older, begins, ends
+				f.run(ends + 8000)
+				for s := clock.Time(0); s < 4000; s += 500 {
+					r := f.result(ends+s, ends+s+500)
+					t.Logf("older %d, %d ms after: served %.3f refused %.3f (%.3f) needless %.3f", older, s, r.served, r.refused, r.wanted, r.needless)
+				}
+				results[i] = f.result(ends+followTime, ends+followTime+followSpan)
+			}
+			assert.Assert(t, results[0].served >= 0.95, "%+v", results)
+			assert.Equal(t, results[0].needless, 0.0, "%+v", results)
+		})
+	}
+}
--- a/internal/conductor/service_demand.go
+++ b/internal/conductor/service_demand.go
@@ -24,8 +24,10 @@
 	callRates []float64
 	// slotTimes is the slot time of one request of each kind.
 	slotTimes []float64
-	// calls and slotTime are sums over the kinds.
-	calls, slotTime float64
+	// rootCallRates is the part of callRates that are root requests.
+	rootCallRates []float64
+	// calls, rootCalls and slotTime are sums over the kinds.
+	calls, rootCalls, slotTime float64
 }
 
 // callsOf returns the calls a second of the given parts of the kinds.
@@ -45,13 +47,13 @@
 	return d.callsOf(parts) / d.calls
 }
 
-// slotTimeOf returns the slot time a second of the given parts of the kinds.
-func (d serviceDemand) slotTimeOf(parts []float64) float64 {
-	slotTime := 0.0
+// rootCallsOf returns the root requests a second among the given parts of the kinds.
+func (d serviceDemand) rootCallsOf(parts []float64) float64 {
+	calls := 0.0
 	for i, part := range parts {
-		slotTime += part * d.rationed[i].Demand
+		calls += part * d.rootCallRates[i]
 	}
-	return slotTime
+	return calls
 }
 
 // demandsOf divides the arrivals of routes between the services of their splits.
@@ -96,7 +98,9 @@
 			})
 			d.slotTimes = append(d.slotTimes, slotTime)
 			d.callRates = append(d.callRates, rate*calls)
+			d.rootCallRates = append(d.rootCallRates, rate*min(rootCalls, calls))
 			d.calls += rate * calls
+			d.rootCalls += rate * min(rootCalls, calls)
 			d.slotTime += rate * slotTime
 		}
 	}
--- a/internal/conductor/service_load.go
+++ b/internal/conductor/service_load.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"math"
+
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
@@ -15,6 +17,29 @@
 	load, capacity  float64
 	capacityUnknown bool
 	root, nested    meanTime
+	// rootWeight is the slot time of a root request in that of a nested call, if both run times are known.
+	rootWeight float64
+}
+
+// runTimeRatio is the ratio of a service's root to its nested run times, as far as it is believed.
+type runTimeRatio struct {
+	updatedAt clock.Time
+	ratio     float64
+}
+
+// maxRatioChangePerSecond bounds how fast the ratio of run times is believed to change. While a service refuses nearly all
+// nested calls, their run time is not updated: after a stall of three seconds it was six times too long for a second, and
+// all requests with nested calls were refused. The ratio follows a release that doubles it within seven seconds.
+const maxRatioChangePerSecond = 0.1
+
+// follow moves the ratio towards the present one.
+func (r *runTimeRatio) follow(ratio float64, now clock.Time) {
+	if r.ratio == 0 {
+		r.ratio = ratio
+	}
+	step := math.Exp(maxRatioChangePerSecond * float64(now.Sub(r.updatedAt)) / float64(clock.Second))
+	r.ratio = min(r.ratio*step, max(r.ratio/step, ratio))
+	r.updatedAt = now
 }
 
 // meanTime is the mean of the run times of a service's endpoints, weighted by their load.
@@ -55,7 +80,7 @@
 func (l *serviceLoad) slotTime(rootCalls, nestedCalls float64) float64 {
 	switch {
 	case l.root.known() && l.nested.known():
-		return rootCalls*l.root.mean() + nestedCalls*l.nested.mean()
+		return (rootCalls*l.rootWeight + nestedCalls) * l.nested.mean()
 	case l.root.known():
 		return (rootCalls + nestedCalls) * l.root.mean()
 	case l.nested.known():
@@ -80,6 +105,15 @@
 		l.add(report)
 	}
 	for service, l := range loads {
+		if l.root.known() && l.nested.known() {
+			ratio, ok := c.runTimeRatios[service]
+			if !ok {
+				ratio = &runTimeRatio{updatedAt: now}
+				c.runTimeRatios[service] = ratio
+			}
+			ratio.follow(l.root.mean()/l.nested.mean(), now)
+			l.rootWeight = ratio.ratio
+		}
 		excess := throttler.Mean(l.excesses, l.loads)
 		c.plan.excess[service] = excess
 		for _, nodeLoad := range l.loads {
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -130,7 +130,7 @@
 // excess where the arrivals are not those of all nodes or do not explain the demand.
 func (p *refusalPlanner) computedExcess(service identifier.Service, d serviceDemand, measured float64) float64 {
 	m := p.c.demandModelOf(service, p.now)
-	excess := m.excessOf(p.loads[service], d.calls, d.slotTime)
+	excess := m.excessOf(p.loads[service], d)
 	switch {
 	case !p.c.plan.arrivalsComplete, !m.credible() && m.ratio > 1:
 		excess = max(excess, measured)
--- a/internal/throttler/full_rate_test.go
+++ b/internal/throttler/full_rate_test.go
@@ -78,3 +78,32 @@
 	observe(40, 40, 100)
 	assert.Assert(t, math.Abs(th.FullRate()-1600) < 32, "%v", th.FullRate())
 }
+
+// Guards against a capacity that follows the end of a stall slowly: the fleet would refuse most requests for a second although
+// the slots are free. In the stall, the slots are in use for 3 s and nearly nothing is answered; after it, few calls arrive.
+func TestFullRateFollowsEndOfStall(t *testing.T) {
+	for name, test := range map[string]struct{ answered, inFlight int }{"full": {40, 100}, "few calls": {8, 20}} {
+		t.Run(name, func(t *testing.T) {
+			th := New(0)
+			now := clock.Time(0)
+			observe := func(ticks, arrived, answered, inFlight int) {
+				for range ticks {
+					now += 25
+					for range arrived {
+						th.Arrived()
+					}
+					for range answered {
+						th.Answered()
+					}
+					th.ObserveSlots(inFlight, 100)
+					th.Observe(0, 0, now)
+				}
+			}
+			observe(80, 40, 40, 100)
+			observe(120, 40, 1, 100)
+			assert.Assert(t, th.FullRate() < 200, "%v", th.FullRate())
+			observe(20, test.answered, test.answered, test.inFlight)
+			assert.Assert(t, math.Abs(th.FullRate()-1600) <= 0.05*1600, "%v", th.FullRate())
+		})
+	}
+}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -75,10 +75,13 @@
 	// spills is set if calls beyond rateLimit are run at other endpoints of the service, so that they are no excess here.
 	spills  bool
 	history []refusalSample
-	// occupied and usable are the calls in flight and the usable slots, summed over the observations of the window.
+	// fullWindowStart is when the window of fullRate began, fullAnswered counts its answers. occupied and usable are the calls
+	// in flight and the usable slots, summed over its observations.
+	fullWindowStart  clock.Time
+	fullAnswered     float64
 	occupied, usable float64
 	fullRate         float64
-	// limitEnded is set if a rate limit ended in the current window, whose calls are therefore no measure of the capacity.
+	// limitEnded is set if a rate limit ended in the current window of fullRate, whose calls are therefore no measure of the capacity.
 	limitEnded bool
 }
 
@@ -90,7 +93,7 @@
 
 // New returns a throttler without excess.
 func New(now clock.Time) *Throttler {
-	return &Throttler{windowStart: now, saturated: true}
+	return &Throttler{windowStart: now, fullWindowStart: now, saturated: true}
 }
 
 // SetRateLimit fixes the capacity at the given number of calls a second, as for a cold endpoint; 0 ends the limit, and the
@@ -113,11 +116,13 @@
 // keep up with its load, and nothing would be refused although nothing is served.
 func (t *Throttler) Answered() {
 	t.answered++
+	t.fullAnswered++
 }
 
 // Observe takes the number of queued calls and the fraction of the service's load that is refused now; it is called on
 // each tick.
 func (t *Throttler) Observe(waiting int, refused float64, now clock.Time) {
+	t.observeFullRate(now)
 	t.saturated = t.saturated && waiting > 0
 	span := now.Sub(t.windowStart)
 	if span < minWindow || span < maxWindow && t.arrived < minWindowCalls {
@@ -126,13 +131,11 @@
 	t.updateRates(float64(span) / float64(clock.Second))
 	t.updateExcess(float64(waiting), refused, now)
 	t.windowStart, t.arrived, t.answered, t.saturated = now, 0, 0, true
-	t.occupied, t.usable = 0, 0
 }
 
 func (t *Throttler) updateRates(seconds float64) {
 	t.arrivalRate += arrivingGain * (t.arrived/seconds - t.arrivalRate)
 	rate := t.answered / seconds
-	t.updateFullRate(rate, seconds)
 	switch {
 	case t.rateLimit > 0:
 		t.capacity = t.rateLimit
