conductor: order of kinds without alternation, and demand models that expire

Costs were rounded from run times, so that two kinds alternated in the order when a run time moved between 45 and 46 ms. Costs are now counted in nested calls: a root request counts as one unless the run times differ by more than a factor of two, and a level changes only when the cost is three quarters of a level away. Nodes with the same reports have the same levels, apart from costs between two levels. A demand model is dropped 5 s after the last overload of its service, and all with each new configuration.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -106,6 +106,8 @@
 	demandModels map[identifier.Service]*demandModel
 	// runTimeRatios holds the ratio of the run times of root requests and nested calls at each service.
 	runTimeRatios map[identifier.Service]*runTimeRatio
+	// orderLevels holds the levels of costs in the order of refusals.
+	orderLevels map[levelKey]int
 	// arrivalsNeededUntil is the time until which nodes report their arrivals.
 	arrivalsNeededUntil clock.Time
 	// routeShares holds, for each configured route, the services it is split over.
@@ -183,6 +185,7 @@
 		recentArrivals: arrivalCounts{timeConstant: recentArrivalTimeConstant},
 		arrivalTrends:  map[identifier.Node]arrivalTrend{},
 		demandModels:   map[identifier.Service]*demandModel{},
+		orderLevels:    map[levelKey]int{},
 		runTimeRatios:  map[identifier.Service]*runTimeRatio{},
 		calls:          map[CallID]*call{},
 		deliveries:     map[CallID]*delivery{},
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -26,6 +26,9 @@
 	c.fleetTeams.configure(e.Matcher.Configuration().Teams)
 	clear(c.sentOrigins)
 	c.callGraph = nil
+	clear(c.demandModels)
+	clear(c.runTimeRatios)
+	clear(c.orderLevels)
 	for _, t := range e.Matcher.Configuration().Teams {
 		c.apportioner.SetTeam(t.Name, t.Rate, t.Burst, now)
 		c.pooler.SetTeam(t.Name, t.Rate, t.Burst)
--- a/internal/conductor/demand_model.go
+++ b/internal/conductor/demand_model.go
@@ -50,13 +50,28 @@
 	// settledExcess is the excess that the present one is compared with, changedAt when it was last replaced.
 	settledExcess float64
 	changedAt     clock.Time
+	// overloadedAt is when the service last had an excess, or when the model was made.
+	overloadedAt clock.Time
+}
+
+// modelKeptFor is how long a model is kept after the last overload of its service. What it learned then says little about a
+// later overload, whose first seconds it would falsify.
+const modelKeptFor = 5 * clock.Second
+
+// dropOldModels drops the models of services without a recent overload.
+func (c *Conductor) dropOldModels(now clock.Time) {
+	for service, m := range c.demandModels {
+		if now.Sub(m.overloadedAt) > modelKeptFor {
+			delete(c.demandModels, service)
+		}
+	}
 }
 
 // demandModelOf returns the model of a service's demand.
 func (c *Conductor) demandModelOf(service identifier.Service, now clock.Time) *demandModel {
 	m, ok := c.demandModels[service]
 	if !ok {
-		m = &demandModel{ratio: 1, rootPart: -1, updatedAt: now}
+		m = &demandModel{ratio: 1, rootPart: -1, updatedAt: now, overloadedAt: now}
 		c.demandModels[service] = m
 	}
 	return m
@@ -83,6 +98,9 @@
 	// The span is bounded so that a single plan after a calm period counts as one.
 	span := min(now.Sub(m.updatedAt), 2*planPeriod)
 	m.updatedAt = now
+	if r.excess > 0 {
+		m.overloadedAt = now
+	}
 	if math.Abs(r.excess-m.settledExcess) > settledChange {
 		m.settledExcess, m.changedAt = r.excess, now
 	}
--- a/internal/conductor/service_demand.go
+++ b/internal/conductor/service_demand.go
@@ -87,6 +87,7 @@
 			rootCalls = 1
 		}
 		slotTime := l.slotTime(rootCalls, max(0, calls-rootCalls))
+		level := p.c.orderLevel(service, from, l.relativeCost(rootCalls, max(0, calls-rootCalls)))
 		rates := p.admittedElsewhere(service, from)
 		for i, rate := range rates {
 			if rate <= 0 {
@@ -94,7 +95,7 @@
 			}
 			d.kinds = append(d.kinds, requestKind{from: from, class: class(i)})
 			d.rationed = append(d.rationed, rationer.Kind{
-				Class: identifier.Class(i), Demand: rate * slotTime, Worth: class(i).worth(costLevel(slotTime)),
+				Class: identifier.Class(i), Demand: rate * slotTime, Worth: class(i).worth(level),
 			})
 			d.slotTimes = append(d.slotTimes, slotTime)
 			d.callRates = append(d.callRates, rate*calls)
@@ -134,3 +135,25 @@
 func costLevel(cost float64) int {
 	return max(0, int(math.Round(math.Log2(cost))))
 }
+
+// orderHysteresis is how far the base-2 logarithm of a cost has to be from its level before the level changes. Half a level is
+// the middle between two; beside it, a run time that moves between 45 and 46 ms changed the order of two kinds each time.
+const orderHysteresis = 0.75
+
+// levelKey names the cost of an origin's requests at a service.
+type levelKey struct {
+	service identifier.Service
+	from    origin
+}
+
+// orderLevel returns the level of a relative cost in the order of refusals. Without an earlier level it depends on the reports
+// alone; nodes that have seen different histories differ at most for a cost between two levels.
+func (c *Conductor) orderLevel(service identifier.Service, from origin, cost float64) int {
+	key, exact := levelKey{service: service, from: from}, math.Log2(cost)
+	level, ok := c.orderLevels[key]
+	if !ok || math.Abs(exact-float64(level)) > orderHysteresis {
+		level = int(math.Round(exact))
+		c.orderLevels[key] = level
+	}
+	return level
+}
--- a/internal/conductor/service_load.go
+++ b/internal/conductor/service_load.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// relativeCost returns the cost of a number of root and nested calls in the order of refusals, in nested calls. Root requests
+// count as such unless their run times differ by more than a factor of two, so that the order of the usual kinds depends on
+// the call graph alone.
+func (l *serviceLoad) relativeCost(rootCalls, nestedCalls float64) float64 {
+	weight := 1.0
+	switch {
+	case l.rootWeight > 2:
+		weight = l.rootWeight / 2
+	case l.rootWeight > 0 && l.rootWeight < 0.5:
+		weight = l.rootWeight * 2
+	}
+	return rootCalls*weight + nestedCalls
+}
+
 // planLoads computes the measured excess and the arrival rate of each service.
 func (c *Conductor) planLoads(now clock.Time) map[identifier.Service]*serviceLoad {
 	loads := map[identifier.Service]*serviceLoad{}
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -45,6 +45,7 @@
 // planRefusals computes the refusals of all services.
 func (c *Conductor) planRefusals(loads map[identifier.Service]*serviceLoad, costs map[origin]map[identifier.Service]float64, now clock.Time) {
 	measured := c.plan.overloaded()
+	c.dropOldModels(now)
 	arrivals, reporters := c.fleetArrivals(now)
 	c.plan.arrivalReporters = reporters
 	p := refusalPlanner{
