--- a/internal/conductor/fleet_shedding_test.go
+++ b/internal/conductor/fleet_shedding_test.go
@@ -22,6 +22,11 @@
 	// followTime is the time within which refusals follow a surge and its end; followSpan is how long they are then watched.
 	followTime = 600
 	followSpan = 1000
+	// minServed is the least part of the ideal that is served; refusals that differ from the wanted ones by followTolerance
+	// cost as much. maxInverted is the part of the demand that reports of half a second ago may misplace.
+	minServed       = 0.95
+	followTolerance = 1 - minServed
+	maxInverted     = 0.02
 )
 
 func wavyDemand(factor float64) func(clock.Time) float64 {
@@ -57,15 +62,14 @@
 				t.Logf("refused and wanted: onset %.3f %.3f, surge %.3f %.3f, its end %.3f %.3f",
 					onset.refused, onset.wanted, up.refused, up.wanted, down.refused, down.wanted)
 				if older == 0 {
-					assert.Assert(t, math.Abs(up.refused-up.wanted) <= 0.1, "surge: %+v", up)
-					assert.Assert(t, math.Abs(down.refused-down.wanted) <= 0.1, "end of the surge: %+v", down)
+					assert.Assert(t, math.Abs(up.refused-up.wanted) <= followTolerance, "surge: %+v", up)
+					assert.Assert(t, math.Abs(down.refused-down.wanted) <= followTolerance, "end of the surge: %+v", down)
 				}
 			}
-			assert.Assert(t, results[0].served >= 0.95, "%+v", results[0])
+			assert.Assert(t, results[0].served >= minServed, "%+v", results[0])
 			assert.Assert(t, worst[0] >= 0.9, "%v", worst[0])
-			// Nothing should be refused while slots are free and nothing is queued (needless). At random arrivals and 0.97 of the
-			// capacity this is not reached; the logged part is the gap.
-			assert.Assert(t, results[0].inverted <= 0.02, "%+v", results[0])
+			// That nothing is refused while slots are free and nothing is queued is checked by TestFleetRefusesNothingWithFreeSlots.
+			assert.Assert(t, results[0].inverted <= maxInverted, "%+v", results[0])
 			assert.Assert(t, results[0].failed <= results[1].failed/2, "%+v", results)
 		})
 	}
@@ -87,7 +91,7 @@
 				return 1.4
 			}
 			return 0.8
-		}, 6000 + followTime + 400},
+		}, 6000 + followTime},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -107,8 +111,8 @@
 	tests := map[string]struct {
 		older      int
 		begin, end func(f *loadFleet)
-		// inverted is the most of the demand that may be refused for less urgent requests meanwhile. The sides of a partition
-		// set their own thresholds for the capacity that each has.
+		// inverted replaces maxInverted meanwhile where that is not reached, so that it gets no worse; the requirement is checked
+		// by TestFleetShedsInOrderWhileOlderDomainIsCutOff.
 		inverted float64
 	}{
 		"none": {},
@@ -117,9 +121,8 @@
 			end:   func(f *loadFleet) { f.start(1) },
 		},
 		"a domain is cut off and reconnected": {
-			begin:    func(f *loadFleet) { f.cut = 1 },
-			end:      func(f *loadFleet) { f.cut = -1 },
-			inverted: 0.06,
+			begin: func(f *loadFleet) { f.cut = 1 },
+			end:   func(f *loadFleet) { f.cut = -1 },
 		},
 		"reports are doubled and overtake each other": {
 			begin: func(f *loadFleet) { f.duplicate = true },
@@ -158,10 +161,10 @@
 			during, after := f.result(begins, ends), f.result(ends+2000, ends+7000)
 			t.Logf("during: %+v", during)
 			t.Logf("after: %+v", after)
-			assert.Assert(t, during.served >= 0.95, "%+v", during)
-			assert.Assert(t, during.inverted <= max(0.02, test.inverted), "%+v", during)
-			assert.Assert(t, after.served >= 0.95, "%+v", after)
-			assert.Assert(t, after.inverted <= 0.02, "%+v", after)
+			assert.Assert(t, during.served >= minServed, "%+v", during)
+			assert.Assert(t, during.inverted <= max(maxInverted, test.inverted), "%+v", during)
+			assert.Assert(t, after.served >= minServed, "%+v", after)
+			assert.Assert(t, after.inverted <= maxInverted, "%+v", after)
 		})
 	}
 }
@@ -183,8 +186,35 @@
 				}
 				results[i] = f.result(ends+followTime, ends+followTime+followSpan)
 			}
-			assert.Assert(t, results[0].served >= 0.95, "%+v", results)
+			assert.Assert(t, results[0].served >= minServed, "%+v", results)
 			assert.Equal(t, results[0].needless, 0.0, "%+v", results)
 		})
 	}
 }
+
+// Guards against requests that are refused while a tenth of the slots is free and nothing is queued, and against refusals that
+// follow the rise after a calm time late. Neither is reached yet (KNOWN-RED.txt).
+func TestFleetRefusesNothingWithFreeSlots(t *testing.T) {
+	for name, factor := range map[string]float64{"1.3 times the capacity": 1.3, "1.8 times the capacity": 1.8} {
+		t.Run(name, func(t *testing.T) {
+			f := newLoadFleet(1, wavyDemand(factor))
+			f.run(loadEnds)
+			all, onset := f.result(loadBegins+followTime, loadEnds-1000), f.result(loadBegins+followTime, loadBegins+followTime+followSpan)
+			assert.Check(t, all.needless == 0, "%+v", all)
+			assert.Check(t, math.Abs(onset.refused-onset.wanted) <= followTolerance, "%+v", onset)
+		})
+	}
+}
+
+// Guards against a partition in which one side refuses urgent requests while the other admits less urgent ones. It is not
+// reached where the cut-off domain has older nodes only, which refuse the measured excess (KNOWN-RED.txt).
+func TestFleetShedsInOrderWhileOlderDomainIsCutOff(t *testing.T) {
+	const begins, ends = 8000, 16000
+	f := newLoadFleet(3, func(clock.Time) float64 { return 1.3 })
+	f.older = loadNodes / 3
+	f.run(begins)
+	f.cut = 0
+	f.run(ends)
+	during := f.result(begins, ends)
+	assert.Assert(t, during.inverted <= maxInverted, "%+v", during)
+}
