--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -134,6 +134,9 @@
 	}
 	c.arrivalCounts.add(r.origin(), r.class)
 	c.recentArrivals.add(r.origin(), r.class)
+	if r.team != nil {
+		c.teamArrivals.add(r.team.Name, identifier.Route(r.route.Name))
+	}
 	if ratio := c.refusedRatio(r, now); ratio > 0 && c.random.Float64() < ratio {
 		c.refuseForPressure(r, now)
 		return false
