Retry-After after a refusal for overload grows with the refused part

A caller returns once or twice. In an overload of some seconds in which nine of ten requests of a kind are refused, a return after 0.4 s meets the same overload and is the caller's last.

--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -26,8 +26,10 @@
 	nested   bool
 	arrived  clock.Time
 	deadline clock.Time
-	sent     clock.Time
-	version  identifier.Version
+	// left is how long the caller waits from the arrival on, the route's timeout if it did not say.
+	left    clock.Duration
+	sent    clock.Time
+	version identifier.Version
 	// attempts counts all attempts, endpointArrivals those that reached an endpoint.
 	attempts, endpointArrivals int
 	picked                     identifier.Endpoint
@@ -77,9 +79,11 @@
 		nested:   e.Key == "" && route.Public,
 		arrived:  now,
 		deadline: now.Add(route.Timeout),
+		left:     route.Timeout,
 		version:  c.matcher.Version(),
 	}
 	if e.Left > 0 {
+		r.left = e.Left
 		r.deadline = min(r.deadline, now.Add(e.Left))
 	}
 	r.permittedDomains = c.permittedDomainsOf(r)
@@ -138,7 +142,7 @@
 		c.teamArrivals.add(r.team.Name, identifier.Route(r.route.Name))
 	}
 	if ratio := c.refusedRatio(r, now); ratio > 0 && c.random.Float64() < ratio {
-		c.refuseForPressure(r, now)
+		c.refuseForPressure(r, ratio, now)
 		return false
 	}
 	if c.lacksService(r) {
@@ -163,11 +167,12 @@
 	return false
 }
 
-// refuseForPressure refuses a request for the load on the services that it leads to.
-func (c *Conductor) refuseForPressure(r *call, now clock.Time) {
+// refuseForPressure refuses a request for the load on the services that it leads to; refused is the part of its kind that
+// is refused.
+func (c *Conductor) refuseForPressure(r *call, refused float64, now clock.Time) {
 	perSecond, limited := c.plan.limits[r.origin()]
 	if !limited {
-		c.refuse(r.id, http.StatusServiceUnavailable, Pressure, c.jitter(retryAfterPressure))
+		c.refuse(r.id, http.StatusServiceUnavailable, Pressure, c.jitter(retryAfterOverload(refused, r.left)))
 		return
 	}
 	next := clock.Duration(float64(clock.Second) / perSecond)
@@ -179,7 +184,8 @@
 	retryAfterNoConfiguration = 300 * clock.Millisecond
 	// retryAfterStaleKeys is how long even a brief outage of the store lasts; an earlier retry would fail as well.
 	retryAfterStaleKeys = 500 * clock.Millisecond
-	// retryAfterPressure is about the time in which a service's excess load changes by a tenth.
+	// retryAfterPressure is about the time in which a service's excess load changes by a tenth; it is the shortest time to
+	// return after a refusal for overload.
 	retryAfterPressure = 400 * clock.Millisecond
 	// minRetryAfterOverRate keeps a team that is over its rate from retrying for each single token.
 	minRetryAfterOverRate = 200 * clock.Millisecond
