--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -224,3 +224,12 @@
 	requests := b.sums(func(i *bin) float64 { return i.fleet })[bins]
 	assert.Assert(t, requests > 0 && requests <= 500, "%v", requests)
 }
+
+// BenchmarkTake measures what a first attempt and a declined call cost.
+func BenchmarkTake(b *testing.B) {
+	budget, now := loaded(), clock.Time(20_000)
+	for b.Loop() {
+		budget.CountRequest(Nested, 0.5, now)
+		budget.Take(Nested, 0.95, 0.55, now)
+	}
+}
