--- a/internal/conductor/chain_completion_test.go
+++ b/internal/conductor/chain_completion_test.go
@@ -48,6 +48,9 @@
 func (f *decliningFleet) checkOrder() {
 	f.t.Helper()
 	part := func(name string) float64 { return float64(f.served[name].ok) / float64(f.served[name].asked) }
+	for _, name := range entryClasses {
+		assert.Equal(f.t, f.served[name].refused, 0, "refused for a chain that it does not have: %s", name)
+	}
 	for _, path := range []string{"/obs/x", "/ord/x", "/fast/x"} {
 		assert.Assert(f.t, part(path+" first") >= part(path+" second"), "%s: %s", path, f)
 	}
