--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -151,10 +151,20 @@
 	return b.limits.Ratio*earned + b.limits.Slack/float64(kinds)*float64(clock.Second)/float64(b.window)
 }
 
-// FleetRate returns the requests a second, of those that CountFleet counted, that the present allowance is based on.
-func (b *Budget) FleetRate(now clock.Time) float64 {
+// FleetRate returns the requests a second, of those that CountFleet counted, in the window before the last one. It returns
+// false if that window is not covered: the node has started since, and counted nothing or too little in its first bins.
+func (b *Budget) FleetRate(now clock.Time) (perSecond float64, covered bool) {
 	b.current(now)
-	return b.baseRate(func(i *bin) float64 { return i.fleet })
+	counted := 0
+	for age := binsPerWindow; age < bins; age++ {
+		if b.at(age).fleet > 0 {
+			counted++
+		}
+	}
+	if b.newest-b.first < bins+reportLifeBins || counted < baseBins {
+		return 0, false
+	}
+	return b.baseRate(func(i *bin) float64 { return i.fleet }), true
 }
 
 // baseRate returns the mean rate of requests a second in the window before the last one, from the bins with requests. If
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -233,3 +233,32 @@
 		budget.Take(Nested, 0.95, 0.55, now)
 	}
 }
+
+// Guards against a rate from the first bins of a node that has just started, which are too low.
+func TestFleetRateNeedsCoveredWindow(t *testing.T) {
+	const rate = 100.0
+	tests := map[string]struct {
+		counted clock.Duration
+		want    bool
+	}{
+		"just started":             {0, false},
+		"some bins of the window":  {15 * clock.Second, false},
+		"window with first bins":   {21 * clock.Second, false},
+		"window after first bins":  {23 * clock.Second, true},
+		"window of a longer count": {60 * clock.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := New(testWindow, 0)
+			now := clock.Time(0)
+			for ; now < clock.Time(test.counted); now = now.Add(testStep) {
+				b.CountFleet(rate, testStep, now)
+			}
+			got, covered := b.FleetRate(now)
+			assert.Equal(t, covered, test.want)
+			if covered {
+				assert.Assert(t, got > 0.95*rate && got < 1.05*rate, "%f", got)
+			}
+		})
+	}
+}
--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -100,8 +100,13 @@
 func (c *Conductor) planChainsTo(service identifier.Service, declined float64, arrivals routeArrivals, now clock.Time) {
 	callers, total := c.demandsOn(service, arrivals)
 	b := c.budgetFor(service, now)
-	// The demand now has the same composition as the calls that earned the allowance before the decline.
-	earning := b.FleetRate(now) * float64(c.nodeCount()) / total
+	// The demand now has the same composition as the calls that earned the allowance before the decline. A node that has
+	// not counted them since before that window takes the present demand as the base: with the little that it has counted,
+	// it would refuse nearly all of the first class where its neighbours refuse a tenth.
+	earning := 1.0
+	if rate, covered := b.FleetRate(now); covered {
+		earning = rate * float64(c.nodeCount()) / total
+	}
 	retriesPerCall := declined / (1 - declined)
 	for _, d := range callers {
 		retries := d.calls * earning * budgeter.NestedAllowance(c.options.Bounds.RetryRatio)
--- a/internal/conductor/chain_completion_test.go
+++ b/internal/conductor/chain_completion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -99,6 +100,52 @@
 	}
 }
 
+// Guards against a restarted node that refuses nearly all of the most important class, because it takes the few requests
+// that it has counted for the demand before the decline.
+func TestRestartedNodeRefusesLikeNeighbours(t *testing.T) {
+	const from = clock.Time(25_000)
+	tests := map[string]struct {
+		declined            float64
+		restarted, compared clock.Time
+	}{
+		"before a decline":               {0.55, from - 3_000, from + 2_000},
+		"before a milder decline":        {0.4, from - 3_000, from + 2_000},
+		"during a decline":               {0.55, from + 2_000, from + 3_200},
+		"during a milder decline":        {0.4, from + 2_000, from + 3_200},
+		"some time after its restart":    {0.55, from - 3_000, from + 6_000},
+		"with bins in the window before": {0.55, from - 12_000, from + 5_000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newDecliningFleet(t, false, 5)
+			f.declined, f.declinesFrom, f.declinesUntil = test.declined, from, from+8_000
+			own, others := map[origin]float64{}, map[origin]float64{}
+			faults := map[clock.Time]func(f *decliningFleet){test.restarted: func(f *decliningFleet) { f.start(f.nodes[0]) }}
+			const samples = 10
+			for i := range samples {
+				faults[test.compared+clock.Time(i*100)] = func(f *decliningFleet) {
+					for i, n := range f.nodes {
+						for from, ratios := range n.c.plan.refusedRatios {
+							if i == 0 {
+								own[from] += ratios[0] / samples
+							} else {
+								others[from] += ratios[0] / samples / (declineNodes - 1)
+							}
+						}
+					}
+				}
+			}
+			f.simulate(faults)
+			t.Log(own, others)
+			assert.Equal(t, len(others), 2)
+			for from, ratio := range others {
+				assert.Assert(t, ratio > 0.05 && ratio < 0.95)
+				assert.Assert(t, math.Abs(own[from]-ratio) < 0.05, "%v: %f against %f", from, own[from], ratio)
+			}
+		})
+	}
+}
+
 // Guards against retries beyond the bound, or more endpoints than a route allows, when nodes and reports fail.
 func TestRetryBoundHoldsThroughFailures(t *testing.T) {
 	type faults = map[clock.Time]func(f *decliningFleet)
--- a/internal/conductor/declining_fleet_test.go
+++ b/internal/conductor/declining_fleet_test.go
@@ -42,9 +42,10 @@
 	deliveries map[CallID]func(Effect)
 	// present makes all nodes behave by the rules for services that do not decline.
 	present bool
-	// declined is the part of the calls that the leaf declines.
-	declined float64
-	served   map[string]*classResult
+	// declined is the part of the calls that the leaf declines between two times.
+	declined                    float64
+	declinesFrom, declinesUntil clock.Time
+	served                      map[string]*classResult
 	// offers are the arrivals at endpoints of the leaf, in the order of time.
 	offers []offer
 	// wasted is the time of runs at portal and desk for requests that then failed, useful that for the others.
@@ -85,7 +86,8 @@
 
 func newDecliningFleet(t *testing.T, present bool, seed uint64) *decliningFleet {
 	f := &decliningFleet{
-		t: t, random: rand.New(rand.NewPCG(seed, 6)), present: present, declined: declinePart, calls: map[CallID]*decliningCall{},
+		t: t, random: rand.New(rand.NewPCG(seed, 6)), present: present, declined: declinePart,
+		declinesFrom: declineStart, declinesUntil: declineEnd, calls: map[CallID]*decliningCall{},
 		deliveries: map[CallID]func(Effect){}, served: map[string]*classResult{},
 	}
 	for i := range declineNodes {
@@ -157,7 +159,7 @@
 	}
 	for len(f.queue) > 0 {
 		e := heap.Pop(&f.queue).(scheduled)
-		if e.at > declineEnd.Add(clock.Second) {
+		if e.at > f.declinesUntil.Add(clock.Second) {
 			break
 		}
 		f.now = e.at
@@ -217,7 +219,7 @@
 		key, class = "l", "second"
 	}
 	result := &classResult{}
-	if f.now >= declineStart && f.now < declineEnd {
+	if f.now >= f.declinesFrom && f.now < f.declinesUntil {
 		name := path + " " + class
 		if f.served[name] == nil {
 			f.served[name] = result
@@ -339,7 +341,7 @@
 	}
 	f.offers = append(f.offers, offer{at: f.now, first: c.offered == 0})
 	c.offered++
-	if f.now >= declineStart && f.now < declineEnd && f.random.Float64() < f.declined {
+	if f.now >= f.declinesFrom && f.now < f.declinesUntil && f.random.Float64() < f.declined {
 		f.after(declineLatency, func() { ended(Declined, false) })
 		return
 	}
