--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -103,15 +103,14 @@
 	available := c.usableDomains()
 	c.planMissing(costs, available, now)
 	c.planPreferredDomains(available)
-	c.planCompletion(now)
-	if !overloaded {
-		return
-	}
-	for _, bottleneck := range slices.Sorted(maps.Keys(c.plan.excess)) {
-		if excess := c.plan.excess[bottleneck]; excess > 0 {
-			c.planShedding(bottleneck, excess, costs, now)
+	if overloaded {
+		for _, bottleneck := range slices.Sorted(maps.Keys(c.plan.excess)) {
+			if excess := c.plan.excess[bottleneck]; excess > 0 {
+				c.planShedding(bottleneck, excess, costs, now)
+			}
 		}
 	}
+	c.planCompletion(now)
 }
 
 // graphPeriod is the maximum age of the call graph. The graph changes only with releases, and building it from all
--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -185,7 +185,8 @@
 	}
 }
 
-// raiseRefusedRatio refuses at least a part of the root requests of an origin and class.
+// raiseRefusedRatio refuses at least a part of the root requests of an origin and class. Of two reasons to refuse, the
+// larger part holds, since both refuse the same least important requests; added up, one request would be refused twice.
 func (c *Conductor) raiseRefusedRatio(from origin, class class, ratio float64) {
 	ratios, ok := c.plan.refusedRatios[from]
 	if !ok {
--- a/internal/conductor/chain_completion_test.go
+++ b/internal/conductor/chain_completion_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -295,3 +296,35 @@
 		})
 	}
 }
+
+// Guards against requests that are refused twice over where a service is overloaded and declines calls: the larger of both
+// parts is refused, and a decline alone is planned for as well.
+func TestOverloadAndDeclineRefuseLargerPart(t *testing.T) {
+	refused := func(excess, declined float64) float64 {
+		c := newConductor("x")
+		inner := route("in", "clock", matcher.Idempotent)
+		inner.Public = true
+		configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent), inner), 0)
+		type calls = map[identifier.Route]map[identifier.Route]float64
+		c.Apply(ReportsReceived{Reports: []exchanger.Report{
+			{Member: peer("a", "portal"), Number: 1, Load: 100, Calls: calls{"obs": {"in": 8}}},
+			{
+				Member: peer("e", "clock"), Number: 1, Load: 800, Excess: excess, Calls: calls{"in": {}},
+				Offered: 800, Declined: 800 * declined,
+			},
+		}}, 0)
+		for id := CallID(1); id < 100; id++ {
+			c.Apply(arrival(id, "/obs/x"), 0)
+		}
+		c.makePlan(100)
+		from := origin{route: "obs", service: "portal"}
+		if c.plan.refusedRatios[from] == nil {
+			return 0
+		}
+		return slices.Max(c.plan.refusedRatios[from][:])
+	}
+	decline, overload := refused(0, 0.55), refused(0.95, 0)
+	assert.Assert(t, decline > 0.5 && decline < overload)
+	assert.Equal(t, refused(0.95, 0.55), overload)
+	assert.Equal(t, refused(0.2, 0.55), decline)
+}
