Pick among the endpoints that a declined call has reached, at a cost that does not grow with the fleet

If the endpoints that are left untried take no calls, the call goes back to one that it has reached.

--- a/internal/conductor/chain_completion_test.go
+++ b/internal/conductor/chain_completion_test.go
@@ -328,3 +328,19 @@
 	assert.Equal(t, refused(0.95, 0.55), overload)
 	assert.Equal(t, refused(0.2, 0.55), decline)
 }
+
+// Guards against a declined call that is given up although an endpoint that it has reached may still run it: the endpoint
+// that it has not tried has said that it leaves.
+func TestDeclinedCallGoesBackIfOthersLeave(t *testing.T) {
+	c := declinedNode(t, matcher.NonIdempotent)
+	effects := c.Apply(RequestArrived{ID: 1, Host: "h", Path: "/in/x", Left: 700, Boot: boot}, 20_000)
+	first := onlyEffect[Send](t, effects)
+	for node, m := range c.members {
+		if m.Service == "clock" && m.Endpoint != first.Endpoint {
+			c.left[node] = endpointStart{endpoint: m.Endpoint, started: m.Started}
+			c.putEndpoint(m, 20_000, false)
+		}
+	}
+	effects = c.Apply(AttemptEnded{ID: 1, Outcome: Declined, Headroom: 100, Replayable: true}, 20_000)
+	assert.Equal(t, onlyEffect[Send](t, effects).Endpoint, first.Endpoint)
+}
--- a/internal/conductor/declined_calls.go
+++ b/internal/conductor/declined_calls.go
@@ -12,8 +12,8 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/budgeter"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
-	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
 // maxOffers bounds how often a declined call is offered. Where 55 of 100 calls are declined, 1 in 1,300 needs more.
@@ -144,28 +144,20 @@
 	}
 }
 
-// excludedFrom returns the endpoints that the next attempt must not go to. A request that is offered again and has reached
-// as many endpoints as its route allows goes to one of these.
-func (c *Conductor) excludedFrom(r *call) []identifier.Endpoint {
-	if r.reoffers == 0 || r.mayHaveRun || len(r.reached) < r.route.Attempts && c.hasUntriedEndpoint(r) {
-		return r.excluded
+// pick picks the endpoint of the next attempt. A request that is offered again goes to one of the endpoints that it has
+// reached, if these are as many as its route allows or no other one is usable.
+func (c *Conductor) pick(r *call, now clock.Time) (router.Choice, bool) {
+	if r.reoffers == 0 || r.mayHaveRun {
+		return c.pickUntried(r, now)
 	}
-	var excluded []identifier.Endpoint
-	for _, m := range c.members {
-		if m.Service == r.service && !slices.Contains(r.reached, m.Endpoint) {
-			excluded = append(excluded, m.Endpoint)
+	if len(r.reached) < r.route.Attempts {
+		endpoint, ok := c.pickUntried(r, now)
+		if ok && endpoint.State != router.Suspect && endpoint.State != router.Stopping {
+			return endpoint, true
 		}
-	}
-	return excluded
-}
-
-// hasUntriedEndpoint reports whether the service has a usable endpoint that the request has not been sent to.
-func (c *Conductor) hasUntriedEndpoint(r *call) bool {
-	for _, m := range c.members {
-		if m.Service == r.service && m.State == exchanger.Ready && !slices.Contains(r.excluded, m.Endpoint) &&
-			!c.detector.Lost(m.Node) && (r.permittedDomains == nil || r.permittedDomains[m.Domain]) && !c.evacuated[m.Domain] {
-			return true
+		if ok {
+			c.router.Done(endpoint.ID, router.Result{Outcome: router.Cancelled}, now)
 		}
 	}
-	return false
+	return c.router.PickAmong(r.service, now, r.reached, c.routerNeed(r))
 }
--- a/internal/conductor/placement.go
+++ b/internal/conductor/placement.go
@@ -72,14 +72,19 @@
 	c.rejectCall(r, reason, now)
 }
 
-// place sends a request to the next endpoint; it reports whether there was one.
-func (c *Conductor) place(r *call, now clock.Time) bool {
-	excluded := c.excludedFrom(r)
-	endpoint, ok := c.router.PickWithin(r.service, now, excluded, c.routerNeed(r))
-	if ok && slices.Contains(excluded, endpoint.ID) {
+// pickUntried picks an endpoint that the request has not been sent to.
+func (c *Conductor) pickUntried(r *call, now clock.Time) (router.Choice, bool) {
+	endpoint, ok := c.router.PickWithin(r.service, now, r.excluded, c.routerNeed(r))
+	if ok && slices.Contains(r.excluded, endpoint.ID) {
 		c.router.Done(endpoint.ID, router.Result{Outcome: router.Cancelled}, now)
 		ok = false
 	}
+	return endpoint, ok
+}
+
+// place sends a request to the next endpoint; it reports whether there was one.
+func (c *Conductor) place(r *call, now clock.Time) bool {
+	endpoint, ok := c.pick(r, now)
 	if !ok {
 		return false
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,6 +94,11 @@
 		return Choice{}, false
 	}
 	m, crossing := r.choose(s, pickRequest{now: now, exclude: exclude, need: need})
+	return r.take(m, crossing)
+}
+
+// take counts a call as in flight at a chosen endpoint, if there is one.
+func (r *Router) take(m *member, crossing Crossing) (Choice, bool) {
 	if m == nil {
 		return Choice{}, false
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -321,3 +321,43 @@
 	}
 	assert.Assert(t, counts["0"] < 100, "%d of 1000 calls went to the slow one", counts["0"])
 }
+
+// Guards against a pick of an endpoint that was not given, takes no calls or belongs to another service, and against one
+// with less headroom than the other.
+func TestPickAmongGivenEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		among []identifier.Endpoint
+		want  identifier.Endpoint
+	}{
+		"none":                {nil, ""},
+		"unknown":             {[]identifier.Endpoint{"x"}, ""},
+		"one":                 {[]identifier.Endpoint{"b"}, "b"},
+		"leaving":             {[]identifier.Endpoint{"leaving"}, ""},
+		"leaving and another": {[]identifier.Endpoint{"leaving", "b"}, "b"},
+		"suspect":             {[]identifier.Endpoint{"suspect"}, "suspect"},
+		"suspect and another": {[]identifier.Endpoint{"suspect", "b"}, "b"},
+		"of another service":  {[]identifier.Endpoint{"other"}, ""},
+		"full and another":    {[]identifier.Endpoint{"busy", "b"}, "b"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := New(Options{Domain: "near", Rand: rand.New(rand.NewPCG(1, 2))})
+			for _, id := range []identifier.Endpoint{"a", "b", "busy", "c"} {
+				r.Put(Endpoint{ID: id, Service: ice, Domain: "near", Slots: 10, State: Ready}, 0)
+			}
+			r.Put(Endpoint{ID: "leaving", Service: ice, Domain: "near", Slots: 10, State: Leaving}, 0)
+			r.Put(Endpoint{ID: "suspect", Service: ice, Domain: "near", Slots: 10, State: Suspect}, 0)
+			r.Put(Endpoint{ID: "other", Service: "portal", Domain: "near", Slots: 10, State: Ready}, 0)
+			r.Done("busy", Result{Outcome: Succeeded, Headroom: 0, Wait: 500}, 0)
+			r.Done("b", Result{Outcome: Succeeded, Headroom: 90}, 0)
+			for range 20 {
+				e, ok := r.PickAmong(ice, 10, test.among, Need{})
+				assert.Equal(t, ok, test.want != "")
+				assert.Equal(t, e.ID, test.want)
+				if ok {
+					r.Done(e.ID, Result{Outcome: Cancelled}, 10)
+				}
+			}
+		})
+	}
+}
