--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -29,8 +29,8 @@
 	// A kind of request is refused for a declining service only if less than maxLoneCompletion of its chains would complete
 	// without retries: otherwise the chains that do are worth more than the retries that the refused ones leave to others.
 	// The refused part rises until fullRefusalCompletion, so that noise in the measured decline does not switch it. With 0.05
-	// instead, more chains completed in trials at a decline of 0.55 (1.39 times those of the present rules against 1.32, 24 seeds), but
-	// runs for requests that failed took an eighth more time.
+	// instead, more chains completed in trials at a decline of 0.55 (1.39 times those of the present rules against 1.32, 24
+	// seeds), but runs for requests that failed took an eighth more time.
 	maxLoneCompletion     = 0.25
 	fullRefusalCompletion = 0.10
 	// presentDemandPart is the part of the present demand that a node without a counted base takes as one. A counted base is
