--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -112,6 +112,7 @@
 	c.planMissing(costs, available, now)
 	c.planPreferredDomains(available)
 	c.planRefusals(loads, costs, now)
+	c.planCompletion(now)
 }
 
 // graphPeriod is the maximum age of the call graph. The graph changes only with releases, and building it from all
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -87,11 +87,19 @@
 	lastExchangeAt clock.Time
 	exchangeFailed bool
 
-	detector      *detector.Detector
-	router        *router.Router
-	apportioner   *apportioner.Apportioner
-	pooler        *pooler.Pooler
-	retryBudgets  map[identifier.Service]*retryBudget
+	detector     *detector.Detector
+	router       *router.Router
+	apportioner  *apportioner.Apportioner
+	pooler       *pooler.Pooler
+	retryBudgets map[identifier.Service]*retryBudget
+	// budgets count the requests and retries of each service; declining is the part of the offered calls that each
+	// declining service declines, and loggedDeclining are those that the log says are declining.
+	budgets         map[identifier.Service]*serviceBudget
+	declining       map[identifier.Service]float64
+	loggedDeclining map[identifier.Service]bool
+	// retries counts the retries that the budgets and the rules of retry_budget.go granted and refused, by kind.
+	retries [2]retryCounts
+
 	plan          plan
 	arrivalCounts arrivalCounts
 	// recentArrivals follows changes of the arrivals faster than arrivalCounts; nodes report it to each other.
@@ -127,6 +135,10 @@
 	throttler *throttler.Throttler
 	runs      runCounter
 	runTimes  runTimes
+	// offers counts calls offered to the local endpoint and declined by it; failedSlotTime is the time of runs that were
+	// of no use.
+	offers         offerCounts
+	failedSlotTime clock.Duration
 
 	// coldUntil is the time until which the local endpoint counts as cold; otherColdUntil is the same for endpoints
 	// beside other nodes.
@@ -175,6 +187,7 @@
 		detector:       detector.New(),
 		pooler:         pooler.New(o.Bounds.Rate, now),
 		retryBudgets:   map[identifier.Service]*retryBudget{},
+		budgets:        map[identifier.Service]*serviceBudget{},
 		splits:         map[string]*split{},
 		sentOrigins:    map[origin]bool{},
 		missingSince:   map[identifier.Service]clock.Time{},
@@ -192,6 +205,8 @@
 		otherColdUntil: map[identifier.Node]clock.Time{},
 		otherLimits:    map[identifier.Node]*endpointLimit{},
 		left:           map[identifier.Node]endpointStart{},
+
+		loggedDeclining: map[identifier.Service]bool{},
 	}
 }
 
@@ -303,6 +318,7 @@
 	c.expireAssumedEndpoint(now)
 	c.resumeAwaiting(now)
 	c.announceStop(now)
+	c.logDeclining()
 	if c.limiter == nil {
 		return
 	}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -236,6 +236,7 @@
 	}
 	c.reportLimit(&r)
 	c.reportArrivals(&r, now)
+	c.reportDeclined(&r, now)
 	c.router.SetRunTimes(c.self.Endpoint, runTimesOf(r))
 	c.learnArrivalTrend(r, now)
 	c.table.Put(r, c.self, now)
