Header fields are copied once into the answer

Cause: each answer's fields were copied into a map of their own before they were copied into the writer's, and each copy built a set of the fields that Connection names, although almost no message has that field. The benchmark's configuration also became stale after 5 s. Change: copyEndToEndFields copies into the given map; the set is built only if there is a Connection field; the benchmark renews the proof.

--- a/internal/relayer/bench_test.go
+++ b/internal/relayer/bench_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
@@ -65,6 +66,7 @@
 		n.configure(b, configurationOf(matcher.Idempotent, 2))
 	}
 	exchangeMembers(entry, beside)
+	keepProved(b, entry, beside)
 	caller, err := net.Dial("tcp", outboundServer(b, entry))
 	assert.NilError(b, err)
 	defer caller.Close()
@@ -82,6 +84,17 @@
 	}
 }
 
+// keepProved renews the proof of the nodes' configuration, which is older than the bound on withdrawn keys after 5 s.
+func keepProved(b *testing.B, nodes ...*node) {
+	go func() {
+		for clock.Sleep(b.Context(), time.Second) {
+			for _, n := range nodes {
+				n.ApplyEvent(conductor.ConfigurationProved{Version: 3, AsOf: clock.Boot{}.Now()})
+			}
+		}
+	}()
+}
+
 // readAnswer reads an answer whose body has a known length.
 func readAnswer(c net.Conn, buffer []byte, bodyBytes int) error {
 	read := 0
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -121,9 +121,7 @@
 // writeAnswer forwards an endpoint's answer. A truncated answer must not look complete, so its connection is aborted.
 func (r *Relayer) writeAnswer(w http.ResponseWriter, a answer) {
 	header := w.Header()
-	for name, values := range endToEndFields(a.Header) {
-		header[name] = values
-	}
+	copyEndToEndFields(header, a.Header)
 	if _, ok := header["Content-Type"]; !ok {
 		// Without this entry the HTTP server would detect a type from the body.
 		header["Content-Type"] = nil
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -71,22 +71,37 @@
 	"Expect":              true,
 }
 
-// endToEndFields copies all fields but those of a single connection and those between nodes.
+// endToEndFields returns a copy of all fields but those of a single connection and those between nodes.
 func endToEndFields(from http.Header) http.Header {
-	connectionFields := map[string]bool{}
-	for _, list := range from["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			connectionFields[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	to := make(http.Header, len(from)+4)
+	to := make(http.Header, len(from))
+	copyEndToEndFields(to, from)
+	return to
+}
+
+// copyEndToEndFields copies all fields but those of a single connection and those between nodes.
+func copyEndToEndFields(to, from http.Header) {
+	connectionFields := connectionFieldsOf(from)
 	for name, values := range from {
 		if hopByHopFields[name] || connectionFields[name] || strings.HasPrefix(name, fleetPrefix) {
 			continue
 		}
 		to[name] = values
 	}
-	return to
+}
+
+// connectionFieldsOf returns the fields that the Connection field names, nil if there is no such field.
+func connectionFieldsOf(h http.Header) map[string]bool {
+	lists := h["Connection"]
+	if len(lists) == 0 {
+		return nil
+	}
+	names := map[string]bool{}
+	for _, list := range lists {
+		for name := range strings.SplitSeq(list, ",") {
+			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
 }
 
 // pathOf returns a request target without its query; routes are matched against the path only.
