An idle connection is checked with poll

Cause: the check before reuse allocated a raw connection, a socket address and a byte for each request. Change: the raw connection is kept with the connection, and poll reports whether anything can be read, an error or the end included.

--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -96,8 +96,13 @@
 	if err != nil {
 		return nil, DialError{Address: address, Cause: err}
 	}
+	raw, err := rawConn(opened)
+	if err != nil {
+		_ = opened.Close()
+		return nil, DialError{Address: address, Cause: err}
+	}
 	c.options.Connections.Add(1)
-	n := &conn{Conn: opened, count: c.options.Connections, address: address}
+	n := &conn{Conn: opened, raw: raw, count: c.options.Connections, address: address}
 	n.reader = bufio.NewReaderSize(n, readBuffer)
 	n.writer = bufio.NewWriterSize(n, writeBuffer)
 	return n, nil
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -38,10 +38,21 @@
 	closed atomic.Bool
 	// traffic counts the bytes of the request under way, nil for none.
 	traffic atomic.Pointer[Traffic]
+	// raw gives the file descriptor, nil if the connection has none.
+	raw syscall.RawConn
 	// bodyFailed is set if the body of the request under way could not be read.
 	bodyFailed atomic.Pointer[BodyError]
 }
 
+// rawConn returns access to a connection's file descriptor, nil if it has none.
+func rawConn(c net.Conn) (syscall.RawConn, error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, nil
+	}
+	return s.SyscallConn()
+}
+
 // Read reads from the connection and counts the bytes received.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -163,20 +174,21 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	hasNoInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		hasNoInput = err == unix.EAGAIN
+	err := c.raw.Read(func(fd uintptr) bool {
+		hasNoInput = nothingToRead(int(fd))
 		return true
 	})
 	return hasNoInput && err == nil
 }
+
+// nothingToRead returns whether a read would block. Any other event is input, a reset or end of file included; a poll that
+// fails gives no certainty. Peeking with recvfrom instead allocates a socket address for each call.
+func nothingToRead(fd int) bool {
+	events := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	ready, err := unix.Poll(events[:], 0)
+	return ready == 0 && err == nil
+}
