Buffers of small answers are reused

Cause: each answer was read into a new buffer of its size. The answer holds the buffer instead of its bytes and a flag (a small edit in delivery.go).

--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -5,6 +5,7 @@
 // Example: the endpoint answers 503 with the field that says that the request has not run: the outcome is Declined.
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -53,9 +54,8 @@
 	finish func(whole bool)
 	// exceededLimit is the limit in bytes that the request's body exceeded, 0 for none.
 	exceededLimit int64
-	// body holds the whole body if bodyRead is set.
-	body     []byte
-	bodyRead bool
+	// buffered holds the whole body, nil if it has not been read.
+	buffered *bytes.Buffer
 }
 
 func failedAttempt(o conductor.Outcome, reason conductor.Reason) answer {
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -130,9 +130,10 @@
 		header["Content-Length"] = []string{strconv.FormatInt(a.ContentLength, 10)}
 	}
 	w.WriteHeader(a.StatusCode)
-	if a.bodyRead {
+	if a.buffered != nil {
 		// A failed write means that the caller has disconnected, which is no failure of this node.
-		_, _ = w.Write(a.body)
+		_, _ = w.Write(a.buffered.Bytes())
+		releaseBody(a.buffered)
 		return
 	}
 	err := copyBody(w, a)
