An attempt has one context instead of two

Cause: an idempotent attempt at another node had a context with a cause, which an unreachable node cancels, and below it one with the deadline. Change: the one with the deadline is wrapped in a type that holds whether the node was unreachable; the outcomes are the same.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -19,14 +19,9 @@
 // attempt makes one attempt, at the local endpoint or through another node.
 func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
 	left := s.Deadline.Sub(r.options.Clock.Now())
-	parent, stop := request.Context(), func() {}
+	ctx, cancel := context.WithTimeout(request.Context(), left.Std())
 	if !s.Local && s.Idempotent {
-		parent, stop = r.watchAbort(parent, s.ID)
-	}
-	ctx, cancelTime := context.WithTimeout(parent, left.Std())
-	cancel := func() {
-		cancelTime()
-		stop()
+		ctx, cancel = r.watchAbort(ctx, cancel, s.ID)
 	}
 	out := outgoing(request, endToEndFields(request.Header))
 	out.Body, out.Length = body.reader()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -42,7 +42,7 @@
 	mu      sync.Mutex
 	waiting map[conductor.CallID]chan conductor.Effect
 	// aborts cancel the attempts in flight.
-	aborts map[conductor.CallID]context.CancelCauseFunc
+	aborts map[conductor.CallID]*abortable
 	lastID atomic.Uint64
 	// noticesUsed is set once the local endpoint or another node has said something about the endpoint; until then there is
 	// no limit that an answer could lift.
@@ -94,7 +94,7 @@
 	return &Relayer{
 		options:   o,
 		waiting:   map[conductor.CallID]chan conductor.Effect{},
-		aborts:    map[conductor.CallID]context.CancelCauseFunc{},
+		aborts:    map[conductor.CallID]*abortable{},
 		peers:     client(peerDialTimeout, peerIdleTimeout),
 		endpoints: client(endpointDialTimeout, endpointIdleTimeout),
 		unread:    newUnreadFields(o.Headers),
@@ -176,8 +176,8 @@
 	case conductor.EndpointLeft:
 		r.options.Recorder.Event("endpoint leaving", "endpoint", string(e.Endpoint), "at", string(e.Node))
 	case conductor.Abort:
-		if abort, ok := r.aborts[e.ID]; ok {
-			abort(errUnreachable)
+		if a, ok := r.aborts[e.ID]; ok {
+			a.abort()
 		}
 	}
 }
