A node beside an endpoint filters a request's fields in place

Cause: ServeInbound copied all fields of a request into a new map, although the HTTP server has read what it needs from them before the handler runs and the handler reads nothing more from them. Change: the fields that are not forwarded are deleted from the request.

--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -40,8 +40,10 @@
 		arrivalCounted: received.arrivalCounted,
 		rateUnchecked:  received.rateUnchecked,
 		limit:          r.readPassedLimit(request.Header),
-		request:        outgoing(request, endToEndFields(request.Header)),
 	}
+	// All that this node reads from the fields has been read above, so that they need no copy.
+	keepEndToEndFields(request.Header)
+	d.request = outgoing(request, request.Header)
 	a := r.deliver(ctx, d)
 	r.setState(w.Header())
 	// The sending node writes its own Date.
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -82,13 +82,26 @@
 func copyEndToEndFields(to, from http.Header) {
 	connectionFields := connectionFieldsOf(from)
 	for name, values := range from {
-		if hopByHopFields[name] || connectionFields[name] || strings.HasPrefix(name, fleetPrefix) {
-			continue
+		if isEndToEnd(name, connectionFields) {
+			to[name] = values
 		}
-		to[name] = values
 	}
 }
 
+// keepEndToEndFields deletes the fields that copyEndToEndFields leaves out.
+func keepEndToEndFields(h http.Header) {
+	connectionFields := connectionFieldsOf(h)
+	for name := range h {
+		if !isEndToEnd(name, connectionFields) {
+			delete(h, name)
+		}
+	}
+}
+
+func isEndToEnd(name string, connectionFields map[string]bool) bool {
+	return !hopByHopFields[name] && !connectionFields[name] && !strings.HasPrefix(name, fleetPrefix)
+}
+
 // connectionFieldsOf returns the fields that the Connection field names, nil if there is no such field.
 func connectionFieldsOf(h http.Header) map[string]bool {
 	lists := h["Connection"]
