Idle connections hold no buffers

Cause: each kept connection to a node or an endpoint held a read and a write buffer of 4 kB each while it was idle. Change: a connection takes its buffers from a pool for each exchange and returns them when it becomes idle. Buffers of a connection that is closed instead are not reused, since a sender of a body may still use them.

--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -103,8 +103,7 @@
 	}
 	c.options.Connections.Add(1)
 	n := &conn{Conn: opened, raw: raw, count: c.options.Connections, address: address}
-	n.reader = bufio.NewReaderSize(n, readBuffer)
-	n.writer = bufio.NewWriterSize(n, writeBuffer)
+	n.attachBuffers()
 	return n, nil
 }
 
@@ -250,7 +249,7 @@
 }
 
 func writeChunks(w *bufio.Writer, body io.Reader) error {
-	buffer := make([]byte, writeBuffer)
+	buffer := make([]byte, writeBufferBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -20,14 +20,10 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
 
-const (
-	readBuffer  = 4 << 10
-	writeBuffer = 4 << 10
-)
-
-// conn is one connection and its buffers.
+// conn is one connection.
 type conn struct {
 	net.Conn
+	// reader and writer are nil while the connection is idle.
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	address   string
@@ -108,6 +104,7 @@
 			return nil
 		}
 		if now < c.idleUntil && c.hasNoInput() {
+			c.attachBuffers()
 			return c
 		}
 		_ = c.Close()
@@ -126,8 +123,10 @@
 	return c
 }
 
+// put keeps a connection on which a complete answer was read and nothing is buffered.
 func (p *pool) put(c *conn) {
 	c.reused = true
+	c.releaseBuffers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.address]
@@ -171,9 +170,6 @@
 
 // hasNoInput returns whether nothing can be read on the connection, not even end of file.
 func (c *conn) hasNoInput() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
 	if c.raw == nil {
 		return true
 	}
