Idle connections between nodes follow the recent use

Cause: after a surge a node kept up to 400 idle connections to each other node for 8 s, although a few dozen were used; a connection takes 18 kB at both ends together. Change: the pool counts the connections in use for each address, and once a second closes the idle ones beyond the peak of the last 2 s plus a reserve (half of the peak, at least 4), longest idle first. They are taken out of the pool under its lock, so that no request can be sent on one of them. Connections to endpoints keep their present limits.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -82,21 +82,23 @@
 
 // New returns a relayer.
 func New(o Options) *Relayer {
-	client := func(dial, idle clock.Duration) *requester.Client {
+	client := func(dial, idle clock.Duration, followUse bool) *requester.Client {
 		return requester.New(requester.Options{
 			DialTimeout: dial,
 			IdleTime:    idle,
 			MaxIdle:     maxIdlePerAddress,
+			FollowUse:   followUse,
 			Connections: o.Connections,
 			Now:         o.Clock.Now,
 		})
 	}
 	return &Relayer{
-		options:   o,
-		waiting:   map[conductor.CallID]chan conductor.Effect{},
-		aborts:    map[conductor.CallID]*abortable{},
-		peers:     client(peerDialTimeout, peerIdleTimeout),
-		endpoints: client(endpointDialTimeout, endpointIdleTimeout),
+		options: o,
+		waiting: map[conductor.CallID]chan conductor.Effect{},
+		aborts:  map[conductor.CallID]*abortable{},
+		peers:   client(peerDialTimeout, peerIdleTimeout, true),
+		// A new connection costs an endpoint more than an idle one, so its connections are kept after a surge.
+		endpoints: client(endpointDialTimeout, endpointIdleTimeout, false),
 		unread:    newUnreadFields(o.Headers),
 	}
 }
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -28,7 +28,7 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{options: o, pool: newPool(o.MaxIdle)}
+	return &Client{options: o, pool: newPool(o)}
 }
 
 // Dials returns how many connections the client has tried to open.
@@ -36,7 +36,8 @@
 	return c.dials.Load()
 }
 
-// Expire closes the connections whose idle time has passed.
+// Expire closes the connections whose idle time has passed, and with FollowUse those beyond the recent use; it is to be
+// called once a second or so.
 func (c *Client) Expire() {
 	c.pool.expire(c.options.Now())
 }
@@ -74,6 +75,7 @@
 	if err != nil {
 		stop()
 		n.abort()
+		c.endUse(address)
 		if failed := n.bodyFailed.Load(); failed != nil {
 			err = *failed
 		}
@@ -92,14 +94,28 @@
 		return n, nil
 	}
 	c.dials.Add(1)
-	opened, err := Dial(ctx, address, c.options.DialTimeout.Std())
+	n, err := c.dial(ctx, address)
 	if err != nil {
+		c.endUse(address)
 		return nil, DialError{Address: address, Cause: err}
 	}
+	return n, nil
+}
+
+// endUse ends a use of an address whose connection is not kept.
+func (c *Client) endUse(address string) {
+	c.pool.end(address, c.options.Now())
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	opened, err := Dial(ctx, address, c.options.DialTimeout.Std())
+	if err != nil {
+		return nil, err
+	}
 	raw, err := rawConn(opened)
 	if err != nil {
 		_ = opened.Close()
-		return nil, DialError{Address: address, Cause: err}
+		return nil, err
 	}
 	c.options.Connections.Add(1)
 	n := &conn{Conn: opened, raw: raw, count: c.options.Connections, address: address}
@@ -305,20 +321,19 @@
 	r.closed = true
 	cancelled := !r.stop()
 	crowded := r.client.options.Connections.Crowded()
-	if cancelled || crowded || !readToEnd || !r.framed || r.Response.Close || !r.bodySent() || r.conn.reader.Buffered() > 0 {
-		_ = r.conn.Close()
-		return
-	}
+	doubtful := cancelled || !readToEnd || !r.framed || !r.bodySent() || r.conn.reader.Buffered() > 0
 	idle, ok := idleTime(r.Header.Get("Keep-Alive"))
 	if !ok {
 		idle = r.client.options.IdleTime
 	}
-	if idle <= 0 {
+	if doubtful || crowded || r.Response.Close || idle <= 0 {
 		_ = r.conn.Close()
+		r.client.endUse(r.conn.address)
 		return
 	}
-	r.conn.idleUntil = r.client.options.Now().Add(idle)
-	r.client.pool.put(r.conn)
+	now := r.client.options.Now()
+	r.conn.idleUntil = now.Add(idle)
+	r.client.pool.put(r.conn, now)
 }
 
 // bodySent returns whether the request's body has been sent completely. A server that answered early may still expect
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -1,103 +1,39 @@
 package requester
 
-// Unexpected bytes on an idle connection would be read as the answer to the next request, and a connection that the
-// server has closed would lose that request. Therefore an idle connection is checked before reuse: if anything can be
-// read on it, end of file included, it is closed. The check costs one system call; without it every restart of an
-// endpoint would fail the requests sent on its closed connections, and those that must not run twice could not be
-// retried.
+// Idle connections are kept for each address. The one used last is taken first, so that the others reach their idle time
+// or are closed as more than the recent use.
 //
-// Example: an endpoint sends a second answer after a complete one; the connection is closed instead of reused.
+// Example: c := p.take("10.1.0.9:8080", now); after a complete exchange, p.put(c, now), otherwise p.end(c.address, now).
 
 import (
-	"bufio"
-	"net"
+	"slices"
 	"sync"
-	"sync/atomic"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
 
-// conn is one connection.
-type conn struct {
-	net.Conn
-	// reader and writer are nil while the connection is idle.
-	reader    *bufio.Reader
-	writer    *bufio.Writer
-	address   string
-	idleUntil clock.Time
-	// reused is whether a request has been answered on the connection before.
-	reused bool
-	count  *Connections
-	closed atomic.Bool
-	// traffic counts the bytes of the request under way, nil for none.
-	traffic atomic.Pointer[Traffic]
-	// raw gives the file descriptor, nil if the connection has none.
-	raw syscall.RawConn
-	// bodyFailed is set if the body of the request under way could not be read.
-	bodyFailed atomic.Pointer[BodyError]
-}
-
-// rawConn returns access to a connection's file descriptor, nil if it has none.
-func rawConn(c net.Conn) (syscall.RawConn, error) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return nil, nil
-	}
-	return s.SyscallConn()
-}
-
-// Read reads from the connection and counts the bytes received.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if t := c.traffic.Load(); t != nil {
-		t.Received.Add(int64(n))
-	}
-	return n, err
-}
-
-// Write writes to the connection and counts the bytes sent.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if t := c.traffic.Load(); t != nil {
-		t.Sent.Add(int64(n))
-	}
-	return n, err
-}
-
-// Close closes the connection and removes it once from the count of open connections.
-func (c *conn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.count.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
-// abort resets the connection instead of closing it in order. After an orderly close, bytes delayed by a partition or a
-// congested link are still delivered seconds later, and the endpoint runs requests whose callers left as much as 5.4 s
-// before. A reset discards these bytes.
-func (c *conn) abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		// This fails only if the connection is closed already.
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
+type pool struct {
+	mu        sync.Mutex
+	addresses map[string]*addressPool
+	maxIdle   int
+	// followUse closes idle connections beyond what usage.wanted returns.
+	followUse bool
 }
 
-type pool struct {
-	mu      sync.Mutex
-	idle    map[string][]*conn
-	maxIdle int
+// addressPool holds the idle connections to an address, in the order in which they became idle.
+type addressPool struct {
+	idle  []*conn
+	usage usage
 }
 
-func newPool(maxIdle int) *pool {
-	return &pool{idle: map[string][]*conn{}, maxIdle: maxIdle}
+func newPool(o Options) *pool {
+	return &pool{addresses: map[string]*addressPool{}, maxIdle: o.MaxIdle, followUse: o.FollowUse}
 }
 
-// take returns the connection that was used last, so that the others reach their idle time and are closed.
+// take returns the connection that was used last, so that the others reach their idle time and are closed; nil if there is
+// none. In both cases a use of the address begins, which end or put must end.
 func (p *pool) take(address string, now clock.Time) *conn {
+	p.begin(address, now)
 	for {
 		c := p.pop(address)
 		if c == nil {
@@ -111,80 +47,114 @@
 	}
 }
 
+func (p *pool) begin(address string, now clock.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at(address).usage.add(1, now)
+}
+
+// end ends a use of the address whose connection is not kept.
+func (p *pool) end(address string, now clock.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at(address).usage.add(-1, now)
+}
+
+// at returns the pool of an address; the caller holds the lock.
+func (p *pool) at(address string) *addressPool {
+	a, ok := p.addresses[address]
+	if !ok {
+		a = &addressPool{}
+		p.addresses[address] = a
+	}
+	return a
+}
+
 func (p *pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
+	a := p.at(address)
+	if len(a.idle) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	last := len(a.idle) - 1
+	c := a.idle[last]
+	a.idle[last] = nil
+	a.idle = a.idle[:last]
 	return c
 }
 
-// put keeps a connection on which a complete answer was read and nothing is buffered.
-func (p *pool) put(c *conn) {
+// put ends a use and keeps its connection, on which a complete answer was read and nothing is buffered.
+func (p *pool) put(c *conn, now clock.Time) {
 	c.reused = true
 	c.releaseBuffers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[c.address]
-	if len(list) >= p.maxIdle {
+	a := p.at(c.address)
+	a.usage.add(-1, now)
+	if len(a.idle) >= p.maxIdle {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.address] = append(list, c)
+	a.idle = append(a.idle, c)
 }
 
-// expire closes the connections whose idle time has passed.
+// expire closes the connections whose idle time has passed, and those beyond the number to keep.
 func (p *pool) expire(now clock.Time) {
+	for _, c := range p.removeExpired(now) {
+		_ = c.Close()
+	}
+}
+
+// removeExpired removes the connections to close. They are idle, and nothing takes them any more: no request can be sent
+// on one of them while it is closed.
+func (p *pool) removeExpired(now clock.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now < c.idleUntil {
-				kept = append(kept, c)
-				continue
-			}
-			_ = c.Close()
+	var removed []*conn
+	for address, a := range p.addresses {
+		removed = append(removed, a.removeExpired(now)...)
+		if p.followUse {
+			// The first ones have been idle for longest.
+			removed = append(removed, a.removeFirst(len(a.idle)+a.usage.inUse-a.usage.wanted(now))...)
+		}
+		if len(a.idle) == 0 && a.usage.peak(now) == 0 {
+			delete(p.addresses, address)
 		}
-		if len(kept) == 0 {
-			delete(p.idle, address)
+	}
+	return removed
+}
+
+func (a *addressPool) removeExpired(now clock.Time) []*conn {
+	var removed, kept []*conn
+	for _, c := range a.idle {
+		if now < c.idleUntil {
+			kept = append(kept, c)
 			continue
 		}
-		p.idle[address] = kept
+		removed = append(removed, c)
 	}
+	a.idle = kept
+	return removed
+}
+
+func (a *addressPool) removeFirst(n int) []*conn {
+	n = min(max(0, n), len(a.idle))
+	removed := a.idle[:n]
+	a.idle = slices.Clone(a.idle[n:])
+	return removed
 }
 
 // closeIdle closes all idle connections to an address.
 func (p *pool) closeIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.Close()
+	a, ok := p.addresses[address]
+	if !ok {
+		return
 	}
-	delete(p.idle, address)
-}
-
-// hasNoInput returns whether nothing can be read on the connection, not even end of file.
-func (c *conn) hasNoInput() bool {
-	if c.raw == nil {
-		return true
+	for _, c := range a.idle {
+		_ = c.Close()
 	}
-	hasNoInput := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		hasNoInput = nothingToRead(int(fd))
-		return true
-	})
-	return hasNoInput && err == nil
-}
-
-// nothingToRead returns whether a read would block. Any other event is input, a reset or end of file included; a poll that
-// fails gives no certainty. Peeking with recvfrom instead allocates a socket address for each call.
-func nothingToRead(fd int) bool {
-	events := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	ready, err := unix.Poll(events[:], 0)
-	return ready == 0 && err == nil
+	a.idle = nil
 }
