--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -28,7 +28,7 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{options: o, pool: newPool(o.MaxIdle)}
+	return &Client{options: o, pool: newPool(o)}
 }
 
 // Dials returns how many connections the client has tried to open.
@@ -36,7 +36,8 @@
 	return c.dials.Load()
 }
 
-// Expire closes the connections whose idle time has passed.
+// Expire closes the connections whose idle time has passed, and with FollowUse those beyond the recent use; it is to be
+// called once a second or so.
 func (c *Client) Expire() {
 	c.pool.expire(c.options.Now())
 }
@@ -74,6 +75,7 @@
 	if err != nil {
 		stop()
 		n.abort()
+		c.endUse(address)
 		if failed := n.bodyFailed.Load(); failed != nil {
 			err = *failed
 		}
@@ -92,14 +94,32 @@
 		return n, nil
 	}
 	c.dials.Add(1)
-	opened, err := Dial(ctx, address, c.options.DialTimeout.Std())
+	n, err := c.dial(ctx, address)
 	if err != nil {
+		c.endUse(address)
 		return nil, DialError{Address: address, Cause: err}
 	}
+	return n, nil
+}
+
+// endUse ends a use of an address whose connection is not kept.
+func (c *Client) endUse(address string) {
+	c.pool.end(address, c.options.Now())
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	opened, err := Dial(ctx, address, c.options.DialTimeout.Std())
+	if err != nil {
+		return nil, err
+	}
+	raw, err := rawConn(opened)
+	if err != nil {
+		_ = opened.Close()
+		return nil, err
+	}
 	c.options.Connections.Add(1)
-	n := &conn{Conn: opened, count: c.options.Connections, address: address}
-	n.reader = bufio.NewReaderSize(n, readBuffer)
-	n.writer = bufio.NewWriterSize(n, writeBuffer)
+	n := &conn{Conn: opened, raw: raw, count: c.options.Connections, address: address}
+	n.attachBuffers()
 	return n, nil
 }
 
@@ -244,8 +264,11 @@
 	return w.Flush()
 }
 
+// chunkBytes is the size of the largest chunk of a body whose length is not known.
+const chunkBytes = 4 << 10
+
 func writeChunks(w *bufio.Writer, body io.Reader) error {
-	buffer := make([]byte, writeBuffer)
+	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
@@ -266,8 +289,18 @@
 	}
 }
 
+// answeredRequests are given to http.ReadResponse, which needs only the method and changes nothing in them.
+var answeredRequests = map[string]*http.Request{
+	http.MethodGet:  {Method: http.MethodGet},
+	http.MethodPost: {Method: http.MethodPost},
+}
+
 func readHead(n *conn, r *Request) (*http.Response, error) {
-	return http.ReadResponse(n.reader, &http.Request{Method: r.Method})
+	answered := answeredRequests[r.Method]
+	if answered == nil {
+		answered = &http.Request{Method: r.Method}
+	}
+	return http.ReadResponse(n.reader, answered)
 }
 
 func readFinalHead(n *conn, r *Request) (*http.Response, error) {
@@ -291,20 +324,19 @@
 	r.closed = true
 	cancelled := !r.stop()
 	crowded := r.client.options.Connections.Crowded()
-	if cancelled || crowded || !readToEnd || !r.framed || r.Response.Close || !r.bodySent() || r.conn.reader.Buffered() > 0 {
-		_ = r.conn.Close()
-		return
-	}
+	doubtful := cancelled || !readToEnd || !r.framed || !r.bodySent() || r.conn.reader.Buffered() > 0
 	idle, ok := idleTime(r.Header.Get("Keep-Alive"))
 	if !ok {
 		idle = r.client.options.IdleTime
 	}
-	if idle <= 0 {
+	if doubtful || crowded || r.Response.Close || idle <= 0 {
 		_ = r.conn.Close()
+		r.client.endUse(r.conn.address)
 		return
 	}
-	r.conn.idleUntil = r.client.options.Now().Add(idle)
-	r.client.pool.put(r.conn)
+	now := r.client.options.Now()
+	r.conn.idleUntil = now.Add(idle)
+	r.client.pool.put(r.conn, now)
 }
 
 // bodySent returns whether the request's body has been sent completely. A server that answered early may still expect
@@ -329,7 +361,7 @@
 const idleMargin = 700 * clock.Millisecond
 
 func idleTime(header string) (clock.Duration, bool) {
-	for _, parameter := range strings.Split(header, ",") {
+	for parameter := range strings.SplitSeq(header, ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
 		if !found {
 			continue
