Conductor: learn paces, report run times at the usual pace

Run times measured while a VM is slow would count twice once the sending nodes multiply them by the pace.

AttemptEnded, DeliveryEnded and EndpointChecked carry the pace. The node beside an endpoint divides the time of a run by the pace of its answer, or by the last pace if there is no answer.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/detector"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
@@ -113,6 +114,8 @@
 	throttler *throttler.Throttler
 	runs      runCounter
 	runTimes  runTimes
+	// ownPace is the pace that the local endpoint tells.
+	ownPace gauger.Tracker
 
 	// coldUntil is the time until which the local endpoint counts as cold; otherColdUntil is the same for endpoints
 	// beside other nodes.
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
@@ -162,7 +163,8 @@
 	if c.limiter == nil {
 		return
 	}
-	if took := now.Sub(d.started); e.Outcome == Answered {
+	c.learnOwnPace(e.Pace, now)
+	if took := c.atUsualPace(now.Sub(d.started), now); e.Outcome == Answered {
 		c.throttler.Answered()
 		c.runTimes.of(d.nested).learn(took)
 	} else {
@@ -268,6 +270,7 @@
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]parent{}
 	c.runTimes = runTimes{}
+	c.ownPace = gauger.Tracker{}
 }
 
 // shedQueue turns away all queued requests; running requests continue.
--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -44,6 +45,11 @@
 	// Evacuated are the failure domains whose endpoints get no requests, as known up to the offset OrdersNext.
 	Evacuated  []identifier.FailureDomain
 	OrdersNext identifier.Offset
+	// Pace is the pace that the local endpoint told last and PaceAge its age; Pace is 0 if the endpoint told none.
+	Pace    gauger.Pace
+	PaceAge clock.Duration
+	// SlowOthers counts the endpoints beside other nodes whose present pace is slow, as far as this node knows.
+	SlowOthers int
 }
 
 // Dump returns the conductor's state.
@@ -66,6 +72,10 @@
 	s.Limited, s.RateLimit, s.LimitAge = c.limit.limited, c.limit.perSecond, c.limit.age(now)
 	s.Evacuated, s.OrdersNext = c.EvacuatedDomains(), c.ordersNext
 	s.HeldBack = c.heldBack
+	if s.Pace, s.PaceAge = c.ownPace.Pace(now); s.Pace == 0 {
+		s.PaceAge = 0
+	}
+	s.SlowOthers = c.router.SlowEndpoints(c.self.Endpoint, now)
 	for _, l := range c.otherLimits {
 		if l.limited {
 			s.OtherLimits++
@@ -98,5 +108,6 @@
 		"limited": s.Limited, "rateLimit": s.RateLimit, "limitAgeMs": int64(s.LimitAge),
 		"heldBack": s.HeldBack, "otherLimits": s.OtherLimits,
 		"evacuated": s.Evacuated, "ordersNext": int64(s.OrdersNext),
+		"pace": int64(s.Pace), "paceAgeMs": int64(s.PaceAge), "slowOthers": s.SlowOthers,
 	}
 }
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -8,6 +8,7 @@
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
@@ -45,6 +46,8 @@
 	Headroom uint8
 	// Wait is how long a request would have been queued at that node.
 	Wait clock.Duration
+	// Pace is the endpoint's pace as its node passed it on, 0 for none.
+	Pace gauger.Pace
 	// Notice is what the endpoint's answer says about the endpoint.
 	Notice Notice
 	// Replayable is set when the request's body can be sent again from its start.
@@ -114,6 +117,8 @@
 type DeliveryEnded struct {
 	ID      CallID
 	Outcome Outcome
+	// Pace is the pace that the endpoint's answer tells, 0 for none.
+	Pace gauger.Pace
 }
 
 // DeliveryCancelled ends a queued delivery whose caller disconnected.
@@ -145,6 +150,8 @@
 	Known    bool
 	// Notice is what the answer says otherwise.
 	Notice Notice
+	// Pace is the pace that the answer tells, 0 for none.
+	Pace gauger.Pace
 }
 
 // ConfigurationRead is a configuration that was read in full and validated.
--- /dev/null
+++ b/internal/conductor/pace.go
@@ -0,0 +1,41 @@
+package conductor
+
+// An endpoint may tell its pace in each answer. This node keeps the last pace of the endpoint beside it, passes it to the
+// router for its own picks, and converts the run times that it reports to the usual pace: the nodes that receive them
+// multiply them by the pace of the moment. A false pace that stays the same therefore has no effect on the product.
+//
+// Example: a run of 300 ms at a pace of 250 counts as 120 ms, which other nodes take for 300 ms while the pace is 250.
+
+import (
+	"math"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
+)
+
+// MaxPassedPaceAge is how old a pace may be that this node passes on as the present one, since the field between nodes
+// has no age. Endpoints that are full give an answer every few milliseconds.
+const MaxPassedPaceAge = 50 * clock.Millisecond
+
+// learnOwnPace records the pace that an answer of the local endpoint tells.
+func (c *Conductor) learnOwnPace(p gauger.Pace, now clock.Time) {
+	if p == 0 {
+		return
+	}
+	c.ownPace.Learn(p, now)
+	c.router.SetPace(c.self.Endpoint, p, now)
+}
+
+// RecentPace returns the local endpoint's pace, 0 if its answers have told none within MaxPassedPaceAge.
+func (c *Conductor) RecentPace(now clock.Time) gauger.Pace {
+	return c.ownPace.Recent(now, MaxPassedPaceAge)
+}
+
+// atUsualPace converts the duration of a run that has just ended at the local endpoint to the usual pace.
+func (c *Conductor) atUsualPace(took clock.Duration, now clock.Time) clock.Duration {
+	factor := c.ownPace.Factor(now)
+	if factor == 1 {
+		return took
+	}
+	return clock.Duration(math.Round(float64(took) / factor))
+}
