Relayer: read load reports, pass the pace on in Jackdaw-State

The node beside an endpoint removed the report unread.

It reads the report in each answer, health answers included. The pace goes to the sending node as a last part of Jackdaw-State.

--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -45,6 +46,8 @@
 	// headroom and queueDelay are those of the endpoint when it answered.
 	headroom   uint8
 	queueDelay clock.Duration
+	// pace is the pace that the answer tells, 0 for none.
+	pace gauger.Pace
 	// member is the other node's present record if the requested endpoint is no longer beside it.
 	member *exchanger.Member
 	// notice is what an answer that came through another node says about the endpoint.
@@ -115,16 +118,17 @@
 	}
 	a := r.run(ctx, id, d)
 	if a.outcome != conductor.Answered {
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome, Pace: a.pace})
 		return a
 	}
+	answeredAt := r.options.Clock.Now()
 	a.finish = func(whole bool) {
 		a.Close(whole)
 		outcome := conductor.Answered
 		if !whole {
 			outcome = conductor.Abandoned
 		}
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome, Pace: r.paceSince(a.pace, answeredAt)})
 	}
 	return a
 }
@@ -143,7 +147,9 @@
 	if err != nil {
 		return r.deliveryFailed(ctx, d, err)
 	}
+	pace := gauger.Pace(0)
 	if response.StatusCode != http.StatusMisdirectedRequest {
+		pace = r.paceIn(response.Header)
 		r.reportNotice(id, response.Header)
 		r.reportUnreadFields(response.Header)
 	}
@@ -153,9 +159,11 @@
 			r.ApplyEvent(conductor.EndpointUnreachable{Endpoint: d.endpoint})
 			return failedAttempt(conductor.Moved, conductor.EndpointGone)
 		}
-		return failedAttempt(conductor.Declined, conductor.EndpointRefused)
+		declined := failedAttempt(conductor.Declined, conductor.EndpointRefused)
+		declined.pace = pace
+		return declined
 	}
-	return answer{Response: response, outcome: conductor.Answered}
+	return answer{Response: response, outcome: conductor.Answered, pace: pace}
 }
 
 // maxDrainBytes bounds the bytes of an unused body that are read so that its connection can be reused.
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
@@ -43,7 +44,7 @@
 		request:        outgoing(request, endToEndFields(request.Header)),
 	}
 	a := r.deliver(ctx, d)
-	r.setState(w.Header())
+	r.setState(w.Header(), a.pace)
 	// The sending node writes its own Date.
 	w.Header()["Date"] = nil
 	r.announceClose(request.Context(), w.Header())
@@ -66,10 +67,16 @@
 	delete(h, r.options.Headers.Load)
 }
 
-// setState reports the endpoint's headroom and queue delay and the freshness of this node's configuration.
-func (r *Relayer) setState(h http.Header) {
+// setState reports the endpoint's headroom, queue delay and pace and the freshness of this node's configuration. An answer
+// without a pace of its own, such as a refusal by this node, gets the endpoint's last one if that is recent.
+func (r *Relayer) setState(h http.Header, pace gauger.Pace) {
 	r.View(func(c *conductor.Conductor, now clock.Time) {
-		h[stateField] = []string{peerState{headroom: c.Headroom(now), queueDelay: c.QueueDelay(now), proof: r.proof(c)}.String()}
+		if pace == 0 {
+			pace = c.RecentPace(now)
+		}
+		h[stateField] = []string{peerState{
+			headroom: c.Headroom(now), queueDelay: c.QueueDelay(now), proof: r.proof(c), pace: pace,
+		}.String()}
 	})
 }
 
