--- a/internal/router/pace_load_test.go
+++ b/internal/router/pace_load_test.go
@@ -11,8 +11,9 @@
 )
 
 // Endpoints of speeds from 0.5 to 1.6 turn slow for 600 ms at a time, a sixth of them at any moment. Compared by
-// utilization, a slow endpoint attracts calls until its queue has formed. The figures with full knowledge are logged:
-// docs/design/endpoint-pace.md says which part of the gap to them remains.
+// utilization, a slow endpoint attracts calls until its queue has formed. The target of docs/design/hard-load.md that is not
+// reached is not asserted: 1.5 times the late calls of an ideal placement. They are logged, and the gap is 2.7 times
+// (docs/design/endpoint-pace.md).
 func TestUnevenEndpoints(t *testing.T) {
 	for name, c := range map[string]struct{ run, objective float64 }{
 		"objective of 3 run times":   {run: 100, objective: 300},
