Gauger: take the mean of paces that are too low for the usual pace

Reported run times are divided by the pace, which fades to 100 where they are multiplied by it.

The node beside the endpoint does the correction, so the simulation of the router tests has it too.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -114,8 +114,8 @@
 	throttler *throttler.Throttler
 	runs      runCounter
 	runTimes  runTimes
-	// ownPace is the pace that the local endpoint tells.
-	ownPace gauger.Tracker
+	// ownPace is the pace that the local endpoint reports.
+	ownPace gauger.Calibrator
 
 	// coldUntil is the time until which the local endpoint counts as cold; otherColdUntil is the same for endpoints
 	// beside other nodes.
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -270,7 +270,7 @@
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]parent{}
 	c.runTimes = runTimes{}
-	c.ownPace = gauger.Tracker{}
+	c.ownPace = gauger.Calibrator{}
 }
 
 // shedQueue turns away all queued requests; running requests continue.
--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -72,7 +72,7 @@
 	s.Limited, s.RateLimit, s.LimitAge = c.limit.limited, c.limit.perSecond, c.limit.age(now)
 	s.Evacuated, s.OrdersNext = c.EvacuatedDomains(), c.ordersNext
 	s.HeldBack = c.heldBack
-	if s.Pace, s.PaceAge = c.ownPace.Pace(now); s.Pace == 0 {
+	if s.Pace, s.PaceAge = c.ownPace.Reported(now); s.Pace == 0 {
 		s.PaceAge = 0
 	}
 	s.SlowOthers = c.router.SlowEndpoints(c.self.Endpoint, now)
--- a/internal/conductor/pace.go
+++ b/internal/conductor/pace.go
@@ -1,8 +1,8 @@
 package conductor
 
-// An endpoint may tell its pace in each answer. This node keeps the last pace of the endpoint beside it, passes it to the
-// router for its own picks, and converts the run times that it reports to the usual pace: the nodes that receive them
-// multiply them by the pace of the moment. A false pace that stays the same therefore has no effect on the product.
+// An endpoint may report its pace in each answer. This node keeps the last pace of the endpoint beside it, corrects it if
+// it is always too low (gauger.Calibrator), passes it to the router for its own picks, and converts the run times that it
+// reports to the usual pace: the nodes that receive them multiply them by the pace of the moment.
 //
 // Example: a run of 300 ms at a pace of 250 counts as 120 ms, which other nodes take for 300 ms while the pace is 250.
 
@@ -17,25 +17,31 @@
 // has no age. Endpoints that are full give an answer every few milliseconds.
 const MaxPassedPaceAge = 50 * clock.Millisecond
 
-// learnOwnPace records the pace that an answer of the local endpoint tells.
+// learnOwnPace records the pace that an answer of the local endpoint reports.
 func (c *Conductor) learnOwnPace(p gauger.Pace, now clock.Time) {
 	if p == 0 {
 		return
 	}
 	c.ownPace.Learn(p, now)
-	c.router.SetPace(c.self.Endpoint, p, now)
+	c.router.SetPace(c.self.Endpoint, c.ownPace.Calibrate(p), now)
 }
 
-// RecentPace returns the local endpoint's pace, 0 if its answers have told none within MaxPassedPaceAge.
+// RecentPace returns the local endpoint's pace, calibrated, 0 if its answers have reported none within MaxPassedPaceAge.
 func (c *Conductor) RecentPace(now clock.Time) gauger.Pace {
 	return c.ownPace.Recent(now, MaxPassedPaceAge)
 }
 
-// atUsualPace converts the duration of a run that has just ended at the local endpoint to the usual pace.
+// atUsualPace converts the duration of a run that has just ended at the local endpoint to a reported pace of 100.
 func (c *Conductor) atUsualPace(took clock.Duration, now clock.Time) clock.Duration {
-	factor := c.ownPace.Factor(now)
+	factor := c.ownPace.Factor(now) * c.ownPace.Usual()
 	if factor == 1 {
 		return took
 	}
 	return clock.Duration(math.Round(float64(took) / factor))
 }
+
+// reportedTime returns a run time at the pace that counts as the usual one. It is converted last, since the usual pace
+// changes more slowly than reports are sent, and a run time of former runs must change with it.
+func (c *Conductor) reportedTime(p runTime) clock.Duration {
+	return clock.Duration(float64(p.time()) * c.ownPace.Usual())
+}
--- a/internal/conductor/pace_test.go
+++ b/internal/conductor/pace_test.go
@@ -89,3 +89,33 @@
 	}
 	assert.Assert(t, counts["i-a"] > 0 && counts["i-a"] < 20, "%v", counts)
 }
+
+// The receivers let a pace fade to 100. An endpoint that always reports 30 would count as 3.3 times as slow as it is by
+// then, and get no call that shows otherwise.
+func TestLowPaceIsCalibrated(t *testing.T) {
+	for name, c := range map[string]struct {
+		pace     gauger.Pace
+		runs     int
+		wantPace gauger.Pace
+		wantTime clock.Duration
+	}{
+		"true":            {pace: 100, runs: 20, wantPace: 100, wantTime: 300},
+		"too low":         {pace: 30, runs: 20, wantPace: 100, wantTime: 300},
+		"too low at once": {pace: 30, runs: 1, wantPace: 100, wantTime: 300},
+		"absurdly low":    {pace: 1, runs: 20, wantPace: 100, wantTime: 300},
+		"slow for good":   {pace: 250, runs: 20, wantPace: 250, wantTime: 120},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := newConductor("portal")
+			announceEndpoint(k, 10, 1, false, 0)
+			paces := make([]gauger.Pace, c.runs)
+			for i := range paces {
+				paces[i] = c.pace
+			}
+			assert.Equal(t, pacedRuns(k, 300, Answered, paces...), c.wantTime)
+			now := clock.Time(1000).Add(clock.Duration(300 * c.runs))
+			assert.Equal(t, k.RecentPace(now), c.wantPace)
+			assert.Equal(t, k.Dump(now).Pace, c.pace)
+		})
+	}
+}
--- a/internal/gauger/tracker.go
+++ b/internal/gauger/tracker.go
@@ -29,7 +29,12 @@
 	if p <= 0 {
 		return 1
 	}
-	return float64(min(maxUsedPace, max(minUsedPace, p))) / float64(UsualPace)
+	return float64(p.used()) / float64(UsualPace)
+}
+
+// used returns the pace within the bounds of the paces in use.
+func (p Pace) used() Pace {
+	return min(maxUsedPace, max(minUsedPace, p))
 }
 
 // Tracker holds the last pace that an endpoint told, and when it did.
--- a/internal/router/pace_harness_test.go
+++ b/internal/router/pace_harness_test.go
@@ -39,6 +39,8 @@
 	// rawRun and usualRun are the run times that its node measures, as they are and at the usual pace.
 	rawRun, usualRun float64
 	ran              int
+	// calibrator is that of its node.
+	calibrator gauger.Calibrator
 }
 
 type unevenCall struct {
@@ -198,6 +200,8 @@
 	pace := gauger.Pace(0)
 	if p.tellsPace {
 		pace = e.tell(truth, now)
+		e.calibrator.Learn(pace, clock.Time(now))
+		pace = e.calibrator.Calibrate(pace)
 	}
 	learn := func(mean *float64, sample float64) {
 		if *mean == 0 {
@@ -206,7 +210,7 @@
 		*mean += (sample - *mean) / 32
 	}
 	learn(&e.rawRun, now-c.begun)
-	learn(&e.usualRun, (now-c.begun)/pace.Factor())
+	learn(&e.usualRun, (now-c.begun)/(pace.Factor()*e.calibrator.Usual()))
 	free := max(0, unevenSlots-e.running-len(e.waiting))
 	p.routers[c.node].Done(e.ID, Result{
 		Headroom: uint8(math.MaxUint8 * free / unevenSlots), Latency: clock.Duration(now - c.arrived), Pace: pace,
@@ -229,7 +233,7 @@
 			reported = now
 			for _, e := range p.endpoints {
 				for _, r := range p.routers {
-					r.SetRunTimes(e.ID, RunTimes{Root: clock.Duration(math.Round(e.usualRun))})
+					r.SetRunTimes(e.ID, RunTimes{Root: clock.Duration(math.Round(e.usualRun * e.calibrator.Usual()))})
 				}
 			}
 			if onReport != nil {
