Pace is learned with the answer's header, passed on calibrated; endpoints without run times count as average

Found in review. The pace of an answer whose body ends more than 50 ms after its header was dropped, so its run time was not converted although other nodes multiply by the pace. The event PaceReported carries it now when the header arrives, and other nodes get the pace calibrated by the endpoint's own mean, as the reported run times are. An endpoint whose node had not reported run times counted as one that runs at once and got most picks; it counts as the mean of its service's endpoints now (TestEndpointWithoutRunTimesCountsAsAverage fails without the change).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -211,6 +211,8 @@
 		c.deliveryArrived(e, now)
 	case NoticeReceived:
 		c.noticeReceived(e, now)
+	case PaceReported:
+		c.paceReported(e, now)
 	case DeliveryEnded:
 		c.deliveryEnded(e, now)
 	case DeliveryCancelled:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -163,8 +163,7 @@
 	if c.limiter == nil {
 		return
 	}
-	c.learnOwnPace(e.Pace, now)
-	if took := c.atUsualPace(now.Sub(d.started), now); e.Outcome == Answered {
+	if took := c.atUsualPace(now.Sub(d.started), e.Pace, now); e.Outcome == Answered {
 		c.throttler.Answered()
 		c.runTimes.of(d.nested).learn(took)
 	} else {
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -113,11 +113,17 @@
 	Notice Notice
 }
 
+// PaceReported is the pace in the local endpoint's answer to a delivery, when the answer's header arrives.
+type PaceReported struct {
+	ID   CallID
+	Pace gauger.Pace
+}
+
 // DeliveryEnded is the end of a delivery that a Run forwarded to the local endpoint.
 type DeliveryEnded struct {
 	ID      CallID
 	Outcome Outcome
-	// Pace is the pace that the endpoint's answer tells, 0 for none.
+	// Pace is the pace that the header of the endpoint's answer reported, 0 for none. The run time is converted by it.
 	Pace gauger.Pace
 }
 
@@ -240,6 +246,7 @@
 func (RequestClosed) event()       {}
 func (DeliveryArrived) event()     {}
 func (NoticeReceived) event()      {}
+func (PaceReported) event()        {}
 func (DeliveryEnded) event()       {}
 func (DeliveryCancelled) event()   {}
 func (EndpointAnnounced) event()   {}
--- a/internal/conductor/pace.go
+++ b/internal/conductor/pace.go
@@ -17,6 +17,14 @@
 // has no age. Endpoints that are full give an answer every few milliseconds.
 const MaxPassedPaceAge = 50 * clock.Millisecond
 
+// paceReported records the pace in an answer to a delivery. One that an earlier process of the endpoint answered is no
+// longer known.
+func (c *Conductor) paceReported(e PaceReported, now clock.Time) {
+	if _, ok := c.deliveries[e.ID]; ok && c.limiter != nil {
+		c.learnOwnPace(e.Pace, now)
+	}
+}
+
 // learnOwnPace records the pace that an answer of the local endpoint reports.
 func (c *Conductor) learnOwnPace(p gauger.Pace, now clock.Time) {
 	if p == 0 {
@@ -31,9 +39,14 @@
 	return c.ownPace.Recent(now, MaxPassedPaceAge)
 }
 
-// atUsualPace converts the duration of a run that has just ended at the local endpoint to a reported pace of 100.
-func (c *Conductor) atUsualPace(took clock.Duration, now clock.Time) clock.Duration {
-	factor := c.ownPace.Factor(now) * c.ownPace.Usual()
+// atUsualPace converts the duration of a run that has just ended at the local endpoint to a reported pace of 100. The pace
+// is the one in its answer; a run without an answer is converted by the last one.
+func (c *Conductor) atUsualPace(took clock.Duration, p gauger.Pace, now clock.Time) clock.Duration {
+	factor := c.ownPace.Factor(now)
+	if p > 0 {
+		factor = c.ownPace.Calibrate(p).Factor()
+	}
+	factor *= c.ownPace.Usual()
 	if factor == 1 {
 		return took
 	}
--- a/internal/conductor/pace_test.go
+++ b/internal/conductor/pace_test.go
@@ -108,12 +108,15 @@
 		t.Run(name, func(t *testing.T) {
 			k := newConductor("portal")
 			announceEndpoint(k, 10, 1, false, 0)
-			paces := make([]gauger.Pace, c.runs)
-			for i := range paces {
-				paces[i] = c.pace
+			now := clock.Time(1000)
+			for i := range c.runs {
+				id := CallID(i + 1)
+				k.Apply(DeliveryArrived{ID: id, Endpoint: "i-self", Deadline: now + 5000, QueueTimeout: 100, Due: now + 5000}, now)
+				now += 300
+				k.Apply(PaceReported{ID: id, Pace: c.pace}, now)
+				k.Apply(DeliveryEnded{ID: id, Outcome: Answered, Pace: c.pace}, now)
 			}
-			assert.Equal(t, pacedRuns(k, 300, Answered, paces...), c.wantTime)
-			now := clock.Time(1000).Add(clock.Duration(300 * c.runs))
+			assert.Equal(t, k.Report(now).RootTime, c.wantTime)
 			assert.Equal(t, k.RecentPace(now), c.wantPace)
 			assert.Equal(t, k.Dump(now).Pace, c.pace)
 		})
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -46,7 +46,7 @@
 	// headroom and queueDelay are those of the endpoint when it answered.
 	headroom   uint8
 	queueDelay clock.Duration
-	// pace is the pace that the answer tells, 0 for none.
+	// pace is the pace that another node passed on with the answer, calibrated, 0 for none.
 	pace gauger.Pace
 	// member is the other node's present record if the requested endpoint is no longer beside it.
 	member *exchanger.Member
@@ -116,27 +116,27 @@
 	if t, ok := effect.(conductor.TurnAway); ok {
 		return failedAttempt(t.Outcome, t.Reason)
 	}
-	a := r.run(ctx, id, d)
+	a, pace := r.run(ctx, id, d)
 	if a.outcome != conductor.Answered {
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome, Pace: a.pace})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome, Pace: pace})
 		return a
 	}
-	answeredAt := r.options.Clock.Now()
 	a.finish = func(whole bool) {
 		a.Close(whole)
 		outcome := conductor.Answered
 		if !whole {
 			outcome = conductor.Abandoned
 		}
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome, Pace: r.paceSince(a.pace, answeredAt)})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome, Pace: pace})
 	}
 	return a
 }
 
-func (r *Relayer) run(ctx context.Context, id conductor.CallID, d delivery) answer {
+// run sends a request to the local endpoint and returns the answer and the pace that it reports, 0 for none.
+func (r *Relayer) run(ctx context.Context, id conductor.CallID, d delivery) (answer, gauger.Pace) {
 	left := d.deadline.Sub(r.options.Clock.Now())
 	if left <= 0 {
-		return failedAttempt(conductor.Full, conductor.Expired)
+		return failedAttempt(conductor.Full, conductor.Expired), 0
 	}
 	h := r.options.Headers
 	d.request.Header[h.Target] = []string{string(d.endpoint)}
@@ -145,11 +145,11 @@
 	d.request.Matches = func(got http.Header) bool { return got.Get(h.RequestID) == d.id }
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
 	if err != nil {
-		return r.deliveryFailed(ctx, d, err)
+		return r.deliveryFailed(ctx, d, err), 0
 	}
 	pace := gauger.Pace(0)
 	if response.StatusCode != http.StatusMisdirectedRequest {
-		pace = r.paceIn(response.Header)
+		pace = r.reportPace(id, response.Header)
 		r.reportNotice(id, response.Header)
 		r.reportUnreadFields(response.Header)
 	}
@@ -157,13 +157,11 @@
 		response.Close(drainBody(response))
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			r.ApplyEvent(conductor.EndpointUnreachable{Endpoint: d.endpoint})
-			return failedAttempt(conductor.Moved, conductor.EndpointGone)
+			return failedAttempt(conductor.Moved, conductor.EndpointGone), 0
 		}
-		declined := failedAttempt(conductor.Declined, conductor.EndpointRefused)
-		declined.pace = pace
-		return declined
+		return failedAttempt(conductor.Declined, conductor.EndpointRefused), pace
 	}
-	return answer{Response: response, outcome: conductor.Answered, pace: pace}
+	return answer{Response: response, outcome: conductor.Answered}, pace
 }
 
 // maxDrainBytes bounds the bytes of an unused body that are read so that its connection can be reused.
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -16,7 +16,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
@@ -44,7 +43,7 @@
 		request:        outgoing(request, endToEndFields(request.Header)),
 	}
 	a := r.deliver(ctx, d)
-	r.setState(w.Header(), a.pace)
+	r.setState(w.Header())
 	// The sending node writes its own Date.
 	w.Header()["Date"] = nil
 	r.announceClose(request.Context(), w.Header())
@@ -67,15 +66,12 @@
 	delete(h, r.options.Headers.Load)
 }
 
-// setState reports the endpoint's headroom, queue delay and pace and the freshness of this node's configuration. An answer
-// without a pace of its own, such as a refusal by this node, gets the endpoint's last one if that is recent.
-func (r *Relayer) setState(h http.Header, pace gauger.Pace) {
+// setState reports the endpoint's headroom, queue delay and pace and the freshness of this node's configuration. The pace
+// is that of the answer itself, which has just arrived, or the last one if that is recent.
+func (r *Relayer) setState(h http.Header) {
 	r.View(func(c *conductor.Conductor, now clock.Time) {
-		if pace == 0 {
-			pace = c.RecentPace(now)
-		}
 		h[stateField] = []string{peerState{
-			headroom: c.Headroom(now), queueDelay: c.QueueDelay(now), proof: r.proof(c), pace: pace,
+			headroom: c.Headroom(now), queueDelay: c.QueueDelay(now), proof: r.proof(c), pace: c.RecentPace(now),
 		}.String()}
 	})
 }
--- a/internal/relayer/load.go
+++ b/internal/relayer/load.go
@@ -9,12 +9,11 @@
 	"net/http"
 	"strings"
 
-	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/gauger"
 )
 
-// paceIn returns the pace that an answer of the local endpoint tells, 0 if it tells none.
+// paceIn returns the pace that an answer of the local endpoint reports, 0 if it reports none.
 func (r *Relayer) paceIn(answer http.Header) gauger.Pace {
 	// The key is canonical and is looked up directly, since this is done for every answer.
 	values := answer[r.options.Headers.Load]
@@ -33,11 +32,12 @@
 	return report.Pace
 }
 
-// paceSince returns a pace that was told at the given time if it may still count as the present one, and 0 otherwise. A
-// large answer ends long after its header arrived if its caller reads slowly.
-func (r *Relayer) paceSince(p gauger.Pace, toldAt clock.Time) gauger.Pace {
-	if r.options.Clock.Now().Sub(toldAt) > conductor.MaxPassedPaceAge {
-		return 0
+// reportPace passes on to the conductor the pace in the local endpoint's answer to a delivery, and returns it. This is done
+// when the header arrives: a large answer ends long after that if its caller reads slowly.
+func (r *Relayer) reportPace(id conductor.CallID, answer http.Header) gauger.Pace {
+	p := r.paceIn(answer)
+	if p > 0 {
+		r.ApplyEvent(conductor.PaceReported{ID: id, Pace: p})
 	}
 	return p
 }
--- a/internal/relayer/load_test.go
+++ b/internal/relayer/load_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -153,3 +156,56 @@
 	assert.NilError(t, err)
 	assert.Equal(t, checked.Pace, gauger.Pace(170))
 }
+
+// An answer whose body ends later than MaxPassedPaceAge after its header must teach the pace and have its run time converted:
+// other nodes multiply the run time by the pace, and a slow VM that sends large answers would count as slow twice.
+func TestPaceOfSlowBodyIsLearnedWithHeader(t *testing.T) {
+	const run = 100 * time.Millisecond
+	paused, resume := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(resume) })
+	e := newEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(run)
+		w.Header().Set(names.Load, "3,0,4,250")
+		w.WriteHeader(http.StatusOK)
+		assert.Check(t, http.NewResponseController(w).Flush())
+		close(paused)
+		<-resume
+	})
+	// The endpoint's server waits for its requests when it is closed, also after a failure.
+	t.Cleanup(release)
+	n := newNode(t, "a", "portal", e)
+	n.configure(t, configurationOf(matcher.Idempotent, 2))
+	done := make(chan struct{})
+	started := time.Now()
+	go func() {
+		defer close(done)
+		sendRequest(t, n, nil)
+	}()
+	<-paused
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ownPace(n) == 250 {
+			return poll.Success()
+		}
+		return poll.Continue("pace not learned")
+	}, poll.WithTimeout(time.Second))
+	time.Sleep(2 * time.Duration(conductor.MaxPassedPaceAge) * time.Millisecond)
+	release()
+	<-done
+	took := clock.Duration(time.Since(started).Milliseconds())
+	var reported clock.Duration
+	n.View(func(c *conductor.Conductor, now clock.Time) { reported = c.Report(now).RootTime })
+	assert.Assert(t, reported > 0 && reported <= took*100/250+1, "%d ms reported for a run of up to %d", reported, took)
+}
+
+// A low pace that is passed on as it is would not fit the calibrated run times, whether the sending node is the one
+// beside the endpoint or another.
+func TestPassedPaceIsCalibrated(t *testing.T) {
+	entry, beside, _ := pair(t, configurationOf(matcher.Idempotent, 2), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(names.Load, "3,0,4,25")
+	})
+	assert.Equal(t, sendRequest(t, entry, nil).StatusCode, 200)
+	assert.Equal(t, ownPace(beside), gauger.Pace(25))
+	response := httptest.NewRecorder()
+	beside.setState(response.Header())
+	assert.Equal(t, readPeerState(response.Header()).pace, gauger.UsualPace)
+}
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -112,14 +112,48 @@
 	return total
 }
 
+// minExpectedRun is the shortest run in milliseconds that is expected. Before the first answer of a service none is known,
+// and with an expected run of 0 the load of its endpoints would not count.
+const minExpectedRun = 1.0
+
+// runTimeWeight is the smoothing weight of one report in the run times of a service.
+const runTimeWeight = 1.0 / 8
+
+// learnRunTimes takes the run times that the node beside one of the service's endpoints reports.
+func (s *service) learnRunTimes(p RunTimes) {
+	learn := func(mean *float64, reported clock.Duration) {
+		switch {
+		case reported <= 0:
+		case *mean == 0:
+			*mean = float64(reported)
+		default:
+			*mean += runTimeWeight * (float64(reported) - *mean)
+		}
+	}
+	learn(&s.runTimes.root, p.Root)
+	learn(&s.runTimes.nested, p.Nested)
+}
+
+// runTime returns the mean run time of one kind of call in milliseconds, or that of the other kind if there was none.
+func (s *service) runTime(nested bool) float64 {
+	if nested && s.runTimes.nested > 0 || s.runTimes.root == 0 {
+		return s.runTimes.nested
+	}
+	return s.runTimes.root
+}
+
 // expectedRun returns the milliseconds for which a call of this kind is expected to run at the endpoint's present pace. An
-// endpoint whose run times are not known yet counts as an average one of its service.
+// endpoint whose run times are not known yet counts as an average one of its service: as one that runs at once, it would
+// get most of the calls.
 func (m *member) expectedRun(q pickRequest) float64 {
 	run := float64(m.runTimes.forKind(q.need.Nested))
+	if run == 0 {
+		run = m.service.runTime(q.need.Nested)
+	}
 	if run == 0 {
 		run = m.service.latency
 	}
-	return run * m.pace.Factor(q.now)
+	return max(minExpectedRun, run) * m.pace.Factor(q.now)
 }
 
 // congestion returns the expected wait for a free slot as a part of the run time. It grows with the cube of the load,
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -45,6 +45,8 @@
 	// tellsPace is set if an endpoint of the service has told its pace, the last time at paceToldAt.
 	tellsPace  bool
 	paceToldAt clock.Time
+	// runTimes are smoothed means of the run times that the nodes of the service's endpoints report.
+	runTimes struct{ root, nested float64 }
 }
 
 // usable returns how many endpoints take ordinary calls.
--- a/internal/router/pace_test.go
+++ b/internal/router/pace_test.go
@@ -163,3 +163,23 @@
 		}
 	}
 }
+
+// Guards against an endpoint that counts as one that runs at once, because its node was restarted and has not reported run
+// times yet: it got 132 of 200 picks.
+func TestEndpointWithoutRunTimesCountsAsAverage(t *testing.T) {
+	r := New(Options{Domain: "a", Rand: seededRand(1)})
+	picks := map[identifier.Endpoint]int{}
+	for _, id := range []identifier.Endpoint{"restarted", "2", "3", "4"} {
+		r.Put(Endpoint{ID: id, Service: ice, Domain: "a", Slots: 10, State: Ready}, 0)
+		r.SetPace(id, 100, 0)
+		if id != "restarted" {
+			r.SetRunTimes(id, RunTimes{Root: 100})
+		}
+	}
+	for range 200 {
+		choice, ok := r.PickWithin(ice, 10, nil, Need{Within: 1500})
+		assert.Assert(t, ok)
+		picks[choice.ID]++
+	}
+	assert.Assert(t, picks["restarted"] <= 60, "%v", picks)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,6 +73,7 @@
 func (r *Router) SetRunTimes(id identifier.Endpoint, p RunTimes) {
 	if m, ok := r.members[id]; ok && p != (RunTimes{}) {
 		m.runTimes = p
+		m.service.learnRunTimes(p)
 	}
 }
 
