--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
@@ -173,7 +174,7 @@
 	if c.limiter == nil {
 		return
 	}
-	if took := now.Sub(d.started); e.Outcome == Answered {
+	if took := c.atUsualPace(now.Sub(d.started), e.Pace, now); e.Outcome == Answered {
 		c.throttler.Answered()
 		c.runTimes.of(d.nested).learn(took)
 	} else {
@@ -279,6 +280,7 @@
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]parent{}
 	c.runTimes = runTimes{}
+	c.ownPace = gauger.Calibrator{}
 }
 
 // shedQueue turns away all queued requests; running requests continue.
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -46,6 +47,8 @@
 	// headroom and queueDelay are those of the endpoint when it answered.
 	headroom   uint8
 	queueDelay clock.Duration
+	// pace is the pace that another node passed on with the answer, calibrated, 0 for none.
+	pace gauger.Pace
 	// member is the other node's present record if the requested endpoint is no longer beside it.
 	member *exchanger.Member
 	// notice is what an answer that came through another node says about the endpoint.
@@ -113,9 +116,9 @@
 	if t, ok := effect.(conductor.TurnAway); ok {
 		return failedAttempt(t.Outcome, t.Reason)
 	}
-	a := r.run(ctx, id, d)
+	a, pace := r.run(ctx, id, d)
 	if a.outcome != conductor.Answered {
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome, Pace: pace})
 		return a
 	}
 	a.finish = func(whole bool) {
@@ -124,15 +127,16 @@
 		if !whole {
 			outcome = conductor.Abandoned
 		}
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome, Pace: pace})
 	}
 	return a
 }
 
-func (r *Relayer) run(ctx context.Context, id conductor.CallID, d delivery) answer {
+// run sends a request to the local endpoint and returns the answer and the pace that it reports, 0 for none.
+func (r *Relayer) run(ctx context.Context, id conductor.CallID, d delivery) (answer, gauger.Pace) {
 	left := d.deadline.Sub(r.options.Clock.Now())
 	if left <= 0 {
-		return failedAttempt(conductor.Full, conductor.Expired)
+		return failedAttempt(conductor.Full, conductor.Expired), 0
 	}
 	h := r.options.Headers
 	d.request.Header[h.Target] = []string{string(d.endpoint)}
@@ -141,9 +145,11 @@
 	d.request.Matches = answersTo(h.RequestID, d.id)
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
 	if err != nil {
-		return r.deliveryFailed(ctx, d, err)
+		return r.deliveryFailed(ctx, d, err), 0
 	}
+	pace := gauger.Pace(0)
 	if response.StatusCode != http.StatusMisdirectedRequest {
+		pace = r.reportPace(id, response.Header)
 		r.reportNotice(id, response.Header)
 		r.reportUnreadFields(response.Header)
 	}
@@ -151,11 +157,11 @@
 		response.Close(drainBody(response))
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			r.ApplyEvent(conductor.EndpointUnreachable{Endpoint: d.endpoint})
-			return failedAttempt(conductor.Moved, conductor.EndpointGone)
+			return failedAttempt(conductor.Moved, conductor.EndpointGone), 0
 		}
-		return failedAttempt(conductor.Declined, conductor.EndpointRefused)
+		return failedAttempt(conductor.Declined, conductor.EndpointRefused), pace
 	}
-	return answer{Response: response, outcome: conductor.Answered}
+	return answer{Response: response, outcome: conductor.Answered}, pace
 }
 
 // maxDrainBytes bounds the bytes of an unused body that are read so that its connection can be reused.
