--- a/internal/conductor/attempt_end.go
+++ b/internal/conductor/attempt_end.go
@@ -81,7 +81,7 @@
 
 // recordAttempt passes the result of an attempt to the router.
 func (c *Conductor) recordAttempt(r *call, e AttemptEnded, now clock.Time) {
-	result := router.Result{Latency: now.Sub(r.sent), Headroom: e.Headroom, Wait: e.Wait, Pace: e.Pace}
+	result := router.Result{Latency: now.Sub(r.sent), Headroom: e.Headroom, Wait: e.Wait}
 	if e.Outcome != Over && !e.Outcome.NotRun() {
 		r.rateUnchecked = false
 	}
--- a/internal/conductor/cold.go
+++ b/internal/conductor/cold.go
@@ -131,7 +131,6 @@
 	if e.Notice.Limited || e.Notice.Leaving {
 		c.learnOwnNotice(e.Notice, now, now)
 	}
-	c.learnOwnPace(e.Pace, now)
 	if !e.Known {
 		return
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -15,7 +15,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/detector"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
@@ -140,8 +139,6 @@
 	// of no use.
 	offers         offerCounts
 	failedSlotTime clock.Duration
-	// ownPace is the pace that the local endpoint reports.
-	ownPace gauger.Calibrator
 
 	// coldUntil is the time until which the local endpoint counts as cold; otherColdUntil is the same for endpoints
 	// beside other nodes.
@@ -244,8 +241,6 @@
 		c.deliveryArrived(e, now)
 	case NoticeReceived:
 		c.noticeReceived(e, now)
-	case PaceReported:
-		c.paceReported(e, now)
 	case DeliveryEnded:
 		c.deliveryEnded(e, now)
 	case DeliveryCancelled:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -11,7 +11,6 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
@@ -174,7 +173,7 @@
 	if c.limiter == nil {
 		return
 	}
-	if took := c.atUsualPace(now.Sub(d.started), e.Pace, now); e.Outcome == Answered {
+	if took := now.Sub(d.started); e.Outcome == Answered {
 		c.throttler.Answered()
 		c.runTimes.of(d.nested).learn(took)
 	} else {
@@ -280,7 +279,6 @@
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]parent{}
 	c.runTimes = runTimes{}
-	c.ownPace = gauger.Calibrator{}
 }
 
 // shedQueue turns away all queued requests; running requests continue.
--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -11,7 +11,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/budgeter"
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -63,11 +62,6 @@
 	RootRetriesGranted, RootRetriesRefused     int64
 	NestedRetriesGranted, NestedRetriesRefused int64
 	FailedSlotTime                             clock.Duration
-	// Pace is the pace that the local endpoint told last and PaceAge its age; Pace is 0 if the endpoint told none.
-	Pace    gauger.Pace
-	PaceAge clock.Duration
-	// SlowOthers counts the endpoints beside other nodes whose present pace is slow, as far as this node knows.
-	SlowOthers int
 }
 
 // Dump returns the conductor's state.
@@ -95,10 +89,6 @@
 	s.RootRetriesGranted, s.RootRetriesRefused = c.retries[budgeter.Root].granted, c.retries[budgeter.Root].refused
 	s.NestedRetriesGranted, s.NestedRetriesRefused = c.retries[budgeter.Nested].granted, c.retries[budgeter.Nested].refused
 	s.FailedSlotTime = c.failedSlotTime
-	if s.Pace, s.PaceAge = c.ownPace.Reported(now); s.Pace == 0 {
-		s.PaceAge = 0
-	}
-	s.SlowOthers = c.router.SlowEndpoints(c.self.Endpoint, now)
 	for _, l := range c.otherLimits {
 		if l.limited {
 			s.OtherLimits++
@@ -154,6 +144,5 @@
 		"declining": s.Declining, "rootRetriesGranted": s.RootRetriesGranted, "rootRetriesRefused": s.RootRetriesRefused,
 		"nestedRetriesGranted": s.NestedRetriesGranted, "nestedRetriesRefused": s.NestedRetriesRefused,
 		"failedSlotMs": int64(s.FailedSlotTime),
-		"pace":         int64(s.Pace), "paceAgeMs": int64(s.PaceAge), "slowOthers": s.SlowOthers,
 	}
 }
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -8,7 +8,6 @@
 import (
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
@@ -46,8 +45,6 @@
 	Headroom uint8
 	// Wait is how long a request would have been queued at that node.
 	Wait clock.Duration
-	// Pace is the endpoint's pace as its node passed it on, 0 for none.
-	Pace gauger.Pace
 	// Notice is what the endpoint's answer says about the endpoint.
 	Notice Notice
 	// Replayable is set when the request's body can be sent again from its start.
@@ -113,18 +110,10 @@
 	Notice Notice
 }
 
-// PaceReported is the pace in the local endpoint's answer to a delivery, when the answer's header arrives.
-type PaceReported struct {
-	ID   CallID
-	Pace gauger.Pace
-}
-
 // DeliveryEnded is the end of a delivery that a Run forwarded to the local endpoint.
 type DeliveryEnded struct {
 	ID      CallID
 	Outcome Outcome
-	// Pace is the pace that the header of the endpoint's answer reported, 0 for none. The run time is converted by it.
-	Pace gauger.Pace
 }
 
 // DeliveryCancelled ends a queued delivery whose caller disconnected.
@@ -156,8 +145,6 @@
 	Known    bool
 	// Notice is what the answer says otherwise.
 	Notice Notice
-	// Pace is the pace that the answer tells, 0 for none.
-	Pace gauger.Pace
 }
 
 // ConfigurationRead is a configuration that was read in full and validated.
@@ -246,7 +233,6 @@
 func (RequestClosed) event()       {}
 func (DeliveryArrived) event()     {}
 func (NoticeReceived) event()      {}
-func (PaceReported) event()        {}
 func (DeliveryEnded) event()       {}
 func (DeliveryCancelled) event()   {}
 func (EndpointAnnounced) event()   {}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -230,8 +230,8 @@
 		Load:   c.throttler.Demand(),
 		Calls:  c.runs.calls(),
 
-		RootTime:   c.reportedTime(c.runTimes.root),
-		NestedTime: c.reportedTime(c.runTimes.nested),
+		RootTime:   c.runTimes.root.time(),
+		NestedTime: c.runTimes.nested.time(),
 		ColdLeft:   c.coldLeft(c.self.Node, now),
 	}
 	c.reportLimit(&r)
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -185,7 +185,7 @@
 		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open,
 		"connections", n.connections.Open(), "coldMs", int64(s.ColdLeft), "coldOthers", s.ColdOthers, "evacuated", s.Evacuated,
 		"limited", s.Limited, "rateLimit", s.RateLimit, "limitAgeMs", int64(s.LimitAge), "heldBack", s.HeldBack,
-		"otherLimits", s.OtherLimits, "pace", int64(s.Pace), "slowOthers", s.SlowOthers)
+		"otherLimits", s.OtherLimits)
 	if s.RefusedComputed > 0 || s.RefusedMeasured > 0 {
 		n.recorder.Event("requests refused for overload", "refusedComputed", s.RefusedComputed, "refusedMeasured", s.RefusedMeasured,
 			"arrivalReporters", s.ArrivalReporters, "arrivalsComplete", s.ArrivalsComplete, "demandRatios", s.DemandRatios,
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -11,7 +11,6 @@
 	"io"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -60,8 +59,6 @@
 	mu           sync.Mutex
 	lineCounters map[string]*lineCounter
 	meters       *meters
-	// invalidLoadLogged is set once an invalid load report has been logged.
-	invalidLoadLogged atomic.Bool
 }
 
 // lineCounter counts the lines of one kind within the current second, and the lines left out since the last written one.
@@ -182,15 +179,6 @@
 	r.Event("answer field not read", "field", name)
 }
 
-// InvalidLoad records a load report of the local endpoint that can't be read. Only the first is logged: an endpoint that
-// writes one wrongly does so in each answer.
-func (r *Recorder) InvalidLoad(err error) {
-	r.meters.increment("invalid_load_reports", "dependency", "endpoint")
-	if r.invalidLoadLogged.CompareAndSwap(false, true) {
-		r.Event("load report not read; ignored", "error", err.Error())
-	}
-}
-
 // Dependency records a failure of something that this node depends on.
 func (r *Recorder) Dependency(name string, err error) {
 	r.meters.increment("dependency_failures", "dependency", dependencyKind(name))
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -87,7 +87,7 @@
 		response.Close(drainBody(response))
 		count()
 		a := failedAttempt(conductor.ParseOutcome(name), "")
-		a.headroom, a.queueDelay, a.pace, a.member = state.headroom, state.queueDelay, state.pace, r.readMember(response.Header)
+		a.headroom, a.queueDelay, a.member = state.headroom, state.queueDelay, r.readMember(response.Header)
 		return a
 	}
 	if id, ok := out.Header[r.options.Headers.RequestID]; ok {
@@ -99,7 +99,6 @@
 		outcome:    conductor.Answered,
 		headroom:   state.headroom,
 		queueDelay: state.queueDelay,
-		pace:       state.pace,
 		finish: func(whole bool) {
 			response.Close(whole)
 			count()
--- a/internal/relayer/check.go
+++ b/internal/relayer/check.go
@@ -48,7 +48,6 @@
 	checked := conductor.EndpointChecked{
 		Endpoint: identifier.Endpoint(response.Header.Get(h.Instance)),
 		Notice:   r.ownNotice(response.Header),
-		Pace:     r.paceIn(response.Header),
 	}
 	text := response.Header.Get(h.ColdLeft)
 	if text == "" {
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -16,7 +16,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -47,8 +46,6 @@
 	// headroom and queueDelay are those of the endpoint when it answered.
 	headroom   uint8
 	queueDelay clock.Duration
-	// pace is the pace that another node passed on with the answer, calibrated, 0 for none.
-	pace gauger.Pace
 	// member is the other node's present record if the requested endpoint is no longer beside it.
 	member *exchanger.Member
 	// notice is what an answer that came through another node says about the endpoint.
@@ -116,9 +113,9 @@
 	if t, ok := effect.(conductor.TurnAway); ok {
 		return failedAttempt(t.Outcome, t.Reason)
 	}
-	a, pace := r.run(ctx, id, d)
+	a := r.run(ctx, id, d)
 	if a.outcome != conductor.Answered {
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome, Pace: pace})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: a.outcome})
 		return a
 	}
 	a.finish = func(whole bool) {
@@ -127,16 +124,15 @@
 		if !whole {
 			outcome = conductor.Abandoned
 		}
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome, Pace: pace})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome})
 	}
 	return a
 }
 
-// run sends a request to the local endpoint and returns the answer and the pace that it reports, 0 for none.
-func (r *Relayer) run(ctx context.Context, id conductor.CallID, d delivery) (answer, gauger.Pace) {
+func (r *Relayer) run(ctx context.Context, id conductor.CallID, d delivery) answer {
 	left := d.deadline.Sub(r.options.Clock.Now())
 	if left <= 0 {
-		return failedAttempt(conductor.Full, conductor.Expired), 0
+		return failedAttempt(conductor.Full, conductor.Expired)
 	}
 	h := r.options.Headers
 	d.request.Header[h.Target] = []string{string(d.endpoint)}
@@ -145,11 +141,9 @@
 	d.request.Matches = answersTo(h.RequestID, d.id)
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
 	if err != nil {
-		return r.deliveryFailed(ctx, d, err), 0
+		return r.deliveryFailed(ctx, d, err)
 	}
-	pace := gauger.Pace(0)
 	if response.StatusCode != http.StatusMisdirectedRequest {
-		pace = r.reportPace(id, response.Header)
 		r.reportNotice(id, response.Header)
 		r.reportUnreadFields(response.Header)
 	}
@@ -157,11 +151,11 @@
 		response.Close(drainBody(response))
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			r.ApplyEvent(conductor.EndpointUnreachable{Endpoint: d.endpoint})
-			return failedAttempt(conductor.Moved, conductor.EndpointGone), 0
+			return failedAttempt(conductor.Moved, conductor.EndpointGone)
 		}
-		return failedAttempt(conductor.Declined, conductor.EndpointRefused), pace
+		return failedAttempt(conductor.Declined, conductor.EndpointRefused)
 	}
-	return answer{Response: response, outcome: conductor.Answered}, pace
+	return answer{Response: response, outcome: conductor.Answered}
 }
 
 // maxDrainBytes bounds the bytes of an unused body that are read so that its connection can be reused.
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -4,8 +4,8 @@
 // each: otherwise most bytes of a small nested call between failure domains would be field names.
 //
 // Example: Jackdaw-Call: 695 231 300 39 n i-676cc4d8c6 is a nested call of rank 39 for endpoint i-676cc4d8c6 with 695 ms
-// left, which may be queued for 231 ms and is due in 300; Jackdaw-State: 245 12 7,800 p180 is an endpoint with a headroom
-// of 245 of 255, a queue delay of 12 ms and a pace of 180, at a node where version 7 was the newest 800 ms ago.
+// left, which may be queued for 231 ms and is due in 300; Jackdaw-State: 245 12 7,800 is an endpoint with a headroom of
+// 245 of 255 and a queue delay of 12 ms, at a node where version 7 was the newest 800 ms ago.
 
 import (
 	"fmt"
@@ -15,7 +15,6 @@
 	"strings"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -118,39 +117,20 @@
 	return o, nil
 }
 
-// peerState is the data that accompanies an answer: the headroom, queue delay and pace of the endpoint beside the
-// answering node, and the freshness of that node's configuration.
+// peerState is the data that accompanies an answer: the headroom and queue delay of the endpoint beside the answering
+// node, and the freshness of that node's configuration.
 type peerState struct {
 	headroom   uint8
 	queueDelay clock.Duration
 	// proof is in the format of formatProof, empty for none.
 	proof string
-	// pace is 0 if the endpoint does not tell it.
-	pace gauger.Pace
 }
 
-// pacePrefix marks the part with the pace. It comes last: a node of an earlier release takes the third part for the proof
-// and ignores those after it, and can't read a pace in the place of a missing proof as one, since a proof begins with a
-// digit and has a comma.
-const pacePrefix = "p"
-
 func (s peerState) String() string {
-	text := strconv.AppendUint(nil, uint64(s.headroom), 10)
-	text = append(text, ' ')
-	text = strconv.AppendInt(text, int64(s.queueDelay), 10)
-	if s.proof != "" {
-		text = append(text, ' ')
-		text = append(text, s.proof...)
-	}
-	if s.pace > 0 {
-		text = append(text, " "+pacePrefix...)
-		text = strconv.AppendInt(text, int64(s.pace), 10)
-	}
-	return string(text)
+	return strings.TrimSpace(fmt.Sprintf("%d %d %s", s.headroom, s.queueDelay, s.proof))
 }
 
-// readPeerState returns the state of an endpoint without headroom if the field can't be parsed. An invalid pace is
-// ignored.
+// readPeerState returns the state of an endpoint without headroom if the field can't be parsed.
 func readPeerState(h http.Header) peerState {
 	parts := strings.Fields(h.Get(stateField))
 	if len(parts) < 2 {
@@ -165,16 +145,8 @@
 		return peerState{}
 	}
 	s := peerState{headroom: uint8(headroom), queueDelay: clock.Duration(queueDelay)}
-	for _, part := range parts[2:] {
-		digits, isPace := strings.CutPrefix(part, pacePrefix)
-		switch {
-		case isPace:
-			if pace, ok := gauger.ParsePace(digits); ok {
-				s.pace = pace
-			}
-		case s.proof == "":
-			s.proof = part
-		}
+	if len(parts) > 2 {
+		s.proof = parts[2]
 	}
 	return s
 }
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -66,8 +66,6 @@
 	for name, s := range map[string]peerState{
 		"with a proof":    {headroom: 245, queueDelay: 12, proof: "7,800"},
 		"without a proof": {headroom: 0, queueDelay: 0},
-		"with a pace":     {headroom: 245, queueDelay: 12, proof: "7,800,3", pace: 180},
-		"only a pace":     {headroom: 245, queueDelay: 12, pace: 999_999},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, readPeerState(http.Header{stateField: {s.String()}}), s)
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -26,7 +26,7 @@
 
 var names = Headers{
 	RequestID: "X-Id", TimeLeft: "X-Left", Key: "X-Key", KeyScheme: "Key ", Team: "X-Team", Origin: "X-Origin",
-	Target: "X-Target", NotRun: "X-Not-Run", Signature: "X-Signature", Limit: "X-Limit", Leaving: "X-Leaving", Load: "X-Load",
+	Target: "X-Target", NotRun: "X-Not-Run", Signature: "X-Signature", Limit: "X-Limit", Leaving: "X-Leaving",
 }
 
 // endpoint is a fake backend server that records the requests it receives.
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -68,13 +68,10 @@
 	delete(h, r.options.Headers.Load)
 }
 
-// setState reports the endpoint's headroom, queue delay and pace and the freshness of this node's configuration. The pace
-// is that of the answer itself, which has just arrived, or the last one if that is recent.
+// setState reports the endpoint's headroom and queue delay and the freshness of this node's configuration.
 func (r *Relayer) setState(h http.Header) {
 	r.View(func(c *conductor.Conductor, now clock.Time) {
-		h[stateField] = []string{peerState{
-			headroom: c.Headroom(now), queueDelay: c.QueueDelay(now), proof: r.proof(c), pace: c.RecentPace(now),
-		}.String()}
+		h[stateField] = []string{peerState{headroom: c.Headroom(now), queueDelay: c.QueueDelay(now), proof: r.proof(c)}.String()}
 	})
 }
 
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -71,7 +71,6 @@
 				Status:     last.status(),
 				Headroom:   last.headroom,
 				Wait:       last.queueDelay,
-				Pace:       last.pace,
 				Notice:     last.notice,
 				Replayable: body.canResend(),
 				Member:     last.member,
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -36,7 +36,7 @@
 	// Limit is the field with the rate limit that an endpoint names, Leaving the one that says that it is leaving.
 	Limit   string
 	Leaving string
-	// Load is the field with the load that an endpoint reports; only the node beside it reads it.
+	// Load is the field with the load that an endpoint reports; it is of use only to the node beside it.
 	Load string
 }
 
--- a/internal/router/group.go
+++ b/internal/router/group.go
@@ -5,10 +5,6 @@
 
 package router
 
-import (
-	"github.com/jackdawtide/jackdawtide/internal/clock"
-)
-
 // group is a set of endpoints to draw from.
 type group struct {
 	members []*member
@@ -42,11 +38,6 @@
 	// meanUtilization is the mean utilization that answers reported, latency the mean latency of answered calls.
 	meanUtilization float64
 	latency         float64
-	// tellsPace is set if an endpoint of the service has told its pace, the last time at paceToldAt.
-	tellsPace  bool
-	paceToldAt clock.Time
-	// runTimes are smoothed means of the run times that the nodes of the service's endpoints report.
-	runTimes struct{ root, nested float64 }
 }
 
 // usable returns how many endpoints take ordinary calls.
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -9,7 +9,6 @@
 	"math"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 )
 
 type member struct {
@@ -32,7 +31,6 @@
 	latency              float64
 	// runTimes are reported by the node beside the endpoint.
 	runTimes RunTimes
-	pace     gauger.Tracker
 
 	failures     int
 	ejections    int
@@ -44,19 +42,10 @@
 // include, plus penalties for refusals and for an endpoint that is much slower than its service. When all endpoints are
 // full, only the last distinguishes a slow VM, on which calls would time out, from the others.
 func (m *member) score(now clock.Time, o Options) float64 {
-	slow := 0.0
-	if !m.service.comparesCompletion(now) {
-		// Where the pace is told, a VM that is slow for a moment does not make calls leave the failure domain.
-		slow = max(0, m.slowness(now, o)-toleratedSlowness)
-	}
-	return m.load(now, o) + slownessPenalty*slow + refusalPenalty*m.currentRefusalRate(now, o)
-}
-
-// load is the measured utilization plus this node's calls that it does not include.
-func (m *member) load(now clock.Time, o Options) float64 {
 	slots := m.usableSlots() * m.warmth(now, o)
 	own := m.unmeasuredInFlight(now, o) / slots
-	return own + m.utilization(now, o)
+	slow := max(0, m.slowness(now, o)-toleratedSlowness)
+	return own + m.utilization(now, o) + slownessPenalty*slow + refusalPenalty*m.currentRefusalRate(now, o)
 }
 
 // usableSlots returns how many calls run at the endpoint at once if it gets as many as it takes.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,7 +1,7 @@
 // Each node picks endpoints by itself, from slightly outdated measurements. If all nodes took the best endpoint, they
 // would all take the same one and overload it. So a node uses the power of two choices: it draws two endpoints at
 // random and takes the better one. It stays in its own failure domain while that has headroom (zone-aware routing with
-// spillover). Endpoints that tell their pace are compared in another way (completion.go).
+// spillover).
 //
 // Example: the local failure domain is measured full, the other one half used: the call goes to the other one.
 
@@ -73,7 +73,6 @@
 func (r *Router) SetRunTimes(id identifier.Endpoint, p RunTimes) {
 	if m, ok := r.members[id]; ok && p != (RunTimes{}) {
 		m.runTimes = p
-		m.service.learnRunTimes(p)
 	}
 }
 
@@ -143,7 +142,7 @@
 	}
 	local := r.betterOfTwo(&s.local, q)
 	reason := NearFull
-	if local != nil && r.nearHeadroom(s, local, q) {
+	if local != nil && local.score(q.now, r.options) < spilloverScore {
 		reason = NearSlow
 		if local.lateness(q.need) == 0 {
 			return local, Inside
@@ -157,7 +156,7 @@
 		return remote, NoneNear
 	case remote == nil:
 		return local, Inside
-	case r.cost(remote, q)+crossDomainPenalty < r.cost(local, q) && r.better(local, remote, q) == remote:
+	case r.cost(remote, q)+crossDomainPenalty < r.cost(local, q):
 		return remote, reason
 	default:
 		return local, Inside
@@ -194,28 +193,12 @@
 		second++
 	}
 	b := r.nextAllowed(g, second, q)
-	if a.service.comparesCompletion(q.now) {
-		return r.betterByCompletion(g, a, b, q)
-	}
-	return r.better(a, b, q)
-}
-
-// better returns the better of two members of a service, the first one if they are equal.
-func (r *Router) better(a, b *member, q pickRequest) *member {
-	if r.measure(b, q) < r.measure(a, q) {
+	if r.cost(b, q) < r.cost(a, q) {
 		return b
 	}
 	return a
 }
 
-// measure is the expected completion time where the service tells its pace, and the cost elsewhere.
-func (r *Router) measure(m *member, q pickRequest) float64 {
-	if m.service.comparesCompletion(q.now) {
-		return r.completion(m, q)
-	}
-	return r.cost(m, q)
-}
-
 // bestInPreferredDomains returns the best endpoint with headroom in the failure domains that serve the call's nested
 // calls; it compares all of them, since there are rarely more than a few.
 func (r *Router) bestInPreferredDomains(g *group, q pickRequest) *member {
@@ -224,11 +207,8 @@
 		if !slices.Contains(q.need.Domains, m.endpoint.Domain) || !q.allows(m) {
 			continue
 		}
-		if m.score(q.now, r.options) < spilloverScore {
-			if best == nil {
-				best = m
-			}
-			best = r.better(best, m, q)
+		if m.score(q.now, r.options) < spilloverScore && (best == nil || r.cost(m, q) < r.cost(best, q)) {
+			best = m
 		}
 	}
 	return best
@@ -253,7 +233,6 @@
 		return
 	}
 	m.inFlight = max(0, m.inFlight-1)
-	m.learnPace(result.Pace, now)
 	if result.Outcome == Succeeded || result.Outcome == Refused {
 		m.headroom, m.queueWait = result.Headroom, result.Wait
 		m.measuredAt, m.inFlightWhenMeasured = now, m.inFlight
--- a/internal/router/types.go
+++ b/internal/router/types.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
-	"github.com/jackdawtide/jackdawtide/internal/gauger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
@@ -132,8 +131,6 @@
 	Headroom uint8
 	// Wait is how long a call would have been queued at the endpoint when it answered.
 	Wait clock.Duration
-	// Pace is the pace that the endpoint told with its answer, 0 for none.
-	Pace gauger.Pace
 }
 
 // Options configure a router; zero fields take the defaults.
