--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -9,7 +9,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
@@ -28,40 +27,19 @@
 		return cancelAfterBody(a, cancel)
 	}
 	body, err := readBody(a.Response)
-	if err == nil && body.Len() > maxBufferedAnswer {
-		a.Body = partlyReadBody{Reader: io.MultiReader(body, a.Body), Closer: a.Body}
+	if err == nil && len(body) > maxBufferedAnswer {
+		a.Body = partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), a.Body), Closer: a.Body}
 		return cancelAfterBody(a, cancel)
 	}
 	defer cancel()
 	a.finish(err == nil)
 	if err == nil {
-		a.buffered = body
+		a.body, a.bodyRead = body, true
 		return a
 	}
 	return incompleteAttempt(ctx)
 }
 
-// answersTo returns a function that reports whether an answer has a request's id in the given field. It is a function of its own since a closure
-// in run would move the delivery and the names of all fields to the heap.
-func answersTo(field, id string) func(http.Header) bool {
-	return func(got http.Header) bool { return got.Get(field) == id }
-}
-
-// bodyBuffers are reused after their answer has been written; those of answers that are not written are collected.
-var bodyBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
-// maxPooledBytes is the capacity of the largest buffer that is reused: ordinary answers fit, and a few long ones do not
-// leave buffers of their size behind.
-const maxPooledBytes = 16 << 10
-
-func releaseBody(b *bytes.Buffer) {
-	if b.Cap() > maxPooledBytes {
-		return
-	}
-	b.Reset()
-	bodyBuffers.Put(b)
-}
-
 // partlyReadBody is a body whose beginning has already been read into a buffer.
 type partlyReadBody struct {
 	io.Reader
@@ -69,8 +47,8 @@
 }
 
 // readBody reads a body to its end, or up to one byte beyond maxBufferedAnswer if its length is unknown.
-func readBody(response *requester.Response) (*bytes.Buffer, error) {
-	body := bodyBuffers.Get().(*bytes.Buffer)
+func readBody(response *requester.Response) ([]byte, error) {
+	var body bytes.Buffer
 	if response.ContentLength > 0 {
 		// The buffer has room for the whole body and for the read that finds its end.
 		body.Grow(int(response.ContentLength) + bytes.MinRead)
@@ -79,7 +57,7 @@
 	if err == nil && response.ContentLength > int64(body.Len()) && response.Request.Method != http.MethodHead {
 		return nil, io.ErrUnexpectedEOF
 	}
-	return body, err
+	return body.Bytes(), err
 }
 
 // cancelAfterBody keeps an answer's context open until its body has been forwarded.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -19,9 +19,14 @@
 // attempt makes one attempt, at the local endpoint or through another node.
 func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
 	left := s.Deadline.Sub(r.options.Clock.Now())
-	ctx, cancel := context.WithTimeout(request.Context(), left.Std())
+	parent, stop := request.Context(), func() {}
 	if !s.Local && s.Idempotent {
-		ctx, cancel = r.watchAbort(ctx, cancel, s.ID)
+		parent, stop = r.watchAbort(parent, s.ID)
+	}
+	ctx, cancelTime := context.WithTimeout(parent, left.Std())
+	cancel := func() {
+		cancelTime()
+		stop()
 	}
 	out := outgoing(request, endToEndFields(request.Header))
 	out.Body, out.Length = body.reader()
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -5,7 +5,6 @@
 // Example: the endpoint answers 503 with the field that says that the request has not run: the outcome is Declined.
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -54,8 +53,9 @@
 	finish func(whole bool)
 	// exceededLimit is the limit in bytes that the request's body exceeded, 0 for none.
 	exceededLimit int64
-	// buffered holds the whole body, nil if it has not been read.
-	buffered *bytes.Buffer
+	// body holds the whole body if bodyRead is set.
+	body     []byte
+	bodyRead bool
 }
 
 func failedAttempt(o conductor.Outcome, reason conductor.Reason) answer {
@@ -138,7 +138,7 @@
 	d.request.Header[h.Target] = []string{string(d.endpoint)}
 	setMilliseconds(d.request.Header, h.TimeLeft, left)
 	d.request.ExpectContinue = false
-	d.request.Matches = answersTo(h.RequestID, d.id)
+	d.request.Matches = func(got http.Header) bool { return got.Get(h.RequestID) == d.id }
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
 	if err != nil {
 		return r.deliveryFailed(ctx, d, err)
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -45,24 +45,14 @@
 	if flags == "" {
 		flags = noFlag
 	}
-	text := make([]byte, 0, handoverBytes)
-	for _, n := range [...]int64{int64(o.left), int64(o.queueTimeout), int64(o.due), int64(o.rank)} {
-		text = strconv.AppendInt(text, max(0, n), 10)
-		text = append(text, ' ')
-	}
-	text = append(text, flags...)
-	text = append(text, ' ')
-	text = append(text, url.QueryEscape(string(o.endpoint))...)
+	text := fmt.Sprintf("%d %d %d %d %s %s", max(0, o.left), max(0, o.queueTimeout), max(0, o.due), o.rank, flags,
+		url.QueryEscape(string(o.endpoint)))
 	if o.rateUnchecked != "" {
-		text = append(text, ' ')
-		text = append(text, url.QueryEscape(string(o.rateUnchecked))...)
+		text += " " + url.QueryEscape(string(o.rateUnchecked))
 	}
-	return string(text)
+	return text
 }
 
-// handoverBytes is the room for a usual handover.
-const handoverBytes = 64
-
 // HandoverError reports the part of a handover that can't be parsed.
 type HandoverError struct {
 	Text string
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -40,10 +40,8 @@
 		arrivalCounted: received.arrivalCounted,
 		rateUnchecked:  received.rateUnchecked,
 		limit:          r.readPassedLimit(request.Header),
+		request:        outgoing(request, endToEndFields(request.Header)),
 	}
-	// All that this node reads from the fields has been read above, so that they need no copy.
-	keepEndToEndFields(request.Header)
-	d.request = outgoing(request, request.Header)
 	a := r.deliver(ctx, d)
 	r.setState(w.Header())
 	// The sending node writes its own Date.
@@ -123,7 +121,9 @@
 // writeAnswer forwards an endpoint's answer. A truncated answer must not look complete, so its connection is aborted.
 func (r *Relayer) writeAnswer(w http.ResponseWriter, a answer) {
 	header := w.Header()
-	copyEndToEndFields(header, a.Header)
+	for name, values := range endToEndFields(a.Header) {
+		header[name] = values
+	}
 	if _, ok := header["Content-Type"]; !ok {
 		// Without this entry the HTTP server would detect a type from the body.
 		header["Content-Type"] = nil
@@ -132,10 +132,9 @@
 		header["Content-Length"] = []string{strconv.FormatInt(a.ContentLength, 10)}
 	}
 	w.WriteHeader(a.StatusCode)
-	if a.buffered != nil {
+	if a.bodyRead {
 		// A failed write means that the caller has disconnected, which is no failure of this node.
-		_, _ = w.Write(a.buffered.Bytes())
-		releaseBody(a.buffered)
+		_, _ = w.Write(a.body)
 		return
 	}
 	err := copyBody(w, a)
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -134,9 +134,11 @@
 // validate answers a request that must not be forwarded with an error, and reports whether the request is valid.
 func (r *Relayer) validate(w http.ResponseWriter, request *http.Request) bool {
 	limit := int64(0)
-	if request.ContentLength != 0 {
-		limit = r.bodyLimit()
-	}
+	r.View(func(c *conductor.Conductor, _ clock.Time) {
+		if m := c.Matcher(); m != nil {
+			limit = m.Configuration().Limits.BodyBytes
+		}
+	})
 	if limit > 0 && request.ContentLength > limit {
 		r.refuseTooLarge(w, limit)
 		return false
@@ -151,17 +153,6 @@
 	return true
 }
 
-// bodyLimit returns the configured limit in bytes of a request's body, 0 for none.
-func (r *Relayer) bodyLimit() int64 {
-	limit := int64(0)
-	r.View(func(c *conductor.Conductor, _ clock.Time) {
-		if m := c.Matcher(); m != nil {
-			limit = m.Configuration().Limits.BodyBytes
-		}
-	})
-	return limit
-}
-
 func (r *Relayer) refuse(w http.ResponseWriter, request *http.Request, e conductor.Refuse, started clock.Time) {
 	h := w.Header()
 	if id := request.Header.Get(r.options.Headers.RequestID); id != "" {
--- a/internal/relayer/probe.go
+++ b/internal/relayer/probe.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -19,6 +18,9 @@
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
+// errUnreachable is the cause with which attempts at an unreachable node are aborted.
+var errUnreachable = errors.New("node can't be reached")
+
 // probeConnections is how many connections a probe opens.
 const probeConnections = 2
 
@@ -57,39 +59,21 @@
 	r.ApplyEvent(conductor.Probed{Node: node, Reached: reached})
 }
 
-// abortable is the context of an attempt that is aborted if its node is unreachable. It holds the reason of its end, since a
-// context with a cause above the one with the deadline takes half a kilobyte more for each attempt.
-type abortable struct {
-	context.Context
-	cancel      context.CancelFunc
-	unreachable atomic.Bool
-}
-
-// abort ends the attempt unless it has ended already.
-func (a *abortable) abort() {
-	if a.Err() != nil {
-		return
-	}
-	a.unreachable.Store(true)
-	a.cancel()
-}
-
-// watchAbort returns a context that an Abort effect for the request cancels, until stop is called. Stop cancels it too.
-func (r *Relayer) watchAbort(parent context.Context, cancel context.CancelFunc, id conductor.CallID) (ctx context.Context, stop func()) {
-	a := &abortable{Context: parent, cancel: cancel}
+// watchAbort returns a context that an Abort effect for the request cancels, until stop is called.
+func (r *Relayer) watchAbort(parent context.Context, id conductor.CallID) (ctx context.Context, stop func()) {
+	ctx, cancel := context.WithCancelCause(parent)
 	r.mu.Lock()
-	r.aborts[id] = a
+	r.aborts[id] = cancel
 	r.mu.Unlock()
-	return a, func() {
+	return ctx, func() {
 		r.mu.Lock()
 		delete(r.aborts, id)
 		r.mu.Unlock()
-		cancel()
+		cancel(nil)
 	}
 }
 
 // endedAsUnreachable reports whether an attempt was aborted because its node is unreachable.
 func endedAsUnreachable(ctx context.Context) bool {
-	a, ok := ctx.(*abortable)
-	return ok && a.unreachable.Load() && errors.Is(ctx.Err(), context.Canceled)
+	return errors.Is(context.Cause(ctx), errUnreachable)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -42,7 +42,7 @@
 	mu      sync.Mutex
 	waiting map[conductor.CallID]chan conductor.Effect
 	// aborts cancel the attempts in flight.
-	aborts map[conductor.CallID]*abortable
+	aborts map[conductor.CallID]context.CancelCauseFunc
 	lastID atomic.Uint64
 	// noticesUsed is set once the local endpoint or another node has said something about the endpoint; until then there is
 	// no limit that an answer could lift.
@@ -82,23 +82,21 @@
 
 // New returns a relayer.
 func New(o Options) *Relayer {
-	client := func(dial, idle clock.Duration, followUse bool) *requester.Client {
+	client := func(dial, idle clock.Duration) *requester.Client {
 		return requester.New(requester.Options{
 			DialTimeout: dial,
 			IdleTime:    idle,
 			MaxIdle:     maxIdlePerAddress,
-			FollowUse:   followUse,
 			Connections: o.Connections,
 			Now:         o.Clock.Now,
 		})
 	}
 	return &Relayer{
-		options: o,
-		waiting: map[conductor.CallID]chan conductor.Effect{},
-		aborts:  map[conductor.CallID]*abortable{},
-		peers:   client(peerDialTimeout, peerIdleTimeout, true),
-		// A new connection costs an endpoint more than an idle one, so its connections are kept after a surge.
-		endpoints: client(endpointDialTimeout, endpointIdleTimeout, false),
+		options:   o,
+		waiting:   map[conductor.CallID]chan conductor.Effect{},
+		aborts:    map[conductor.CallID]context.CancelCauseFunc{},
+		peers:     client(peerDialTimeout, peerIdleTimeout),
+		endpoints: client(endpointDialTimeout, endpointIdleTimeout),
 		unread:    newUnreadFields(o.Headers),
 	}
 }
@@ -180,8 +178,8 @@
 	case conductor.EndpointLeft:
 		r.options.Recorder.Event("endpoint leaving", "endpoint", string(e.Endpoint), "at", string(e.Node))
 	case conductor.Abort:
-		if a, ok := r.aborts[e.ID]; ok {
-			a.abort()
+		if abort, ok := r.aborts[e.ID]; ok {
+			abort(errUnreachable)
 		}
 	}
 }
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -71,50 +71,22 @@
 	"Expect":              true,
 }
 
-// endToEndFields returns a copy of all fields but those of a single connection and those between nodes.
+// endToEndFields copies all fields but those of a single connection and those between nodes.
 func endToEndFields(from http.Header) http.Header {
-	to := make(http.Header, len(from))
-	copyEndToEndFields(to, from)
-	return to
-}
-
-// copyEndToEndFields copies all fields but those of a single connection and those between nodes.
-func copyEndToEndFields(to, from http.Header) {
-	connectionFields := connectionFieldsOf(from)
-	for name, values := range from {
-		if isEndToEnd(name, connectionFields) {
-			to[name] = values
-		}
-	}
-}
-
-// keepEndToEndFields deletes the fields that copyEndToEndFields leaves out.
-func keepEndToEndFields(h http.Header) {
-	connectionFields := connectionFieldsOf(h)
-	for name := range h {
-		if !isEndToEnd(name, connectionFields) {
-			delete(h, name)
+	connectionFields := map[string]bool{}
+	for _, list := range from["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			connectionFields[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-}
-
-func isEndToEnd(name string, connectionFields map[string]bool) bool {
-	return !hopByHopFields[name] && !connectionFields[name] && !strings.HasPrefix(name, fleetPrefix)
-}
-
-// connectionFieldsOf returns the fields that the Connection field names, nil if there is no such field.
-func connectionFieldsOf(h http.Header) map[string]bool {
-	lists := h["Connection"]
-	if len(lists) == 0 {
-		return nil
-	}
-	names := map[string]bool{}
-	for _, list := range lists {
-		for name := range strings.SplitSeq(list, ",") {
-			names[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+	to := make(http.Header, len(from)+4)
+	for name, values := range from {
+		if hopByHopFields[name] || connectionFields[name] || strings.HasPrefix(name, fleetPrefix) {
+			continue
 		}
+		to[name] = values
 	}
-	return names
+	return to
 }
 
 // pathOf returns a request target without its query; routes are matched against the path only.
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -28,7 +28,7 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{options: o, pool: newPool(o)}
+	return &Client{options: o, pool: newPool(o.MaxIdle)}
 }
 
 // Dials returns how many connections the client has tried to open.
@@ -36,8 +36,7 @@
 	return c.dials.Load()
 }
 
-// Expire closes the connections whose idle time has passed, and with FollowUse those beyond the recent use; it is to be
-// called once a second or so.
+// Expire closes the connections whose idle time has passed.
 func (c *Client) Expire() {
 	c.pool.expire(c.options.Now())
 }
@@ -75,7 +74,6 @@
 	if err != nil {
 		stop()
 		n.abort()
-		c.endUse(address)
 		if failed := n.bodyFailed.Load(); failed != nil {
 			err = *failed
 		}
@@ -94,32 +92,14 @@
 		return n, nil
 	}
 	c.dials.Add(1)
-	n, err := c.dial(ctx, address)
-	if err != nil {
-		c.endUse(address)
-		return nil, DialError{Address: address, Cause: err}
-	}
-	return n, nil
-}
-
-// endUse ends a use of an address whose connection is not kept.
-func (c *Client) endUse(address string) {
-	c.pool.end(address, c.options.Now())
-}
-
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	opened, err := Dial(ctx, address, c.options.DialTimeout.Std())
 	if err != nil {
-		return nil, err
-	}
-	raw, err := rawConn(opened)
-	if err != nil {
-		_ = opened.Close()
-		return nil, err
+		return nil, DialError{Address: address, Cause: err}
 	}
 	c.options.Connections.Add(1)
-	n := &conn{Conn: opened, raw: raw, count: c.options.Connections, address: address}
-	n.attachBuffers()
+	n := &conn{Conn: opened, count: c.options.Connections, address: address}
+	n.reader = bufio.NewReaderSize(n, readBuffer)
+	n.writer = bufio.NewWriterSize(n, writeBuffer)
 	return n, nil
 }
 
@@ -264,11 +244,8 @@
 	return w.Flush()
 }
 
-// chunkBytes is the size of the largest chunk of a body whose length is not known.
-const chunkBytes = 4 << 10
-
 func writeChunks(w *bufio.Writer, body io.Reader) error {
-	buffer := make([]byte, chunkBytes)
+	buffer := make([]byte, writeBuffer)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
@@ -289,18 +266,8 @@
 	}
 }
 
-// answeredRequests are given to http.ReadResponse, which needs only the method and changes nothing in them.
-var answeredRequests = map[string]*http.Request{
-	http.MethodGet:  {Method: http.MethodGet},
-	http.MethodPost: {Method: http.MethodPost},
-}
-
 func readHead(n *conn, r *Request) (*http.Response, error) {
-	answered := answeredRequests[r.Method]
-	if answered == nil {
-		answered = &http.Request{Method: r.Method}
-	}
-	return http.ReadResponse(n.reader, answered)
+	return http.ReadResponse(n.reader, &http.Request{Method: r.Method})
 }
 
 func readFinalHead(n *conn, r *Request) (*http.Response, error) {
@@ -324,19 +291,20 @@
 	r.closed = true
 	cancelled := !r.stop()
 	crowded := r.client.options.Connections.Crowded()
-	doubtful := cancelled || !readToEnd || !r.framed || !r.bodySent() || r.conn.reader.Buffered() > 0
+	if cancelled || crowded || !readToEnd || !r.framed || r.Response.Close || !r.bodySent() || r.conn.reader.Buffered() > 0 {
+		_ = r.conn.Close()
+		return
+	}
 	idle, ok := idleTime(r.Header.Get("Keep-Alive"))
 	if !ok {
 		idle = r.client.options.IdleTime
 	}
-	if doubtful || crowded || r.Response.Close || idle <= 0 {
+	if idle <= 0 {
 		_ = r.conn.Close()
-		r.client.endUse(r.conn.address)
 		return
 	}
-	now := r.client.options.Now()
-	r.conn.idleUntil = now.Add(idle)
-	r.client.pool.put(r.conn, now)
+	r.conn.idleUntil = r.client.options.Now().Add(idle)
+	r.client.pool.put(r.conn)
 }
 
 // bodySent returns whether the request's body has been sent completely. A server that answered early may still expect
@@ -361,7 +329,7 @@
 const idleMargin = 700 * clock.Millisecond
 
 func idleTime(header string) (clock.Duration, bool) {
-	for parameter := range strings.SplitSeq(header, ",") {
+	for _, parameter := range strings.Split(header, ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
 		if !found {
 			continue
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -1,160 +1,182 @@
 package requester
 
-// Idle connections are kept for each address. The one used last is taken first, so that the others reach their idle time
-// or are closed as more than the recent use.
+// Unexpected bytes on an idle connection would be read as the answer to the next request, and a connection that the
+// server has closed would lose that request. Therefore an idle connection is checked before reuse: if anything can be
+// read on it, end of file included, it is closed. The check costs one system call; without it every restart of an
+// endpoint would fail the requests sent on its closed connections, and those that must not run twice could not be
+// retried.
 //
-// Example: c := p.take("10.1.0.9:8080", now); after a complete exchange, p.put(c, now), otherwise p.end(c.address, now).
+// Example: an endpoint sends a second answer after a complete one; the connection is closed instead of reused.
 
 import (
-	"slices"
+	"bufio"
+	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
 
-type pool struct {
-	mu        sync.Mutex
-	addresses map[string]*addressPool
-	maxIdle   int
-	// followUse closes idle connections beyond what usage.wanted returns.
-	followUse bool
+const (
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
+)
+
+// conn is one connection and its buffers.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	address   string
+	idleUntil clock.Time
+	// reused is whether a request has been answered on the connection before.
+	reused bool
+	count  *Connections
+	closed atomic.Bool
+	// traffic counts the bytes of the request under way, nil for none.
+	traffic atomic.Pointer[Traffic]
+	// bodyFailed is set if the body of the request under way could not be read.
+	bodyFailed atomic.Pointer[BodyError]
+}
+
+// Read reads from the connection and counts the bytes received.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if t := c.traffic.Load(); t != nil {
+		t.Received.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write writes to the connection and counts the bytes sent.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if t := c.traffic.Load(); t != nil {
+		t.Sent.Add(int64(n))
+	}
+	return n, err
 }
 
-// addressPool holds the idle connections to an address, in the order in which they became idle.
-type addressPool struct {
-	idle  []*conn
-	usage usage
+// Close closes the connection and removes it once from the count of open connections.
+func (c *conn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.count.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
-func newPool(o Options) *pool {
-	return &pool{addresses: map[string]*addressPool{}, maxIdle: o.MaxIdle, followUse: o.FollowUse}
+// abort resets the connection instead of closing it in order. After an orderly close, bytes delayed by a partition or a
+// congested link are still delivered seconds later, and the endpoint runs requests whose callers left as much as 5.4 s
+// before. A reset discards these bytes.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		// This fails only if the connection is closed already.
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
 }
 
-// take returns the connection that was used last, so that the others reach their idle time and are closed; nil if there is
-// none. In both cases a use of the address begins, which end or put must end.
+type pool struct {
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	maxIdle int
+}
+
+func newPool(maxIdle int) *pool {
+	return &pool{idle: map[string][]*conn{}, maxIdle: maxIdle}
+}
+
+// take returns the connection that was used last, so that the others reach their idle time and are closed.
 func (p *pool) take(address string, now clock.Time) *conn {
-	p.begin(address, now)
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return nil
 		}
 		if now < c.idleUntil && c.hasNoInput() {
-			c.attachBuffers()
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
-func (p *pool) begin(address string, now clock.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.at(address).usage.add(1, now)
-}
-
-// end ends a use of the address whose connection is not kept.
-func (p *pool) end(address string, now clock.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.at(address).usage.add(-1, now)
-}
-
-// at returns the pool of an address; the caller holds the lock.
-func (p *pool) at(address string) *addressPool {
-	a, ok := p.addresses[address]
-	if !ok {
-		a = &addressPool{}
-		p.addresses[address] = a
-	}
-	return a
-}
-
 func (p *pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.at(address)
-	if len(a.idle) == 0 {
+	list := p.idle[address]
+	if len(list) == 0 {
 		return nil
 	}
-	last := len(a.idle) - 1
-	c := a.idle[last]
-	a.idle[last] = nil
-	a.idle = a.idle[:last]
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
 	return c
 }
 
-// put ends a use and keeps its connection, on which a complete answer was read and nothing is buffered.
-func (p *pool) put(c *conn, now clock.Time) {
+func (p *pool) put(c *conn) {
 	c.reused = true
-	c.releaseBuffers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.at(c.address)
-	a.usage.add(-1, now)
-	if len(a.idle) >= p.maxIdle {
+	list := p.idle[c.address]
+	if len(list) >= p.maxIdle {
 		_ = c.Close()
 		return
 	}
-	a.idle = append(a.idle, c)
+	p.idle[c.address] = append(list, c)
 }
 
-// expire closes the connections whose idle time has passed, and those beyond the number to keep.
+// expire closes the connections whose idle time has passed.
 func (p *pool) expire(now clock.Time) {
-	for _, c := range p.removeExpired(now) {
-		_ = c.Close()
-	}
-}
-
-// removeExpired removes the connections to close. They are idle, and nothing takes them any more: no request can be sent
-// on one of them while it is closed.
-func (p *pool) removeExpired(now clock.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var removed []*conn
-	for address, a := range p.addresses {
-		removed = append(removed, a.removeExpired(now)...)
-		if p.followUse {
-			// The first ones have been idle for longest.
-			removed = append(removed, a.removeFirst(len(a.idle)+a.usage.inUse-a.usage.wanted(now))...)
-		}
-		if len(a.idle) == 0 && a.usage.peak(now) == 0 {
-			delete(p.addresses, address)
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now < c.idleUntil {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
 		}
-	}
-	return removed
-}
-
-func (a *addressPool) removeExpired(now clock.Time) []*conn {
-	var removed, kept []*conn
-	for _, c := range a.idle {
-		if now < c.idleUntil {
-			kept = append(kept, c)
+		if len(kept) == 0 {
+			delete(p.idle, address)
 			continue
 		}
-		removed = append(removed, c)
+		p.idle[address] = kept
 	}
-	a.idle = kept
-	return removed
-}
-
-func (a *addressPool) removeFirst(n int) []*conn {
-	n = min(max(0, n), len(a.idle))
-	removed := a.idle[:n]
-	a.idle = slices.Clone(a.idle[n:])
-	return removed
 }
 
 // closeIdle closes all idle connections to an address.
 func (p *pool) closeIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a, ok := p.addresses[address]
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// hasNoInput returns whether nothing can be read on the connection, not even end of file.
+func (c *conn) hasNoInput() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return
+		return true
 	}
-	for _, c := range a.idle {
-		_ = c.Close()
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
 	}
-	a.idle = nil
+	hasNoInput := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		hasNoInput = err == unix.EAGAIN
+		return true
+	})
+	return hasNoInput && err == nil
 }
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -45,8 +45,6 @@
 	IdleTime clock.Duration
 	// MaxIdle is the maximum number of idle connections for each address.
 	MaxIdle int
-	// FollowUse closes idle connections early if there are more than were in use at once in the last 2 s, plus a reserve.
-	FollowUse bool
 	// Connections counts the client's connections together with the others of the process.
 	Connections *Connections
 	// Now reads the monotonic clock.
