--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -93,8 +93,7 @@
 
 // demandKind is a kind of root request.
 type demandKind struct {
-	from  origin
-	class class
+	requestKind
 	// calls is the number of calls that such a request makes at the declining service, from all calling services.
 	calls float64
 }
@@ -159,7 +158,7 @@
 						d = &callingDemand{}
 						callingServices[caller] = d
 					}
-					d.kinds = append(d.kinds, demandKind{from: from, class: class(i), calls: callsPerRequest})
+					d.kinds = append(d.kinds, demandKind{requestKind: requestKind{from: from, class: class(i)}, calls: callsPerRequest})
 					d.demands = append(d.demands, rationer.Kind{
 						Class: identifier.Class(i), Demand: rate * share * n, Worth: class(i).worth(costLevel(n)),
 					})
--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -17,7 +17,7 @@
 type class int
 
 // rankLevels is the number of distinct ranks of teams and of routes.
-const rankLevels = 4
+const rankLevels = identifier.RankLevels
 
 func rankLevel(rank int) int {
 	return min(max(rank, 0), rankLevels-1)
--- a/internal/conductor/team_shares.go
+++ b/internal/conductor/team_shares.go
@@ -1,8 +1,8 @@
 package conductor
 
 // The requests at the threshold, of which only a part fits, are divided between teams: each gets capacity in proportion to
-// the rate that it purchased, up to what arrives from it of these kinds. Refused at random, a team at five times its usual demand would take capacity
-// from one at half of it.
+// the rate that it purchased, up to what arrives from it of these kinds. Refused at random, a team at five times its usual
+// demand would take capacity from one at half of it.
 //
 // Example: 60 of 100 fit, two teams with equal rates demand 80 and 20: of the first 40 are served, of the second all 20.
 
