Logs and metrics of planned stops: open work, cut requests, last lines

What operators saw: around a SIGTERM requests ended without an answer, and no log line had their ids.

Cause: the line was queued and the process exited before it was written; neither line said what was open, and a request that the node cut off was not logged.

Change: 'node stopping' and 'node stopped' tell open requests, deliveries, callers' connections, those being answered and those with bytes of a later request; 'request cut' names each request that the node's end cuts off; the log is flushed before the exit. The pipeliner counts its connections. When and how a node stops is unchanged.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -293,6 +293,11 @@
 	return c.matcher != nil && !c.stopping
 }
 
+// Open returns how many requests and how many deliveries to the local endpoint are open.
+func (c *Conductor) Open() (requests, deliveries int) {
+	return len(c.calls), len(c.deliveries)
+}
+
 // Idle reports whether no request and no delivery is open.
 func (c *Conductor) Idle() bool {
 	return len(c.calls) == 0 && len(c.deliveries) == 0
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -80,6 +80,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(listenerLog{address: address, recorder: n.recorder}, "", 0),
 		ConnState:         n.countConnection,
+		BaseContext:       func(net.Listener) context.Context { return n.requests },
 	}
 	if p, ok := h.(*pipeliner.Pipeliner); ok {
 		l = p.Listen(l)
@@ -203,10 +204,12 @@
 	// of a stop and a throttling pause of a tenth of a second must fit into it.
 	stopReserve    = 1200 * clock.Millisecond
 	stopPollPeriod = 50 * clock.Millisecond
+	// flushTimeout bounds the wait for the log's last lines.
+	flushTimeout = 100 * clock.Millisecond
 )
 
 func (n *node) stop(context.Context) error {
-	n.recorder.Event("node stopping")
+	n.recorder.Event("node stopping", n.openWork()...)
 	n.relayer.ApplyEvent(conductor.StopRequested{})
 	begun := n.clock.Now()
 	n.relayer.Stop()
@@ -223,10 +226,23 @@
 		}
 		time.Sleep(stopPollPeriod.Std())
 	}
-	n.recorder.Event("node stopped", "afterMs", int64(n.clock.Now().Sub(begun)))
+	n.recorder.Event("node stopped", append(n.openWork(), "afterMs", int64(n.clock.Now().Sub(begun)))...)
 	n.cancel()
+	n.cancelRequests(relayer.ErrStopped)
 	for _, s := range n.servers {
 		_ = s.Close()
 	}
+	n.recorder.Flush(flushTimeout)
 	return nil
 }
+
+// openWork returns, for the log, how many requests and deliveries are open in the conductor, and what callers' connections
+// hold.
+func (n *node) openWork() []any {
+	var requests, deliveries int
+	n.relayer.View(func(c *conductor.Conductor, _ clock.Time) { requests, deliveries = c.Open() })
+	l := n.outbound.Load()
+	return []any{
+		"requests", requests, "deliveries", deliveries, "connections", l.Open, "answering", l.Answering, "ahead", l.Ahead,
+	}
+}
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -67,6 +67,9 @@
 	clock    *clock.Clock
 	recorder *recorder.Recorder
 	relayer  *relayer.Relayer
+	// requests is the context from which those of all requests are derived; cancelRequests ends it with a cause.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 	// outbound serves callers and the local endpoint, with pipelined requests.
 	outbound *pipeliner.Pipeliner
 	records  chan exchanger.Member
@@ -187,7 +190,9 @@
 		Publish:         n.publish,
 		Recorder:        log,
 	})
+	n.requests, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.outbound = pipeliner.New(pipeliner.Options{
+		Context:       n.requests,
 		Handler:       http.HandlerFunc(n.relayer.ServeOutbound),
 		MaxAhead:      maxPipelined,
 		MayStartAhead: n.relayer.MayPipeline,
--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -110,6 +110,8 @@
 	operators, members memoryTopic
 	// work, if set, is called for each request that reaches an endpoint.
 	work func(r *http.Request)
+	// log, if set, gets the nodes' log lines.
+	log io.Writer
 }
 
 type runningNode struct {
@@ -184,9 +186,13 @@
 			return http.NotFoundHandler()
 		},
 	}
+	out := io.Discard
+	if f.log != nil {
+		out = f.log
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	go func() { n.done <- Run(ctx, Options{Settings: n.settings, Platform: outside, Out: io.Discard}) }()
+	go func() { n.done <- Run(ctx, Options{Settings: n.settings, Platform: outside, Out: out}) }()
 	n.accept = <-accepted
 	n.announce(false)
 	t.Cleanup(func() {
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -43,7 +43,7 @@
 // connection gives its server one request at a time and reads ahead what the caller sends meanwhile.
 type connection struct {
 	net.Conn
-	options Options
+	pipeliner *Pipeliner
 	// cancelAhead cancels the context of the requests that were started ahead.
 	cancelAhead context.CancelFunc
 	context     context.Context
@@ -56,8 +56,9 @@
 	readBuffer []byte
 	// bodyLeft is how many bytes of the body have not been given to the server.
 	bodyLeft int64
-	// serving is whether a request is being answered.
-	serving bool
+	// serving is whether a request is being answered; answering lasts from its head until its whole answer has been passed
+	// to the network, which the server shows by asking for the next head.
+	serving, answering bool
 	// closing is whether an answer ends the connection: the current one or that of the last request started ahead. No
 	// further request is started ahead then.
 	closing bool
@@ -69,9 +70,9 @@
 	handedRun *run
 }
 
-func newConnection(inner net.Conn, o Options) *connection {
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &connection{Conn: inner, options: o, context: ctx, cancelAhead: cancel}
+func newConnection(inner net.Conn, p *Pipeliner) *connection {
+	ctx, cancel := context.WithCancel(p.options.Context)
+	c := &connection{Conn: inner, pipeliner: p, context: ctx, cancelAhead: cancel}
 	c.readAbortedCond = sync.NewCond(&c.mu)
 	return c
 }
@@ -87,6 +88,7 @@
 
 // Close closes the connection and cancels the requests that were started ahead.
 func (c *connection) Close() error {
+	c.pipeliner.remove(c)
 	c.cancelAhead()
 	c.mu.Lock()
 	c.readAborted = true
@@ -98,6 +100,9 @@
 // Read is called by the server: for the next head, for a body, or as its background read.
 func (c *connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
+	if !c.serving && c.phase != answeringPhase {
+		c.answering = false
+	}
 	for {
 		if c.phase == answeringPhase {
 			return c.backgroundRead()
@@ -135,6 +140,7 @@
 	case ended && c.phase == headPhase:
 		c.handedRun = c.queue.consume(n)
 		c.phase = answeringPhase
+		c.answering = true
 	case ended:
 		c.phase = c.afterBody()
 	case c.phase == headPhase:
@@ -214,7 +220,7 @@
 
 // startAhead starts requests that were sent ahead, up to Options.MaxAhead; the caller holds the lock.
 func (c *connection) startAhead() {
-	for c.serving && !c.closing && c.phase == answeringPhase && c.queue.len() < c.options.MaxAhead {
+	for c.serving && !c.closing && c.phase == answeringPhase && c.queue.len() < c.pipeliner.options.MaxAhead {
 		ahead := c.readAhead[c.queue.coveredBytes:]
 		var b boundary
 		n, complete := b.end(ahead)
@@ -222,7 +228,7 @@
 			return
 		}
 		request, ok := parseHead(ahead[:n])
-		if !ok || !c.options.MayStartAhead(request) {
+		if !ok || !c.pipeliner.options.MayStartAhead(request) {
 			return
 		}
 		c.closing = request.Close
@@ -230,6 +236,25 @@
 	}
 }
 
+// load returns whether a request is being answered, and whether bytes of a later one have been read.
+func (c *connection) load() (answering, ahead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answering, c.answering && c.hasReadFurther()
+}
+
+// hasReadFurther returns whether bytes behind the current request have been read; the caller holds the lock.
+func (c *connection) hasReadFurther() bool {
+	switch c.phase {
+	case answeringPhase, headPhase:
+		return len(c.readAhead) > 0
+	case bodyPhase:
+		return int64(len(c.readAhead)) > c.bodyLeft
+	default:
+		return false
+	}
+}
+
 // mayClose returns whether the answer to a request may end the connection. It may not if later requests have been started:
 // they have been forwarded, and would get no answer. If it may, no later request is started any more.
 func (c *connection) mayClose(answered *run) bool {
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 )
 
 // Options configures a pipeliner.
@@ -21,26 +22,79 @@
 	// MayStartAhead returns whether a request may be started before the earlier ones are answered. It must return false
 	// for a request that may not run twice: if the connection ends before its turn, the caller sends it again.
 	MayStartAhead func(*http.Request) bool
+	// Context is the context from which those of requests started ahead are derived; nil means one that never ends.
+	Context context.Context
 }
 
 // Pipeliner serves callers that pipeline requests; it is safe for concurrent use.
 type Pipeliner struct {
-	options Options
+	options     Options
+	mu          sync.Mutex
+	connections map[*connection]struct{}
 }
 
 // New returns a pipeliner.
 func New(o Options) *Pipeliner {
-	return &Pipeliner{options: o}
+	if o.Context == nil {
+		o.Context = context.Background()
+	}
+	return &Pipeliner{options: o, connections: map[*connection]struct{}{}}
+}
+
+// Load is what the connections of a pipeliner hold.
+type Load struct {
+	// Open is the number of connections, Answering of those with a request that was read and not answered completely, and
+	// Ahead of those that have read bytes of a later request, which may be answered only after another one.
+	Open, Answering, Ahead int
+}
+
+// Load returns what the connections hold.
+func (p *Pipeliner) Load() Load {
+	l := Load{}
+	for _, c := range p.snapshot() {
+		answering, ahead := c.load()
+		l.Open++
+		if answering {
+			l.Answering++
+		}
+		if ahead {
+			l.Ahead++
+		}
+	}
+	return l
+}
+
+// snapshot returns the open connections.
+func (p *Pipeliner) snapshot() []*connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*connection, 0, len(p.connections))
+	for c := range p.connections {
+		all = append(all, c)
+	}
+	return all
+}
+
+func (p *Pipeliner) add(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connections[c] = struct{}{}
+}
+
+func (p *Pipeliner) remove(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.connections, c)
 }
 
 // Listen wraps a listener so that its connections read ahead.
 func (p *Pipeliner) Listen(inner net.Listener) net.Listener {
-	return &listener{Listener: inner, options: p.options}
+	return &listener{Listener: inner, pipeliner: p}
 }
 
 type listener struct {
 	net.Listener
-	options Options
+	pipeliner *Pipeliner
 }
 
 // Accept waits for the next connection.
@@ -49,7 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(inner, l.options), nil
+	c := newConnection(inner, l.pipeliner)
+	l.pipeliner.add(c)
+	return c, nil
 }
 
 // positionKey is the context key for a request's position.
--- a/internal/pipeliner/run.go
+++ b/internal/pipeliner/run.go
@@ -97,7 +97,7 @@
 	r.request = request.WithContext(context.WithValue(ctx, positionKey{}, position{connection: c, run: r}))
 	r.request.RemoteAddr = c.RemoteAddr().String()
 	context.AfterFunc(ctx, r.noteCallerLeft)
-	go r.work(c.options.Handler)
+	go r.work(c.pipeliner.options.Handler)
 	return r
 }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -55,6 +55,7 @@
 // Recorder writes log lines and keeps metrics; it is safe for concurrent use.
 type Recorder struct {
 	logger       *log.Logger
+	lines        *queue
 	now          func() clock.Time
 	mu           sync.Mutex
 	lineCounters map[string]*lineCounter
@@ -70,12 +71,13 @@
 
 // New returns a recorder that writes to out through a bounded queue.
 func New(out io.Writer, node string, now func() clock.Time) *Recorder {
-	logger := log.NewWithOptions(newQueue(out), log.Options{
+	lines := newQueue(out)
+	logger := log.NewWithOptions(lines, log.Options{
 		Formatter:       log.JSONFormatter,
 		ReportTimestamp: true,
 		TimeFormat:      time.RFC3339Nano,
 	}).With("node", node)
-	return &Recorder{logger: logger, now: now, lineCounters: map[string]*lineCounter{}, meters: newMeters()}
+	return &Recorder{logger: logger, lines: lines, now: now, lineCounters: map[string]*lineCounter{}, meters: newMeters()}
 }
 
 // allow reports whether another line of a kind may be written in this second, and how many lines were left out since the
@@ -115,6 +117,23 @@
 		"afterMs", int64(e.After), "leftOut", leftOut)
 }
 
+// Cut is a request whose connection ends without a whole answer because this node ends.
+type Cut struct {
+	Request string
+	Path    string
+	After   clock.Duration
+}
+
+// WasCut records a request that this node cut off.
+func (r *Recorder) WasCut(e Cut) {
+	r.meters.increment("cut", "cause", "stop")
+	ok, leftOut := r.allow("cut", linesPerSecond)
+	if !ok {
+		return
+	}
+	r.logger.Warn("request cut", "request", e.Request, "path", e.Path, "afterMs", int64(e.After), "leftOut", leftOut)
+}
+
 // Attempted records an attempt that has ended.
 func (r *Recorder) Attempted(e Attempt) {
 	r.meters.increment("attempts", "outcome", e.Outcome)
@@ -204,17 +223,33 @@
 	r.logger.Info(message, append(pairs, "leftOut", leftOut)...)
 }
 
+// Flush waits until the lines so far are written, at most for the given time, and returns whether they are. A process that
+// ends without it loses its last lines.
+func (r *Recorder) Flush(timeout clock.Duration) bool {
+	return r.lines.flush(timeout)
+}
+
 // queue passes lines to a goroutine that writes them, and drops lines while its buffer is full.
 type queue struct {
-	lines chan []byte
+	entries chan queueEntry
+}
+
+// queueEntry is a line to write, or a channel to close once all earlier lines are written.
+type queueEntry struct {
+	line    []byte
+	written chan struct{}
 }
 
 func newQueue(out io.Writer) *queue {
-	q := &queue{lines: make(chan []byte, queueCapacityLines)}
+	q := &queue{entries: make(chan queueEntry, queueCapacityLines)}
 	go func() {
-		for line := range q.lines {
+		for e := range q.entries {
+			if e.written != nil {
+				close(e.written)
+				continue
+			}
 			// A closed output must not stop the node from serving.
-			_, _ = out.Write(line)
+			_, _ = out.Write(e.line)
 		}
 	}()
 	return q
@@ -223,8 +258,24 @@
 // Write queues a line or drops it; it never blocks.
 func (q *queue) Write(line []byte) (int, error) {
 	select {
-	case q.lines <- append([]byte(nil), line...):
+	case q.entries <- queueEntry{line: append([]byte(nil), line...)}:
 	default:
 	}
 	return len(line), nil
 }
+
+func (q *queue) flush(timeout clock.Duration) bool {
+	expired := time.After(timeout.Std())
+	written := make(chan struct{})
+	select {
+	case q.entries <- queueEntry{written: written}:
+	case <-expired:
+		return false
+	}
+	select {
+	case <-written:
+		return true
+	case <-expired:
+		return false
+	}
+}
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -155,3 +155,23 @@
 		"nested nearFull sent": 810.0, "nested nearFull received": 1290.0, "report asked sent": 80.0, "report asked received": 900.0,
 	})
 }
+
+// A node logs how its stop ended and exits. Without the flush the lines that explain the stop would be lost.
+func TestFlushWritesTheLastLines(t *testing.T) {
+	o := &output{blocked: make(chan struct{})}
+	now := clock.Time(5000)
+	r := New(o, "n", clockOf(&now))
+	for i := range linesPerSecond {
+		r.Event("e", "number", i)
+	}
+	r.WasCut(Cut{Request: "r1", Path: "/a", After: 800})
+	assert.Assert(t, !r.Flush(10*clock.Millisecond))
+	close(o.blocked)
+	assert.Assert(t, r.Flush(clock.Second))
+	lines := o.lines()
+	assert.Equal(t, len(lines), linesPerSecond+1)
+	assert.Assert(t, strings.Contains(lines[linesPerSecond], `"msg":"request cut","node":"n","request":"r1","path":"/a","afterMs":800`), lines[linesPerSecond])
+	var metrics bytes.Buffer
+	r.WriteMetrics(&metrics)
+	assert.Assert(t, strings.Contains(metrics.String(), `jackdawtide_cut_total{cause="stop"} 1`))
+}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -54,6 +54,7 @@
 			effect, err = r.wait(request.Context(), e)
 			if err != nil {
 				r.apply(id, conductor.RequestClosed{ID: id})
+				r.logCut(request, started)
 				panic(http.ErrAbortHandler)
 			}
 		case conductor.Send:
@@ -78,6 +79,7 @@
 			r.logAttempt(request, e, last, started)
 			if last.outcome == conductor.Abandoned {
 				r.apply(id, conductor.RequestClosed{ID: id})
+				r.logCut(request, started)
 				r.abandon(w, last)
 				return
 			}
@@ -180,6 +182,18 @@
 	})
 }
 
+// logCut logs a request that ends without an answer because the node ends.
+func (r *Relayer) logCut(request *http.Request, started clock.Time) {
+	if !endedByStop(request.Context()) {
+		return
+	}
+	r.options.Recorder.WasCut(recorder.Cut{
+		Request: request.Header.Get(r.options.Headers.RequestID),
+		Path:    request.URL.Path,
+		After:   r.options.Clock.Now().Sub(started),
+	})
+}
+
 func (r *Relayer) logAttempt(request *http.Request, s conductor.Send, a answer, started clock.Time) {
 	r.options.Recorder.Attempted(recorder.Attempt{
 		Request:  request.Header.Get(r.options.Headers.RequestID),
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,13 @@
 	r.stopping.Store(true)
 }
 
+// ErrStopped is the cause with which the contexts of requests are cancelled when their node ends.
+var ErrStopped = errors.New("the node has stopped")
+
+func endedByStop(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), ErrStopped)
+}
+
 // announceClose makes the answer close its connection if the node is stopping or has too many connections.
 func (r *Relayer) announceClose(ctx context.Context, h http.Header) {
 	if (r.stopping.Load() || r.options.Connections.Crowded()) && pipeliner.MayClose(ctx) {
