--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -114,6 +114,9 @@
 	log io.Writer
 }
 
+// largeAnswerBytes is the size of the answers to requests for /large, more than the system's buffers hold.
+const largeAnswerBytes = 24 << 20
+
 type runningNode struct {
 	settings loader.Sidecar
 	stop     context.CancelFunc
@@ -139,6 +142,10 @@
 			f.work(r)
 		}
 		rw.Header().Set("X-Id", r.Header.Get("X-Id"))
+		if strings.HasPrefix(r.URL.Path, "/large") {
+			_, _ = rw.Write(make([]byte, largeAnswerBytes))
+			return
+		}
 		_, _ = io.WriteString(rw, name)
 	}))
 	t.Cleanup(endpoint.Close)
--- /dev/null
+++ b/internal/pipeliner/closing_test.go
@@ -0,0 +1,92 @@
+package pipeliner
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// countingListener counts the bytes that its connections read.
+type countingListener struct {
+	net.Listener
+	read atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	return &countingConn{Conn: n, listener: l}, err
+}
+
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.read.Add(int64(n))
+	return n, err
+}
+
+// serveCounted starts a service and returns it with its pipeliner and the listener that counts.
+func serveCounted(t testing.TB, maxAhead int) (*service, *Pipeliner, *countingListener) {
+	t.Helper()
+	s := &service{}
+	p := New(Options{Handler: http.HandlerFunc(s.serve), MaxAhead: maxAhead, MayStartAhead: isIdempotent})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &countingListener{Listener: inner}
+	server := &http.Server{Handler: p, ConnContext: p.Context, IdleTimeout: 3 * time.Second}
+	go func() { _ = server.Serve(p.Listen(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.address = l.Addr().String()
+	return s, p, l
+}
+
+// An answer closes the connection after bytes of later requests were read: these would get no answer, though they were read.
+func TestRequestReadBehindAClosingAnswerIsAnswered(t *testing.T) {
+	for name, test := range map[string]struct {
+		maxAhead int
+		request  string
+		gap      time.Duration
+	}{
+		"sent at once":                     {request: idempotentRequest("/20/close")},
+		"sent at once, started ahead":      {request: idempotentRequest("/20/close"), maxAhead: 4},
+		"not idempotent":                   {request: nonIdempotentRequest("/20/close", "two rings"), maxAhead: 4},
+		"sent while the answer is written": {request: idempotentRequest("/1/close"), gap: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				s, _, l := serveCounted(t, test.maxAhead)
+				c := s.call(t)
+				var sending sync.WaitGroup
+				sending.Add(1)
+				go func() {
+					defer sending.Done()
+					for range 6 {
+						if _, err := c.Write([]byte(test.request)); err != nil {
+							return
+						}
+						time.Sleep(test.gap)
+					}
+				}()
+				answers := int64(0)
+				for {
+					response, err := http.ReadResponse(c.reader, nil)
+					if err != nil {
+						break
+					}
+					answers++
+					assert.NilError(t, response.Body.Close())
+				}
+				sending.Wait()
+				assert.Equal(t, answers, l.read.Load()/int64(len(test.request)))
+			}
+		})
+	}
+}
