Answer requests that were read behind an answer that closes its connection

Cause: the connection reads ahead, to notice a caller that leaves, and the answer said 'Connection: close' unless a later request had been started. Those read and not started were dropped with the connection.

Change: an answer closes its connection only if no byte behind its request has been read. Once one may, nothing further is read: the background read is interrupted, and what it read meanwhile keeps the connection open. A body is not read beyond its end. A request that was started ahead closes nothing before its turn.

Behind a chunked body the boundary is not known; that case is as before.

--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -62,10 +62,14 @@
 	// closing is whether an answer ends the connection: the current one or that of the last request started ahead. No
 	// further request is started ahead then.
 	closing bool
-	// readAborted is whether the server has aborted its background read; readAbortedCond signals changes of it.
-	readAborted     bool
-	readAbortedCond *sync.Cond
-	queue           queue
+	// closeAnnounced is whether mayClose has let an answer end the connection; nothing is read behind that one.
+	closeAnnounced bool
+	// readAborted is whether the server has aborted its background read, reading whether a read of the network is in
+	// progress; stateCond signals changes of both.
+	readAborted bool
+	reading     bool
+	stateCond   *sync.Cond
+	queue       queue
 	// handedRun is the run started ahead for the request whose head was given to the server last, nil if none was.
 	handedRun *run
 }
@@ -73,7 +77,7 @@
 func newConnection(inner net.Conn, p *Pipeliner) *connection {
 	ctx, cancel := context.WithCancel(p.options.Context)
 	c := &connection{Conn: inner, pipeliner: p, context: ctx, cancelAhead: cancel}
-	c.readAbortedCond = sync.NewCond(&c.mu)
+	c.stateCond = sync.NewCond(&c.mu)
 	return c
 }
 
@@ -81,7 +85,7 @@
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	c.readAborted = !t.IsZero() && t.Before(time.Now())
-	c.readAbortedCond.Broadcast()
+	c.stateCond.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(t)
 }
@@ -92,7 +96,7 @@
 	c.cancelAhead()
 	c.mu.Lock()
 	c.readAborted = true
-	c.readAbortedCond.Broadcast()
+	c.stateCond.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -112,16 +116,24 @@
 			c.mu.Unlock()
 			return n, nil
 		}
-		c.mu.Unlock()
-		n, err := c.Conn.Read(p)
+		n, err := c.readInner(c.limited(p))
+		c.readAhead = append(c.readAhead, p[:n]...)
 		if err != nil {
-			return n, err
+			c.mu.Unlock()
+			return 0, err
 		}
-		c.mu.Lock()
-		c.readAhead = append(c.readAhead, p[:n]...)
 	}
 }
 
+// limited returns the part of p that a read of the network may fill: a body is not read beyond its end, so that nothing of the
+// next request is read while this one is answered. The caller holds the lock.
+func (c *connection) limited(p []byte) []byte {
+	if c.phase == bodyPhase && int64(len(p)) > c.bodyLeft {
+		return p[:c.bodyLeft]
+	}
+	return p
+}
+
 // handOut copies into p what belongs to the current request; the caller holds the lock.
 func (c *connection) handOut(p []byte) int {
 	n := min(len(p), len(c.readAhead))
@@ -164,12 +176,10 @@
 	if c.readBuffer == nil {
 		c.readBuffer = make([]byte, readChunkBytes)
 	}
-	for len(c.readAhead) < maxReadAheadBytes {
-		c.mu.Unlock()
-		n, err := c.Conn.Read(c.readBuffer)
-		c.mu.Lock()
+	for c.mayReadAhead() {
+		n, err := c.readInner(c.readBuffer)
 		c.readAhead = append(c.readAhead, c.readBuffer[:n]...)
-		if err != nil {
+		if err != nil && !(isTimeout(err) && !c.mayReadAhead()) {
 			if !isTimeout(err) {
 				c.cancelAhead()
 			}
@@ -178,11 +188,38 @@
 		c.startAhead()
 	}
 	for !c.readAborted {
-		c.readAbortedCond.Wait()
+		c.stateCond.Wait()
 	}
 	return 0, os.ErrDeadlineExceeded
 }
 
+// mayReadAhead returns whether the background read may read what comes behind the current request: not once an answer ends
+// the connection, since that request would be read and never answered. The caller holds the lock.
+func (c *connection) mayReadAhead() bool {
+	return !c.closeAnnounced && len(c.readAhead) < maxReadAheadBytes
+}
+
+// readInner reads from the network; the caller holds the lock, which is released meanwhile.
+func (c *connection) readInner(p []byte) (int, error) {
+	c.reading = true
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.reading = false
+	c.stateCond.Broadcast()
+	return n, err
+}
+
+// interruptRead ends a background read of the network and waits for its end; the caller holds the lock.
+func (c *connection) interruptRead() {
+	for c.reading && c.phase == answeringPhase {
+		// An error means that the connection is closed, which ends the read as well. The server lifts the deadline when it
+		// aborts its background read.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		c.stateCond.Wait()
+	}
+}
+
 func isTimeout(err error) bool {
 	netErr, ok := err.(net.Error)
 	return ok && netErr.Timeout()
@@ -243,7 +280,8 @@
 	return c.answering, c.answering && c.hasReadFurther()
 }
 
-// hasReadFurther returns whether bytes behind the current request have been read; the caller holds the lock.
+// hasReadFurther returns whether bytes behind the current request have been read; the caller holds the lock. Behind a chunked
+// body this is not known.
 func (c *connection) hasReadFurther() bool {
 	switch c.phase {
 	case answeringPhase, headPhase:
@@ -255,14 +293,17 @@
 	}
 }
 
-// mayClose returns whether the answer to a request may end the connection. It may not if later requests have been started:
-// they have been forwarded, and would get no answer. If it may, no later request is started any more.
+// mayClose returns whether the answer to a request may end the connection. It may not if it is not the request's turn, or if
+// bytes of a later request have been read: that request would be read and get no answer. If it may, nothing further is read.
 func (c *connection) mayClose(answered *run) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.queue.countBehind(answered) > 0 {
+	if c.queue.contains(answered) || c.hasReadFurther() {
 		return false
 	}
-	c.closing = true
-	return true
+	c.closeAnnounced = true
+	c.interruptRead()
+	c.closeAnnounced = !c.hasReadFurther()
+	c.closing = c.closing || c.closeAnnounced
+	return c.closeAnnounced
 }
--- a/internal/pipeliner/run.go
+++ b/internal/pipeliner/run.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -69,14 +70,9 @@
 	return first
 }
 
-// countBehind returns how many runs come after r; if r is nil or its turn has come, that is all runs in the queue.
-func (q *queue) countBehind(r *run) int {
-	for i, other := range q.runs {
-		if other == r {
-			return len(q.runs) - i - 1
-		}
-	}
-	return len(q.runs)
+// contains returns whether r is a run whose turn has not come.
+func (q *queue) contains(r *run) bool {
+	return slices.Contains(q.runs, r)
 }
 
 // parseHead parses a head as net/http's server does. Requests with a body or an unusual head are left to the server.
