Callers may pause for seconds while they read an answer

What callers saw: a caller that read nothing of a large answer for 1.5 s had its connection reset, and got a part of the answer (125,946 bytes of 24 MB in the test), at any time, also around a planned stop.

Cause: accepted connections had TCP_USER_TIMEOUT at 1.5 s, meant for VMs that have lost power. The system counts it also while the other end acknowledges everything and only has no room for further bytes. Class: a sign of loss that a sound but slow reader gives as well.

Change: 10 s on accepted connections; a lost VM is noticed there by the probes of idle connections and by the requests' deadlines. Connections that a node opens keep 1.5 s.

Evidence: TestCallerThatPausesGetsTheWholeAnswer, which pauses for 4 s with the answer half way through two nodes, failed before and passes.

--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -66,7 +66,7 @@
 }
 
 func (n *node) listen(ctx context.Context, address string, h http.Handler, idle time.Duration) error {
-	config := net.ListenConfig{KeepAliveConfig: requester.KeepAlive, Control: requester.Control}
+	config := net.ListenConfig{KeepAliveConfig: requester.KeepAlive, Control: requester.Control(requester.ReadTimeout)}
 	l, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
--- a/internal/requester/dial.go
+++ b/internal/requester/dial.go
@@ -19,6 +19,9 @@
 	// AckTimeout is how long sent bytes may stay unacknowledged: several times the round trip between failure
 	// domains (3 ms) and a lost packet's second retransmission (600 ms).
 	AckTimeout = 1500 * time.Millisecond
+	// ReadTimeout is how long the other end of an accepted connection may leave an answer unread. The system can't tell it from
+	// a lost VM while it has no room for further bytes, and callers may pause for seconds.
+	ReadTimeout = 10 * time.Second
 	// probeIdle and probeEvery are when an idle connection is probed; the system's interface takes whole seconds.
 	probeIdle  = 2 * time.Second
 	probeEvery = time.Second
@@ -28,20 +31,23 @@
 // KeepAlive configures the TCP keep-alive probes on idle connections.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount}
 
-// Control sets TCP_USER_TIMEOUT, which package net does not set; it is for net.Dialer and net.ListenConfig.
-func Control(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(AckTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// Control returns a function that sets TCP_USER_TIMEOUT, which package net does not set; it is for net.Dialer and
+// net.ListenConfig.
+func Control(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
 }
 
 // Dial opens a TCP connection that fails when its peer no longer responds.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: Control}
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: Control(AckTimeout)}
 	return d.DialContext(ctx, "tcp", address)
 }
