Endpoints may pause for seconds while they read an upload

What callers saw: an upload whose endpoint read nothing for 1.5 s, with all buffers on the way full, was answered 502, and may have run.

Change: a connection has 10 s while it sends a body above 16 KiB, or one whose length is not known; 1.5 s for all others, whose bytes always find room, so a lost VM is noticed as before.

Evidence: TestEndpointThatPausesGetsTheWholeUpload, 24 MB through two nodes with a pause of 4 s, got 502 before and passes.

--- a/internal/mesher/slow_reader_test.go
+++ b/internal/mesher/slow_reader_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +34,33 @@
 	assert.NilError(t, err, "after %d bytes", read)
 	assert.Equal(t, read, int64(largeAnswerBytes))
 }
+
+// An endpoint pauses while it reads a large upload: the nodes on the way may not take the full connection for one to a VM that has
+// lost power.
+func TestEndpointThatPausesGetsTheWholeUpload(t *testing.T) {
+	f := &fleet{}
+	read := make(chan int64, 1)
+	f.work = func(r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/upload") {
+			return
+		}
+		time.Sleep(4 * time.Second)
+		n, _ := io.Copy(io.Discard, r.Body)
+		read <- n
+	}
+	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
+	entry := f.start(t, "entry", "desk")
+	f.start(t, "beside", "portal")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	r, err := http.NewRequest(http.MethodPost, "http://"+entry.settings.Listen.Outbound.String()+"/long/upload", bytes.NewReader(make([]byte, largeAnswerBytes)))
+	assert.NilError(t, err)
+	r.Host = "h"
+	r.Header.Set("X-Id", "upload")
+	r.Header.Set("X-Key", "k")
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	assert.Equal(t, response.StatusCode, 200, string(text))
+	assert.Equal(t, <-read, int64(largeAnswerBytes))
+}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -97,13 +97,16 @@
 		return nil, DialError{Address: address, Cause: err}
 	}
 	c.options.Connections.Add(1)
-	n := &conn{Conn: opened, count: c.options.Connections, address: address}
+	n := &conn{Conn: opened, count: c.options.Connections, address: address, ackTimeout: AckTimeout}
 	n.reader = bufio.NewReaderSize(n, readBuffer)
 	n.writer = bufio.NewWriterSize(n, writeBuffer)
 	return n, nil
 }
 
 func (c *Client) exchange(n *conn, r *Request) (*Response, error) {
+	if err := n.prepareFor(r); err != nil {
+		return nil, err
+	}
 	writeHead(n.writer, r)
 	var sent chan error
 	switch {
--- a/internal/requester/dial.go
+++ b/internal/requester/dial.go
@@ -19,8 +19,8 @@
 	// AckTimeout is how long sent bytes may stay unacknowledged: several times the round trip between failure
 	// domains (3 ms) and a lost packet's second retransmission (600 ms).
 	AckTimeout = 1500 * time.Millisecond
-	// ReadTimeout is how long the other end of an accepted connection may leave an answer unread. The system can't tell it from
-	// a lost VM while it has no room for further bytes, and callers may pause for seconds.
+	// ReadTimeout is how long the other end may leave an answer or a large body unread. The system can't tell it from a lost VM
+	// while it has no room for further bytes, and callers and endpoints may pause for seconds.
 	ReadTimeout = 10 * time.Second
 	// probeIdle and probeEvery are when an idle connection is probed; the system's interface takes whole seconds.
 	probeIdle  = 2 * time.Second
@@ -34,16 +34,39 @@
 // Control returns a function that sets TCP_USER_TIMEOUT, which package net does not set; it is for net.Dialer and
 // net.ListenConfig.
 func Control(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
+	return func(_, _ string, c syscall.RawConn) error { return setAckTimeout(c, timeout) }
+}
+
+func setAckTimeout(c syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// maxSmallBody is the size in bytes up to which a body always finds room in the system's buffers of the other end.
+const maxSmallBody = 16 << 10
+
+// prepareFor sets how long bytes of the request that is sent next may stay unacknowledged.
+func (c *conn) prepareFor(r *Request) error {
+	timeout := AckTimeout
+	if r.Body != nil && (r.Length < 0 || r.Length > maxSmallBody) {
+		timeout = ReadTimeout
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok || timeout == c.ackTimeout {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
 	}
+	c.ackTimeout = timeout
+	return setAckTimeout(raw, timeout)
 }
 
 // Dial opens a TCP connection that fails when its peer no longer responds.
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -34,8 +35,10 @@
 	idleUntil clock.Time
 	// reused is whether a request has been answered on the connection before.
 	reused bool
-	count  *Connections
-	closed atomic.Bool
+	// ackTimeout is how long sent bytes may stay unacknowledged.
+	ackTimeout time.Duration
+	count      *Connections
+	closed     atomic.Bool
 	// traffic counts the bytes of the request under way, nil for none.
 	traffic atomic.Pointer[Traffic]
 	// bodyFailed is set if the body of the request under way could not be read.
