Failing test: answers are cut off when their requests are cancelled by a stop

What it shows: the pipeliner's context, whose end lets Close skip the wait for the delivery of the last answer, is derived from Options.Context. A stop cancels that with ErrStopped before it answers what is still at work, so each answer that it then sends on a connection with unread bytes is followed by a reset at once.

--- a/internal/pipeliner/delivery_test.go
+++ b/internal/pipeliner/delivery_test.go
@@ -86,3 +86,12 @@
 		})
 	}
 }
+
+// The contexts of all requests end, and the connection with the last answer is closed: the reset would cut the answer off.
+func TestClosingAnswerIsDeliveredWhenItsRequestIsCancelled(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	response := closingAnswer(ctx, t, cancel, 0)
+	n, err := readIn(response, 20, 10*time.Millisecond)
+	assert.NilError(t, err, "after %d of %d bytes", n, largeAnswer)
+}
