Deliver the answers to requests that a stop cancels

What callers saw: the answer to a request that was still at work at the end of a stop broke off with a reset if the caller had sent a further request.

Cause: the context whose end lets Close skip the wait for delivery was derived from that of the requests, which a stop cancels first.

Change: it no longer ends with the requests' context, only with Pipeliner.Close.

Measured: TestClosingAnswerIsDeliveredWhenItsRequestIsCancelled failed 3 of 3 times before and passes 3 of 3 times now (go test -race -count=3).

--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -45,7 +45,8 @@
 	if o.Context == nil {
 		o.Context = context.Background()
 	}
-	ctx, cancel := context.WithCancel(o.Context)
+	// Answers to requests that were cancelled must be delivered as well, so the end of their context does not end this one.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(o.Context))
 	return &Pipeliner{options: o, connections: map[*connection]struct{}{}, context: ctx, cancel: cancel}
 }
 
