Let the server half-close a connection that sends ahead

What callers saw: an answer that refuses a request whose rest is unread (431, for one) seemed to last 500 ms longer, and its connection was kept for 1 s: net/http ends such a connection for writing and waits 500 ms before it closes it, but the pipeliner's connection hid the half-close, and then waited for the delivery again by itself.

Change: the connection passes a half-close on, and does not wait again after one.

--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -64,6 +65,8 @@
 	requestBegun bool
 	// stopped is whether no further request may be read.
 	stopped bool
+	// halfClosed is whether the server has closed the connection for writing, and has waited.
+	halfClosed atomic.Bool
 	// closing is whether an answer ends the connection: the current one or that of the last request started ahead. No
 	// further request is started ahead then.
 	closing bool
@@ -103,7 +106,7 @@
 	c.readAborted = true
 	c.stateCond.Broadcast()
 	c.mu.Unlock()
-	if c.pipeliner.context.Err() == nil && hasUnread(c.Conn) {
+	if !c.halfClosed.Load() && c.pipeliner.context.Err() == nil && hasUnread(c.Conn) {
 		c.awaitDelivery()
 	}
 	return c.Conn.Close()
--- a/internal/pipeliner/delivery.go
+++ b/internal/pipeliner/delivery.go
@@ -7,6 +7,7 @@
 // Example: a caller sends its next request while the last answer, 90 kB with Connection: close, is on its way.
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -17,10 +18,19 @@
 // deliveryTime is how long a connection with unread bytes is kept after its last answer: some round trips and a retransmission.
 const deliveryTime = 500 * time.Millisecond
 
+// CloseWrite ends the connection for the caller; the server uses it where it waits before it closes.
+func (c *connection) CloseWrite() error {
+	c.halfClosed.Store(true)
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // awaitDelivery sends the end of the last answer and gives the caller time to read it.
 func (c *connection) awaitDelivery() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+	if c.CloseWrite() != nil {
 		// The caller has reset the connection.
 		return
 	}
