Close a connection once its last answer has been acknowledged

What callers saw: a caller that had sent a further request and read slowly lost the end of an answer with 'Connection: close' (after 65,385 of 120,000 bytes), also if that request came after the answer.

Cause: the connection was kept for half a second if it held unread bytes when it was closed. A slow reader takes longer, and bytes that come later make the system reset the connection as well.

Change: a connection that ends with an answer is closed for writing, and then kept until the system has nothing unacknowledged, at most 10 s or until the pipeliner is closed.

--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -105,8 +105,9 @@
 	c.mu.Lock()
 	c.readAborted = true
 	c.stateCond.Broadcast()
+	endsWithAnswer := c.closing || c.stopped
 	c.mu.Unlock()
-	if !c.halfClosed.Load() && c.pipeliner.context.Err() == nil && hasUnread(c.Conn) {
+	if endsWithAnswer {
 		c.awaitDelivery()
 	}
 	return c.Conn.Close()
--- a/internal/pipeliner/delivery.go
+++ b/internal/pipeliner/delivery.go
@@ -1,8 +1,8 @@
 package pipeliner
 
-// The system resets a connection that is closed while it holds bytes that were not read, and drops what it has not sent yet. A
-// caller that sends ahead would thereby lose the end of an answer that was written completely. Therefore such a connection is
-// first closed for writing only.
+// The system resets a connection that is closed while it holds bytes that were not read, or that gets some afterwards, and drops
+// what it has not sent yet. A caller that sends ahead would thereby lose the end of an answer that was written completely.
+// Therefore a connection that ends with an answer is first closed for writing only, until all of it has been acknowledged.
 //
 // Example: a caller sends its next request while the last answer, 90 kB with Connection: close, is on its way.
 
@@ -15,8 +15,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// deliveryTime is how long a connection with unread bytes is kept after its last answer: some round trips and a retransmission.
-const deliveryTime = 500 * time.Millisecond
+const (
+	// maxDeliveryTime is how long a caller may take to read the last answer of a connection; it may pause for seconds.
+	maxDeliveryTime = 10 * time.Second
+	// minDeliveryCheck and maxDeliveryCheck are the shortest and longest time between two looks at what is not acknowledged.
+	minDeliveryCheck = 2 * time.Millisecond
+	maxDeliveryCheck = 50 * time.Millisecond
+)
 
 // CloseWrite ends the connection for the caller; the server uses it where it waits before it closes.
 func (c *connection) CloseWrite() error {
@@ -28,33 +33,48 @@
 	return half.CloseWrite()
 }
 
-// awaitDelivery sends the end of the last answer and gives the caller time to read it.
+// awaitDelivery waits until the caller's system has all of the last answer.
 func (c *connection) awaitDelivery() {
-	if c.CloseWrite() != nil {
+	if !c.halfClosed.Load() && c.CloseWrite() != nil {
 		// The caller has reset the connection.
 		return
 	}
-	timer := time.NewTimer(deliveryTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.pipeliner.context.Done():
+	begun := time.Now()
+	for check := minDeliveryCheck; hasUnacknowledged(c.Conn) && time.Since(begun) < maxDeliveryTime; {
+		timer := time.NewTimer(check)
+		select {
+		case <-timer.C:
+		case <-c.pipeliner.context.Done():
+			timer.Stop()
+			return
+		}
+		check = min(2*check, maxDeliveryCheck)
 	}
 }
 
-// hasUnread returns whether the system holds bytes of a connection that were not read; false if it can't tell.
-func hasUnread(n net.Conn) bool {
+// hasUnacknowledged returns whether the other end of a connection has not acknowledged all bytes; false if that can't be told.
+func hasUnacknowledged(n net.Conn) bool {
+	count := 0
+	err := withDescriptor(n, func(fd int) (err error) {
+		count, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		return err
+	})
+	return err == nil && count > 0
+}
+
+// withDescriptor calls f with a connection's file descriptor.
+func withDescriptor(n net.Conn, f func(fd int) error) error {
 	s, ok := n.(syscall.Conn)
 	if !ok {
-		return false
+		return errors.ErrUnsupported
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	unread := 0
-	if err := raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
-		return false
+	failed := error(nil)
+	if err := raw.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
+		return err
 	}
-	return err == nil && unread > 0
+	return failed
 }
--- a/internal/pipeliner/half_close_test.go
+++ b/internal/pipeliner/half_close_test.go
@@ -10,6 +10,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// closeWait is how long net/http's server keeps a connection that it has closed for writing.
+const closeWait = 500 * time.Millisecond
+
 // The server ends a connection with an answer and bytes of the request left unread: if it could not end the writing first, the
 // caller would wait for the end of the connection, and the connection would be kept for twice the time.
 func TestConnectionOfRefusedHeaderEndsAtOnceForCaller(t *testing.T) {
@@ -25,9 +28,9 @@
 	begun := time.Now()
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.NilError(t, err)
-	assert.Assert(t, time.Since(begun) < deliveryTime/2, "ended after %v", time.Since(begun))
+	assert.Assert(t, time.Since(begun) < closeWait/2, "ended after %v", time.Since(begun))
 	for p.Load().Open > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
-	assert.Assert(t, time.Since(begun) < 2*deliveryTime-deliveryTime/10, "closed after %v", time.Since(begun))
+	assert.Assert(t, time.Since(begun) < 2*closeWait-closeWait/10, "closed after %v", time.Since(begun))
 }
