Notice callers that leave while nothing may be read from them

What callers and endpoints saw: since a caller that left an answer with 'Connection: close' was noticed only by a failed write, and the endpoint of a silent stream went on working for nobody.

Cause: such a connection is not read any more, so that no further request is read and dropped, and reading was how its end was seen.

Change: while it may not be read, the connection is asked ten times a second whether the other end has closed it, which takes no bytes from it.

Evidence: TestCallerThatLeavesAClosingAnswerIsNoticed failed before for the closing connection and passes.

--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -26,6 +26,8 @@
 	maxReadAheadBytes = 64 << 10
 	// readChunkBytes is the size of each connection's read buffer; it holds one or two requests.
 	readChunkBytes = 512
+	// endCheckPeriod is how often a connection from which nothing may be read is checked for its end.
+	endCheckPeriod = 100 * time.Millisecond
 )
 
 // phase is what the server reads next.
@@ -205,11 +207,26 @@
 		c.startAhead()
 	}
 	for !c.readAborted {
-		c.stateCond.Wait()
+		if hasEnded(c.Conn) {
+			c.cancelAhead()
+			return 0, io.EOF
+		}
+		c.waitForChange(endCheckPeriod)
 	}
 	return 0, os.ErrDeadlineExceeded
 }
 
+// waitForChange waits until the connection's state changes, at most for the given time; the caller holds the lock.
+func (c *connection) waitForChange(most time.Duration) {
+	timer := time.AfterFunc(most, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.stateCond.Broadcast()
+	})
+	defer timer.Stop()
+	c.stateCond.Wait()
+}
+
 // mayReadAhead returns whether the background read may read what comes behind the current request: not once an answer ends
 // the connection, since that request would be read and never answered. The caller holds the lock.
 func (c *connection) mayReadAhead() bool {
--- a/internal/pipeliner/delivery.go
+++ b/internal/pipeliner/delivery.go
@@ -62,6 +62,19 @@
 	return err == nil && count > 0
 }
 
+// hasEnded returns whether the other end has closed a connection or reset it, without reading from it; false if that can't be
+// told.
+func hasEnded(n net.Conn) bool {
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	states := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err := withDescriptor(n, func(fd int) error {
+		states[0].Fd = int32(fd)
+		_, err := unix.Poll(states, 0)
+		return err
+	})
+	return err == nil && states[0].Revents&ended != 0
+}
+
 // withDescriptor calls f with a connection's file descriptor.
 func withDescriptor(n net.Conn, f func(fd int) error) error {
 	s, ok := n.(syscall.Conn)
