Begin a stop that is requested during the start after it

What operators saw: a node that got SIGTERM while it opened its listeners ended at once with an error, without a planned stop.

Cause: the start's context ended with the signal.

Change: the start ends with its own timeout only, and the stop follows it.

Measured: TestStopDuringStartIsPlanned failed with context canceled before and passes 3 of 3 times now (go test -race -count=3).

--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -112,7 +112,8 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	start, cancel := context.WithTimeout(ctx, startTimeout)
+	// A stop that is requested meanwhile begins after the start: the first listeners may have read requests.
+	start, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	defer cancel()
 	if err := app.Start(start); err != nil {
 		return err
