Soak: judge requests that a planned stop cuts off

The judge had no check for a request that ends without an answer around a planned stop, and a restart by SIGTERM was recorded like a kill, as an excuse. Planned stops and unplanned disruptions are now recorded apart, and the check cutByStop compares the stops with what callers and endpoints saw. The first four rows draw what they drew before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	faults := app.Flag("fault", "Name of a fault to inject; repeat it for several. Default: all faults.").Enums(soaker.FaultNames()...)
 	nodes := app.Flag("nodes", "Number of nodes.").Default("6").Int()
 	returns := app.Flag("returns", "Whether callers return once after a refusal that says when.").Default("true").Bool()
+	stays := app.Flag("stays", "Whether some callers stay on one connection until it ends.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -38,7 +39,7 @@
 		}
 		report, err := soaker.Run(ctx, soaker.Options{
 			Program: *program, Directory: folder, Seed: s, Length: *length, Nodes: *nodes, Faults: *faults,
-			Returns: *returns,
+			Returns: *returns, Stays: *stays,
 		})
 		app.FatalIfError(err, "seed %d", s)
 		breaches += len(report.Breaches)
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -27,6 +27,9 @@
 	// Answered is when the answer arrived, or the caller timed out.
 	Answered time.Time
 	Answer   standin.Answer
+	// FirstInLine is when the last answer before its own had arrived on its connection, or when it was sent, if there was
+	// none. It is zero if an answer before it said that the connection closes, and if the caller cannot tell.
+	FirstInLine time.Time
 }
 
 // Breach is one case of a broken promise.
@@ -56,6 +59,9 @@
 	// MinRecoveredRatio is the ratio of requests that must be served once all faults are over and recoveryGrace has
 	// passed.
 	MinRecoveredRatio float64
+	// Grace is how long a planned stop may take. A request sent within Contact of its begin whose endpoint is still at work in
+	// the last sixth of Grace may be cut. LossSlack is how long after its sending a request that was read needs no answer.
+	Grace, LossSlack time.Duration
 }
 
 // Record collects the events of a soak; it is safe for concurrent use.
@@ -74,6 +80,11 @@
 	limits   map[string][]limitChange
 	starts   map[string][]time.Time
 	excuses  map[string][]span
+	// stops are the planned stops of each node, from SIGTERM to the exit. disruptions are the unplanned ones of each node and
+	// endpoint.
+	stops, disruptions map[string][]span
+	// ended holds when each run ended, by request and endpoint.
+	ended map[[2]string]time.Time
 	// faultsEnded is when the last fault ended; zero while faults go on.
 	faultsEnded time.Time
 }
@@ -92,6 +103,8 @@
 		limits:     map[string][]limitChange{},
 		starts:     map[string][]time.Time{},
 		excuses:    map[string][]span{},
+
+		stops: map[string][]span{}, disruptions: map[string][]span{}, ended: map[[2]string]time.Time{},
 	}
 }
 
@@ -177,6 +190,7 @@
 	for _, check := range []func(Terms) []Breach{
 		r.wrongAnswers, r.ranTwice, r.falseNotRun, r.unknownRuns, r.keyBreaches, r.rateExceeded, r.afterLeaving,
 		r.limitExceeded, r.afterLeavingAnswer, r.withoutRetryAfter, r.retriesExceeded, r.notRecovered, r.unexpectedExits,
+		r.cutByStop,
 	} {
 		found := check(t)
 		all = append(all, found[:min(len(found), maxBreachesPerCheck)]...)
--- a/internal/soaker/judge_test.go
+++ b/internal/soaker/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 var terms = Terms{
 	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20,
 	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 5, MinRecoveredRatio: 0.95,
+	Contact: 3 * time.Second, Grace: 6 * time.Second, LossSlack: 200 * time.Millisecond,
 }
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -153,6 +155,13 @@
 				addSpread(r, fmt.Sprint("s", i), 20+float64(i)/4, i%3 == 0 && i > 0)
 			}
 		}, ""},
+		"a request at an endpoint cut by a planned stop": {func(r *Record) {
+			s := sent("x", 24, 0)
+			s.Node, s.Answered, s.Answer.Err = "node-1", second(24.8), io.ErrUnexpectedEOF
+			r.AddRequest(s)
+			r.AddArrival(standin.Arrival{Request: "x", Instance: "i-1", At: second(24.01)})
+			r.stops["node-1"] = []span{{from: second(20), to: second(24.8)}}
+		}, "cutByStop"},
 		"a process exited": {func(r *Record) { r.AddExit("node 3: exit status 2") }, "ended"},
 	}
 	for name, test := range tests {
--- a/internal/soaker/notices.go
+++ b/internal/soaker/notices.go
@@ -53,25 +53,34 @@
 
 // BeginExcuse records that a node is restarted, frozen or cut off until the returned function is called.
 func (r *Record) BeginExcuse(node string) (end func()) {
+	return r.beginSpan(r.excuses, node)
+}
+
+// beginSpan adds a span that lasts until the returned function is called.
+func (r *Record) beginSpan(spans map[string][]span, name string) (end func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.excuses[node] = append(r.excuses[node], span{from: time.Now()})
-	i := len(r.excuses[node]) - 1
+	spans[name] = append(spans[name], span{from: time.Now()})
+	i := len(spans[name]) - 1
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.excuses[node][i].to = time.Now()
+		spans[name][i].to = time.Now()
 	}
 }
 
 // excusedSince returns whether a restart, freeze or cut of the node lasted at any moment from the given time to the other.
 func (r *Record) excusedSince(node string, from, to time.Time) bool {
-	for _, e := range r.excuses[node] {
-		if !e.from.After(to) && (e.to.IsZero() || !e.to.Before(from)) {
-			return true
-		}
-	}
-	return false
+	return anyTouches(r.excuses[node], from, to)
+}
+
+// anyTouches returns whether any of the spans lasted at any moment from the given time to the other.
+func anyTouches(spans []span, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.touches(from, to) })
+}
+
+func (s span) touches(from, to time.Time) bool {
+	return !s.from.After(to) && (s.to.IsZero() || !s.to.Before(from))
 }
 
 // passedOn holds, for each endpoint and node, when the node passed on the endpoint's answers of one kind.
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -17,7 +17,7 @@
 	"github.com/jackdawtide/jackdawtide/platform/standin"
 )
 
-// generalSequences is the number of sequences that draw from faults; one more draws from loadFaults.
+// generalSequences is the number of sequences that draw from faults; one more draws from loadFaults and one from stopFaults.
 const generalSequences = 3
 
 const (
@@ -35,6 +35,7 @@
 
 func proxyFault(name string, proxyOf func(*node) *Proxy, t Treatment) fault {
 	return fault{name, func(_ *fleet, n *node, d time.Duration) error {
+		defer n.beginDisruption()()
 		proxyOf(n).Set(t)
 		time.Sleep(d)
 		proxyOf(n).Set(Passing)
@@ -60,6 +61,7 @@
 	{"terminate", func(_ *fleet, n *node, d time.Duration) error { return n.restartExclusively(syscall.SIGTERM, d/4) }},
 	{"pause", func(f *fleet, n *node, d time.Duration) error {
 		defer f.record.BeginExcuse(n.name)()
+		defer n.beginDisruption()()
 		n.signal(syscall.SIGSTOP)
 		time.Sleep(d)
 		n.signal(syscall.SIGCONT)
@@ -106,19 +108,19 @@
 
 // FaultNames returns the names of all faults.
 func FaultNames() (names []string) {
-	for _, f := range slices.Concat(faults, loadFaults) {
+	for _, f := range slices.Concat(faults, loadFaults, stopFaults) {
 		names = append(names, f.name)
 	}
 	return names
 }
 
-// faultsBySequence returns the faults that each sequence draws from. The faults of loadFaults have a sequence of their own,
-// since a longer list in the other sequences would change the plan of every seed.
+// faultsBySequence returns the faults that each sequence draws from. The faults of loadFaults and those of stopFaults have a
+// sequence of their own each, since a longer list in the other sequences would change the plan of every seed.
 func faultsBySequence(names []string) (sequences [][]fault) {
 	for range generalSequences {
 		sequences = append(sequences, selectedFaults(faults, names))
 	}
-	return append(sequences, selectedFaults(loadFaults, names))
+	return append(sequences, selectedFaults(loadFaults, names), selectedFaults(stopFaults, names))
 }
 
 // selectedFaults returns the faults with the given names, all if none is given.
@@ -149,6 +151,11 @@
 
 // restartExclusively restarts a node unless a restart of it is already in progress.
 func (n *node) restartExclusively(s syscall.Signal, pause time.Duration) error {
+	return n.restartWhile(s, pause, func() {})
+}
+
+// restartWhile does the same, and something else meanwhile.
+func (n *node) restartWhile(s syscall.Signal, pause time.Duration, meanwhile func()) error {
 	if !n.restarting.CompareAndSwap(false, true) {
 		return nil
 	}
@@ -156,7 +163,7 @@
 	defer n.record.BeginExcuse(n.name)()
 	// A paused process would not act on SIGTERM.
 	n.signal(syscall.SIGCONT)
-	return n.restart(s, pause)
+	return n.restart(s, pause, meanwhile)
 }
 
 func (f *fleet) killAll(pause time.Duration) error {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -3,7 +3,7 @@
 // Each node runs as a separate process, with proxies between it and the store, its endpoint and its callers. Only
 // processes started here are signalled, through the handle from their start.
 //
-// Example: n.signal(syscall.SIGSTOP) pauses the node, n.restart(syscall.SIGTERM, pause) ends it and starts it again.
+// Example: n.signal(syscall.SIGSTOP) pauses the node, n.restart(syscall.SIGTERM, pause, meanwhile) ends it and starts it again.
 
 import (
 	"context"
@@ -159,14 +159,34 @@
 	<-n.exited
 }
 
-// restart ends the process and starts it again after a pause.
-func (n *node) restart(s syscall.Signal, pause time.Duration) error {
+// restart ends the process and starts it again after a pause. SIGTERM is a planned stop, any other signal a disruption.
+// Meanwhile is called once the signal has been sent, and has returned before the process starts again.
+func (n *node) restart(s syscall.Signal, pause time.Duration, meanwhile func()) error {
+	endStop := func() {}
+	if s == syscall.SIGTERM {
+		endStop = n.record.BeginStop(n.name)
+	} else {
+		defer n.beginDisruption()()
+	}
 	n.signal(s)
+	var other sync.WaitGroup
+	other.Go(meanwhile)
 	n.awaitExit()
+	endStop()
+	other.Wait()
 	time.Sleep(pause)
 	return n.start()
 }
 
+// beginDisruption records that the node and the way to its endpoint are disrupted until the returned function is called.
+func (n *node) beginDisruption() (end func()) {
+	endNode, endEndpoint := n.record.BeginDisruption(n.name), n.record.BeginDisruption(n.instance)
+	return func() {
+		endNode()
+		endEndpoint()
+	}
+}
+
 // fleet is the whole system under test.
 type fleet struct {
 	options  Options
@@ -209,7 +229,7 @@
 		Instance: n.instance, Service: service, Zone: n.domain, Slots: slots, Work: 10 * time.Millisecond,
 		Control: n.announcements, Outbound: n.outbound, Host: host, Nested: nested, Address: n.endpoint.Address(),
 		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name, nested), Acknowledged: f.record.AddLeave,
-		Condition: n.condition.draw,
+		Condition: n.condition.draw, Ended: f.record.AddRunEnd,
 	})
 	go n.backend.Announce(ctx)
 	f.nodes = append(f.nodes, n)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -28,6 +28,7 @@
 	LimitWindow: 4 * time.Second, LimitReaction: 500 * time.Millisecond, Contact: 3 * time.Second, LimitExcess: 1.5, LimitSlack: 5,
 	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 	MinRecoveredRatio: 0.95,
+	Grace:             terminationGrace, LossSlack: 200 * time.Millisecond,
 }
 
 // Run runs one soak and returns its report; an error means that the soak could not be completed.
@@ -94,6 +95,11 @@
 			}()
 		}
 	}
+	if f.options.Stays {
+		for i, n := range f.nodes {
+			f.startStayingCallers(calling, n, i, &callers)
+		}
+	}
 	return func() {
 		cancel()
 		callers.Wait()
--- a/internal/soaker/traffic.go
+++ b/internal/soaker/traffic.go
@@ -117,13 +117,18 @@
 	}
 }
 
+// interval returns a time between two requests, longer in a large fleet.
+func (f *fleet) interval(i time.Duration) time.Duration {
+	return i * time.Duration(max(fullRateNodes, f.options.Nodes)) / fullRateNodes
+}
+
 // runCaller runs one caller at a node until the context ends.
 func (f *fleet) runCaller(ctx context.Context, n *node, caller int, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersPerNode, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	var pending sync.WaitGroup
 	defer pending.Wait()
-	ticker := time.NewTicker(requestInterval * time.Duration(max(fullRateNodes, f.options.Nodes)) / fullRateNodes)
+	ticker := time.NewTicker(f.interval(requestInterval))
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		select {
@@ -131,21 +136,7 @@
 			return
 		case <-ticker.C:
 		}
-		team, key := f.teams.pickKey(random)
-		q := standin.Request{
-			Address: n.callers.Address(), Host: host, ID: fmt.Sprintf("%s-%d-%d", n.name, caller, i), Key: key, Timeout: callTimeout,
-		}
-		idempotent := true
-		switch random.IntN(4) {
-		case 0:
-			q.Path = "/read/x"
-		case 1:
-			q.Path = "/browse/x"
-		case 2:
-			q.Path, q.Body, idempotent = "/order/x", "order "+q.ID, false
-		default:
-			q.Path = "/look/x"
-		}
+		q, team, idempotent := f.drawRequest(random, n.callers.Address(), fmt.Sprintf("%s-%d-%d", n.name, caller, i))
 		pending.Add(1)
 		go func() {
 			defer pending.Done()
@@ -154,6 +145,24 @@
 	}
 }
 
+// drawRequest returns a random request with one of the keys.
+func (f *fleet) drawRequest(random *rand.Rand, address, id string) (q standin.Request, team string, idempotent bool) {
+	team, key := f.teams.pickKey(random)
+	q = standin.Request{Address: address, Host: host, ID: id, Key: key, Timeout: callTimeout}
+	idempotent = true
+	switch random.IntN(4) {
+	case 0:
+		q.Path = "/read/x"
+	case 1:
+		q.Path = "/browse/x"
+	case 2:
+		q.Path, q.Body, idempotent = "/order/x", "order "+q.ID, false
+	default:
+		q.Path = "/look/x"
+	}
+	return q, team, idempotent
+}
+
 // sendAndReturn sends a request and, if callers return and it is refused with a time to return, a new request at that time,
 // unless the context has ended by then.
 func (f *fleet) sendAndReturn(ctx context.Context, client *http.Client, node string, q standin.Request, team string, idempotent bool) {
--- a/internal/soaker/types.go
+++ b/internal/soaker/types.go
@@ -27,6 +27,9 @@
 	// Returns makes callers return once after a refusal that says when. Without it the demand does not depend on the
 	// answers, as tests that compare the requests served with a limit need.
 	Returns bool
+	// Stays adds callers that stay on their connections, one request or two at a time. Without them a seed's demand is as it
+	// was before they were added.
+	Stays bool
 }
 
 // Report is the outcome of a soak.
