Soak: count a cut request that arrives after its connection has ended

The time of the arrival now counts only for a connection after which the client sent the request once more. The case of TestStopCheck failed before.

--- a/internal/soaker/stops.go
+++ b/internal/soaker/stops.go
@@ -47,12 +47,14 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// lastArrivals returns the last arrival of each request before the connection of the request ended.
+// lastArrivals returns the last arrival of each request; of one that its client sent once more, the last before that. A
+// request that the node passed on just before it exited may arrive after its caller's connection has ended.
 func (r *Record) lastArrivals() map[string]standin.Arrival {
 	last := map[string]standin.Arrival{}
 	for _, arrivals := range r.arrivals {
 		for _, a := range arrivals {
-			if at, isCut := r.sent[a.Request].cutAt(); isCut && !a.At.After(at) && a.At.After(last[a.Request].At) {
+			lostAt := r.sent[a.Request].Answer.LostAt
+			if (lostAt.IsZero() || !a.At.After(lostAt)) && a.At.After(last[a.Request].At) {
 				last[a.Request] = a
 			}
 		}
--- a/internal/soaker/stops_test.go
+++ b/internal/soaker/stops_test.go
@@ -46,6 +46,7 @@
 	}
 	tests := map[string]test{
 		"at an endpoint":                       cutAtWork(func(*test) {}),
+		"arrived just after the cut":           cutAtWork(func(c *test) { c.arrivals[0].at = 24.803 }),
 		"reset at an endpoint":                 cutAtWork(func(c *test) { c.err = reset }),
 		"sent before SIGTERM":                  cutAtWork(func(c *test) { c.sent, c.cut, c.arrivals[0].at = 19.5, 20.3, 19.6 }),
 		"cut at SIGTERM":                       cutAtWork(func(c *test) { c.sent, c.cut, c.arrivals[0].at = 19.9, 20, 19.95 }),
