Know where a chunked body ends, and answer what was read behind it

What callers saw: a caller that sends a request behind one with a chunked body got no answer to it when the first answer closed the connection, although the server had read it. A caller that closed such a connection was noticed only when the request had run to its end.

Cause: behind a chunked body the pipeliner lost the request boundary and handed the server everything for the rest of the connection. Requests then waited in net/http's buffer, unknown to mayClose, and net/http's background read ended with the first byte of the next request.

The server gets no byte beyond the body, and a read of the network is as long as the body still is at least, so that it reads nothing of the next request. Bytes read straight into the server's buffer are no longer copied through readAhead. A malformed body, and one whose trailers end with bare line feeds, is passed through, and its connection ends with its answer.

--- a/internal/pipeliner/closing_test.go
+++ b/internal/pipeliner/closing_test.go
@@ -59,10 +59,13 @@
 		request  string
 		gap      time.Duration
 	}{
-		"sent at once":                     {request: idempotentRequest("/20/close")},
-		"sent at once, started ahead":      {request: idempotentRequest("/20/close"), maxAhead: 4},
-		"not idempotent":                   {request: nonIdempotentRequest("/20/close", "two rings"), maxAhead: 4},
-		"sent while the answer is written": {request: idempotentRequest("/1/close"), gap: time.Millisecond},
+		"sent at once":                              {request: idempotentRequest("/20/close")},
+		"sent at once, started ahead":               {request: idempotentRequest("/20/close"), maxAhead: 4},
+		"not idempotent":                            {request: nonIdempotentRequest("/20/close", "two rings"), maxAhead: 4},
+		"sent while the answer is written":          {request: idempotentRequest("/1/close"), gap: time.Millisecond},
+		"chunked":                                   {request: chunked("/20/close", "two rings")},
+		"chunked, started ahead":                    {request: chunked("/20/close", "two rings"), maxAhead: 4},
+		"chunked, sent while the answer is written": {request: chunked("/1/close", "two rings"), gap: time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for range 20 {
@@ -103,11 +106,13 @@
 		request  string
 		gap      time.Duration
 	}{
-		"idempotent":            {request: idempotentRequest("/3/600"), maxAhead: 4},
-		"not idempotent":        {request: nonIdempotentRequest("/3/600", "two rings"), maxAhead: 4},
-		"one behind the other":  {request: idempotentRequest("/1/a"), gap: 2 * time.Millisecond},
-		"a slow run":            {request: idempotentRequest("/150/a"), gap: 5 * time.Millisecond, maxAhead: 1},
-		"answers beyond buffer": {request: idempotentRequest("/2/90000"), maxAhead: 4},
+		"idempotent":                    {request: idempotentRequest("/3/600"), maxAhead: 4},
+		"not idempotent":                {request: nonIdempotentRequest("/3/600", "two rings"), maxAhead: 4},
+		"one behind the other":          {request: idempotentRequest("/1/a"), gap: 2 * time.Millisecond},
+		"a slow run":                    {request: idempotentRequest("/150/a"), gap: 5 * time.Millisecond, maxAhead: 1},
+		"answers beyond buffer":         {request: idempotentRequest("/2/90000"), maxAhead: 4},
+		"chunked":                       {request: chunked("/3/600", "two rings"), maxAhead: 4},
+		"chunked, one behind the other": {request: chunked("/1/a", "two rings"), gap: 2 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -37,7 +37,9 @@
 	bodyPhase
 	// answeringPhase: nothing; a read is the server's background read, which detects a closed connection.
 	answeringPhase
-	// passthroughPhase: anything, since after a chunked body the request boundaries are not known.
+	// chunksPhase: the rest of a chunked body.
+	chunksPhase
+	// passthroughPhase: anything, since a malformed chunked body has no known end; the connection ends with its answer.
 	passthroughPhase
 )
 
@@ -57,6 +59,8 @@
 	readBuffer []byte
 	// bodyLeft is how many bytes of the body have not been given to the server.
 	bodyLeft int64
+	// chunks is what is known of a chunked body at the bytes that have been given to the server.
+	chunks chunks
 	// serving is whether a request is being answered; answering lasts from its head until its whole answer has been passed
 	// to the network, which the server shows by asking for the next head.
 	serving, answering bool
@@ -128,8 +132,18 @@
 			c.mu.Unlock()
 			return 0, io.EOF
 		}
+		// A read of one byte is the server's background read for a request in its buffer, which an end would cancel.
+		if c.phase == passthroughPhase && !c.serving && len(p) > 1 {
+			c.mu.Unlock()
+			return 0, io.EOF
+		}
 		n, err := c.readInner(c.limited(p))
-		c.readAhead = append(c.readAhead, p[:n]...)
+		if n > 0 {
+			taken := c.take(p[:n])
+			c.readAhead = append(c.readAhead, p[taken:n]...)
+			c.mu.Unlock()
+			return taken, nil
+		}
 		if err != nil && !(isTimeout(err) && c.stopped && c.idle()) {
 			c.mu.Unlock()
 			return 0, err
@@ -140,27 +154,40 @@
 // limited returns the part of p that a read of the network may fill: a body is not read beyond its end, so that nothing of the
 // next request is read while this one is answered. The caller holds the lock.
 func (c *connection) limited(p []byte) []byte {
-	if c.phase == bodyPhase && int64(len(p)) > c.bodyLeft {
-		return p[:c.bodyLeft]
+	switch c.phase {
+	case bodyPhase:
+		return p[:min(int64(len(p)), c.bodyLeft)]
+	case chunksPhase:
+		return p[:min(len(p), c.chunks.least())]
+	default:
+		return p
 	}
-	return p
 }
 
 // handOut copies into p what belongs to the current request; the caller holds the lock.
 func (c *connection) handOut(p []byte) int {
-	n := min(len(p), len(c.readAhead))
+	n := c.take(c.readAhead[:min(len(p), len(c.readAhead))])
+	copy(p, c.readAhead[:n])
+	c.readAhead = append(c.readAhead[:0], c.readAhead[n:]...)
+	return n
+}
+
+// take returns how many of the bytes belong to the current request, and counts them as given to the server; the caller holds
+// the lock.
+func (c *connection) take(data []byte) int {
+	n := len(data)
 	ended := false
 	switch c.phase {
 	case headPhase:
-		n, ended = c.boundary.end(c.readAhead[:n])
+		n, ended = c.boundary.end(data)
 	case bodyPhase:
 		n = int(min(int64(n), c.bodyLeft))
 		c.bodyLeft -= int64(n)
 		ended = c.bodyLeft == 0
+	case chunksPhase:
+		n, ended = c.chunks.end(data)
 	}
 	c.requestBegun = c.requestBegun || n > 0
-	copy(p, c.readAhead[:n])
-	c.readAhead = append(c.readAhead[:0], c.readAhead[n:]...)
 	switch {
 	case ended && c.phase == headPhase:
 		c.handedRun = c.queue.consume(n)
@@ -168,6 +195,8 @@
 		c.answering = true
 	case ended:
 		c.phase = c.afterBody()
+	case c.phase == chunksPhase && c.chunks.state == chunkMalformed:
+		c.phase = passthroughPhase
 	case c.phase == headPhase:
 		c.queue.consume(n)
 	}
@@ -214,7 +243,7 @@
 
 // idle returns whether no byte of an unanswered request has been read; the caller holds the lock.
 func (c *connection) idle() bool {
-	return (c.phase == headPhase || c.phase == passthroughPhase) && !c.serving && !c.requestBegun && len(c.readAhead) == 0
+	return c.phase == headPhase && !c.serving && !c.requestBegun && len(c.readAhead) == 0
 }
 
 // stopReading lets no further request be read: an idle connection ends, any other with the answer to the last request that was
@@ -266,7 +295,7 @@
 	case r.ContentLength > 0:
 		c.phase, c.bodyLeft = bodyPhase, r.ContentLength
 	case r.ContentLength < 0:
-		c.phase = passthroughPhase
+		c.phase, c.chunks = chunksPhase, chunks{}
 	default:
 		c.startAhead()
 	}
@@ -310,14 +339,18 @@
 	return c.answering, c.answering && c.hasReadFurther()
 }
 
-// hasReadFurther returns whether bytes behind the current request have been read; the caller holds the lock. Behind a chunked
-// body this is not known.
+// hasReadFurther returns whether bytes behind the current request have been read; the caller holds the lock. Behind a
+// malformed chunked body this is not known.
 func (c *connection) hasReadFurther() bool {
 	switch c.phase {
 	case answeringPhase, headPhase:
 		return len(c.readAhead) > 0
 	case bodyPhase:
 		return int64(len(c.readAhead)) > c.bodyLeft
+	case chunksPhase:
+		rest := c.chunks
+		n, ended := rest.end(c.readAhead)
+		return ended && n < len(c.readAhead)
 	default:
 		return false
 	}
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -49,7 +49,10 @@
 	defer s.running.Add(-1)
 	var milliseconds, size int
 	_, _ = fmt.Sscanf(r.URL.Path, "/%d/%d", &milliseconds, &size)
-	body, _ := io.ReadAll(r.Body)
+	var body []byte
+	if !strings.HasSuffix(r.URL.Path, "unread") {
+		body, _ = io.ReadAll(r.Body)
+	}
 	select {
 	case <-time.After(time.Duration(milliseconds) * time.Millisecond):
 	case <-r.Context().Done():
@@ -111,6 +114,20 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", path, len(body), body)
 }
 
+// chunkedInParts returns a request with a body in several chunks, with extensions and trailers.
+func chunkedInParts(rt *rapid.T, path, body string) string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", path)
+	extensions := rapid.SampledFrom([]string{"", "", " ", ";a=b", `;a="0 "`})
+	for len(body) > 0 {
+		n := rapid.IntRange(1, len(body)).Draw(rt, "chunk")
+		_, _ = fmt.Fprintf(&b, "%x%s\r\n%s\r\n", n, extensions.Draw(rt, "extension"), body[:n])
+		body = body[n:]
+	}
+	trailers := rapid.SampledFrom([]string{"", "", "A: b\r\n", "A: GET /0/0/smuggled HTTP/1.1\r\nB:\n c\r\n"}).Draw(rt, "trailers")
+	return b.String() + "0" + extensions.Draw(rt, "extension") + "\r\n" + trailers + "\r\n"
+}
+
 func (c *caller) send(t testing.TB, requests ...string) {
 	t.Helper()
 	_, err := io.WriteString(c, strings.Join(requests, ""))
@@ -162,13 +179,17 @@
 		"a non-idempotent request behind": {nonIdempotentRequest("/900/b", "two rings")},
 		"part of a head":                  {"GET /900/b HT"},
 		"a body first":                    {idempotentRequest("/900/b")},
+		"a chunked body first":            {idempotentRequest("/900/b")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := serve(t, 4)
 			c := s.call(t)
 			first := idempotentRequest("/900/a")
-			if name == "a body first" {
+			switch name {
+			case "a body first":
 				first = nonIdempotentRequest("/900/a", "one ring")
+			case "a chunked body first":
+				first = chunked("/900/a", "one ring")
 			}
 			c.send(t, first)
 			eventually(t, "begun", func() bool { return s.running.Load() == 1 })
@@ -291,14 +312,16 @@
 		var all, want []string
 		for range rapid.IntRange(1, 12).Draw(rt, "requests") {
 			serial++
-			path := fmt.Sprintf("/%d/%d/%d", rapid.IntRange(0, 3).Draw(rt, "ms"), rapid.SampledFrom([]int{0, 9, 6000}).Draw(rt, "size"), serial)
+			path := fmt.Sprintf("/%d/%d/%d%s", rapid.IntRange(0, 3).Draw(rt, "ms"),
+				rapid.SampledFrom([]int{0, 9, 6000}).Draw(rt, "size"), serial,
+				rapid.SampledFrom([]string{"", "unread"}).Draw(rt, "read"))
 			hidden := idempotentRequest("/0/0/smuggled")
 			body := hidden[:rapid.IntRange(1, len(hidden)).Draw(rt, "body")]
 			kind := rapid.SampledFrom([]func() string{
 				func() string { return idempotentRequest(path) },
 				func() string { return idempotentRequest(path) },
 				func() string { return nonIdempotentRequest(path, body) },
-				func() string { return chunked(path, body) },
+				func() string { return chunkedInParts(rt, path, body) },
 				func() string { return "GET " + path + " HTTP/1.1\nHost: a\n\n" },
 			}).Draw(rt, "kind")
 			all, want = append(all, kind()), append(want, path)
