End a stopped connection whose last request body was not read

What callers saw: around a stop, a connection on which a handler had not read a request's body to its end was kept and read from as long as its caller sent requests, and when idle until the idle time-out.

Cause: net/http reads the rest of such a body after the handler has returned. The connection took these bytes for the start of a further request, which has to be read and answered, and the answer for sent.

Change: only bytes of a head begin a request, and only a read for a head shows that the answer before has been sent.

--- a/internal/pipeliner/closing_test.go
+++ b/internal/pipeliner/closing_test.go
@@ -113,6 +113,8 @@
 		"answers beyond buffer":         {request: idempotentRequest("/2/90000"), maxAhead: 4},
 		"chunked":                       {request: chunked("/3/600", "two rings"), maxAhead: 4},
 		"chunked, one behind the other": {request: chunked("/1/a", "two rings"), gap: 2 * time.Millisecond},
+		"body not read":                 {request: nonIdempotentRequest("/1/600/unread", "two rings"), gap: 2 * time.Millisecond},
+		"chunked, body not read":        {request: chunked("/1/600/unread", "two rings"), gap: 2 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -116,7 +116,7 @@
 // Read is called by the server: for the next head, for a body, or as its background read.
 func (c *connection) Read(p []byte) (int, error) {
 	c.mu.Lock()
-	if !c.serving && c.phase != answeringPhase {
+	if !c.serving && c.phase == headPhase {
 		c.answering = false
 	}
 	for {
@@ -187,7 +187,8 @@
 	case chunksPhase:
 		n, ended = c.chunks.end(data)
 	}
-	c.requestBegun = c.requestBegun || n > 0
+	// The server reads the rest of a body after the handler has returned: that begins no request.
+	c.requestBegun = c.requestBegun || c.phase == headPhase && n > 0
 	switch {
 	case ended && c.phase == headPhase:
 		c.handedRun = c.queue.consume(n)
