Answer the request behind one without a path

What callers saw: after 'OPTIONS *' the next request on the connection got no answer until the connection's idle time was over.

Cause: net/http's server answers that request itself, so the pipeliner never learned that it had been answered.

Change: the server's own answer is switched off; the request is refused with 400 like others without a path.

Evidence: TestRequestBehindOneWithoutPathIsAnswered got 200 and then nothing before, and passes.

--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -79,6 +79,8 @@
 		ErrorLog:          log.New(listenerLog{address: address, recorder: n.recorder}, "", 0),
 		ConnState:         n.countConnection,
 		BaseContext:       func(net.Listener) context.Context { return n.requests },
+		// The server's own answer to "OPTIONS *" passes by the pipeliner, which then never learns that it has been given.
+		DisableGeneralOptionsHandler: true,
 	}
 	if p, ok := h.(*pipeliner.Pipeliner); ok {
 		l = p.Listen(l)
--- a/internal/mesher/stop_test.go
+++ b/internal/mesher/stop_test.go
@@ -296,3 +296,29 @@
 	// The endpoint must have had the time up to the last sixth of the grace time.
 	assert.Assert(t, took > 5*time.Second && took < 6*time.Second, "after %v", took)
 }
+
+// A request without a path is answered by the server itself unless that is switched off: the connection's next request would get
+// no answer.
+func TestRequestBehindOneWithoutPathIsAnswered(t *testing.T) {
+	f := &fleet{}
+	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
+	entry := f.start(t, "entry", "desk")
+	f.start(t, "beside", "portal")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
+	assert.NilError(t, err)
+	defer n.Close()
+	reader := bufio.NewReader(n)
+	for _, test := range []struct {
+		request string
+		status  int
+	}{{"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 400}, {"GET /x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k\r\n\r\n", 200}} {
+		_, err = io.WriteString(n, test.request)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, test.status)
+	}
+}
