--- a/internal/pipeliner/closing_test.go
+++ b/internal/pipeliner/closing_test.go
@@ -158,6 +158,8 @@
 					}()
 				}
 				idle := s.call(t)
+				// A connection that the server has not accepted is reset when its listener closes.
+				eventually(t, "all connections accepted", func() bool { return p.Load().Open == 5 })
 				time.Sleep(time.Duration(20+attempt*3) * time.Millisecond)
 				assert.NilError(t, p.StopReading())
 				_, err := idle.reader.ReadByte()
