--- a/cmd/jackdawtide/stop_test.go
+++ b/cmd/jackdawtide/stop_test.go
@@ -91,6 +91,7 @@
 		beside  name = "ice-1"
 		backend name = "the endpoint beside ice-1"
 	)
+	hangUp := []os.Signal{syscall.SIGHUP}
 	once, twice := []os.Signal{syscall.SIGTERM}, []os.Signal{syscall.SIGTERM, syscall.SIGTERM}
 	one, two := stayingCaller{ahead: 1}, stayingCaller{ahead: 2}
 	for name, test := range map[string]struct {
@@ -106,6 +107,8 @@
 		"the node of the endpoint":  {ends: []name{beside}, signals: once, caller: one},
 		"an endpoint":               {ends: []name{backend}, signals: once, caller: one},
 		"the endpoint and its node": {ends: []name{backend, beside}, signals: once, caller: one},
+		"hang-up":                   {ends: []name{entry}, signals: hangUp, caller: one},
+		"hang-up of an endpoint":    {ends: []name{backend}, signals: hangUp, caller: one},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), processTimeout)
