Let encrypted connections deliver their last answer, too

What callers saw: with callers' certificates set (HTTPS), a caller that sends its next request while a large last answer is on its way got a reset in the middle of the answer, as without encryption before.

Cause: an encrypted connection has no file descriptor of its own, so the pipeliner could not tell that bytes were not acknowledged and closed at once.

Change: the descriptor is that of the connection below the encryption.

--- a/internal/assembler/stop_test.go
+++ b/internal/assembler/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -11,23 +12,23 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/certifier"
+	"github.com/jackdawtide/jackdawtide/internal/loader"
 )
 
 const largeAnswerBytes = 8 << 20
 
-// serveStopping starts a listener whose handler answers /large with a large answer, and other requests after some milliseconds.
-func serveStopping(t *testing.T) *server {
-	t.Helper()
-	return serve(t, 0, func(w http.ResponseWriter, r *http.Request) {
-		n, _ := io.Copy(io.Discard, r.Body)
-		if r.URL.Path == "/large" {
-			w.Header().Set("Content-Length", fmt.Sprint(largeAnswerBytes))
-			_, _ = io.CopyN(w, endless{}, largeAnswerBytes)
-			return
-		}
-		time.Sleep(50 * time.Millisecond)
-		fmt.Fprint(w, n)
-	})
+// answerSizes answers /large with a large answer, and other requests after some milliseconds.
+func answerSizes(w http.ResponseWriter, r *http.Request) {
+	n, _ := io.Copy(io.Discard, r.Body)
+	if r.URL.Path == "/large" {
+		w.Header().Set("Content-Length", fmt.Sprint(largeAnswerBytes))
+		_, _ = io.CopyN(w, endless{}, largeAnswerBytes)
+		return
+	}
+	time.Sleep(50 * time.Millisecond)
+	fmt.Fprint(w, n)
 }
 
 // stopSoon begins the stop and returns its result.
@@ -60,7 +61,7 @@
 func TestStopAnswersRequestWhoseHeadArrives(t *testing.T) {
 	for name, first := range map[string]string{"on a new connection": "", "on a kept connection": smallRequest} {
 		t.Run(name, func(t *testing.T) {
-			s := serveStopping(t)
+			s := serve(t, 0, answerSizes)
 			c := dial(t, s)
 			r := bufio.NewReader(c)
 			if first != "" {
@@ -80,7 +81,7 @@
 // A listener stops after it has read two requests that were sent together: the second is cut if the answer to the first ends the
 // connection.
 func TestStopAnswersRequestReadBehindAnother(t *testing.T) {
-	s := serveStopping(t)
+	s := serve(t, 0, answerSizes)
 	c := dial(t, s)
 	r := bufio.NewReader(c)
 	fmt.Fprint(c, smallRequest+smallRequest)
@@ -95,30 +96,54 @@
 // A caller sends its next request while it reads a large answer slowly, and the listener stops: unread bytes reset the connection,
 // which cuts the answer.
 func TestStopCutsNoAnswerBeforeFurtherRequests(t *testing.T) {
-	s := serveStopping(t)
-	c := dial(t, s)
-	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
-	r := bufio.NewReader(c)
-	fmt.Fprint(c, "GET /large HTTP/1.1\r\nHost: n\r\n\r\n")
-	time.Sleep(20 * time.Millisecond)
-	result := stopSoon(t, s)
-	response, err := http.ReadResponse(r, nil)
-	assert.NilError(t, err)
-	fmt.Fprint(c, smallRequest+smallRequest)
-	read := int64(0)
-	for read < largeAnswerBytes {
-		n, err := io.CopyN(io.Discard, response.Body, 1<<20)
-		read += n
-		assert.NilError(t, err, "after %d bytes", read)
-		time.Sleep(5 * time.Millisecond)
+	for name, encrypted := range map[string]bool{"plain": false, "encrypted": true} {
+		t.Run(name, func(t *testing.T) {
+			var serverTLS *tls.Config
+			if encrypted {
+				serverTLS = &tls.Config{Certificates: []tls.Certificate{newCertificate(t)}, MinVersion: tls.VersionTLS12}
+			}
+			s := newServer("test", "127.0.0.1:0", serverTLS, loader.DefaultLimits(), http.HandlerFunc(answerSizes))
+			assert.NilError(t, s.start())
+			t.Cleanup(s.kill)
+			c := dial(t, s)
+			assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(64<<10))
+			if encrypted {
+				c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+			}
+			r := bufio.NewReader(c)
+			fmt.Fprint(c, "GET /large HTTP/1.1\r\nHost: n\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			result := stopSoon(t, s)
+			response, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			fmt.Fprint(c, smallRequest+smallRequest)
+			read := int64(0)
+			for read < largeAnswerBytes {
+				n, err := io.CopyN(io.Discard, response.Body, 1<<20)
+				read += n
+				assert.NilError(t, err, "after %d bytes", read)
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.NilError(t, <-result)
+		})
 	}
-	assert.NilError(t, <-result)
+}
+
+func newCertificate(t *testing.T) tls.Certificate {
+	t.Helper()
+	a, err := certifier.NewAuthority(time.Now(), time.Hour)
+	assert.NilError(t, err)
+	pair, err := a.Issue(certifier.Identity{Role: certifier.Node, Name: "n"}, time.Now(), time.Hour)
+	assert.NilError(t, err)
+	c, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	assert.NilError(t, err)
+	return c
 }
 
 // All connections that a listener may have are open, and one more waits with its request: if the listener closed at once, the
 // system would reset that connection.
 func TestStopAnswersConnectionsThatWait(t *testing.T) {
-	s := serveStopping(t)
+	s := serve(t, 0, answerSizes)
 	var readers []*bufio.Reader
 	for range 3 {
 		c := dial(t, s)
--- a/internal/pipeliner/delivery.go
+++ b/internal/pipeliner/delivery.go
@@ -75,8 +75,11 @@
 	return err == nil && states[0].Revents&ended != 0
 }
 
-// withDescriptor calls f with a connection's file descriptor.
+// withDescriptor calls f with a connection's file descriptor; that of an encrypted one is the descriptor of the one below it.
 func withDescriptor(n net.Conn, f func(fd int) error) error {
+	if encrypted, ok := n.(interface{ NetConn() net.Conn }); ok {
+		n = encrypted.NetConn()
+	}
 	s, ok := n.(syscall.Conn)
 	if !ok {
 		return errors.ErrUnsupported
