Answer calls that are at work when the drain timeout ends

What callers saw: a call that runs longer than the drain timeout got no answer; its connection ended with the process, and the caller could not tell whether the call may have run.

Cause: at the end of the drain timeout the stop goes on and the process ends with its connections open.

Change: the requests at work are cancelled with a cause then, and a call whose answer has not begun is refused with lostAnswer, which does not promise that it has not run; connections get 1 s to end.

--- a/cmd/jackdawtide/process_test.go
+++ b/cmd/jackdawtide/process_test.go
@@ -37,6 +37,8 @@
 	file      string
 	directory string
 	logURL    string
+	// nodeLimits are lines of the section of limits in the settings of nodes that are started.
+	nodeLimits string
 }
 
 // process is one running process; it writes JSON lines.
@@ -158,13 +160,15 @@
 authority = "%[4]s/authority.pem"
 certificate = "%[4]s/%[1]s.pem"
 key = "%[4]s/%[1]s.key"
+[limits]
+%[5]s
 `
 
 func (p *program) startNode(name, domain string) runningNode {
 	p.t.Helper()
 	p.run("cert", "node", "--directory", p.directory, name)
 	file := filepath.Join(p.directory, name+".toml")
-	settings := fmt.Sprintf(nodeSettings, name, domain, p.logURL, p.directory)
+	settings := fmt.Sprintf(nodeSettings, name, domain, p.logURL, p.directory, p.nodeLimits)
 	assert.NilError(p.t, os.WriteFile(file, []byte(settings), 0o600))
 	n := runningNode{process: p.start("node", "--settings", file)}
 	l := n.waitForLine(p.t, "node started")
--- a/cmd/jackdawtide/stop_test.go
+++ b/cmd/jackdawtide/stop_test.go
@@ -161,3 +161,34 @@
 		})
 	}
 }
+
+// A call runs longer than the drain timeout: its caller must get an answer that says that it may have run, not a connection that
+// ends.
+func TestEndOfDrainTimeoutAnswersCallsAtWork(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), processTimeout)
+	defer cancel()
+	p := build(ctx, t)
+	p.nodeLimits = `drainTimeout = "500ms"`
+	p.logURL = fmt.Sprint(p.start("log", "--listen", "127.0.0.1:0").waitForLine(t, "log stand-in")["url"])
+	p.run("cert", "authority", "--directory", p.directory)
+	n := p.startNode("ice-1", "abashiri")
+	p.start("backend", "--node", n.local, "--service", "ice", "--service-time", "1200ms").
+		waitForLine(t, "backend server stand-in announced")
+	p.run("preset", "publish", "../../deploy/kitakaze/ordinary.toml")
+	p.run("preset", "switch", "ordinary")
+	key, _ := p.issueKey("captains")
+	p.awaitStatus(n.caller+"/ice/bulletins", key, http.StatusOK, 30*time.Second)
+	answered := make(chan uploadResult, 1)
+	go func() {
+		status, text, err := p.call(http.MethodPost, n.caller+"/ice/bulletins", key, http.NoBody)
+		answered <- uploadResult{status, text, err}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	n.terminate(t)
+	a := <-answered
+	assert.NilError(t, a.err)
+	assert.Assert(t, strings.Contains(a.text, `"notRun":false`), "%d %s", a.status, a.text)
+}
--- a/internal/assembler/servers.go
+++ b/internal/assembler/servers.go
@@ -26,6 +26,9 @@
 // acceptTimeout bounds how long a stop waits for the listener to accept what waits; longer only if no connection may be added.
 const acceptTimeout = 100 * time.Millisecond
 
+// cancelTimeout bounds how long requests that are cancelled at the end of a stop may take to be answered.
+const cancelTimeout = time.Second
+
 type servers struct {
 	caller *server
 	local  *server
@@ -42,6 +45,8 @@
 	// pipeliner knows which connections hold a request that was read and not answered.
 	pipeliner *pipeliner.Pipeliner
 	leaving   atomic.Bool
+	// cancelRequests ends the requests at work.
+	cancelRequests context.CancelCauseFunc
 	// accepted is closed when no more connections are accepted.
 	accepted chan struct{}
 }
@@ -118,7 +123,10 @@
 	s.pipeliner = pipeliner.New(pipeliner.Options{
 		Handler: announceClose(boundProgress(h, l.BodyIdleTimeout.Std()), s.leaving.Load),
 	})
+	requests, cancel := context.WithCancelCause(context.Background())
+	s.cancelRequests = cancel
 	s.http = &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		Handler:           s.pipeliner,
 		ConnContext:       s.pipeliner.Context,
 		MaxHeaderBytes:    int(l.MaxHeader),
@@ -151,7 +159,8 @@
 	s.listener.closeWhenEmpty()
 }
 
-// stop reads no more requests and waits until those that were read are answered and all connections have ended.
+// stop reads no more requests and waits until those that were read are answered and all connections have ended. Requests that are
+// at work when ctx ends are cancelled and answered.
 func (s *server) stop(ctx context.Context) error {
 	s.startStop()
 	select {
@@ -161,16 +170,28 @@
 	if err := s.pipeliner.StopReading(); err != nil {
 		return fmt.Errorf("%s listener: %w", s.name, err)
 	}
+	if s.awaitEnd(ctx) {
+		return nil
+	}
+	s.cancelRequests(receiver.ErrStopped)
+	cancelledCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	defer cancel()
+	s.awaitEnd(cancelledCtx)
+	return fmt.Errorf("%s listener: calls still under way: %w", s.name, ctx.Err())
+}
+
+// awaitEnd waits until all connections have ended, and returns whether they have before ctx ends.
+func (s *server) awaitEnd(ctx context.Context) bool {
 	t := time.NewTicker(idlePollInterval)
 	defer t.Stop()
 	for s.pipeliner.Load().Open > 0 {
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%s listener: calls still under way: %w", s.name, ctx.Err())
+			return false
 		case <-t.C:
 		}
 	}
-	return nil
+	return true
 }
 
 func (s *server) kill() {
--- a/internal/receiver/exchange.go
+++ b/internal/receiver/exchange.go
@@ -27,6 +27,9 @@
 	maxRecordedBytes = 64 << 10
 )
 
+// ErrStopped is the cause with which the requests at work are cancelled when a stop does not wait for them any longer.
+var ErrStopped = errors.New("the node has stopped")
+
 type exchange struct {
 	receiver *Receiver
 	id       reducer.CallID
@@ -48,11 +51,24 @@
 			}
 		case <-x.incoming.Context().Done():
 			x.receiver.performer.Apply(&reducer.CallCancelled{Call: x.id})
+			if errors.Is(context.Cause(x.incoming.Context()), ErrStopped) {
+				x.finish(x.refuseStopped)
+			}
 			return
 		}
 	}
 }
 
+// refuseStopped answers a call that the node's stop does not wait for any longer; without an answer the caller could not tell
+// that the call may have run.
+func (x *exchange) refuseStopped() {
+	writeRefusal(x.writer, x.request, reducer.Refusal{
+		Reason:    reducer.LostAnswer,
+		Detail:    ErrStopped.Error(),
+		DecidedBy: x.receiver.self,
+	})
+}
+
 // act carries out one effect and returns whether the exchange is over.
 func (x *exchange) act(e reducer.CallEffect) bool {
 	switch e := e.(type) {
