faulter: slow calls no longer take the tokens of faster ones in the measure of the rate

Cause: the measure, not the fleet. A call may be charged at any time between its sending and its start. excess charged each call as soon as the bucket had a token, and said that no other order gives a smaller excess. A call that starts seconds after its sending, as on a machine without processor time, took the token of a call that was sent later and started at once; the latter was charged to an empty bucket, although the slow one could have been charged after it.

Evidence: 50 calls with 2 s from sending to start and then 50 with 5 ms, at a rate of 100 and a burst of 50, fit one bucket; the old measure reports an excess of 48.5 (TestSlowCallsTakeNoTokensOfFasterOnes).

Change: a call is charged at its start, or earlier when the bucket is full. The excess is still 0 only if one bucket could have paid for all starts. It is never below the excess in the worst window and less than one call above it, which TestExcessIsThatOfTheWorstWindow compares by brute force (failed before; 20,000 sequences passed).

--- a/internal/faulter/judge.go
+++ b/internal/faulter/judge.go
@@ -87,15 +87,18 @@
 	}
 }
 
-// nextTokenAt is when the bucket can pay for the next call.
-func (b *bucket) nextTokenAt() time.Time {
-	// A microsecond more makes up for rounding, which may otherwise leave the token incomplete.
-	return b.at.Add(time.Duration((1 - b.level) / b.team.rate * float64(time.Second))).Add(time.Microsecond)
-}
-
-// excess charges each call as soon as it was sent and the bucket has a token; among waiting calls the one that started
-// first is charged first. No other order gives a smaller excess. A call that has started is charged even if the bucket
-// is empty, and the largest resulting deficit is the excess.
+// fullAt is when the bucket is full if nothing is charged until then.
+func (b *bucket) fullAt() time.Time {
+	// A microsecond more makes up for rounding, which may otherwise leave the last token incomplete.
+	return b.at.Add(time.Duration((b.team.burst - b.level) / b.team.rate * float64(time.Second))).Add(time.Microsecond)
+}
+
+// excess charges a waiting call when it starts, or earlier when the bucket is full and would lose tokens; among waiting
+// calls the one that started first is charged first. Charging as soon as there is a token would pay for calls that
+// started seconds later with the tokens of calls that were sent and started meanwhile, and report an excess although one
+// bucket could have paid for all. A call that has started is charged even if the bucket is empty, and the largest
+// resulting deficit is the excess. It is at least the excess in any window over the calls sent and started in it, and
+// less than one call above that.
 func excess(t teamPlan, calls []chargeWindow) float64 {
 	if len(calls) == 0 {
 		return 0
@@ -109,7 +112,7 @@
 			waiting = insert(waiting, calls[0])
 			calls = calls[1:]
 		}
-		for len(waiting) > 0 && (b.level >= 1 || !waiting[0].latest.After(b.at)) {
+		for len(waiting) > 0 && (b.level >= t.burst || !waiting[0].latest.After(b.at)) {
 			waiting = waiting[1:]
 			b.level--
 			worst = max(worst, -b.level)
@@ -118,7 +121,7 @@
 	return worst
 }
 
-// nextEventTime is the earliest of: the next call is sent, a waiting call starts, or the bucket can pay for it.
+// nextEventTime is the earliest of: the next call is sent, a waiting call starts, or the bucket is full.
 func nextEventTime(b *bucket, calls, waiting []chargeWindow) time.Time {
 	var next time.Time
 	consider := func(at time.Time) {
@@ -131,7 +134,7 @@
 	}
 	if len(waiting) > 0 {
 		consider(waiting[0].latest)
-		consider(b.nextTokenAt())
+		consider(b.fullAt())
 	}
 	return next
 }
