faulter: calls without an answer are charged from their real sending

Cause: the caller of a call without an answer does not know its request id, so the measure guessed that the call was sent at most 2.5 s, the caller's timeout, before its start. The guess moves their charges to a later time and reports an excess; for calls that start at once it is too long and hides one.

Evidence: TestUnansweredCallsAreChargedFromTheirSending.

Change: callers give each attempt an id in a header field, and backend servers record it with the start. A start of no known attempt is charged at its own time.

--- a/internal/faulter/faulter_test.go
+++ b/internal/faulter/faulter_test.go
@@ -97,8 +97,8 @@
 
 // addCall records a call as its caller and its backend server would.
 func (a *audit) addCall(request, id string, sent, start time.Time) {
-	a.starts = append(a.starts, responder.RunStart{At: start, Team: "captains", Request: request, Idempotency: id})
+	a.starts = append(a.starts, responder.RunStart{At: start, Team: "captains", Request: request, Idempotency: id, Attempt: request})
 	a.operations = append(a.operations, operation{
-		team: "captains", id: id, attempts: []attempt{{request: request, sent: sent, status: 200}},
+		team: "captains", id: id, attempts: []attempt{{id: request, request: request, sent: sent, status: 200}},
 	})
 }
--- a/internal/faulter/judge.go
+++ b/internal/faulter/judge.go
@@ -1,5 +1,6 @@
 // The figures are computed from the records of callers and backend servers, never from what nodes report about
-// themselves. A start at a backend server is joined to a caller's attempt by the request id.
+// themselves. A start at a backend server is joined to a caller's attempt by the attempt's id, a refusal to a start by
+// the request id.
 //
 // Example: a refusal with notRun=true for request R is false if any backend server recorded a start of R.
 
@@ -37,14 +38,15 @@
 // chargeWindow is the interval in which one call was charged to the bucket.
 type chargeWindow struct{ earliest, latest time.Time }
 
-// chargesOf joins the backend servers' starts with the callers' attempts. A request that was retried after a lost
-// answer is charged once. Without an answer the caller doesn't know the request id; such a call was sent at most
-// attemptTimeout before its start.
+// chargesOf joins the backend servers' starts with the callers' attempts by the id of the attempt, since a caller
+// without an answer doesn't know the request id. Such a call may start long after its caller has given it up, when
+// processors are busy. A request that was retried after a lost answer is charged once. A start that belongs to no
+// attempt is charged at its own time.
 func (a audit) chargesOf(team identifier.Team) []chargeWindow {
 	sent := make(map[string]time.Time)
 	for _, o := range a.operations {
 		for _, t := range o.attempts {
-			sent[t.request] = t.sent
+			sent[t.id] = t.sent
 		}
 	}
 	seen := make(map[string]bool)
@@ -54,9 +56,9 @@
 			continue
 		}
 		seen[s.Request] = true
-		earliest, known := sent[s.Request]
-		if !known || s.Request == "" {
-			earliest = s.At.Add(-attemptTimeout)
+		earliest, known := sent[s.Attempt]
+		if !known || s.Attempt == "" {
+			earliest = s.At
 		}
 		list = append(list, chargeWindow{earliest: earliest, latest: s.At})
 	}
--- a/internal/faulter/judge_test.go
+++ b/internal/faulter/judge_test.go
@@ -1,11 +1,14 @@
 package faulter
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/jackdawtide/jackdawtide/internal/responder"
 )
 
 // Guards against an excess reported of calls for which one bucket could have paid, since slow calls took the tokens of
@@ -62,3 +65,29 @@
 	}
 	return worst
 }
+
+// Guards against a guess of when calls without an answer were sent, which reports an excess of calls that started late
+// and misses one of calls that started soon.
+func TestUnansweredCallsAreChargedFromTheirSending(t *testing.T) {
+	team := teamPlan{name: "captains", rate: 10, burst: 2}
+	begin := time.Now()
+	record := func(calls int, every, lastStart time.Duration) audit {
+		a := audit{teams: []teamPlan{team}}
+		for i := range calls {
+			id := fmt.Sprint(i)
+			sent := begin.Add(time.Duration(i) * every)
+			a.starts = append(a.starts, responder.RunStart{
+				At: begin.Add(lastStart), Team: string(team.name), Request: "r" + id, Attempt: id,
+			})
+			a.operations = append(a.operations, operation{team: team.name, attempts: []attempt{{id: id, sent: sent}}})
+		}
+		return a
+	}
+	late := record(30, 100*time.Millisecond, 4*time.Second)
+	assert.Check(t, late.rateExceeded() < roundingTolerance, "30 calls of 3 s that started at 4 s: %.3f", late.rateExceeded())
+	soon := record(5, time.Millisecond, 100*time.Millisecond)
+	assert.Check(t, soon.rateExceeded() > 1, "5 calls sent and started within 100 ms: %.3f", soon.rateExceeded())
+	unknown := record(5, time.Millisecond, 100*time.Millisecond)
+	unknown.operations = nil
+	assert.Check(t, unknown.rateExceeded() > 2, "5 calls of no attempt that started at once: %.3f", unknown.rateExceeded())
+}
--- a/internal/faulter/load.go
+++ b/internal/faulter/load.go
@@ -35,6 +35,8 @@
 
 // attempt is one attempt of an operation, as its caller saw it.
 type attempt struct {
+	// id is sent with the attempt; unlike the request id, its caller knows it without an answer.
+	id       string
 	sent     time.Time
 	done     time.Time
 	node     int
@@ -173,7 +175,7 @@
 func (l *load) attemptAt(ctx context.Context, o operation, node int) attempt {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	a := attempt{sent: time.Now(), node: node}
+	a := attempt{id: uuid.Must(uuid.NewV7()).String(), sent: time.Now(), node: node}
 	method, path := http.MethodGet, readingPath
 	if o.id != "" {
 		method, path = http.MethodPost, bookingPath
@@ -185,6 +187,7 @@
 	if o.id != "" {
 		req.Header.Set(responder.IdempotencyHeader, o.id)
 	}
+	req.Header.Set(responder.AttemptHeader, a.id)
 	req.Header.Set("Authorization", "Bearer "+l.run.fleet.Keys[o.team])
 	l.exchange(req, &a)
 	a.done = time.Now()
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -33,6 +33,9 @@
 	requestIDHeader   = "Jackdawtide-Request-Id"
 )
 
+// AttemptHeader contains the id that a caller gave to an attempt. Nodes forward it like any other field of the caller.
+const AttemptHeader = "Caller-Attempt"
+
 // Nested is a call that the backend server makes to another service for each call it serves.
 type Nested struct {
 	Service string
@@ -47,6 +50,8 @@
 	Team        string
 	Request     string
 	Idempotency string
+	// Attempt is the caller's id of the attempt, empty if it sent none.
+	Attempt string
 }
 
 // Options describe the backend server.
@@ -299,6 +304,7 @@
 		Team:        r.Header.Get(teamHeader),
 		Request:     r.Header.Get(requestIDHeader),
 		Idempotency: id,
+		Attempt:     r.Header.Get(AttemptHeader),
 	})
 	if id != "" {
 		s.runs[id]++
