--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -109,7 +109,7 @@
 }
 
 // excludedMessages are messages that the trace shows elsewhere or that concern single requests; they are not events.
-var excludedMessages = []string{"load", "attempt ended", "request refused"}
+var excludedMessages = []string{"load", "attempt ended", "request refused", cutMessage}
 
 func (t *Trace) addEvents(lines []Line) {
 	nodes := t.nodes()
@@ -138,11 +138,15 @@
 	"endpointRefused": "the endpoint declined to run it",
 	"inDoubt":         "it was sent and no answer came, so it may have run",
 	"deadline":        "its time was up",
+	"nodeStopping":    "the node was stopping and could not wait for it",
 }
 
 func (t *Trace) cause() string {
 	last := t.last()
 	switch {
+	case last.Message == cutMessage:
+		return fmt.Sprintf("%s ended its planned stop %s after the request's arrival, before its answer had been passed on completely",
+			last.Node, last.After)
 	case last.Reason != "":
 		return t.refusalCause(last)
 	case !last.failed():
--- a/internal/tracer/tracer_test.go
+++ b/internal/tracer/tracer_test.go
@@ -79,6 +79,15 @@
 			`{"time":"2026-01-01T00:00:01Z","node":"a","msg":"request refused","request":"1","status":503,"reason":"tooHot","afterMs":2}`,
 			"a answered 503 after 2ms: tooHot",
 		},
+		"cut off by a stop": {
+			attempt + `"outcome":"answered","status":200,"tookMs":30}` + "\n" +
+				`{"time":"2026-01-01T00:00:06Z","node":"a","msg":"request cut","request":"1","path":"/x","afterMs":5300}`,
+			"a ended its planned stop 5.3s after the request's arrival, before its answer had been passed on completely",
+		},
+		"refused by a stop": {
+			`{"time":"2026-01-01T00:00:01Z","node":"a","msg":"request refused","request":"1","status":502,"reason":"nodeStopping","afterMs":900}`,
+			"a answered 502 after 900ms: the node was stopping and could not wait for it",
+		},
 		"refused after an attempt": {
 			attempt + `"outcome":"unreached","tookMs":5}` + "\n" +
 				`{"time":"2026-01-01T00:00:02Z","node":"a","msg":"request refused","request":"1","status":503,"reason":"noEndpoint","afterMs":6}`,
--- a/internal/tracer/types.go
+++ b/internal/tracer/types.go
@@ -20,7 +20,7 @@
 	Message string
 	Request string
 
-	// Status, Reason and After are set on a refusal.
+	// Status, Reason and After are set on a refusal, After also on a request that was cut off.
 	Status int
 	Reason string
 	After  time.Duration
@@ -46,6 +46,8 @@
 // String describes the line in words, without its time and node.
 func (l Line) String() string {
 	switch l.Message {
+	case cutMessage:
+		return fmt.Sprintf("answer cut off by the end of the node, after %s", l.After)
 	case "request refused":
 		return fmt.Sprintf("answered %d, %s, after %s", l.Status, l.Reason, l.After)
 	case "attempt ended":
@@ -89,6 +91,8 @@
 
 const (
 	outcomeAnswered = "answered"
+	// cutMessage is the message of the line of a request that its node cut off.
+	cutMessage = "request cut"
 	// firstServerErrorStatus is the lowest HTTP status of a server error.
 	firstServerErrorStatus = 500
 )
