transporter: the cancelled call's test opens its connection before its deadline runs

Cause: the deadline of 50 ms covered the handshake of the first connection too.

What is checked is unchanged.

--- a/internal/transporter/failure_test.go
+++ b/internal/transporter/failure_test.go
@@ -172,6 +172,9 @@
 		}
 		echo(ctx, n, h, r, w)
 	}}, nil)
+	// The connection is opened before, since its handshake can take longer than the deadline beside other work.
+	_, _, err := callText(context.Background(), a, to, "first")
+	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	_, phase, err := a.Call(ctx, to, CallHead{Path: "/slow"}, nil)
