--- a/internal/mesher/slow_reader_test.go
+++ b/internal/mesher/slow_reader_test.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,18 +12,11 @@
 	"gotest.tools/v3/assert"
 )
 
-// A caller pauses while it reads a large answer: its connection is sound, but holds bytes that the caller's system has no room
-// for, and may not be taken for one to a VM that has lost power.
+// A caller pauses while it reads a large answer: its full connection would be taken for one to a VM that has lost power.
 func TestCallerThatPausesGetsTheWholeAnswer(t *testing.T) {
 	f := &fleet{}
-	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
-	entry := f.start(t, "entry", "desk")
-	f.start(t, "beside", "portal")
-	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
-	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
-	assert.NilError(t, err)
-	defer n.Close()
-	_, err = io.WriteString(n, "GET /long/large HTTP/1.1\r\nHost: h\r\nX-Id: large\r\nX-Key: k\r\n\r\n")
+	_, n := f.startServing(t)
+	_, err := io.WriteString(n, "GET /long/large HTTP/1.1\r\nHost: h\r\nX-Id: large\r\nX-Key: k\r\n\r\n")
 	assert.NilError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(n), nil)
 	assert.NilError(t, err)
@@ -35,8 +26,7 @@
 	assert.Equal(t, read, int64(largeAnswerBytes))
 }
 
-// An endpoint pauses while it reads a large upload: the nodes on the way may not take the full connection for one to a VM that has
-// lost power.
+// An endpoint pauses while it reads a large upload: the full connections on the way would be taken for ones to lost VMs.
 func TestEndpointThatPausesGetsTheWholeUpload(t *testing.T) {
 	f := &fleet{}
 	read := make(chan int64, 1)
@@ -48,10 +38,7 @@
 		n, _ := io.Copy(io.Discard, r.Body)
 		read <- n
 	}
-	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
-	entry := f.start(t, "entry", "desk")
-	f.start(t, "beside", "portal")
-	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	entry, _ := f.startServing(t)
 	r, err := http.NewRequest(http.MethodPost, "http://"+entry.settings.Listen.Outbound.String()+"/long/upload", bytes.NewReader(make([]byte, largeAnswerBytes)))
 	assert.NilError(t, err)
 	r.Host = "h"
--- a/internal/mesher/stop_test.go
+++ b/internal/mesher/stop_test.go
@@ -177,8 +177,21 @@
 	}
 }
 
-// A node stops while callers go on using their connections until it is gone: no request that an endpoint works on may be
-// cut, wherever that endpoint is.
+// startServing starts an entry node and a node beside an endpoint, and returns the entry and a caller's connection to it once
+// requests are served.
+func (f *fleet) startServing(t *testing.T) (*runningNode, net.Conn) {
+	t.Helper()
+	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
+	entry := f.start(t, "entry", "desk")
+	f.start(t, "beside", "portal")
+	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
+	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = n.Close() })
+	return entry, n
+}
+
+// A node stops while callers go on using their connections until it is gone: those whose requests are at work would be cut off.
 func TestStopCutsNoRequestOfCallersThatStay(t *testing.T) {
 	for name, test := range map[string]struct {
 		caller stayingCaller
@@ -240,18 +253,11 @@
 	}
 }
 
-// Callers leave a stopping node, but for one that reads a large answer slowly: the answer may not be cut while the time that
-// the node has for its stop lasts.
+// All callers but one have left a stopping node: that one reads a large answer slowly, and would get a part of it.
 func TestStopCutsNoAnswerThatIsReadSlowly(t *testing.T) {
 	f := &fleet{}
-	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
-	entry := f.start(t, "entry", "desk")
-	f.start(t, "beside", "portal")
-	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
-	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
-	assert.NilError(t, err)
-	defer n.Close()
-	_, err = io.WriteString(n, "GET /long/large HTTP/1.1\r\nHost: h\r\nX-Id: large\r\nX-Key: k\r\n\r\n")
+	entry, n := f.startServing(t)
+	_, err := io.WriteString(n, "GET /long/large HTTP/1.1\r\nHost: h\r\nX-Id: large\r\nX-Key: k\r\n\r\n")
 	assert.NilError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(n), nil)
 	assert.NilError(t, err)
@@ -269,19 +275,12 @@
 	assert.Equal(t, rest, int64(largeAnswerBytes%pieces))
 }
 
-// A run lasts longer than the node may take for its stop: its caller gets an answer that promises nothing, not a closed
-// connection.
+// A run outlasts its node: without an answer its caller could not tell whether the node had read the request.
 func TestStopAnswersRequestsWhoseRunsOutlastIt(t *testing.T) {
 	l := newExchangeLog()
 	f := &fleet{work: l.work}
-	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
-	entry := f.start(t, "entry", "desk")
-	f.start(t, "beside", "portal")
-	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
-	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
-	assert.NilError(t, err)
-	defer n.Close()
-	_, err = io.WriteString(n, "GET /long/work/9000 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nX-Key: k\r\n\r\n")
+	entry, n := f.startServing(t)
+	_, err := io.WriteString(n, "GET /long/work/9000 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nX-Key: k\r\n\r\n")
 	assert.NilError(t, err)
 	eventually(t, "at work", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.begun["a"] })
 	begun := time.Now()
@@ -297,23 +296,16 @@
 	assert.Assert(t, took > 5*time.Second && took < 6*time.Second, "after %v", took)
 }
 
-// A request without a path is answered by the server itself unless that is switched off: the connection's next request would get
-// no answer.
+// The server answers a request without a path by itself: the connection's next request would get no answer.
 func TestRequestBehindOneWithoutPathIsAnswered(t *testing.T) {
 	f := &fleet{}
-	assert.NilError(t, f.operators.Write(context.Background(), "rules", []byte("version 1")))
-	entry := f.start(t, "entry", "desk")
-	f.start(t, "beside", "portal")
-	eventually(t, "served", func() bool { status, _ := entry.request(); return status == 200 })
-	n, err := net.Dial("tcp", entry.settings.Listen.Outbound.String())
-	assert.NilError(t, err)
-	defer n.Close()
+	_, n := f.startServing(t)
 	reader := bufio.NewReader(n)
 	for _, test := range []struct {
 		request string
 		status  int
 	}{{"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 400}, {"GET /x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k\r\n\r\n", 200}} {
-		_, err = io.WriteString(n, test.request)
+		_, err := io.WriteString(n, test.request)
 		assert.NilError(t, err)
 		response, err := http.ReadResponse(reader, nil)
 		assert.NilError(t, err)
