A planned stop uses the grace time of the settings that were read last

What callers could see: after a reload with a shorter grace time the process was killed in its stop, with requests at work; after one with a longer one these were given up early.

Cause: the stop, and fx's bound of it, used the settings of the start.

--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -67,6 +67,8 @@
 	clock    *clock.Clock
 	recorder *recorder.Recorder
 	relayer  *relayer.Relayer
+	// grace is the grace time of a planned stop in milliseconds, by the settings that were read last.
+	grace atomic.Int64
 	// requests is the context from which those of all requests are derived; cancelRequests ends it with a cause.
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
@@ -119,7 +121,7 @@
 		return err
 	}
 	<-ctx.Done()
-	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), n.options.Settings.Bounds.Grace.Std())
+	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), n.graceTime().Std())
 	defer cancelStop()
 	return app.Stop(stop)
 }
@@ -192,6 +194,7 @@
 		Publish:         n.publish,
 		Recorder:        log,
 	})
+	n.grace.Store(int64(o.Settings.Bounds.Grace))
 	n.requests, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.outbound = pipeliner.New(pipeliner.Options{
 		Context:       n.requests,
--- a/internal/mesher/mesher_test.go
+++ b/internal/mesher/mesher_test.go
@@ -110,6 +110,8 @@
 	operators, members memoryTopic
 	// work, if set, is called for each request that reaches an endpoint.
 	work func(r *http.Request)
+	// watch, if set, reloads the nodes' settings.
+	watch func(ctx context.Context, apply func(loader.Sidecar), reject func(error))
 	// log, if set, gets the nodes' log lines.
 	log io.Writer
 }
@@ -202,7 +204,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	go func() { n.done <- Run(ctx, Options{Settings: n.settings, Platform: outside, Out: out}) }()
+	go func() {
+		n.done <- Run(ctx, Options{Settings: n.settings, Platform: outside, Out: out, WatchSettings: f.watch})
+	}()
 	n.accept = <-accepted
 	n.announce(false)
 	t.Cleanup(func() {
--- a/internal/mesher/reload.go
+++ b/internal/mesher/reload.go
@@ -25,6 +25,7 @@
 	old := n.options.Settings
 	restart := s.Listen != old.Listen || s.Endpoint != old.Endpoint || s.Store != old.Store ||
 		s.Name != old.Name || s.Service != old.Service || s.Domain != old.Domain
+	n.grace.Store(int64(s.Bounds.Grace))
 	n.relayer.ApplyEvent(conductor.BoundsChanged{Bounds: boundsOf(s.Bounds)})
 	n.recorder.Event("settings reloaded", "revokeMs", int64(s.Bounds.Revoke), "needsRestart", restart)
 }
--- a/internal/mesher/stop.go
+++ b/internal/mesher/stop.go
@@ -57,8 +57,13 @@
 	return stopSchedule{begun: begun, readUntil: answerUntil.Add(-reserve / 2), answerUntil: answerUntil}
 }
 
+// graceTime returns how long a planned stop may take.
+func (n *node) graceTime() clock.Duration {
+	return clock.Duration(n.grace.Load())
+}
+
 func (n *node) stop(context.Context) error {
-	s := newStopSchedule(n.clock.Now(), n.options.Settings.Bounds.Grace)
+	s := newStopSchedule(n.clock.Now(), n.graceTime())
 	n.recorder.Event("node stopping", n.openWork()...)
 	n.relayer.ApplyEvent(conductor.StopRequested{End: s.readUntil})
 	n.relayer.Stop()
--- a/internal/mesher/stop_test.go
+++ b/internal/mesher/stop_test.go
@@ -19,6 +19,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/loader"
 )
 
 // exchangeLog records, from outside, what became of the requests of a test.
@@ -296,6 +299,44 @@
 	assert.Assert(t, took > 5*time.Second && took < 6*time.Second, "after %v", took)
 }
 
+// The grace time is changed by a reload: a stop by the old one would be ended by a kill, or end before its time.
+func TestStopUsesReloadedGraceTime(t *testing.T) {
+	for name, test := range map[string]struct {
+		grace       clock.Duration
+		least, most time.Duration
+	}{
+		"shorter": {grace: 2 * clock.Second, least: 1500 * time.Millisecond, most: 2 * time.Second},
+		"longer":  {grace: 8 * clock.Second, least: 7 * time.Second, most: 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newExchangeLog()
+			reloaded := make(chan struct{}, 2)
+			f := &fleet{work: l.work}
+			f.watch = func(_ context.Context, apply func(loader.Sidecar), _ func(error)) {
+				apply(loader.Sidecar{Bounds: loader.SidecarBounds{
+					Revoke: clock.Second, ConfigurationInForce: clock.Second, Grace: test.grace,
+					RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * clock.Second,
+				}})
+				reloaded <- struct{}{}
+			}
+			entry, n := f.startServing(t)
+			<-reloaded
+			<-reloaded
+			_, err := io.WriteString(n, "GET /long/work/9900 HTTP/1.1\r\nHost: h\r\nX-Id: a\r\nX-Key: k\r\n\r\n")
+			assert.NilError(t, err)
+			eventually(t, "at work", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.begun["a"] })
+			begun := time.Now()
+			entry.stop()
+			response, err := http.ReadResponse(bufio.NewReader(n), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, 502)
+			took := time.Since(begun)
+			assert.Assert(t, took > test.least && took < test.most, "after %v", took)
+		})
+	}
+}
+
 // The server answers a request without a path by itself: the connection's next request would get no answer.
 func TestRequestBehindOneWithoutPathIsAnswered(t *testing.T) {
 	f := &fleet{}
