--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -60,8 +60,8 @@
 	stopping bool
 	// started is when the node started.
 	started clock.Time
-	// stopRequestedAt is when the planned stop began.
-	stopRequestedAt clock.Time
+	// stopRequestedAt is when the planned stop began, stopEnd when it ends at the latest, 0 if that is not bounded.
+	stopRequestedAt, stopEnd clock.Time
 
 	matcher             *matcher.Matcher
 	configurationReadAt clock.Time
@@ -279,7 +279,7 @@
 	case BoundsChanged:
 		c.options.Bounds = e.Bounds
 	case StopRequested:
-		c.stop(now)
+		c.stop(e.End, now)
 	}
 	return c.effects
 }
@@ -336,13 +336,6 @@
 	c.throttler.Observe(c.limiter.Queued(), c.plan.excess[c.self.Service], now)
 }
 
-func (c *Conductor) stop(now clock.Time) {
-	if c.stopping {
-		return
-	}
-	c.stopping, c.stopRequestedAt = true, now
-}
-
 // announceStop publishes that this node is stopping, shortly before it stops accepting deliveries for its endpoint.
 func (c *Conductor) announceStop(now clock.Time) {
 	if c.stopping && !c.self.Stopping && now.Sub(c.stopRequestedAt) >= stoppingReadyTime {
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -182,4 +182,5 @@
 	EndpointRefused Reason = "endpointRefused"
 	InDoubt         Reason = "inDoubt"
 	Deadline        Reason = "deadline"
+	NodeStopping    Reason = "nodeStopping"
 )
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -93,6 +93,9 @@
 		r.left = e.Left
 		r.deadline = min(r.deadline, now.Add(e.Left))
 	}
+	if !c.admitWhileStopping(r, now) {
+		return
+	}
 	r.permittedDomains = c.permittedDomainsOf(r)
 	r.class = classOf(r)
 	r.service = c.splitOf(route).next()
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -223,7 +223,10 @@
 }
 
 // StopRequested begins a planned stop.
-type StopRequested struct{}
+type StopRequested struct {
+	// End is when all requests must have been answered; 0 means that this is not bounded.
+	End clock.Time
+}
 
 func (RequestArrived) event()      {}
 func (AttemptEnded) event()        {}
--- a/internal/conductor/stop_test.go
+++ b/internal/conductor/stop_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
@@ -46,3 +47,47 @@
 	late.ID = 2
 	assert.Equal(t, onlyEffect[TurnAway](t, c.Apply(late, 3100)).Outcome, Moved)
 }
+
+// A stopping node accepts a request that may last longer than the node: the request would be cut off, or its endpoint would not
+// know that it has to answer before.
+func TestStoppingNodeAcceptsOnlyWhatItCanAnswer(t *testing.T) {
+	const begun, end = 1000, 6250
+	for name, test := range map[string]struct {
+		at       clock.Time
+		left     clock.Duration
+		nested   bool
+		deadline clock.Time
+	}{
+		"early, ends in time":          {at: 1500, left: 800, deadline: 2300},
+		"early, may last longer":       {at: 1500, left: 6000, deadline: end},
+		"late, ends in time":           {at: 5000, left: 1200, deadline: 6200},
+		"late, may last longer":        {at: 5000, left: 1300},
+		"late nested, may last longer": {at: 5000, left: 1300, nested: true, deadline: end},
+		"at the end":                   {at: 6200, left: 20},
+		"nested call at the end":       {at: 6200, left: 20, nested: true},
+		"until callers have left":      {at: 3900, left: 6000, deadline: end},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newConductor("desk")
+			r := route("obs", "portal", matcher.Idempotent)
+			r.Public = test.nested
+			configure(t, c, configuration(1, r), 0)
+			learnMembers(c, peer("a", "portal"))
+			c.Apply(StopRequested{End: end}, begun)
+			e := arrival(1, "/obs/x")
+			e.Left = test.left
+			if test.nested {
+				e.Key = ""
+			}
+			effects := c.Apply(e, test.at)
+			if test.deadline > 0 {
+				assert.Equal(t, onlyEffect[Send](t, effects).Deadline, test.deadline)
+				return
+			}
+			refusal := onlyEffect[Refuse](t, effects)
+			assert.Equal(t, refusal.Status, 503)
+			assert.Equal(t, refusal.Reason, NodeStopping)
+			assert.Assert(t, refusal.RetryAfter > 0)
+		})
+	}
+}
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -1,10 +1,8 @@
 package mesher
 
-// A planned stop must lose no request: other nodes must learn to send no more requests here, callers must send their next
-// request to another node, and all requests in flight must end. The local endpoint may continue to run and make nested
-// calls, so the node serves as long as requests arrive, up to its grace time.
+// A node's listeners are opened at its start and closed at the end of its planned stop; a tick drives what depends on time.
 //
-// Example: SIGTERM, readiness answers 503 at once, the last request ends 1.2 s later, the node stops after 3 s.
+// Example: n.listen(ctx, "10.1.0.9:7400", n.outbound, relayer.OutboundIdleTimeout.Std())
 
 import (
 	"context"
@@ -43,7 +41,7 @@
 		idle    time.Duration
 	}{
 		{s.Outbound.String(), n.outbound, relayer.OutboundIdleTimeout.Std()},
-		{s.Inbound.String(), http.HandlerFunc(n.relayer.ServeInbound), relayer.InboundIdleTimeout.Std()},
+		{s.Inbound.String(), n.inbound, relayer.InboundIdleTimeout.Std()},
 		{s.Readiness.String(), http.HandlerFunc(n.serveReadiness), otherIdleTimeout},
 		{s.Announcements.String(), n.announcements(), otherIdleTimeout},
 		{s.Peer.String(), n.peerRouter(), otherIdleTimeout},
@@ -88,7 +86,7 @@
 	}
 	n.servers = append(n.servers, s)
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.recorder.Dependency("listener "+address, err)
 		}
 	}()
@@ -193,56 +191,3 @@
 			"teamsDivided", s.TeamsDivided)
 	}
 }
-
-const (
-	// minStopTime is the minimum time for which a stopping node serves: the platform checks its readiness once a second and
-	// removes it after two failed checks, and the last requests of callers arrive a moment later.
-	minStopTime = 3 * clock.Second
-	// idleBeforeStop is how long no request must have been in flight before the node stops.
-	idleBeforeStop = 300 * clock.Millisecond
-	// stopReserve is the part of the grace time that is reserved for closing: on a fraction of a core, the last steps
-	// of a stop and a throttling pause of a tenth of a second must fit into it.
-	stopReserve    = 1200 * clock.Millisecond
-	stopPollPeriod = 50 * clock.Millisecond
-	// flushTimeout bounds the wait for the log's last lines.
-	flushTimeout = 100 * clock.Millisecond
-)
-
-func (n *node) stop(context.Context) error {
-	n.recorder.Event("node stopping", n.openWork()...)
-	n.relayer.ApplyEvent(conductor.StopRequested{})
-	begun := n.clock.Now()
-	n.relayer.Stop()
-	lastBusy := begun
-	end := begun.Add(n.options.Settings.Bounds.Grace - stopReserve)
-	for now := begun; now < end; now = n.clock.Now() {
-		idle := false
-		n.relayer.View(func(c *conductor.Conductor, _ clock.Time) { idle = c.Idle() })
-		if !idle {
-			lastBusy = now
-		}
-		if now.Sub(begun) >= minStopTime && now.Sub(lastBusy) >= idleBeforeStop {
-			break
-		}
-		time.Sleep(stopPollPeriod.Std())
-	}
-	n.recorder.Event("node stopped", append(n.openWork(), "afterMs", int64(n.clock.Now().Sub(begun)))...)
-	n.cancel()
-	n.cancelRequests(relayer.ErrStopped)
-	for _, s := range n.servers {
-		_ = s.Close()
-	}
-	n.recorder.Flush(flushTimeout)
-	return nil
-}
-
-// openWork returns, for the log, how many requests and deliveries are open in the conductor, and what callers' connections
-// hold.
-func (n *node) openWork() []any {
-	var requests, deliveries int
-	n.relayer.View(func(c *conductor.Conductor, _ clock.Time) { requests, deliveries = c.Open() })
-	l := n.outbound.Load()
-	return []any{
-		"requests", requests, "deliveries", deliveries, "connections", l.Open, "answering", l.Answering, "ahead", l.Ahead,
-	}
-}
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -70,9 +70,10 @@
 	// requests is the context from which those of all requests are derived; cancelRequests ends it with a cause.
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
-	// outbound serves callers and the local endpoint, with pipelined requests.
-	outbound *pipeliner.Pipeliner
-	records  chan exchanger.Member
+	// outbound serves callers and the local endpoint, with pipelined requests; inbound serves other nodes' requests for the
+	// local endpoint.
+	outbound, inbound *pipeliner.Pipeliner
+	records           chan exchanger.Member
 	// writtenSequence is the sequence number of the member record that was last written to the store.
 	writtenSequence atomic.Int64
 	exchangeClient  *http.Client
@@ -197,6 +198,7 @@
 		MaxAhead:      maxPipelined,
 		MayStartAhead: n.relayer.MayPipeline,
 	})
+	n.inbound = pipeliner.New(pipeliner.Options{Context: n.requests, Handler: http.HandlerFunc(n.relayer.ServeInbound)})
 	n.configurations = n.newConfigurationWatcher()
 	return n
 }
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -59,6 +60,10 @@
 	// serving is whether a request is being answered; answering lasts from its head until its whole answer has been passed
 	// to the network, which the server shows by asking for the next head.
 	serving, answering bool
+	// requestBegun is whether the server has been given bytes of a request that is not answered.
+	requestBegun bool
+	// stopped is whether no further request may be read.
+	stopped bool
 	// closing is whether an answer ends the connection: the current one or that of the last request started ahead. No
 	// further request is started ahead then.
 	closing bool
@@ -92,12 +97,15 @@
 
 // Close closes the connection and cancels the requests that were started ahead.
 func (c *connection) Close() error {
-	c.pipeliner.remove(c)
+	defer c.pipeliner.remove(c)
 	c.cancelAhead()
 	c.mu.Lock()
 	c.readAborted = true
 	c.stateCond.Broadcast()
 	c.mu.Unlock()
+	if c.pipeliner.context.Err() == nil && hasUnread(c.Conn) {
+		c.awaitDelivery()
+	}
 	return c.Conn.Close()
 }
 
@@ -116,9 +124,13 @@
 			c.mu.Unlock()
 			return n, nil
 		}
+		if c.stopped && c.idle() {
+			c.mu.Unlock()
+			return 0, io.EOF
+		}
 		n, err := c.readInner(c.limited(p))
 		c.readAhead = append(c.readAhead, p[:n]...)
-		if err != nil {
+		if err != nil && !(isTimeout(err) && c.stopped && c.idle()) {
 			c.mu.Unlock()
 			return 0, err
 		}
@@ -146,6 +158,7 @@
 		c.bodyLeft -= int64(n)
 		ended = c.bodyLeft == 0
 	}
+	c.requestBegun = c.requestBegun || n > 0
 	copy(p, c.readAhead[:n])
 	c.readAhead = append(c.readAhead[:0], c.readAhead[n:]...)
 	switch {
@@ -196,7 +209,24 @@
 // mayReadAhead returns whether the background read may read what comes behind the current request: not once an answer ends
 // the connection, since that request would be read and never answered. The caller holds the lock.
 func (c *connection) mayReadAhead() bool {
-	return !c.closeAnnounced && len(c.readAhead) < maxReadAheadBytes
+	return !c.closeAnnounced && !c.stopped && len(c.readAhead) < maxReadAheadBytes
+}
+
+// idle returns whether no byte of an unanswered request has been read; the caller holds the lock.
+func (c *connection) idle() bool {
+	return (c.phase == headPhase || c.phase == passthroughPhase) && !c.serving && !c.requestBegun && len(c.readAhead) == 0
+}
+
+// stopReading lets no further request be read: an idle connection ends, any other with the answer to the last request that was
+// read from it.
+func (c *connection) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.reading && (c.phase == answeringPhase || c.idle()) {
+		// An error means that the connection is closed, which ends the read as well.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // readInner reads from the network; the caller holds the lock, which is released meanwhile.
@@ -249,7 +279,7 @@
 func (c *connection) served() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = false
+	c.serving, c.requestBegun = false, false
 	if c.phase == answeringPhase {
 		c.phase = headPhase
 	}
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -31,6 +32,12 @@
 	options     Options
 	mu          sync.Mutex
 	connections map[*connection]struct{}
+	listeners   []net.Listener
+	// stopped is whether no further request may be read.
+	stopped bool
+	// context ends when connections are closed at once.
+	context context.Context
+	cancel  context.CancelFunc
 }
 
 // New returns a pipeliner.
@@ -38,7 +45,8 @@
 	if o.Context == nil {
 		o.Context = context.Background()
 	}
-	return &Pipeliner{options: o, connections: map[*connection]struct{}{}}
+	ctx, cancel := context.WithCancel(o.Context)
+	return &Pipeliner{options: o, connections: map[*connection]struct{}{}, context: ctx, cancel: cancel}
 }
 
 // Load is what the connections of a pipeliner hold.
@@ -64,6 +72,32 @@
 	return l
 }
 
+// StopReading closes the listeners and lets no further request be read. Requests that have been read are answered; each
+// connection ends with the last of its answers, an idle one at once.
+func (p *Pipeliner) StopReading() error {
+	p.mu.Lock()
+	p.stopped = true
+	listeners := p.listeners
+	p.mu.Unlock()
+	var failed []error
+	for _, l := range listeners {
+		failed = append(failed, l.Close())
+	}
+	for _, c := range p.snapshot() {
+		c.stopReading()
+	}
+	return errors.Join(failed...)
+}
+
+// Close closes all connections at once, whatever they hold.
+func (p *Pipeliner) Close() {
+	p.cancel()
+	for _, c := range p.snapshot() {
+		// An error means that the connection is closed already.
+		_ = c.Close()
+	}
+}
+
 // snapshot returns the open connections.
 func (p *Pipeliner) snapshot() []*connection {
 	p.mu.Lock()
@@ -78,6 +112,7 @@
 func (p *Pipeliner) add(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.stopped = p.stopped
 	p.connections[c] = struct{}{}
 }
 
@@ -89,6 +124,9 @@
 
 // Listen wraps a listener so that its connections read ahead.
 func (p *Pipeliner) Listen(inner net.Listener) net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners = append(p.listeners, inner)
 	return &listener{Listener: inner, pipeliner: p}
 }
 
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -70,10 +70,10 @@
 }
 
 // incompleteAttempt returns the outcome of an attempt that was sent and got no complete answer, by cause: its node is
-// unreachable, the deadline has passed, the caller has disconnected, or the connection broke.
+// unreachable, this node ends, the deadline has passed, the caller has disconnected, or the connection broke.
 func incompleteAttempt(ctx context.Context) answer {
 	switch {
-	case endedAsUnreachable(ctx):
+	case endedAsUnreachable(ctx), endedByStop(ctx):
 		return failedAttempt(conductor.Broken, conductor.InDoubt)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failedAttempt(conductor.Late, conductor.Deadline)
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -56,7 +56,9 @@
 		return
 	}
 	r.dropRedundantFields(a.Header)
-	r.writeAnswer(w, a)
+	if err := r.writeAnswer(w, a); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // dropRedundantFields removes the fields of an answer that the sending node already has or does not need.
@@ -118,8 +120,9 @@
 	return out
 }
 
-// writeAnswer forwards an endpoint's answer. A truncated answer must not look complete, so its connection is aborted.
-func (r *Relayer) writeAnswer(w http.ResponseWriter, a answer) {
+// writeAnswer forwards an endpoint's answer. With an error the answer is truncated; it must not look complete, so its connection
+// has to be aborted.
+func (r *Relayer) writeAnswer(w http.ResponseWriter, a answer) error {
 	header := w.Header()
 	for name, values := range endToEndFields(a.Header) {
 		header[name] = values
@@ -135,13 +138,11 @@
 	if a.bodyRead {
 		// A failed write means that the caller has disconnected, which is no failure of this node.
 		_, _ = w.Write(a.body)
-		return
+		return nil
 	}
 	err := copyBody(w, a)
 	a.finish(err == nil)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	return err
 }
 
 const copyBufferBytes = 16 << 10
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -53,9 +53,8 @@
 		case held:
 			effect, err = r.wait(request.Context(), e)
 			if err != nil {
-				r.apply(id, conductor.RequestClosed{ID: id})
-				r.logCut(request, started)
-				panic(http.ErrAbortHandler)
+				r.endUnanswered(w, request, id, body != nil, started)
+				return
 			}
 		case conductor.Send:
 			if body == nil {
@@ -77,16 +76,22 @@
 				Member:     last.member,
 			})
 			r.logAttempt(request, e, last, started)
-			if last.outcome == conductor.Abandoned {
+			if last.exceededLimit > 0 {
 				r.apply(id, conductor.RequestClosed{ID: id})
-				r.logCut(request, started)
-				r.abandon(w, last)
+				r.refuseTooLarge(w, last.exceededLimit)
+				return
+			}
+			if last.outcome == conductor.Abandoned || last.outcome != conductor.Answered && endedByStop(request.Context()) {
+				r.endUnanswered(w, request, id, true, started)
 				return
 			}
 		case conductor.Reply:
 			r.apply(id, conductor.RequestClosed{ID: id})
 			r.announceIdleTimeout(request.Context(), w.Header())
-			r.writeAnswer(w, last)
+			if err := r.writeAnswer(w, last); err != nil {
+				r.logCut(request, started)
+				panic(http.ErrAbortHandler)
+			}
 			return
 		default:
 			panic(http.ErrAbortHandler)
@@ -94,6 +99,20 @@
 	}
 }
 
+// endUnanswered ends a request whose context has ended: it is refused if its node ends, and aborted if its caller has
+// disconnected.
+func (r *Relayer) endUnanswered(w http.ResponseWriter, request *http.Request, id conductor.CallID, sent bool, started clock.Time) {
+	r.apply(id, conductor.RequestClosed{ID: id})
+	if !endedByStop(request.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+	e := conductor.Refuse{ID: id, Status: http.StatusServiceUnavailable, Reason: conductor.NodeStopping}
+	if sent {
+		e.Status = http.StatusBadGateway
+	}
+	r.refuse(w, request, e, started)
+}
+
 func (r *Relayer) parent(id string) identifier.Request {
 	if r.options.Headers.Parent == nil {
 		return ""
@@ -118,14 +137,6 @@
 	return idempotent
 }
 
-// abandon ends a request whose caller has disconnected, or refuses one whose chunked body turned out to exceed the limit.
-func (r *Relayer) abandon(w http.ResponseWriter, a answer) {
-	if a.exceededLimit == 0 {
-		panic(http.ErrAbortHandler)
-	}
-	r.refuseTooLarge(w, a.exceededLimit)
-}
-
 func (a answer) status() int {
 	if a.Response == nil {
 		return 0
@@ -182,7 +193,7 @@
 	})
 }
 
-// logCut logs a request that ends without an answer because the node ends.
+// logCut logs a request whose answer breaks off because the node ends.
 func (r *Relayer) logCut(request *http.Request, started clock.Time) {
 	if !endedByStop(request.Context()) {
 		return
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -63,6 +63,7 @@
 // ErrStopped is the cause with which the contexts of requests are cancelled when their node ends.
 var ErrStopped = errors.New("the node has stopped")
 
+// endedByStop returns whether a request ends because its node does, and not because its caller has disconnected.
 func endedByStop(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), ErrStopped)
 }
--- a/internal/relayer/tokens.go
+++ b/internal/relayer/tokens.go
@@ -33,6 +33,9 @@
 	}
 	if ctx.Err() != nil {
 		r.apply(d.ID, conductor.RequestClosed{ID: d.ID})
+		if endedByStop(ctx) {
+			return conductor.Refuse{ID: d.ID, Status: http.StatusServiceUnavailable, Reason: conductor.NodeStopping}
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return r.apply(d.ID, conductor.TokenDrawn{ID: d.ID, Node: d.Node, Answered: err == nil, Grant: grant})
