Review, case 3: an endpoint's line without an end ends the node beside it

Cause: the head of an endpoint's answer is read without a bound, so bytes that are no answer and have no line end are held until the memory of the node is used up; the platform then kills it with all it has under way.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]caseRun{
 	"declined": runDeclined,
+	"spoiled":  runSpoiled,
 	"early":    runEarly,
 }
 
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -83,6 +83,8 @@
 	store    *standin.Store
 	storeAt  string
 	basePort int
+	// network is the second part of the machines' addresses; each world takes one at random.
+	network  int
 	machines []*machine
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: r, folder: folder, store: standin.NewStore(), storeAt: l.Addr().String()}
+	w := &world{record: r, folder: folder, store: standin.NewStore(), storeAt: l.Addr().String(), network: 20 + rand.IntN(200)}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.server = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(l) }()
@@ -137,7 +139,7 @@
 // start starts the deployment and waits until it may get traffic.
 func (w *world) start(d deployment, behave func(m *machine) behavior) error {
 	for i, s := range d.machines {
-		w.machines = append(w.machines, &machine{machineSpec: s, world: w, ip: fmt.Sprintf("127.61.%d.1", i+1)})
+		w.machines = append(w.machines, &machine{machineSpec: s, world: w, ip: fmt.Sprintf("127.%d.%d.1", w.network, i+1)})
 	}
 	if err := w.findPorts(); err != nil {
 		return err
