--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -66,8 +66,8 @@
 // head returns the head of a request whose body has the given framing.
 func (q request) head(timeout time.Duration, framing string) []byte {
 	var b bytes.Buffer
-	_, _ = fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Timeout-Ms: %d\r\nAuthorization: Token %s\r\n%s\r\n",
-		q.method, q.path, host, q.id, timeout.Milliseconds(), key, framing)
+	_, _ = fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s%s\r\n%s\r\n",
+		q.method, q.path, host, names.RequestID, q.id, names.TimeLeft, timeout.Milliseconds(), names.Key, names.KeyScheme, key, framing)
 	return b.Bytes()
 }
 
@@ -108,6 +108,6 @@
 	if response.Close {
 		c.disconnect()
 	}
-	a.status, a.signature, a.body = response.StatusCode, response.Header.Get("X-Response-Signature"), string(body)
+	a.status, a.signature, a.body = response.StatusCode, response.Header.Get(names.Signature), string(body)
 	return a
 }
--- a/review/lab/declined.go
+++ b/review/lab/declined.go
@@ -4,13 +4,14 @@
 // answer on the connection is expected. A request that was declined is offered again under the same id, so the second answer to
 // its first offer must not be taken for the answer to the next one.
 //
-// Example: c3-17 is declined by i-desk-2 with 503 and X-Not-Executed, offered again and run there; the late copy of the 503
+// Example: c3-17 is declined by i-desk-2 with 503 as not run, offered again and run there; the late copy of the 503
 // must not make the node offer c3-17 a third time, nor refuse it.
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,10 +22,8 @@
 
 const (
 	// declinedShare and spoiledShare are the x of srv_grey (shed) and of garble (extra late) in the site file.
-	declinedShare = 0.45
-	spoiledShare  = 0.03
-	// garblingEndpoints is the number of the three endpoints that spoil answers: a share of 0.6, as the bench rounds it.
-	garblingEndpoints = 2
+	declinedShare     = 0.45
+	spoiledShare      = 0.03
 	greyTime          = 6500 * time.Millisecond
 	garbleTime        = 5 * time.Second
 	rounds            = 9
@@ -35,6 +34,9 @@
 	declinedTimeout   = 3 * time.Second
 )
 
+// garblingEndpoints are the machines of the endpoints that spoil answers: a share of 0.6 of three, as the bench rounds it.
+var garblingEndpoints = []string{"desk-1", "desk-2"}
+
 // runs counts the runs of each request.
 type runs struct {
 	mu    sync.Mutex
@@ -58,7 +60,7 @@
 	var grey, garbling atomic.Bool
 	ran := runs{count: map[string]int{}}
 	behave := func(m *machine) behavior {
-		garbles := m.service == "desk" && strings.HasSuffix(m.name, "1") || strings.HasSuffix(m.name, "2")
+		garbles := slices.Contains(garblingEndpoints, m.name)
 		return func(c *endpointConnection, r *http.Request) bool {
 			return serveDeclining(c, r, w.record, &ran, grey.Load(), garbles && garbling.Load())
 		}
@@ -102,7 +104,7 @@
 		w.record.note("endpoints of desk decline: %t", trouble)
 		time.Sleep((greyTime - garbleTime) / 2)
 		garbling.Store(trouble)
-		w.record.note("%d endpoints of desk add second answers: %t", garblingEndpoints, trouble)
+		w.record.note("endpoints %v add second answers: %t", garblingEndpoints, trouble)
 		time.Sleep(garbleTime)
 		garbling.Store(false)
 		w.record.note("no endpoint adds second answers")
@@ -119,14 +121,14 @@
 
 // serveDeclining handles a request of an endpoint that may decline it and may add a second answer.
 func serveDeclining(c *endpointConnection, r *http.Request, log *record, ran *runs, declines, garbles bool) bool {
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(names.RequestID)
 	if err := drain(r); err != nil {
 		return false
 	}
 	e := c.endpoint
 	var a []byte
 	if declines && rand.Float64() < declinedShare {
-		a = e.answerBytes(r, http.StatusServiceUnavailable, "", "X-Not-Executed: 1")
+		a = e.answerBytes(r, http.StatusServiceUnavailable, "", notRun())
 		log.note("%s declined by %s", id, e.id)
 	} else {
 		e.running.Add(1)
--- a/review/lab/early.go
+++ b/review/lab/early.go
@@ -95,7 +95,7 @@
 
 // serveUpload handles an upload at an endpoint, which answers it before the body is in if early is set.
 func serveUpload(c *endpointConnection, r *http.Request, log *record, results chan<- uploadResult, early bool) bool {
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(names.RequestID)
 	log.note("%s runs at %s", id, c.endpoint.id)
 	c.endpoint.running.Add(1)
 	defer c.endpoint.running.Add(-1)
--- a/review/lab/endpoint.go
+++ b/review/lab/endpoint.go
@@ -87,8 +87,8 @@
 			_, _ = c.Write(c.pending)
 			c.pending = nil
 		}
-		if target := r.Header.Get("X-Target-Instance"); target != "" && target != e.id {
-			c.answer(r, http.StatusMisdirectedRequest, "", "X-Not-Executed: 1")
+		if target := r.Header.Get(names.Target); target != "" && target != e.id {
+			c.answer(r, http.StatusMisdirectedRequest, "", notRun())
 			return
 		}
 		if !e.behave(c, r) {
@@ -100,9 +100,9 @@
 // answerBytes returns an answer to a request.
 func (e *endpoint) answerBytes(r *http.Request, status int, body string, fields ...string) []byte {
 	var b bytes.Buffer
-	_, _ = fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n",
-		status, http.StatusText(status), r.Header.Get("X-Request-Id"), e.id, len(body))
-	_, _ = fmt.Fprintf(&b, "X-Load-Report: %d,0,%d\r\n", e.running.Load(), e.machine.slots)
+	_, _ = fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n",
+		status, http.StatusText(status), names.RequestID, r.Header.Get(names.RequestID), names.Instance, e.id, len(body))
+	_, _ = fmt.Fprintf(&b, "%s: %d,0,%d\r\n", names.Load, e.running.Load(), e.machine.slots)
 	for _, f := range fields {
 		_, _ = b.WriteString(f + "\r\n")
 	}
@@ -114,11 +114,6 @@
 	_, _ = c.Write(c.endpoint.answerBytes(r, status, body, fields...))
 }
 
-// signatureField is the field that each endpoint adds to the answers of its runs.
-func signatureField(id string) string {
-	return "X-Response-Signature: signed-" + id
-}
-
 // answerBody returns the body of the answer to a request.
 func answerBody(id string) string {
 	return "answer to " + id + " " + strings.Repeat("x", 400)
--- a/review/lab/spoiled.go
+++ b/review/lab/spoiled.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// spoiledAnswers is the x of garble in the site file, garbleFor its length, spoiledEndpoints a share of 0.35 of five.
+	// spoiledAnswers is the x of garble in the site file, garbleFor its length. One endpoint of five spoils answers; the file has a
+	// share of 0.35.
 	spoiledAnswers   = 0.02
 	garbleFor        = 5500 * time.Millisecond
-	spoiledEndpoints = 1
 	spoiledClients   = 12
 	spoiledTimeout   = 6 * time.Second
 	lookWork         = 120 * time.Millisecond
@@ -35,7 +35,7 @@
 	ran := runs{count: map[string]int{}}
 	behave := func(m *machine) behavior {
 		return func(c *endpointConnection, r *http.Request) bool {
-			id := r.Header.Get("X-Request-Id")
+			id := r.Header.Get(names.RequestID)
 			if drain(r) != nil {
 				return false
 			}
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jackdawtide/jackdawtide/platform"
 	"github.com/jackdawtide/jackdawtide/platform/standin"
 )
 
@@ -283,7 +284,7 @@
 	}
 	defer log.Close()
 	m.process = exec.Command(program, "sidecar")
-	m.process.Env = []string{"JACKDAWTIDE_CONFIG=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	m.process.Env = []string{platform.SettingsVariable + "=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	m.process.Stdout, m.process.Stderr = log, log
 	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	m.ended = make(chan struct{})
