Show answers that are dropped and requests sent again on their connection

Each connection to an endpoint now remembers the requests that it has carried, for as long as they may be sent again. An answer is still matched by its id alone; no decision changes.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -17,6 +17,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
 const (
@@ -214,6 +215,32 @@
 	return kind
 }
 
+// AnswerDropped records an answer of the local endpoint that belongs to no request under way on its connection.
+func (r *Recorder) AnswerDropped(d requester.DroppedAnswer) {
+	cause := "unknownRequest"
+	if d.Known {
+		cause = "earlierRequest"
+	}
+	r.meters.increment("dropped_answers", "cause", cause)
+	ok, leftOut := r.allow("dropped answer", linesPerSecond)
+	if !ok {
+		return
+	}
+	r.logger.Warn("answer dropped", "request", d.Got, "status", d.Status, "cause", cause, "awaited", d.Awaited,
+		"connection", d.Connection, "leftOut", leftOut)
+}
+
+// Resent records an answer to a request that its connection had carried before.
+func (r *Recorder) Resent(e requester.Resent) {
+	r.meters.increment("resent", "connection", "same")
+	ok, leftOut := r.allow("resent", linesPerSecond)
+	if !ok {
+		return
+	}
+	r.logger.Info("request sent again on its connection", "request", e.ID, "status", e.Status, "afterMs", int64(e.After),
+		"connection", e.Connection, "leftOut", leftOut)
+}
+
 // Event records a change of this node's state or of its view of the fleet.
 func (r *Recorder) Event(message string, pairs ...any) {
 	ok, leftOut := r.allow("event "+message, linesPerSecond)
--- a/internal/relayer/check.go
+++ b/internal/relayer/check.go
@@ -34,10 +34,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Std())
 	defer cancel()
 	request := &requester.Request{
-		Method: http.MethodGet,
-		URI:    path,
-		Host:   r.options.EndpointAddress,
-		Header: http.Header{},
+		Method:    http.MethodGet,
+		URI:       path,
+		Host:      r.options.EndpointAddress,
+		Header:    http.Header{},
+		AnyAnswer: true,
 	}
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, request)
 	if err != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -91,21 +91,18 @@
 
 // New returns a relayer.
 func New(o Options) *Relayer {
-	client := func(dial, idle clock.Duration) *requester.Client {
-		return requester.New(requester.Options{
-			DialTimeout: dial,
-			IdleTime:    idle,
-			MaxIdle:     maxIdlePerAddress,
-			Connections: o.Connections,
-			Now:         o.Clock.Now,
-		})
-	}
+	common := requester.Options{MaxIdle: maxIdlePerAddress, Connections: o.Connections, Now: o.Clock.Now}
+	peers, endpoints := common, common
+	peers.DialTimeout, peers.IdleTime = peerDialTimeout, peerIdleTimeout
+	endpoints.DialTimeout, endpoints.IdleTime = endpointDialTimeout, endpointIdleTimeout
+	endpoints.IDField = o.Headers.RequestID
+	endpoints.AnswerDropped, endpoints.Resent = o.Recorder.AnswerDropped, o.Recorder.Resent
 	return &Relayer{
 		options:   o,
 		waiting:   map[conductor.CallID]chan conductor.Effect{},
 		aborts:    map[conductor.CallID]context.CancelCauseFunc{},
-		peers:     client(peerDialTimeout, peerIdleTimeout),
-		endpoints: client(endpointDialTimeout, endpointIdleTimeout),
+		peers:     requester.New(peers),
+		endpoints: requester.New(endpoints),
 		unread:    newUnreadFields(o.Headers),
 	}
 }
@@ -141,6 +138,11 @@
 	f(r.options.Conductor, r.options.Clock.Now())
 }
 
+// EndpointConnections returns how many connections to the local endpoint the node has tried to open.
+func (r *Relayer) EndpointConnections() int64 {
+	return r.endpoints.Dials()
+}
+
 // Expire closes connections that have been idle too long.
 func (r *Relayer) Expire() {
 	r.peers.Expire()
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,12 +24,13 @@
 type Client struct {
 	options Options
 	pool    *pool
+	seed    maphash.Seed
 	dials   atomic.Int64
 }
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{options: o, pool: newPool(o.MaxIdle)}
+	return &Client{options: o, pool: newPool(o.MaxIdle), seed: maphash.MakeSeed()}
 }
 
 // Dials returns how many connections the client has tried to open.
@@ -107,6 +109,9 @@
 	if err := n.prepareFor(r); err != nil {
 		return nil, err
 	}
+	key, now := c.keyOf(r.ID), c.options.Now()
+	resent := n.sent.contains(key)
+	n.sent.add(sentRequest{key: key, until: r.SentUntil}, now)
 	writeHead(n.writer, r)
 	var sent chan error
 	switch {
@@ -131,9 +136,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.Matches == nil || r.Matches(head.Header) {
+		if c.belongsTo(head, r) {
+			if resent && c.options.Resent != nil {
+				c.options.Resent(Resent{
+					Connection: n.LocalAddr().String(), ID: r.ID, Status: head.StatusCode, After: c.options.Now().Sub(now),
+				})
+			}
 			return c.response(n, head, sent, true), nil
 		}
+		c.reportDropped(n, r, head)
 		// A late answer to an earlier request on this connection; the answer to this request may follow it.
 		if head.ContentLength < 0 || head.ContentLength > maxStrayBytes {
 			return nil, errStray
@@ -144,6 +155,22 @@
 	}
 }
 
+// belongsTo returns whether an answer is one to the request under way on its connection.
+func (c *Client) belongsTo(head *http.Response, r *Request) bool {
+	return c.options.IDField == "" || r.AnyAnswer || head.Header.Get(c.options.IDField) == r.ID
+}
+
+func (c *Client) reportDropped(n *conn, r *Request, head *http.Response) {
+	if c.options.AnswerDropped == nil {
+		return
+	}
+	got := head.Header.Get(c.options.IDField)
+	c.options.AnswerDropped(DroppedAnswer{
+		Connection: n.LocalAddr().String(), Awaited: r.ID, Got: got, Status: head.StatusCode,
+		Known: n.sent.contains(c.keyOf(got)),
+	})
+}
+
 // maxStrayBytes is the longest answer to another request that is read and dropped to reach the right one.
 const maxStrayBytes = 256 << 10
 
--- a/internal/requester/client_test.go
+++ b/internal/requester/client_test.go
@@ -57,13 +57,13 @@
 	c := clock.New()
 	return New(Options{
 		DialTimeout: clock.Second, IdleTime: 5 * clock.Second, MaxIdle: 4, Connections: NewConnections(100), Now: c.Now,
+		IDField: "X-Id",
 	})
 }
 
 func get(id string) *Request {
 	return &Request{
-		Method: "GET", URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Method: "GET", URI: "/x", Host: "h", Header: http.Header{"X-Id": {id}}, ID: id,
 	}
 }
 
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -33,6 +33,8 @@
 	writer    *bufio.Writer
 	address   string
 	idleUntil clock.Time
+	// sent are the requests that the connection has carried.
+	sent sentRequests
 	// reused is whether a request has been answered on the connection before.
 	reused bool
 	// ackTimeout is how long sent bytes may stay unacknowledged.
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -28,8 +28,12 @@
 	ExpectContinue bool
 	// Traffic counts the bytes of the request and its answer on the wire; nil counts none.
 	Traffic *Traffic
-	// Matches returns whether an answer belongs to this request; other answers are read and dropped. Nil accepts any.
-	Matches func(http.Header) bool
+	// ID is the id that the answer has to repeat in Options.IDField; other answers are read and dropped.
+	ID string
+	// SentUntil is the time until which the request may be sent again under the same ID.
+	SentUntil clock.Time
+	// AnyAnswer accepts an answer without regard to its id.
+	AnyAnswer bool
 }
 
 // Traffic is the number of bytes that one request has sent and received: heads, bodies and HTTP/1.1 framing.
@@ -49,6 +53,32 @@
 	Connections *Connections
 	// Now reads the monotonic clock.
 	Now func() clock.Time
+	// IDField is the header field in which an answer repeats the id of its request. If it is empty, each answer belongs to
+	// the request sent last.
+	IDField string
+	// AnswerDropped is called for each answer that belongs to no request under way on its connection; nil calls nothing.
+	AnswerDropped func(DroppedAnswer)
+	// Resent is called for each answer to a request that its connection had carried before; nil calls nothing.
+	Resent func(Resent)
+}
+
+// DroppedAnswer is an answer that was read while another one was awaited.
+type DroppedAnswer struct {
+	// Connection is the local address of the connection.
+	Connection string
+	// Awaited and Got are the ids of the request under way and of the answer.
+	Awaited, Got string
+	Status       int
+	// Known is whether the connection has carried a request with the answer's id that is still remembered.
+	Known bool
+}
+
+// Resent is an answer to a request that its connection had carried before.
+type Resent struct {
+	Connection, ID string
+	Status         int
+	// After is the time from sending the request to the head of the answer.
+	After clock.Duration
 }
 
 // DialError reports that no connection could be opened; nothing was sent.
