Send a request again only on connections that have not carried it

Cause: answers are matched by the request's id alone, and the id is the same for each offer of a request that was declined. The pool prefers the connection used last, so that the request is offered again on the connection of its first offer. An endpoint that sends its answer again where the next one is expected so answers an offer that it runs with its earlier 503.

Evidence, from the log lines added before: for 8 of 8 broken bookings 'request sent again on its connection' with status 503 and 0 to 4 ms after sending, at the endpoint whose run began in that moment and took 30 ms or more; the answer to that run was dropped later as 'earlierRequest' and so lost.

Change: each connection remembers the ids that it has carried up to the deadline of their request, and take passes it over for a request with such an id; the next idle connection is used, and a new one is opened only if there is none. An answer with the request's id on a connection that has carried the id once belongs to that one sending, whenever a copy of it comes. No answer is dropped that was accepted before, but the copies.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -230,17 +230,6 @@
 		"connection", d.Connection, "leftOut", leftOut)
 }
 
-// Resent records an answer to a request that its connection had carried before.
-func (r *Recorder) Resent(e requester.Resent) {
-	r.meters.increment("resent", "connection", "same")
-	ok, leftOut := r.allow("resent", linesPerSecond)
-	if !ok {
-		return
-	}
-	r.logger.Info("request sent again on its connection", "request", e.ID, "status", e.Status, "afterMs", int64(e.After),
-		"connection", e.Connection, "leftOut", leftOut)
-}
-
 // Event records a change of this node's state or of its view of the fleet.
 func (r *Recorder) Event(message string, pairs ...any) {
 	ok, leftOut := r.allow("event "+message, linesPerSecond)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -96,7 +96,7 @@
 	peers.DialTimeout, peers.IdleTime = peerDialTimeout, peerIdleTimeout
 	endpoints.DialTimeout, endpoints.IdleTime = endpointDialTimeout, endpointIdleTimeout
 	endpoints.IDField = o.Headers.RequestID
-	endpoints.AnswerDropped, endpoints.Resent = o.Recorder.AnswerDropped, o.Recorder.Resent
+	endpoints.AnswerDropped = o.Recorder.AnswerDropped
 	return &Relayer{
 		options:   o,
 		waiting:   map[conductor.CallID]chan conductor.Effect{},
@@ -138,9 +138,10 @@
 	f(r.options.Conductor, r.options.Clock.Now())
 }
 
-// EndpointConnections returns how many connections to the local endpoint the node has tried to open.
-func (r *Relayer) EndpointConnections() int64 {
-	return r.endpoints.Dials()
+// EndpointConnections returns how many connections to the local endpoint the node has tried to open, and how often an idle
+// one was not used for a request because it had carried it before.
+func (r *Relayer) EndpointConnections() (opened, passedOver int64) {
+	return r.endpoints.Dials(), r.endpoints.PassedOver()
 }
 
 // Expire closes connections that have been idle too long.
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -26,6 +26,8 @@
 	pool    *pool
 	seed    maphash.Seed
 	dials   atomic.Int64
+	// passedOver counts the idle connections that were not used for a request because they had carried it.
+	passedOver atomic.Int64
 }
 
 // New returns a client without connections.
@@ -38,6 +40,11 @@
 	return c.dials.Load()
 }
 
+// PassedOver returns how often an idle connection was not used for a request because it had carried it before.
+func (c *Client) PassedOver() int64 {
+	return c.passedOver.Load()
+}
+
 // Expire closes the connections whose idle time has passed.
 func (c *Client) Expire() {
 	c.pool.expire(c.options.Now())
@@ -66,12 +73,14 @@
 
 // Do sends a request and returns the head of its answer. The context covers the exchange until the body has been read.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	n, err := c.connect(ctx, address)
+	key := c.keyOf(r.ID)
+	n, err := c.connect(ctx, address, key)
 	if err != nil {
 		return nil, err
 	}
 	n.traffic.Store(r.Traffic)
 	stop := context.AfterFunc(ctx, n.abort)
+	n.sent.add(sentRequest{key: key, until: r.SentUntil}, c.options.Now())
 	response, err := c.exchange(n, r)
 	if err != nil {
 		stop()
@@ -89,8 +98,10 @@
 	return response, nil
 }
 
-func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
-	if n := c.pool.take(address, c.options.Now()); n != nil {
+func (c *Client) connect(ctx context.Context, address string, k requestKey) (*conn, error) {
+	n, passedOver := c.pool.take(address, k, c.options.Now())
+	c.passedOver.Add(int64(passedOver))
+	if n != nil {
 		return n, nil
 	}
 	c.dials.Add(1)
@@ -99,7 +110,7 @@
 		return nil, DialError{Address: address, Cause: err}
 	}
 	c.options.Connections.Add(1)
-	n := &conn{Conn: opened, count: c.options.Connections, address: address, ackTimeout: AckTimeout}
+	n = &conn{Conn: opened, count: c.options.Connections, address: address, ackTimeout: AckTimeout}
 	n.reader = bufio.NewReaderSize(n, readBuffer)
 	n.writer = bufio.NewWriterSize(n, writeBuffer)
 	return n, nil
@@ -109,9 +120,6 @@
 	if err := n.prepareFor(r); err != nil {
 		return nil, err
 	}
-	key, now := c.keyOf(r.ID), c.options.Now()
-	resent := n.sent.contains(key)
-	n.sent.add(sentRequest{key: key, until: r.SentUntil}, now)
 	writeHead(n.writer, r)
 	var sent chan error
 	switch {
@@ -137,11 +145,6 @@
 			return nil, err
 		}
 		if c.belongsTo(head, r) {
-			if resent && c.options.Resent != nil {
-				c.options.Resent(Resent{
-					Connection: n.LocalAddr().String(), ID: r.ID, Status: head.StatusCode, After: c.options.Now().Sub(now),
-				})
-			}
 			return c.response(n, head, sent, true), nil
 		}
 		c.reportDropped(n, r, head)
@@ -321,7 +324,8 @@
 	r.closed = true
 	cancelled := !r.stop()
 	crowded := r.client.options.Connections.Crowded()
-	if cancelled || crowded || !readToEnd || !r.framed || r.Response.Close || !r.bodySent() || r.conn.reader.Buffered() > 0 {
+	reusable := readToEnd && r.framed && !r.Response.Close && r.bodySent() && r.conn.reader.Buffered() == 0 && !r.conn.sent.full()
+	if cancelled || crowded || !reusable {
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -94,30 +95,30 @@
 	return &pool{idle: map[string][]*conn{}, maxIdle: maxIdle}
 }
 
-// take returns the connection that was used last, so that the others reach their idle time and are closed.
-func (p *pool) take(address string, now clock.Time) *conn {
+// take returns the connection that was used last, so that the others reach their idle time and are closed, and how many
+// connections it has passed over because they had carried the request before.
+func (p *pool) take(address string, k requestKey, now clock.Time) (*conn, int) {
 	for {
-		c := p.pop(address)
-		if c == nil {
-			return nil
-		}
-		if now < c.idleUntil && c.hasNoInput() {
-			return c
+		c, passedOver := p.pop(address, k)
+		if c == nil || now < c.idleUntil && c.hasNoInput() {
+			return c, passedOver
 		}
 		_ = c.Close()
 	}
 }
 
-func (p *pool) pop(address string) *conn {
+func (p *pool) pop(address string, k requestKey) (c *conn, passedOver int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.sent.contains(k) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c, passedOver
+		}
+		passedOver++
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil, passedOver
 }
 
 func (p *pool) put(c *conn) {
--- a/internal/requester/sent.go
+++ b/internal/requester/sent.go
@@ -1,13 +1,16 @@
 package requester
 
 // A faulty server may send an answer again at the point where a later answer on the connection is expected, and the answer
-// names its request by id only. Each connection therefore remembers the requests that it has carried, for as long as they
-// may be sent again under the same id.
+// names its request by id only. If the request has been sent again on the same connection, the copy of the first answer
+// can't be told from the answer to the second. Each connection therefore remembers the requests that it has carried, for as
+// long as they may be sent again, and is not used for them again.
 //
-// Example: c3-17 is declined on a connection; until the deadline of c3-17 this connection has carried it.
+// Example: c3-17 is declined on one connection and sent again on another; a copy of the refusal arrives on the first one
+// while c3-18 is awaited there, and is dropped.
 
 import (
 	"hash/maphash"
+	"slices"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
@@ -21,7 +24,11 @@
 	until clock.Time
 }
 
-// sentRequests are requests that a connection has carried.
+// maxSentRequests is the number of remembered requests above which a connection is closed instead of reused; it bounds the
+// memory of a connection whose requests have late deadlines.
+const maxSentRequests = 4096
+
+// sentRequests are the requests that a connection has carried.
 type sentRequests struct {
 	list []sentRequest
 }
@@ -32,13 +39,10 @@
 		return
 	}
 	if len(s.list) == cap(s.list) {
-		kept := s.list[:0]
-		for _, old := range s.list {
-			if now < old.until {
-				kept = append(kept, old)
-			}
+		s.list = slices.DeleteFunc(s.list, func(old sentRequest) bool { return now >= old.until })
+		if len(s.list) > cap(s.list)/2 {
+			s.list = slices.Grow(s.list, cap(s.list))
 		}
-		s.list = kept
 	}
 	s.list = append(s.list, r)
 }
@@ -55,6 +59,10 @@
 	return false
 }
 
+func (s *sentRequests) full() bool {
+	return len(s.list) >= maxSentRequests
+}
+
 func (c *Client) keyOf(id string) requestKey {
 	if id == "" {
 		return 0
--- /dev/null
+++ b/internal/requester/sent_test.go
@@ -0,0 +1,142 @@
+package requester
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+)
+
+// copying numbers its answers over all connections. Before the answer at a position on a connection, counted from 0, it sends a
+// copy of that connection's first answer.
+type copying struct {
+	status, at int
+
+	mu       sync.Mutex
+	answers  int
+	position map[net.Conn]int
+	first    map[net.Conn]string
+}
+
+func (c *copying) respond(n net.Conn, r *http.Request, _ *bufio.Reader) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	body := fmt.Sprintf("answer %d", c.answers)
+	answer := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", c.status, r.Header.Get("X-Id"), len(body), body)
+	position := c.position[n]
+	c.answers++
+	c.position[n]++
+	sent := answer
+	if position == 0 {
+		c.first[n] = answer
+	}
+	if position == c.at {
+		sent = c.first[n] + answer
+	}
+	_, err := io.WriteString(n, sent)
+	return err == nil
+}
+
+// Guards against a request that runs twice because the late copy of an answer to its first sending, which names the same id,
+// was taken for the answer to the second.
+func TestLateCopyIsNotTakenForAnswerToSameRequestSentAgain(t *testing.T) {
+	tests := map[string]struct {
+		status, at int
+		requests   []string
+	}{
+		"declined, copy before the next answer":              {status: 503, at: 1, requests: []string{"a", "a", "b", "c"}},
+		"declined, copy two requests later":                  {status: 503, at: 2, requests: []string{"a", "b", "a", "c"}},
+		"meant for another endpoint":                         {status: 421, at: 1, requests: []string{"a", "a"}},
+		"answered":                                           {status: 200, at: 1, requests: []string{"a", "a"}},
+		"answered, copy two requests later, sent twice more": {status: 200, at: 2, requests: []string{"a", "b", "a", "a"}},
+		"answer to another request":                          {status: 200, at: 1, requests: []string{"a", "b"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			answers := &copying{status: test.status, at: test.at, position: map[net.Conn]int{}, first: map[net.Conn]string{}}
+			s := serve(t, answers.respond)
+			c := client()
+			for i, id := range test.requests {
+				got, err := do(t, c, s, get(id))
+				assert.NilError(t, err)
+				assert.Equal(t, got, fmt.Sprintf("answer %d", i))
+			}
+		})
+	}
+}
+
+// Guards against connections that are opened anew for each request that is sent again.
+func TestRequestSentAgainUsesAnotherIdleConnection(t *testing.T) {
+	s := serve(t, func(n net.Conn, r *http.Request, _ *bufio.Reader) bool {
+		_, err := io.WriteString(n, answerTo(r, ""))
+		return err == nil
+	})
+	c := client()
+	for _, id := range []string{"a", "a", "b", "b", "c", "c"} {
+		_, err := do(t, c, s, get(id))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, s.connections.Load(), int32(2))
+	assert.Equal(t, c.PassedOver(), int64(3))
+}
+
+// Guards against the loss of a sound answer behind dropped ones, and against drops that leave no trace.
+func TestDroppedAnswersAreReported(t *testing.T) {
+	s := serve(t, func(n net.Conn, r *http.Request, _ *bufio.Reader) bool {
+		foreign := "HTTP/1.1 503 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n"
+		if r.Header.Get("X-Id") == "b" {
+			_, _ = fmt.Fprintf(n, foreign+foreign, "a", "other")
+		}
+		_, err := io.WriteString(n, answerTo(r, "mine"))
+		return err == nil
+	})
+	var dropped []DroppedAnswer
+	c := client()
+	c.options.AnswerDropped = func(d DroppedAnswer) {
+		assert.Assert(t, d.Connection != "")
+		d.Connection = ""
+		dropped = append(dropped, d)
+	}
+	for _, id := range []string{"a", "b"} {
+		got, err := do(t, c, s, get(id))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "mine")
+	}
+	assert.DeepEqual(t, dropped, []DroppedAnswer{
+		{Awaited: "b", Got: "a", Status: 503, Known: true},
+		{Awaited: "b", Got: "other", Status: 503},
+	})
+}
+
+// Guards against a memory of sent requests that grows with the life of a connection, and against one that forgets requests
+// that may be sent again.
+func TestSentRequestsAreForgottenWhenTheyAreNotSentAgain(t *testing.T) {
+	const perMillisecond, life = 3, 20
+	var s sentRequests
+	next := requestKey(1)
+	for now := clock.Time(0); now < 1000; now++ {
+		for range perMillisecond {
+			s.add(sentRequest{key: next, until: now.Add(life)}, now)
+			next++
+		}
+		for k := max(1, next-perMillisecond*life); k < next; k++ {
+			if !s.contains(k) {
+				t.Fatalf("request %d of %d is forgotten at %d", k, next, now)
+			}
+		}
+	}
+	assert.Assert(t, cap(s.list) <= 4*perMillisecond*life, "room for %d", cap(s.list))
+	assert.Assert(t, !s.full())
+	for range maxSentRequests {
+		s.add(sentRequest{key: next, until: 1 << 40}, 1000)
+		next++
+	}
+	assert.Assert(t, s.full())
+}
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -30,7 +30,8 @@
 	Traffic *Traffic
 	// ID is the id that the answer has to repeat in Options.IDField; other answers are read and dropped.
 	ID string
-	// SentUntil is the time until which the request may be sent again under the same ID.
+	// SentUntil is the time until which the request may be sent again under the same ID. Until then no connection that has
+	// carried it is used for it again.
 	SentUntil clock.Time
 	// AnyAnswer accepts an answer without regard to its id.
 	AnyAnswer bool
@@ -58,8 +59,6 @@
 	IDField string
 	// AnswerDropped is called for each answer that belongs to no request under way on its connection; nil calls nothing.
 	AnswerDropped func(DroppedAnswer)
-	// Resent is called for each answer to a request that its connection had carried before; nil calls nothing.
-	Resent func(Resent)
 }
 
 // DroppedAnswer is an answer that was read while another one was awaited.
@@ -73,14 +72,6 @@
 	Known bool
 }
 
-// Resent is an answer to a request that its connection had carried before.
-type Resent struct {
-	Connection, ID string
-	Status         int
-	// After is the time from sending the request to the head of the answer.
-	After clock.Duration
-}
-
 // DialError reports that no connection could be opened; nothing was sent.
 type DialError struct {
 	Address string
