Ask an endpoint for its health on a new connection

After a restart of the node, or when its failure domain is taken back, the endpoint is asked whether it is cold. The answer has no id, and any answer on a pooled connection was taken for it: with a late copy of an answer to a request, a cold endpoint counted as warm and got the load of a warm one.

The check now opens a connection of its own, which no answer to another request can be on, and leaves it to the pool. TestLateCopyIsNotTakenForHealthAnswer failed before: no endpoint id and no time left, known as warm.

--- a/internal/relayer/check.go
+++ b/internal/relayer/check.go
@@ -34,11 +34,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout.Std())
 	defer cancel()
 	request := &requester.Request{
-		Method:    http.MethodGet,
-		URI:       path,
-		Host:      r.options.EndpointAddress,
-		Header:    http.Header{},
-		AnyAnswer: true,
+		Method: http.MethodGet,
+		URI:    path,
+		Host:   r.options.EndpointAddress,
+		Header: http.Header{},
+		// A health answer has no id; on a used connection, a late copy of another answer would be taken for it.
+		NewConnection: true,
 	}
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, request)
 	if err != nil {
--- a/internal/relayer/check_test.go
+++ b/internal/relayer/check_test.go
@@ -1,6 +1,10 @@
 package relayer
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -54,3 +58,53 @@
 		})
 	}
 }
+
+// Guards against a cold endpoint that counts as warm, since the late copy of its answer to a request was taken for its health
+// answer.
+func TestLateCopyIsNotTakenForHealthAnswer(t *testing.T) {
+	const application = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"
+	const health = "HTTP/1.1 200 OK\r\nX-Instance: i-1\r\nX-Cold: 1200\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer n.Close()
+				reader, copied := bufio.NewReader(n), ""
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					answer := health
+					if r.URL.Path != "/health" {
+						answer = application
+					}
+					if _, err := io.WriteString(n, copied+answer); err != nil {
+						return
+					}
+					copied = answer
+				}
+			}()
+		}
+	}()
+	r := New(Options{
+		Clock: clock.New(), Headers: Headers{RequestID: "X-Id", Instance: "X-Instance", ColdLeft: "X-Cold"},
+		EndpointAddress: l.Addr().String(), Connections: requester.NewConnections(10),
+	})
+	response, err := r.endpoints.Do(context.Background(), r.options.EndpointAddress, &requester.Request{
+		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a", SentUntil: r.options.Clock.Now().Add(clock.Second),
+	})
+	assert.NilError(t, err)
+	response.Close(true)
+	for range 2 {
+		checked, err := r.requestHealth("/health")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, checked, conductor.EndpointChecked{Endpoint: "i-1", ColdLeft: 1200, Known: true})
+	}
+}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -74,7 +74,7 @@
 // Do sends a request and returns the head of its answer. The context covers the exchange until the body has been read.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	key := c.keyOf(r.ID)
-	n, err := c.connect(ctx, address, key)
+	n, err := c.connect(ctx, address, r, key)
 	if err != nil {
 		return nil, err
 	}
@@ -98,19 +98,26 @@
 	return response, nil
 }
 
-func (c *Client) connect(ctx context.Context, address string, k requestKey) (*conn, error) {
+func (c *Client) connect(ctx context.Context, address string, r *Request, k requestKey) (*conn, error) {
+	if r.NewConnection {
+		return c.open(ctx, address)
+	}
 	n, passedOver := c.pool.take(address, k, c.options.Now())
 	c.passedOver.Add(int64(passedOver))
 	if n != nil {
 		return n, nil
 	}
+	return c.open(ctx, address)
+}
+
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	c.dials.Add(1)
 	opened, err := Dial(ctx, address, c.options.DialTimeout.Std())
 	if err != nil {
 		return nil, DialError{Address: address, Cause: err}
 	}
 	c.options.Connections.Add(1)
-	n = &conn{Conn: opened, count: c.options.Connections, address: address, ackTimeout: AckTimeout}
+	n := &conn{Conn: opened, count: c.options.Connections, address: address, ackTimeout: AckTimeout}
 	n.reader = bufio.NewReaderSize(n, readBuffer)
 	n.writer = bufio.NewWriterSize(n, writeBuffer)
 	return n, nil
@@ -160,7 +167,7 @@
 
 // belongsTo returns whether an answer is one to the request under way on its connection.
 func (c *Client) belongsTo(head *http.Response, r *Request) bool {
-	return c.options.IDField == "" || r.AnyAnswer || head.Header.Get(c.options.IDField) == r.ID
+	return c.options.IDField == "" || r.NewConnection || head.Header.Get(c.options.IDField) == r.ID
 }
 
 func (c *Client) reportDropped(n *conn, r *Request, head *http.Response) {
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -33,8 +33,8 @@
 	// SentUntil is the time until which the request may be sent again under the same ID. Until then no connection that has
 	// carried it is used for it again.
 	SentUntil clock.Time
-	// AnyAnswer accepts an answer without regard to its id.
-	AnyAnswer bool
+	// NewConnection sends the request on a new connection and accepts an answer without regard to its id.
+	NewConnection bool
 }
 
 // Traffic is the number of bytes that one request has sent and received: heads, bodies and HTTP/1.1 framing.
