Keep a run's nested calls apart from an earlier attempt under the same id

A node finds the run that made a nested call by the request's id. When an attempt under this id ended while another one ran at the endpoint, the entry of the running one was deleted: its nested calls lost its rank and were counted without a route, and a rejected nested call no longer counted its run as failed.

The entry now names its delivery and ends with it.

--- a/internal/conductor/declined_count.go
+++ b/internal/conductor/declined_count.go
@@ -61,7 +61,8 @@
 func (c *Conductor) countFailedRun(d *delivery, e DeliveryEnded, now clock.Time) {
 	late := e.Outcome == Answered && now > d.deadline
 	lost := e.Outcome == Abandoned || e.Outcome == Late || e.Outcome == Broken
-	if late || lost || c.parents[d.request].failed {
+	p := c.parents[d.request]
+	if late || lost || p.delivery == e.ID && p.failed {
 		c.failedSlotTime += now.Sub(d.started)
 	}
 }
--- a/internal/conductor/declined_count_test.go
+++ b/internal/conductor/declined_count_test.go
@@ -82,6 +82,41 @@
 	assert.Equal(t, c.Dump(50).FailedSlotTime, 40*clock.Millisecond)
 }
 
+// Guards against a run whose nested calls lose its rank, or whose failure is counted for another run, when an attempt under the
+// same id ends while it runs.
+func TestRunOutlivesAnotherAttemptUnderItsID(t *testing.T) {
+	tests := map[string]struct {
+		firstOutcome Outcome
+		want         clock.Duration
+	}{
+		"the first caller left":      {Abandoned, 30 + 20},
+		"the first attempt declined": {Declined, 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newConductor("desk")
+			inner := route("in", "clock", matcher.Idempotent)
+			inner.Public = true
+			configure(t, c, configuration(1, route("calc", "desk", matcher.Idempotent), inner), 0)
+			learnMembers(c, peer("a", "clock"))
+			announceEndpoint(c, 100, 1, false, 0)
+			const rank = 12_345
+			for i, now := range []clock.Time{0, 20} {
+				onlyEffect[Run](t, c.Apply(DeliveryArrived{
+					ID: CallID(i + 1), Request: "r", Host: "h", Path: "/calc/x", Endpoint: "i-self", Rank: rank, Deadline: 700, QueueTimeout: 100,
+					Due: 300,
+				}, now))
+			}
+			c.Apply(DeliveryEnded{ID: 1, Outcome: test.firstOutcome}, 30)
+			sent := onlyEffect[Send](t, c.Apply(RequestArrived{ID: 3, Host: "h", Path: "/in/x", Parent: "r", Left: 600, Boot: boot}, 32))
+			assert.Equal(t, sent.Rank, identifier.Rank(rank))
+			onlyEffect[Refuse](t, c.Apply(AttemptEnded{ID: 3, Outcome: Declined, Replayable: true}, 35))
+			c.Apply(DeliveryEnded{ID: 2, Outcome: Answered}, 40)
+			assert.Equal(t, c.Dump(50).FailedSlotTime, test.want)
+		})
+	}
+}
+
 // Guards against a decline that the log does not show, and one that it shows for a few declined calls.
 func TestDeclineIsLoggedOnce(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -33,8 +33,10 @@
 
 // parent is a request that runs at the local endpoint and may make nested calls.
 type parent struct {
-	route identifier.Route
-	rank  identifier.Rank
+	// delivery is the last one that was dispatched under the request's id.
+	delivery CallID
+	route    identifier.Route
+	rank     identifier.Rank
 	// failed is set when a nested call of the run was rejected.
 	failed bool
 }
@@ -115,7 +117,7 @@
 				c.runs.runStarted(d.route)
 				c.offers.countOffered(now)
 				if d.request != "" {
-					c.parents[d.request] = parent{route: d.route, rank: d.rank}
+					c.parents[d.request] = parent{delivery: id, route: d.route, rank: d.rank}
 				}
 			}
 			c.emit(Run{ID: id})
@@ -169,7 +171,9 @@
 		c.offers.countDeclined(now)
 	}
 	c.countFailedRun(d, e, now)
-	delete(c.parents, d.request)
+	if c.parents[d.request].delivery == e.ID {
+		delete(c.parents, d.request)
+	}
 	if c.limiter == nil {
 		return
 	}
