Deliver the answer behind a copy of another one in chunks

A late copy of another answer without a length ended its connection, and with it the answer behind it: the caller of a sound run got 502, though only answers without length and without chunks hide where the next one begins.

Copies in chunks are now read to their end, up to the bound of those with a length (256 KiB), and dropped. TestAnswerBehindCopyInChunksIsDelivered failed before for the empty and the short copy ('answer belongs to another request').

--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -156,15 +156,32 @@
 		}
 		c.reportDropped(n, r, head)
 		// A late answer to an earlier request on this connection; the answer to this request may follow it.
-		if head.ContentLength < 0 || head.ContentLength > maxStrayBytes {
-			return nil, errStray
-		}
-		if _, err := io.Copy(io.Discard, head.Body); err != nil {
-			return nil, fmt.Errorf("read an answer to another request: %w", err)
+		if err := skipBody(head); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// skipBody reads the body of an answer to another request, up to the beginning of the next answer.
+func skipBody(head *http.Response) error {
+	if !isFramed(head) || head.ContentLength > maxStrayBytes {
+		return errStray
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBytes+1))
+	if err != nil {
+		return fmt.Errorf("read an answer to another request: %w", err)
+	}
+	if n > maxStrayBytes {
+		return errStray
+	}
+	return nil
+}
+
+// isFramed returns whether an answer's head states where its body ends.
+func isFramed(head *http.Response) bool {
+	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
+}
+
 // belongsTo returns whether an answer is one to the request under way on its connection.
 func (c *Client) belongsTo(head *http.Response, r *Request) bool {
 	return c.options.IDField == "" || r.NewConnection || head.Header.Get(c.options.IDField) == r.ID
@@ -195,7 +212,7 @@
 		conn:               n,
 		sent:               sent,
 		requestBodyAllowed: requestBodyAllowed,
-		framed:             head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
+		framed:             isFramed(head),
 	}
 }
 
--- a/internal/requester/sent_test.go
+++ b/internal/requester/sent_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -115,6 +116,37 @@
 	})
 }
 
+// Guards against the loss of a sound answer behind a copy of another answer that was sent in chunks, and against a copy without
+// an end that keeps the request waiting.
+func TestAnswerBehindCopyInChunksIsDelivered(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<10, strings.Repeat("x", 1<<10))
+	tests := map[string]struct {
+		chunks    int
+		delivered bool
+	}{
+		"empty":    {0, true},
+		"short":    {3, true},
+		"too long": {maxStrayBytes>>10 + 1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			copied := head + strings.Repeat(chunk, test.chunks) + "0\r\n\r\n"
+			s := serve(t, func(n net.Conn, r *http.Request, _ *bufio.Reader) bool {
+				_, err := io.WriteString(n, copied+answerTo(r, "mine"))
+				return err == nil
+			})
+			got, err := do(t, client(), s, get("b"))
+			if !test.delivered {
+				assert.ErrorIs(t, err, errStray)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, got, "mine")
+		})
+	}
+}
+
 // Guards against a memory of sent requests that grows with the life of a connection, and against one that forgets requests
 // that may be sent again.
 func TestSentRequestsAreForgottenWhenTheyAreNotSentAgain(t *testing.T) {
