Send the rest of an upload that was answered early to the endpoint

An endpoint may answer before it has read a long body, and read on.

Cause: when the head of the answer is written, net/http's server reads and drops the rest of the request's body, while the goroutine that sends this body to the endpoint reads it too; each gets a part. Hypotheses were this, bytes reordered or lost by the sender, by the pipeliner's bounds of a body, or by the stand-in.

Change: an answer that comes before the end of a streamed body is written in full duplex and flushed, and the handler goes on until the body has been sent, can't be sent, or the attempt's deadline. The slot is used until then. What the caller still sends after the endpoint has closed is read up to 256 KiB to keep the connection; if the body has not ended at the deadline, the connection is closed, since the rest would be read as the next request. Small answers without length get one, so that their end is not held back. A caller, or the node before this one, that leaves after it has sent everything no longer cuts off what is still on the way to the endpoint. New metric early_answers_total{body}.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -230,6 +230,15 @@
 		"connection", d.Connection, "leftOut", leftOut)
 }
 
+// AnsweredEarly records an answer that came before the end of its request's body, and whether the body was read to its end.
+func (r *Recorder) AnsweredEarly(whole bool) {
+	body := "whole"
+	if !whole {
+		body = "unfinished"
+	}
+	r.meters.increment("early_answers", "body", body)
+}
+
 // Event records a change of this node's state or of its view of the fleet.
 func (r *Recorder) Event(message string, pairs ...any) {
 	ok, leftOut := r.allow("event "+message, linesPerSecond)
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -27,8 +27,9 @@
 		return cancelAfterBody(a, cancel)
 	}
 	body, err := readBody(a.Response)
-	if err == nil && len(body) > maxBufferedAnswer {
-		a.Body = partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), a.Body), Closer: a.Body}
+	if err == nil && (len(body) > maxBufferedAnswer || a.early()) {
+		// The attempt goes on until the request's body has been sent.
+		a.putBack(body)
 		return cancelAfterBody(a, cancel)
 	}
 	defer cancel()
@@ -40,6 +41,14 @@
 	return incompleteAttempt(ctx)
 }
 
+// putBack makes bytes that were read from the body available again, and sets the length of a body that they are all of.
+func (a answer) putBack(body []byte) {
+	if a.ContentLength < 0 && len(body) <= maxBufferedAnswer {
+		a.ContentLength = int64(len(body))
+	}
+	a.Body = partlyReadBody{Reader: io.MultiReader(bytes.NewReader(body), a.Body), Closer: a.Body}
+}
+
 // partlyReadBody is a body whose beginning has already been read into a buffer.
 type partlyReadBody struct {
 	io.Reader
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -19,13 +19,17 @@
 // attempt makes one attempt, at the local endpoint or through another node.
 func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
 	left := s.Deadline.Sub(r.options.Clock.Now())
-	parent, stop := request.Context(), func() {}
+	parent, stop, stopWatch := request.Context(), func() {}, func() {}
+	if body.streamed() {
+		parent, stop = body.stream.context(parent)
+	}
 	if !s.Local && s.Idempotent {
-		parent, stop = r.watchAbort(parent, s.ID)
+		parent, stopWatch = r.watchAbort(parent, s.ID)
 	}
 	ctx, cancelTime := context.WithTimeout(parent, left.Std())
 	cancel := func() {
 		cancelTime()
+		stopWatch()
 		stop()
 	}
 	out := outgoing(request, endToEndFields(request.Header))
@@ -58,6 +62,7 @@
 	} else {
 		a = r.forward(ctx, s, out, body)
 	}
+	a.upload, a.deadline = body.stream, s.Deadline
 	return r.bufferSmallAnswer(ctx, cancel, a)
 }
 
@@ -105,6 +110,9 @@
 		headroom:   state.headroom,
 		queueDelay: state.queueDelay,
 		finish: func(whole bool) {
+			if whole {
+				response.AwaitSent()
+			}
 			response.Close(whole)
 			count()
 		},
--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -7,11 +7,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -20,7 +23,7 @@
 // the caller.
 type replayable struct {
 	buffered []byte
-	stream   io.Reader
+	stream   *upload
 	length   int64
 	// readStarted is set by the goroutine that sends the body, and read by the one that waits for the answer.
 	readStarted atomic.Bool
@@ -35,12 +38,17 @@
 	if request.ContentLength == 0 {
 		return &replayable{}, nil
 	}
-	if request.ContentLength > 0 && request.ContentLength <= maxBufferedBody {
+	if !isStreamed(request) {
 		buffered := make([]byte, request.ContentLength)
 		_, err := io.ReadFull(request.Body, buffered)
 		return &replayable{buffered: buffered, length: request.ContentLength}, err
 	}
-	return &replayable{stream: request.Body, length: request.ContentLength}, nil
+	return &replayable{stream: &upload{Reader: request.Body}, length: request.ContentLength}, nil
+}
+
+// isStreamed returns whether a request's body is too long to be buffered, or may be.
+func isStreamed(request *http.Request) bool {
+	return request.ContentLength < 0 || request.ContentLength > maxBufferedBody
 }
 
 func (b *replayable) streamed() bool {
@@ -69,6 +77,74 @@
 	return b.stream.Read(p)
 }
 
+// upload is a request's body that may still be read when its answer has been written, since the endpoint answered early.
+type upload struct {
+	io.Reader
+	// mu is held during each read, so that what is left is read only after the goroutine that sends the body has stopped.
+	mu    sync.Mutex
+	ended atomic.Bool
+	// answered is set when an early answer begins to be written.
+	answered atomic.Bool
+}
+
+// context returns a context that ends with parent, unless the caller leaves when it has sent its whole body and is being
+// answered early: what the endpoint has not got yet is then still sent.
+func (u *upload) context(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() {
+		if !endedByStop(parent) && u.answered.Load() {
+			// The HTTP server notices that the caller has left while the read that ends the body returns.
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			if u.ended.Load() {
+				return
+			}
+		}
+		cancel(context.Cause(parent))
+	})
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
+// Read reads from the body.
+func (u *upload) Read(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n, err := u.Reader.Read(p)
+	if err == io.EOF {
+		u.ended.Store(true)
+	}
+	return n, err
+}
+
+// errUploadUnread reports that the caller has not ended its body although it was answered.
+var errUploadUnread = errors.New("the rest of the request's body was not read")
+
+// finish reads what is left of the body, so that the connection can be used again; it returns errUploadUnread if that is more
+// than maxDrainedUpload or is not there at the deadline. The connection must be closed then: what follows would be taken for
+// the next request.
+func (u *upload) finish(c *http.ResponseController, deadline time.Time) error {
+	if u.ended.Load() {
+		return nil
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(u, maxDrainedUpload+1))
+	switch {
+	case err != nil:
+		return err
+	case n > maxDrainedUpload:
+		return errUploadUnread
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// maxDrainedUpload is how many bytes of a body that nobody waits for are read to keep its connection, as net/http does.
+const maxDrainedUpload = 256 << 10
+
 func (r *Relayer) refuseTooLarge(w http.ResponseWriter, limit int64) {
 	w.Header().Set("Connection", "close")
 	http.Error(w, "body is longer than "+strconv.FormatInt(limit, 10)+" bytes", http.StatusRequestEntityTooLarge)
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -56,6 +56,14 @@
 	// body holds the whole body if bodyRead is set.
 	body     []byte
 	bodyRead bool
+	// upload is the request's body if it is streamed; deadline is when the attempt ends.
+	upload   *upload
+	deadline clock.Time
+}
+
+// early returns whether the endpoint has answered before it got the whole body of the request.
+func (a answer) early() bool {
+	return a.Response != nil && a.upload != nil && a.Sending()
 }
 
 func failedAttempt(o conductor.Outcome, reason conductor.Reason) answer {
@@ -119,6 +127,9 @@
 		return a
 	}
 	a.finish = func(whole bool) {
+		if whole {
+			a.AwaitSent()
+		}
 		a.Close(whole)
 		outcome := conductor.Answered
 		if !whole {
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -8,14 +8,17 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
+	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
@@ -26,7 +29,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), received.left.Std())
+	parent, u := request.Context(), (*upload)(nil)
+	if isStreamed(request) {
+		u = &upload{Reader: request.Body}
+		detached, stop := u.context(parent)
+		defer stop()
+		parent = detached
+	}
+	ctx, cancel := context.WithTimeout(parent, received.left.Std())
 	defer cancel()
 	now := r.options.Clock.Now()
 	d := delivery{
@@ -42,7 +52,14 @@
 		limit:          r.readPassedLimit(request.Header),
 		request:        outgoing(request, endToEndFields(request.Header)),
 	}
+	if u != nil {
+		d.request.Body = u
+	}
 	a := r.deliver(ctx, d)
+	if a.outcome == conductor.Answered {
+		a.upload, a.deadline = u, d.deadline
+		a = r.delimitEarlyAnswer(ctx, a)
+	}
 	r.setState(w.Header())
 	// The sending node writes its own Date.
 	w.Header()["Date"] = nil
@@ -56,11 +73,26 @@
 		return
 	}
 	r.dropRedundantFields(a.Header)
-	if err := r.writeAnswer(w, a); err != nil {
+	if err := r.writeAnswer(request.Context(), w, a); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// delimitEarlyAnswer reads a small early answer of unknown length, whose end the sending node would otherwise learn only with the
+// end of the request's body.
+func (r *Relayer) delimitEarlyAnswer(ctx context.Context, a answer) answer {
+	if !a.early() || a.ContentLength >= 0 {
+		return a
+	}
+	body, err := readBody(a.Response)
+	if err != nil {
+		a.finish(false)
+		return incompleteAttempt(ctx)
+	}
+	a.putBack(body)
+	return a
+}
+
 // dropRedundantFields removes the fields of an answer that the sending node already has or does not need.
 func (r *Relayer) dropRedundantFields(h http.Header) {
 	delete(h, "Date")
@@ -120,9 +152,9 @@
 	return out
 }
 
-// writeAnswer forwards an endpoint's answer. With an error the answer is truncated; it must not look complete, so its connection
-// has to be aborted.
-func (r *Relayer) writeAnswer(w http.ResponseWriter, a answer) error {
+// writeAnswer forwards an endpoint's answer. With an error the answer is truncated, or the request's body is not read to its end;
+// the connection must be aborted then, so that the one does not look complete and the other is not read as the next request.
+func (r *Relayer) writeAnswer(ctx context.Context, w http.ResponseWriter, a answer) error {
 	header := w.Header()
 	for name, values := range endToEndFields(a.Header) {
 		header[name] = values
@@ -134,6 +166,9 @@
 	if a.ContentLength >= 0 {
 		header["Content-Length"] = []string{strconv.FormatInt(a.ContentLength, 10)}
 	}
+	if a.early() {
+		return r.writeEarlyAnswer(ctx, w, a)
+	}
 	w.WriteHeader(a.StatusCode)
 	if a.bodyRead {
 		// A failed write means that the caller has disconnected, which is no failure of this node.
@@ -145,6 +180,48 @@
 	return err
 }
 
+// writeEarlyAnswer forwards an answer at once, and goes on with the request's body until it has been sent or the attempt ends.
+func (r *Relayer) writeEarlyAnswer(ctx context.Context, w http.ResponseWriter, a answer) error {
+	c := http.NewResponseController(w)
+	// Otherwise the HTTP server would read the body as well, and the endpoint would get what is left of it.
+	if err := c.EnableFullDuplex(); err != nil {
+		a.finish(false)
+		return err
+	}
+	// The HTTP server marks the end of an answer without length only when the handler returns.
+	closes := a.ContentLength < 0 && pipeliner.MayClose(ctx)
+	if closes {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	ends := time.Now().Add(max(0, a.deadline.Sub(r.options.Clock.Now())).Std())
+	err := c.SetWriteDeadline(ends)
+	if err == nil {
+		a.upload.answered.Store(true)
+		w.WriteHeader(a.StatusCode)
+		err = errors.Join(copyBody(w, a), c.Flush())
+	}
+	a.finish(err == nil)
+	if err == nil {
+		err = c.SetWriteDeadline(time.Time{})
+	}
+	if err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		ends = time.Now()
+	}
+	err = a.upload.finish(c, ends)
+	r.options.Recorder.AnsweredEarly(err == nil)
+	if closes {
+		return nil
+	}
+	if err != nil {
+		// The connection then delivers the answer before it ends.
+		_ = pipeliner.MayClose(ctx)
+	}
+	return err
+}
+
 const copyBufferBytes = 16 << 10
 
 // copyBuffers are reused: a new buffer for each answer would be a large part of what a request allocates.
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -88,7 +88,7 @@
 		case conductor.Reply:
 			r.apply(id, conductor.RequestClosed{ID: id})
 			r.announceIdleTimeout(request.Context(), w.Header())
-			if err := r.writeAnswer(w, last); err != nil {
+			if err := r.writeAnswer(request.Context(), w, last); err != nil {
 				r.logCut(request, started)
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -62,8 +62,9 @@
 	conn   *conn
 	// stop ends the watch of the context; it returns false if the context's end has already aborted the connection.
 	stop func() bool
-	// sent carries the result of sending the request's body; nil if there is none to send.
-	sent <-chan error
+	// sending is the sending of the request's body, nil if there is none to send; ended is the end of the exchange's context.
+	sending *sending
+	ended   <-chan struct{}
 	// requestBodyAllowed is false if the server answered the head with a status other than 100 Continue.
 	requestBodyAllowed bool
 	closed             bool
@@ -95,9 +96,41 @@
 	}
 	response.client = c
 	response.stop = stop
+	response.ended = ctx.Done()
 	return response, nil
 }
 
+// Sending returns whether the request's body is still being sent, since the server has answered early.
+func (r *Response) Sending() bool {
+	return r.sending != nil && !r.sending.hasEnded()
+}
+
+// AwaitSent waits until the request's body has been sent, could not be sent, or the exchange's context has ended.
+func (r *Response) AwaitSent() {
+	if r.sending == nil {
+		return
+	}
+	select {
+	case <-r.sending.done:
+	case <-r.ended:
+	}
+}
+
+// sending is the sending of a request's body; err is set before done is closed.
+type sending struct {
+	done chan struct{}
+	err  error
+}
+
+func (s *sending) hasEnded() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *Client) connect(ctx context.Context, address string, r *Request, k requestKey) (*conn, error) {
 	if r.NewConnection {
 		return c.open(ctx, address)
@@ -128,7 +161,7 @@
 		return nil, err
 	}
 	writeHead(n.writer, r)
-	var sent chan error
+	var sent *sending
 	switch {
 	case r.Body == nil:
 		if err := n.writer.Flush(); err != nil {
@@ -203,14 +236,14 @@
 
 var errStray = errors.New("answer belongs to another request")
 
-func (c *Client) response(n *conn, head *http.Response, sent <-chan error, requestBodyAllowed bool) *Response {
+func (c *Client) response(n *conn, head *http.Response, sent *sending, requestBodyAllowed bool) *Response {
 	if head == nil {
 		return nil
 	}
 	return &Response{
 		Response:           head,
 		conn:               n,
-		sent:               sent,
+		sending:            sent,
 		requestBodyAllowed: requestBodyAllowed,
 		framed:             isFramed(head),
 	}
@@ -253,23 +286,24 @@
 // sendBody sends a long body concurrently with the reading of the answer, since a server may answer before it has read
 // all of it. If the body can't be read to its end, the connection is reset; otherwise the server would wait for the rest
 // until its timeout.
-func sendBody(n *conn, r *Request) chan error {
-	done := make(chan error, 1)
+func sendBody(n *conn, r *Request) *sending {
+	s := &sending{done: make(chan struct{})}
 	send := func() {
+		defer close(s.done)
 		body := &errorRecordingBody{Reader: r.Body}
 		err := writeBody(n.writer, body, r.Length)
 		if body.err != nil {
 			n.bodyFailed.Store(&BodyError{Cause: body.err})
 			n.abort()
 		}
-		done <- err
+		s.err = err
 	}
 	if r.Length >= 0 && r.Length <= maxInlineBodyBytes {
 		send()
 	} else {
 		go send()
 	}
-	return done
+	return s
 }
 
 // errorRecordingBody records the error that ended the reading of a body early.
@@ -371,15 +405,7 @@
 	if !r.requestBodyAllowed {
 		return false
 	}
-	if r.sent == nil {
-		return true
-	}
-	select {
-	case err := <-r.sent:
-		return err == nil
-	default:
-		return false
-	}
+	return r.sending == nil || r.sending.hasEnded() && r.sending.err == nil
 }
 
 // idleMargin is how much earlier than the server this client closes an idle connection: a request sent while the server
