Seeded test of uploads that are answered early, in any form

Answers of 1 byte to 3 MB with a length and in chunks, early or not, endpoints that pause before they read on, uploads of 20 to 520 kB in pieces of any size, with Expect, through one node or two, callers that leave, stop sending, or read late or never. With callers that leave, an upload may break off after its caller's answer: the connection's next request was reset, which also discards what the endpoint had not read of the upload before it; such seeds do not check that all is whole.

--- a/internal/relayer/early_test.go
+++ b/internal/relayer/early_test.go
@@ -22,17 +22,26 @@
 
 // received is what an endpoint got of an upload; whole is whether it ended regularly.
 type received struct {
+	id    string
 	body  []byte
 	whole bool
 }
 
+// earlyAnswer is how an endpoint answers an upload: after so many bytes of its body, with a pause before it reads on.
+type earlyAnswer struct {
+	after   int64
+	body    []byte
+	chunked bool
+	pause   time.Duration
+}
+
 // newEarlyEndpoint returns an endpoint that reads a part of each upload, answers it, and reads on.
-func newEarlyEndpoint(t *testing.T, readFirst int64, answer []byte, chunked bool) (*endpoint, <-chan received) {
+func newEarlyEndpoint(t *testing.T, answerTo func(r *http.Request) earlyAnswer) (*endpoint, <-chan received) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	got := make(chan received, 100)
+	got := make(chan received, 1000)
 	serve := func(n net.Conn) {
 		defer n.Close()
 		reader := bufio.NewReader(n)
@@ -41,18 +50,20 @@
 			if err != nil {
 				return
 			}
+			id, answer := r.Header.Get(names.RequestID), answerTo(r)
 			var body bytes.Buffer
-			_, err = io.CopyN(&body, r.Body, readFirst)
+			_, err = io.CopyN(&body, r.Body, answer.after)
 			if err == nil {
-				head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n", names.RequestID, r.Header.Get(names.RequestID))
-				if chunked {
-					_, _ = fmt.Fprintf(n, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(answer), answer)
+				head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n", names.RequestID, id)
+				if answer.chunked {
+					_, _ = fmt.Fprintf(n, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(answer.body), answer.body)
 				} else {
-					_, _ = fmt.Fprintf(n, "%sContent-Length: %d\r\n\r\n%s", head, len(answer), answer)
+					_, _ = fmt.Fprintf(n, "%sContent-Length: %d\r\n\r\n%s", head, len(answer.body), answer.body)
 				}
+				time.Sleep(answer.pause)
 				_, err = io.Copy(&body, r.Body)
 			}
-			got <- received{body: body.Bytes(), whole: err == nil}
+			got <- received{id: id, body: body.Bytes(), whole: err == nil}
 			if err != nil {
 				return
 			}
@@ -98,8 +109,8 @@
 	return &uploader{Conn: n, reader: bufio.NewReader(n), chunked: chunked}
 }
 
-func (u *uploader) begin(t *testing.T, id string, length int, left clock.Duration, expects bool) {
-	t.Helper()
+// begin sends the head of an upload; it returns the answer of a node that refuses it instead of waiting for its body.
+func (u *uploader) begin(id string, length int, left clock.Duration, expects bool) (*http.Response, error) {
 	head := fmt.Sprintf("POST /obs/1 HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: Key k\r\n",
 		names.RequestID, id, names.TimeLeft, left, names.Key)
 	if expects {
@@ -110,31 +121,31 @@
 	} else {
 		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
 	}
-	_, err := io.WriteString(u, head)
-	assert.NilError(t, err)
-	if expects {
-		response, err := http.ReadResponse(u.reader, nil)
-		assert.NilError(t, err)
-		assert.Equal(t, response.StatusCode, http.StatusContinue)
+	if _, err := io.WriteString(u, head); err != nil || !expects {
+		return nil, err
+	}
+	response, err := http.ReadResponse(u.reader, nil)
+	if err == nil && response.StatusCode == http.StatusContinue {
+		return nil, nil
 	}
+	return response, err
 }
 
-func (u *uploader) send(t *testing.T, part []byte) {
-	t.Helper()
+func (u *uploader) write(part []byte) error {
 	text := string(part)
 	if u.chunked {
 		text = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 	}
 	_, err := io.WriteString(u, text)
-	assert.NilError(t, err)
+	return err
 }
 
-func (u *uploader) end(t *testing.T) {
-	t.Helper()
-	if u.chunked {
-		_, err := io.WriteString(u, "0\r\n\r\n")
-		assert.NilError(t, err)
+func (u *uploader) writeEnd() error {
+	if !u.chunked {
+		return nil
 	}
+	_, err := io.WriteString(u, "0\r\n\r\n")
+	return err
 }
 
 func uploadOf(size int) []byte {
@@ -182,7 +193,9 @@
 	for _, answerBytes := range []int{1, 6_000, 100_000, 3_000_000} {
 		for _, answerChunked := range []bool{false, true} {
 			answer := bytes.Repeat([]byte("e"), answerBytes)
-			e, got := newEarlyEndpoint(t, 4000, answer, answerChunked)
+			e, got := newEarlyEndpoint(t, func(*http.Request) earlyAnswer {
+				return earlyAnswer{after: 4000, body: answer, chunked: answerChunked}
+			})
 			for way, nodes := range earlyNodes(t, e) {
 				address := pipelined(t, nodes[0])
 				for _, chunked := range []bool{false, true} {
@@ -191,8 +204,10 @@
 						t.Run(name, func(t *testing.T) {
 							u := newUploader(t, address, chunked)
 							for i := range 2 {
-								u.begin(t, fmt.Sprintf("%s %d", strings.ReplaceAll(name, " ", "-"), i), size, 2000, expects)
-								u.send(t, upload[:first])
+								refused, err := u.begin(fmt.Sprintf("%s %d", strings.ReplaceAll(name, " ", "-"), i), size, 2000, expects)
+								assert.NilError(t, err)
+								assert.Assert(t, refused == nil)
+								assert.NilError(t, u.write(upload[:first]))
 								response, err := http.ReadResponse(u.reader, nil)
 								assert.NilError(t, err)
 								assert.Equal(t, response.StatusCode, http.StatusOK)
@@ -201,9 +216,9 @@
 								assert.NilError(t, err)
 								assert.Assert(t, bytes.Equal(body, answer))
 								for rest := upload[first:]; len(rest) > 0; rest = rest[min(len(rest), 30_000):] {
-									u.send(t, rest[:min(len(rest), 30_000)])
+									assert.NilError(t, u.write(rest[:min(len(rest), 30_000)]))
 								}
-								u.end(t)
+								assert.NilError(t, u.writeEnd())
 								r := <-got
 								assert.Assert(t, r.whole, "%d bytes", len(r.body))
 								assert.Assert(t, bytes.Equal(r.body, upload), "%d bytes", len(r.body))
@@ -230,10 +245,12 @@
 	tests := map[string]func(t *testing.T, u *uploader){
 		"the caller leaves":                func(_ *testing.T, u *uploader) { _ = u.Close() },
 		"the caller sends nothing more":    func(*testing.T, *uploader) {},
-		"the caller leaves while it sends": func(t *testing.T, u *uploader) { u.send(t, upload[first:3*first]); _ = u.Close() },
+		"the caller leaves while it sends": func(t *testing.T, u *uploader) { assert.NilError(t, u.write(upload[first:3*first])); _ = u.Close() },
 	}
 	for _, answerBytes := range []int{6_000, 100_000} {
-		e, got := newEarlyEndpoint(t, 4000, make([]byte, answerBytes), false)
+		e, got := newEarlyEndpoint(t, func(*http.Request) earlyAnswer {
+			return earlyAnswer{after: 4000, body: make([]byte, answerBytes)}
+		})
 		for way, nodes := range earlyNodes(t, e) {
 			address := pipelined(t, nodes[0])
 			for name, leave := range tests {
@@ -241,8 +258,10 @@
 					t.Run(fmt.Sprintf("%s, %s, answer of %d bytes, chunked %t", way, name, answerBytes, chunked), func(t *testing.T) {
 						u := newUploader(t, address, chunked)
 						begun := time.Now()
-						u.begin(t, fmt.Sprint(begun.UnixNano()), size, 500, false)
-						u.send(t, upload[:first])
+						refused, err := u.begin(fmt.Sprint(begun.UnixNano()), size, 500, false)
+						assert.NilError(t, err)
+						assert.Assert(t, refused == nil)
+						assert.NilError(t, u.write(upload[:first]))
 						response, err := http.ReadResponse(u.reader, nil)
 						assert.NilError(t, err)
 						body, err := io.ReadAll(io.LimitReader(response.Body, int64(answerBytes)))
