Bound the head of an answer, its interim answers and dropped answers before it

Cause: http.ReadResponse reads status lines and heads of any length, and interim answers were skipped in any number. Now at most 64 KiB of a head, 8 interim answers and 16 answers to other requests are read; above, the connection is reset and the request is in doubt. New log line 'answer too long', new metric exceeded_bounds_total.

--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -44,6 +44,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
+		// Otherwise 10 MB of a head are read.
+		MaxResponseHeaderBytes: requester.MaxHeadBytes,
 	}}
 }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -230,6 +230,17 @@
 		"connection", d.Connection, "leftOut", leftOut)
 }
 
+// BoundExceeded records an answer that was longer than a bound, so that its connection was closed.
+func (r *Recorder) BoundExceeded(e requester.ExceededBound) {
+	r.meters.increment("exceeded_bounds", "bound", e.Bound)
+	ok, leftOut := r.allow("exceeded bound", linesPerSecond)
+	if !ok {
+		return
+	}
+	r.logger.Warn("answer too long", "bound", e.Bound, "limit", e.Limit, "request", e.ID, "from", e.Address, "connection", e.Connection,
+		"leftOut", leftOut)
+}
+
 // AnsweredEarly records an answer that came before the end of its request's body, and whether the body was read to its end.
 func (r *Recorder) AnsweredEarly(whole bool) {
 	body := "whole"
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -93,7 +93,9 @@
 
 // New returns a relayer.
 func New(o Options) *Relayer {
-	common := requester.Options{MaxIdle: maxIdlePerAddress, Connections: o.Connections, Now: o.Clock.Now}
+	common := requester.Options{
+		MaxIdle: maxIdlePerAddress, Connections: o.Connections, Now: o.Clock.Now, BoundExceeded: o.Recorder.BoundExceeded,
+	}
 	peers, endpoints := common, common
 	peers.DialTimeout, peers.IdleTime = peerDialTimeout, peerIdleTimeout
 	endpoints.DialTimeout, endpoints.IdleTime = endpointDialTimeout, endpointIdleTimeout
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		stop()
 		n.abort()
+		c.reportBound(n, r, err)
 		if failed := n.bodyFailed.Load(); failed != nil {
 			err = *failed
 		}
@@ -151,6 +152,7 @@
 	}
 	c.options.Connections.Add(1)
 	n := &conn{Conn: opened, count: c.options.Connections, address: address, ackTimeout: AckTimeout}
+	n.headLeft.Store(unboundedHead)
 	n.reader = bufio.NewReaderSize(n, readBuffer)
 	n.writer = bufio.NewWriterSize(n, writeBuffer)
 	return n, nil
@@ -179,7 +181,7 @@
 	default:
 		sent = sendBody(n, r)
 	}
-	for {
+	for range maxDroppedAnswers + 1 {
 		head, err := readFinalHead(n, r)
 		if err != nil {
 			return nil, err
@@ -193,6 +195,14 @@
 			return nil, err
 		}
 	}
+	return nil, BoundError{Bound: "droppedAnswers", Limit: maxDroppedAnswers}
+}
+
+func (c *Client) reportBound(n *conn, r *Request, err error) {
+	var exceeded BoundError
+	if c.options.BoundExceeded != nil && errors.As(err, &exceeded) {
+		c.options.BoundExceeded(ExceededBound{BoundError: exceeded, Connection: n.LocalAddr().String(), Address: n.address, ID: r.ID})
+	}
 }
 
 // skipBody reads the body of an answer to another request, up to the beginning of the next answer.
@@ -231,6 +241,9 @@
 	})
 }
 
+// maxDroppedAnswers is how many answers to other requests may come before the right one.
+const maxDroppedAnswers = 16
+
 // maxStrayBytes is the longest answer to another request that is read and dropped to reach the right one.
 const maxStrayBytes = 256 << 10
 
@@ -357,12 +370,19 @@
 	}
 }
 
+// readHead reads a status line and a head of at most MaxHeadBytes.
 func readHead(n *conn, r *Request) (*http.Response, error) {
-	return http.ReadResponse(n.reader, &http.Request{Method: r.Method})
+	n.headLeft.Store(MaxHeadBytes)
+	defer n.headLeft.Store(unboundedHead)
+	head, err := http.ReadResponse(n.reader, &http.Request{Method: r.Method})
+	if err != nil && n.headLeft.Load() == 0 {
+		return nil, BoundError{Bound: "head", Limit: MaxHeadBytes}
+	}
+	return head, err
 }
 
 func readFinalHead(n *conn, r *Request) (*http.Response, error) {
-	for {
+	for range maxInterimAnswers + 1 {
 		head, err := readHead(n, r)
 		if err != nil {
 			return nil, err
@@ -371,6 +391,7 @@
 			return head, nil
 		}
 	}
+	return nil, BoundError{Bound: "interimAnswers", Limit: maxInterimAnswers}
 }
 
 // Close ends the exchange; readToEnd states whether the answer's body was read to its end. The connection returns to the
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -27,6 +28,17 @@
 	writeBuffer = 4 << 10
 )
 
+const (
+	// MaxHeadBytes is the length of the longest status line and head of an answer that are read.
+	MaxHeadBytes = 64 << 10
+	// unboundedHead is what headLeft is while no head is read.
+	unboundedHead = -1
+	// maxInterimAnswers is how many answers with a status below 200 may come before the final one.
+	maxInterimAnswers = 8
+)
+
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
 // conn is one connection and its buffers.
 type conn struct {
 	net.Conn
@@ -44,13 +56,25 @@
 	closed     atomic.Bool
 	// traffic counts the bytes of the request under way, nil for none.
 	traffic atomic.Pointer[Traffic]
+	// headLeft is how many bytes may still be received for the head that is being read, unboundedHead while none is.
+	headLeft atomic.Int64
 	// bodyFailed is set if the body of the request under way could not be read.
 	bodyFailed atomic.Pointer[BodyError]
 }
 
 // Read reads from the connection and counts the bytes received.
 func (c *conn) Read(p []byte) (int, error) {
+	left := c.headLeft.Load()
+	if left == 0 {
+		return 0, errHeadTooLong
+	}
+	if left > 0 {
+		p = p[:min(int64(len(p)), left)]
+	}
 	n, err := c.Conn.Read(p)
+	if left > 0 {
+		c.headLeft.Store(left - int64(n))
+	}
 	if t := c.traffic.Load(); t != nil {
 		t.Received.Add(int64(n))
 	}
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -59,6 +59,8 @@
 	IDField string
 	// AnswerDropped is called for each answer that belongs to no request under way on its connection; nil calls nothing.
 	AnswerDropped func(DroppedAnswer)
+	// BoundExceeded is called for each answer that is longer than this client reads; nil calls nothing.
+	BoundExceeded func(ExceededBound)
 }
 
 // DroppedAnswer is an answer that was read while another one was awaited.
@@ -72,6 +74,25 @@
 	Known bool
 }
 
+// BoundError reports an answer that exceeds a bound; its request may have run.
+type BoundError struct {
+	// Bound is head, interimAnswers or droppedAnswers, Limit the bytes or answers allowed.
+	Bound string
+	Limit int64
+}
+
+// Error names the bound.
+func (e BoundError) Error() string {
+	return fmt.Sprintf("answer exceeds the bound %s of %d", e.Bound, e.Limit)
+}
+
+// ExceededBound is a BoundError and where it occurred.
+type ExceededBound struct {
+	BoundError
+	// Connection is the local address of the connection, Address the server's, ID the id of the request.
+	Connection, Address, ID string
+}
+
 // DialError reports that no connection could be opened; nothing was sent.
 type DialError struct {
 	Address string
