End the attempt of a request that is closed before it is made

A request whose caller leaves, or whose body can't be read, after its endpoint was picked ended with RequestClosed only.

The attempt now ends with the request, as given up.

--- a/internal/conductor/attempt_end.go
+++ b/internal/conductor/attempt_end.go
@@ -99,6 +99,7 @@
 		result.Outcome = router.Failed
 	}
 	c.router.Done(r.picked, result, now)
+	r.attempting = false
 }
 
 func (c *Conductor) mayAttemptAgain(r *call, e AttemptEnded, now clock.Time) bool {
@@ -162,6 +163,20 @@
 	c.closeCall(r.id)
 }
 
+// requestClosed ends a request, and an attempt that was not made since the caller had left or its body could not be read.
+func (c *Conductor) requestClosed(e RequestClosed, now clock.Time) {
+	r, ok := c.calls[e.ID]
+	if !ok {
+		return
+	}
+	if r.attempting {
+		unsent := AttemptEnded{ID: e.ID, Outcome: Abandoned}
+		c.recordAttempt(r, unsent, now)
+		c.learnReachability(r, unsent.Outcome, now)
+	}
+	c.closeCall(e.ID)
+}
+
 func (c *Conductor) closeCall(id CallID) {
 	delete(c.calls, id)
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -230,7 +230,7 @@
 	case AttemptEnded:
 		c.attemptEnded(e, now)
 	case RequestClosed:
-		c.closeCall(e.ID)
+		c.requestClosed(e, now)
 	case TokenDrawn:
 		c.tokenDrawn(e, now)
 	case TokenRequested:
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -40,6 +40,8 @@
 	reached    []identifier.Endpoint
 	picked     identifier.Endpoint
 	pickedNode identifier.Node
+	// attempting is set while an attempt at picked has not ended.
+	attempting bool
 	// attemptNode is the remote node at which an attempt is in flight, empty for none.
 	attemptNode identifier.Node
 	excluded    []identifier.Endpoint
--- a/internal/conductor/placement.go
+++ b/internal/conductor/placement.go
@@ -94,7 +94,7 @@
 	}
 	r.attempts++
 	r.picked, r.pickedNode = endpoint.ID, endpoint.Node
-	r.sent = now
+	r.sent, r.attempting = now, true
 	member := c.members[endpoint.Node]
 	local := endpoint.Node == c.self.Node
 	if !local {
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// Open returns how many attempts at all nodes have not ended.
+func (d *Detector) Open() (count int) {
+	for _, w := range d.nodes {
+		count += w.openAttempts
+	}
+	return count
+}
+
 // RecordContact records that something was received from a node, which is therefore reachable.
 func (d *Detector) RecordContact(node identifier.Node, now clock.Time) {
 	w, ok := d.nodes[node]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -247,6 +247,14 @@
 	r.regroup(m)
 }
 
+// InFlight returns how many picks of all endpoints have not ended.
+func (r *Router) InFlight() (count int) {
+	for _, m := range r.members {
+		count += m.inFlight
+	}
+	return count
+}
+
 func (r *Router) service(name identifier.Service) *service {
 	s, ok := r.services[name]
 	if !ok {
