--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -8,10 +8,7 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"fmt"
 	"hash/maphash"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -117,21 +114,6 @@
 	}
 }
 
-// sending is the sending of a request's body; err is set before done is closed.
-type sending struct {
-	done chan struct{}
-	err  error
-}
-
-func (s *sending) hasEnded() bool {
-	select {
-	case <-s.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (c *Client) connect(ctx context.Context, address string, r *Request, k requestKey) (*conn, error) {
 	if r.NewConnection {
 		return c.open(ctx, address)
@@ -198,57 +180,6 @@
 	return nil, BoundError{Bound: "droppedAnswers", Limit: maxDroppedAnswers}
 }
 
-func (c *Client) reportBound(n *conn, r *Request, err error) {
-	var exceeded BoundError
-	if c.options.BoundExceeded != nil && errors.As(err, &exceeded) {
-		c.options.BoundExceeded(ExceededBound{BoundError: exceeded, Connection: n.LocalAddr().String(), Address: n.address, ID: r.ID})
-	}
-}
-
-// skipBody reads the body of an answer to another request, up to the beginning of the next answer.
-func skipBody(head *http.Response) error {
-	if !isFramed(head) || head.ContentLength > maxStrayBytes {
-		return errStray
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBytes+1))
-	if err != nil {
-		return fmt.Errorf("read an answer to another request: %w", err)
-	}
-	if n > maxStrayBytes {
-		return errStray
-	}
-	return nil
-}
-
-// isFramed returns whether an answer's head states where its body ends.
-func isFramed(head *http.Response) bool {
-	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
-}
-
-// belongsTo returns whether an answer is one to the request under way on its connection.
-func (c *Client) belongsTo(head *http.Response, r *Request) bool {
-	return c.options.IDField == "" || r.NewConnection || head.Header.Get(c.options.IDField) == r.ID
-}
-
-func (c *Client) reportDropped(n *conn, r *Request, head *http.Response) {
-	if c.options.AnswerDropped == nil {
-		return
-	}
-	got := head.Header.Get(c.options.IDField)
-	c.options.AnswerDropped(DroppedAnswer{
-		Connection: n.LocalAddr().String(), Awaited: r.ID, Got: got, Status: head.StatusCode,
-		Known: n.sent.contains(c.keyOf(got)),
-	})
-}
-
-// maxDroppedAnswers is how many answers to other requests may come before the right one.
-const maxDroppedAnswers = 16
-
-// maxStrayBytes is the longest answer to another request that is read and dropped to reach the right one.
-const maxStrayBytes = 256 << 10
-
-var errStray = errors.New("answer belongs to another request")
-
 func (c *Client) response(n *conn, head *http.Response, sent *sending, requestBodyAllowed bool) *Response {
 	if head == nil {
 		return nil
@@ -262,138 +193,6 @@
 	}
 }
 
-func writeHead(w *bufio.Writer, r *Request) {
-	// The writer keeps its first error and returns it from Flush.
-	_, _ = w.WriteString(r.Method)
-	_ = w.WriteByte(' ')
-	_, _ = w.WriteString(r.URI)
-	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
-	_, _ = w.WriteString(r.Host)
-	_, _ = w.WriteString("\r\n")
-	for name, values := range r.Header {
-		for _, value := range values {
-			_, _ = w.WriteString(name)
-			_, _ = w.WriteString(": ")
-			_, _ = w.WriteString(value)
-			_, _ = w.WriteString("\r\n")
-		}
-	}
-	switch {
-	case r.Body != nil && r.Length < 0:
-		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
-	case r.Body != nil:
-		_, _ = w.WriteString("Content-Length: ")
-		_, _ = w.WriteString(strconv.FormatInt(r.Length, 10))
-		_, _ = w.WriteString("\r\n")
-	}
-	if r.ExpectContinue && r.Body != nil {
-		_, _ = w.WriteString("Expect: 100-continue\r\n")
-	}
-	_, _ = w.WriteString("\r\n")
-}
-
-// maxInlineBodyBytes is the largest body that is sent before the answer is read. It fits into the socket's buffers, so
-// sending cannot block on a server that answers without reading.
-const maxInlineBodyBytes = 8 << 10
-
-// sendBody sends a long body concurrently with the reading of the answer, since a server may answer before it has read
-// all of it. If the body can't be read to its end, the connection is reset; otherwise the server would wait for the rest
-// until its timeout.
-func sendBody(n *conn, r *Request) *sending {
-	s := &sending{done: make(chan struct{})}
-	send := func() {
-		defer close(s.done)
-		body := &errorRecordingBody{Reader: r.Body}
-		err := writeBody(n.writer, body, r.Length)
-		if body.err != nil {
-			n.bodyFailed.Store(&BodyError{Cause: body.err})
-			n.abort()
-		}
-		s.err = err
-	}
-	if r.Length >= 0 && r.Length <= maxInlineBodyBytes {
-		send()
-	} else {
-		go send()
-	}
-	return s
-}
-
-// errorRecordingBody records the error that ended the reading of a body early.
-type errorRecordingBody struct {
-	io.Reader
-	err error
-}
-
-// Read reads from the body.
-func (b *errorRecordingBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if err != nil && err != io.EOF {
-		b.err = err
-	}
-	return n, err
-}
-
-func writeBody(w *bufio.Writer, body io.Reader, length int64) error {
-	if length < 0 {
-		return writeChunks(w, body)
-	}
-	sent, err := io.Copy(w, io.LimitReader(body, length))
-	if err != nil {
-		return err
-	}
-	if sent < length {
-		return io.ErrUnexpectedEOF
-	}
-	return w.Flush()
-}
-
-func writeChunks(w *bufio.Writer, body io.Reader) error {
-	buffer := make([]byte, writeBuffer)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			_, _ = fmt.Fprintf(w, "%x\r\n", n)
-			_, _ = w.Write(buffer[:n])
-			_, _ = w.WriteString("\r\n")
-			if flushed := w.Flush(); flushed != nil {
-				return flushed
-			}
-		}
-		if err == io.EOF {
-			_, _ = w.WriteString("0\r\n\r\n")
-			return w.Flush()
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// readHead reads a status line and a head of at most MaxHeadBytes.
-func readHead(n *conn, r *Request) (*http.Response, error) {
-	n.headLeft.Store(MaxHeadBytes)
-	defer n.headLeft.Store(unboundedHead)
-	head, err := http.ReadResponse(n.reader, &http.Request{Method: r.Method})
-	if err != nil && n.headLeft.Load() == 0 {
-		return nil, BoundError{Bound: "head", Limit: MaxHeadBytes}
-	}
-	return head, err
-}
-
-func readFinalHead(n *conn, r *Request) (*http.Response, error) {
-	for range maxInterimAnswers + 1 {
-		head, err := readHead(n, r)
-		if err != nil {
-			return nil, err
-		}
-		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
-			return head, nil
-		}
-	}
-	return nil, BoundError{Bound: "interimAnswers", Limit: maxInterimAnswers}
-}
-
 // Close ends the exchange; readToEnd states whether the answer's body was read to its end. The connection returns to the
 // pool only if request and answer are complete and it may be reused.
 func (r *Response) Close(readToEnd bool) {
--- /dev/null
+++ b/internal/requester/receive.go
@@ -0,0 +1,87 @@
+package requester
+
+// What a faulty server sends is read up to bounds, and only the answer to the request under way is returned.
+//
+// Example: 503 for c3-17 arrives while c3-18 is awaited; it is dropped, and the answer behind it is returned.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// belongsTo returns whether an answer is one to the request under way on its connection.
+func (c *Client) belongsTo(head *http.Response, r *Request) bool {
+	return c.options.IDField == "" || r.NewConnection || head.Header.Get(c.options.IDField) == r.ID
+}
+
+func (c *Client) reportDropped(n *conn, r *Request, head *http.Response) {
+	if c.options.AnswerDropped == nil {
+		return
+	}
+	got := head.Header.Get(c.options.IDField)
+	c.options.AnswerDropped(DroppedAnswer{
+		Connection: n.LocalAddr().String(), Awaited: r.ID, Got: got, Status: head.StatusCode,
+		Known: n.sent.contains(c.keyOf(got)),
+	})
+}
+
+// maxDroppedAnswers is how many answers to other requests may come before the right one.
+const maxDroppedAnswers = 16
+
+// maxStrayBytes is the longest answer to another request that is read and dropped to reach the right one.
+const maxStrayBytes = 256 << 10
+
+var errStray = errors.New("answer belongs to another request")
+
+func (c *Client) reportBound(n *conn, r *Request, err error) {
+	var exceeded BoundError
+	if c.options.BoundExceeded != nil && errors.As(err, &exceeded) {
+		c.options.BoundExceeded(ExceededBound{BoundError: exceeded, Connection: n.LocalAddr().String(), Address: n.address, ID: r.ID})
+	}
+}
+
+// skipBody reads the body of an answer to another request, up to the beginning of the next answer.
+func skipBody(head *http.Response) error {
+	if !isFramed(head) || head.ContentLength > maxStrayBytes {
+		return errStray
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBytes+1))
+	if err != nil {
+		return fmt.Errorf("read an answer to another request: %w", err)
+	}
+	if n > maxStrayBytes {
+		return errStray
+	}
+	return nil
+}
+
+// isFramed returns whether an answer's head states where its body ends.
+func isFramed(head *http.Response) bool {
+	return head.ContentLength >= 0 || len(head.TransferEncoding) > 0
+}
+
+// readHead reads a status line and a head of at most MaxHeadBytes.
+func readHead(n *conn, r *Request) (*http.Response, error) {
+	n.headLeft.Store(MaxHeadBytes)
+	defer n.headLeft.Store(unboundedHead)
+	head, err := http.ReadResponse(n.reader, &http.Request{Method: r.Method})
+	if err != nil && n.headLeft.Load() == 0 {
+		return nil, BoundError{Bound: "head", Limit: MaxHeadBytes}
+	}
+	return head, err
+}
+
+func readFinalHead(n *conn, r *Request) (*http.Response, error) {
+	for range maxInterimAnswers + 1 {
+		head, err := readHead(n, r)
+		if err != nil {
+			return nil, err
+		}
+		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+			return head, nil
+		}
+	}
+	return nil, BoundError{Bound: "interimAnswers", Limit: maxInterimAnswers}
+}
