A body over the limit no longer changes the header of an answer that is being written

http.MaxBytesReader was given the response writer, and set Connection: close on it from the goroutine that sends the body, while the handler writes an early answer: a data race on the header, and a concurrent map write would end the node.

The tests' stand-ins share one accept loop.

--- a/internal/relayer/check_test.go
+++ b/internal/relayer/check_test.go
@@ -64,38 +64,26 @@
 func TestLateCopyIsNotTakenForHealthAnswer(t *testing.T) {
 	const application = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"
 	const health = "HTTP/1.1 200 OK\r\nX-Instance: i-1\r\nX-Cold: 1200\r\nContent-Length: 0\r\n\r\n"
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	go func() {
+	address := listen(t, func(n net.Conn) {
+		reader, copied := bufio.NewReader(n), ""
 		for {
-			n, err := l.Accept()
+			r, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer n.Close()
-				reader, copied := bufio.NewReader(n), ""
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					answer := health
-					if r.URL.Path != "/health" {
-						answer = application
-					}
-					if _, err := io.WriteString(n, copied+answer); err != nil {
-						return
-					}
-					copied = answer
-				}
-			}()
+			answer := health
+			if r.URL.Path != "/health" {
+				answer = application
+			}
+			if _, err := io.WriteString(n, copied+answer); err != nil {
+				return
+			}
+			copied = answer
 		}
-	}()
+	})
 	r := New(Options{
 		Clock: clock.New(), Headers: Headers{RequestID: "X-Id", Instance: "X-Instance", ColdLeft: "X-Cold"},
-		EndpointAddress: l.Addr().String(), Connections: requester.NewConnections(10),
+		EndpointAddress: address, Connections: requester.NewConnections(10),
 	})
 	response, err := r.endpoints.Do(context.Background(), r.options.EndpointAddress, &requester.Request{
 		Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, ID: "a", SentUntil: r.options.Clock.Now().Add(clock.Second),
--- a/internal/relayer/copy_test.go
+++ b/internal/relayer/copy_test.go
@@ -18,20 +18,9 @@
 // the second request of a connection, it sends its first answer on that connection again.
 func newCopyingEndpoint(t *testing.T) (*endpoint, *runCounts) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	counts := &runCounts{offered: map[string]int{}, run: map[string]int{}}
-	go func() {
-		for {
-			n, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveCopying(n, counts)
-		}
-	}()
-	return &endpoint{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}, counts
+	address := listen(t, func(n net.Conn) { serveCopying(n, counts) })
+	return &endpoint{Server: &httptest.Server{URL: "http://" + address}}, counts
 }
 
 // runCounts counts the offers and the runs of each request.
@@ -59,7 +48,6 @@
 }
 
 func serveCopying(n net.Conn, counts *runCounts) {
-	defer n.Close()
 	reader := bufio.NewReader(n)
 	first := ""
 	for requests := 1; ; requests++ {
--- a/internal/relayer/early_test.go
+++ b/internal/relayer/early_test.go
@@ -38,12 +38,8 @@
 // newEarlyEndpoint returns an endpoint that reads a part of each upload, answers it, and reads on.
 func newEarlyEndpoint(t *testing.T, answerTo func(r *http.Request) earlyAnswer) (*endpoint, <-chan received) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	got := make(chan received, 1000)
-	serve := func(n net.Conn) {
-		defer n.Close()
+	address := listen(t, func(n net.Conn) {
 		reader := bufio.NewReader(n)
 		for {
 			r, err := http.ReadRequest(reader)
@@ -68,17 +64,8 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			n, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(n)
-		}
-	}()
-	return &endpoint{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}, got
+	})
+	return &endpoint{Server: &httptest.Server{URL: "http://" + address}}, got
 }
 
 // pipelined returns the address of a listener that serves callers as a node does.
@@ -286,6 +273,29 @@
 	}
 }
 
+// Guards against a node that ends since the body's reader changes the header of an answer that is being written.
+func TestUploadOverTheLimitAfterEarlyAnswerBreaksOff(t *testing.T) {
+	const size, limit = 600_000, 100_000
+	e, got := newEarlyEndpoint(t, func(*http.Request) earlyAnswer { return earlyAnswer{after: 4000, body: make([]byte, 70_000)} })
+	n := newNode(t, "a", "portal", e)
+	c := configurationOf(matcher.NonIdempotent, 1)
+	c.Teams, c.Limits.BodyBytes = nil, limit
+	n.configure(t, c)
+	address := pipelined(t, n)
+	for i := range 10 {
+		u := newUploader(t, address, true)
+		_, err := u.begin(fmt.Sprint("r", i), size, 500, false)
+		assert.NilError(t, err)
+		// The node may close the connection while the rest is sent.
+		_ = u.write(uploadOf(size))
+		_, _ = io.Copy(io.Discard, u.reader)
+		r := <-got
+		assert.Assert(t, !r.whole)
+		assert.Assert(t, len(r.body) <= limit && bytes.HasPrefix(uploadOf(size), r.body), "%d bytes", len(r.body))
+	}
+	waitUntil(t, "the slots are free", func() bool { return running(n) == 0 })
+}
+
 func isTimeout(err error, as *net.Error) bool {
 	n, ok := err.(net.Error)
 	*as = n
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -54,6 +55,27 @@
 	return e
 }
 
+// listen serves each connection to the returned address.
+func listen(t testing.TB, serve func(n net.Conn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer n.Close()
+				serve(n)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // last returns the request that reached the endpoint last, and its body.
 func (e *endpoint) last() (*http.Request, string) {
 	e.mu.Lock()
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -157,7 +157,8 @@
 		return false
 	}
 	if limit > 0 && request.ContentLength < 0 {
-		request.Body = http.MaxBytesReader(w, request.Body, limit)
+		// Given w, the reader would change the header of an answer that is being written.
+		request.Body = http.MaxBytesReader(nil, request.Body, limit)
 	}
 	if !strings.HasPrefix(request.RequestURI, "/") {
 		http.Error(w, "want a path", http.StatusBadRequest)
