Name each offer, connection and answer of requests that run once in warnings

A request that may run once only and was offered more than once, or may have run without an answer, now has one warning with all offers: endpoint, node, connection, outcome, times. The node beside the endpoint tells the entry node the connection of offers that were not answered or not the first, and warns of those that it could not answer. 'answer dropped' says which status was returned for the same request on that connection: another one means that one of the two answers was taken wrongly (cause otherAnswer). Answers that arrive on an idle connection, or behind an answer that has been read, were thrown away in silence when the connection was closed; they are reported now.

Volume: 50 lines a second of requests offered again, 20 of each other kind; lines left out are counted by kind in a metric. explain shows the new lines; its cause no longer depends on a line that says nothing of the outcome.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -26,6 +26,8 @@
 	linesPerSecond = 20
 	// successesPerSecond limits the lines of successful attempts; it is lower because they are rarely looked up.
 	successesPerSecond = 1
+	// offersPerSecond limits the lines of requests that were offered more than once. Each holds all offers of its request.
+	offersPerSecond = 50
 	// queueCapacityLines bounds the lines that wait for the output; at 300 bytes each they take 150 kB.
 	queueCapacityLines = 512
 )
@@ -98,6 +100,7 @@
 	}
 	if k.lines >= maxPerSecond {
 		k.leftOut++
+		r.meters.increment("log_lines_left_out", "kind", firstWord(kindName))
 		return false, 0
 	}
 	k.lines++
@@ -201,7 +204,7 @@
 
 // Dependency records a failure of something that this node depends on.
 func (r *Recorder) Dependency(name string, err error) {
-	r.meters.increment("dependency_failures", "dependency", dependencyKind(name))
+	r.meters.increment("dependency_failures", "dependency", firstWord(name))
 	ok, leftOut := r.allow("dependency "+name, 1)
 	if !ok {
 		return
@@ -209,24 +212,27 @@
 	r.logger.Warn("dependency failed", "dependency", name, "error", err.Error(), "leftOut", leftOut)
 }
 
-// dependencyKind returns the first word of a dependency's name as its metric label: "node" for "node a-7".
-func dependencyKind(name string) string {
-	kind, _, _ := strings.Cut(name, " ")
-	return kind
+// firstWord returns the first word of a name as a metric label: "node" for "node a-7".
+func firstWord(name string) string {
+	word, _, _ := strings.Cut(name, " ")
+	return word
 }
 
 // AnswerDropped records an answer of the local endpoint that belongs to no request under way on its connection.
 func (r *Recorder) AnswerDropped(d requester.DroppedAnswer) {
 	cause := "unknownRequest"
-	if d.Known {
+	switch {
+	case d.Known && d.Taken != 0 && d.Taken != d.Status:
+		cause = "otherAnswer"
+	case d.Known:
 		cause = "earlierRequest"
 	}
 	r.meters.increment("dropped_answers", "cause", cause)
-	ok, leftOut := r.allow("dropped answer", linesPerSecond)
+	ok, leftOut := r.allow("dropped "+cause, linesPerSecond)
 	if !ok {
 		return
 	}
-	r.logger.Warn("answer dropped", "request", d.Got, "status", d.Status, "cause", cause, "awaited", d.Awaited,
+	r.logger.Warn("answer dropped", "request", d.Got, "status", d.Status, "cause", cause, "taken", d.Taken, "awaited", d.Awaited,
 		"connection", d.Connection, "leftOut", leftOut)
 }
 
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -175,3 +175,27 @@
 	r.WriteMetrics(&metrics)
 	assert.Assert(t, strings.Contains(metrics.String(), `jackdawtide_cut_total{cause="stop"} 1`))
 }
+
+// Guards against a service that declines calls and fills the log with the histories of all its requests, and against lines that
+// are left out without a count.
+func TestLinesOfOffersAreLimitedAndCounted(t *testing.T) {
+	o := &output{}
+	now := clock.Time(5000)
+	r := New(o, "n", clockOf(&now))
+	const requests = 1000
+	for i := range requests {
+		r.Offered(OfferedRequest{Request: fmt.Sprint(i), Offers: []Offer{{Outcome: "declined"}, {Outcome: "answered"}}})
+		r.Offered(OfferedRequest{Request: fmt.Sprint(i), Offers: []Offer{{Outcome: "late", InDoubt: true}}})
+	}
+	assert.Assert(t, r.Flush(clock.Second))
+	assert.Equal(t, len(o.lines()), offersPerSecond+linesPerSecond)
+	var text bytes.Buffer
+	r.WriteMetrics(&text)
+	for _, line := range []string{
+		fmt.Sprintf(`jackdawtide_offered_again_total{outcome="answered"} %d`, requests),
+		fmt.Sprintf(`jackdawtide_log_lines_left_out_total{kind="offeredAgain"} %d`, requests-offersPerSecond),
+		fmt.Sprintf(`jackdawtide_log_lines_left_out_total{kind="offeredInDoubt"} %d`, requests-linesPerSecond),
+	} {
+		assert.Assert(t, strings.Contains(text.String(), line+"\n"), "%s is missing", line)
+	}
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -38,7 +38,7 @@
 		a.body, a.bodyRead = body, true
 		return a
 	}
-	return incompleteAttempt(ctx)
+	return incompleteAttempt(ctx).on(a.connection)
 }
 
 // putBack makes bytes that were read from the body available again, and sets the length of a body that they are all of.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -16,8 +16,9 @@
 	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
-// attempt makes one attempt, at the local endpoint or through another node.
-func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable) answer {
+// attempt makes one attempt, at the local endpoint or through another node; offeredBefore is whether an endpoint got the request
+// in an earlier one.
+func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable, offeredBefore bool) answer {
 	left := s.Deadline.Sub(r.options.Clock.Now())
 	parent, stop, stopWatch := request.Context(), func() {}, func() {}
 	if body.streamed() {
@@ -55,19 +56,21 @@
 			nested:         s.Nested,
 			arrivalCounted: s.ArrivalCounted,
 			rateUnchecked:  uncheckedTeam(s),
+			once:           !s.Idempotent,
+			offeredBefore:  offeredBefore,
 		})
 		r.View(func(c *conductor.Conductor, now clock.Time) {
 			a.headroom, a.queueDelay = c.Headroom(now), c.QueueDelay(now)
 		})
 	} else {
-		a = r.forward(ctx, s, out, body)
+		a = r.forward(ctx, s, out, body, offeredBefore)
 	}
 	a.upload, a.deadline = body.stream, s.Deadline
 	return r.bufferSmallAnswer(ctx, cancel, a)
 }
 
 // forward sends a request to the node beside another endpoint and reads the outcome from its answer.
-func (r *Relayer) forward(ctx context.Context, s conductor.Send, out *requester.Request, body *replayable) answer {
+func (r *Relayer) forward(ctx context.Context, s conductor.Send, out *requester.Request, body *replayable, offeredBefore bool) answer {
 	now := r.options.Clock.Now()
 	out.Header[callField] = []string{handover{
 		left:           s.Deadline.Sub(now),
@@ -76,6 +79,8 @@
 		rank:           s.Rank,
 		nested:         s.Nested,
 		arrivalCounted: s.ArrivalCounted,
+		once:           !s.Idempotent,
+		offeredBefore:  offeredBefore,
 		endpoint:       s.Endpoint,
 		rateUnchecked:  uncheckedTeam(s),
 	}.String()}
@@ -93,10 +98,11 @@
 	}
 	state := readPeerState(response.Header)
 	r.applyProof(state.proof, requestedAt)
+	connection := response.Header.Get(connectionField)
 	if name := response.Header.Get(outcomeField); name != "" {
 		response.Close(drainBody(response))
 		count()
-		a := failedAttempt(conductor.ParseOutcome(name), "")
+		a := failedAttempt(conductor.ParseOutcome(name), "").on(connection)
 		a.headroom, a.queueDelay, a.member = state.headroom, state.queueDelay, r.readMember(response.Header)
 		return a
 	}
@@ -107,6 +113,7 @@
 		Response:   response,
 		notice:     r.noticeIn(response.Header),
 		outcome:    conductor.Answered,
+		connection: connection,
 		headroom:   state.headroom,
 		queueDelay: state.queueDelay,
 		finish: func(whole bool) {
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -33,6 +33,8 @@
 	arrivalCounted bool
 	// rateUnchecked is the team whose rate limit has not been checked for this request yet, empty for none.
 	rateUnchecked identifier.Team
+	// once is set if the request may run once only, offeredBefore if it was offered to an endpoint before.
+	once, offeredBefore bool
 	// limit is what the sending node knows of the endpoint's rate limit.
 	limit conductor.Notice
 }
@@ -45,6 +47,9 @@
 	// headroom and queueDelay are those of the endpoint when it answered.
 	headroom   uint8
 	queueDelay clock.Duration
+	// connection is the local address of the connection on which a request that may run once only was offered to the endpoint,
+	// empty if it is not known.
+	connection string
 	// member is the other node's present record if the requested endpoint is no longer beside it.
 	member *exchanger.Member
 	// notice is what an answer that came through another node says about the endpoint.
@@ -154,6 +159,10 @@
 	if err != nil {
 		return r.deliveryFailed(ctx, d, err)
 	}
+	connection := ""
+	if d.once {
+		connection = response.Connection()
+	}
 	if response.StatusCode != http.StatusMisdirectedRequest {
 		r.reportNotice(id, response.Header)
 		r.reportUnreadFields(response.Header)
@@ -162,11 +171,17 @@
 		response.Close(drainBody(response))
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			r.ApplyEvent(conductor.EndpointUnreachable{Endpoint: d.endpoint})
-			return failedAttempt(conductor.Moved, conductor.EndpointGone)
+			return failedAttempt(conductor.Moved, conductor.EndpointGone).on(connection)
 		}
-		return failedAttempt(conductor.Declined, conductor.EndpointRefused)
+		return failedAttempt(conductor.Declined, conductor.EndpointRefused).on(connection)
 	}
-	return answer{Response: response, outcome: conductor.Answered}
+	return answer{Response: response, outcome: conductor.Answered}.on(connection)
+}
+
+// on returns the answer with the connection on which the request was offered.
+func (a answer) on(connection string) answer {
+	a.connection = connection
+	return a
 }
 
 // sentMargin is added to the deadline up to which a request may be sent again: with each attempt that arrives from another
@@ -193,12 +208,17 @@
 		}
 		return failedAttempt(conductor.Unreached, conductor.EndpointDown)
 	}
+	connection := ""
+	var sent requester.SentError
+	if d.once && errors.As(err, &sent) {
+		connection = sent.Connection
+	}
 	switch {
 	case ctx.Err() != nil:
-		return incompleteAttempt(ctx)
+		return incompleteAttempt(ctx).on(connection)
 	case errors.As(err, &body):
-		return bodyReadFailed(err)
+		return bodyReadFailed(err).on(connection)
 	default:
-		return failedAttempt(conductor.Broken, conductor.InDoubt)
+		return failedAttempt(conductor.Broken, conductor.InDoubt).on(connection)
 	}
 }
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -23,7 +23,9 @@
 	left, queueTimeout, due clock.Duration
 	rank                    identifier.Rank
 	nested, arrivalCounted  bool
-	endpoint                identifier.Endpoint
+	// once is set if the request may run once only, offeredBefore if it was offered to an endpoint before.
+	once, offeredBefore bool
+	endpoint            identifier.Endpoint
 	// rateUnchecked is the team whose rate limit has not been checked for this request yet, empty for none.
 	rateUnchecked identifier.Team
 }
@@ -31,6 +33,8 @@
 const (
 	nestedFlag         = "n"
 	arrivalCountedFlag = "a"
+	onceFlag           = "o"
+	offeredBeforeFlag  = "b"
 	noFlag             = "-"
 )
 
@@ -42,6 +46,12 @@
 	if o.arrivalCounted {
 		flags += arrivalCountedFlag
 	}
+	if o.once {
+		flags += onceFlag
+	}
+	if o.offeredBefore {
+		flags += offeredBeforeFlag
+	}
 	if flags == "" {
 		flags = noFlag
 	}
@@ -99,6 +109,8 @@
 		rank:           identifier.Rank(numbers[3]),
 		nested:         strings.Contains(parts[4], nestedFlag),
 		arrivalCounted: strings.Contains(parts[4], arrivalCountedFlag),
+		once:           strings.Contains(parts[4], onceFlag),
+		offeredBefore:  strings.Contains(parts[4], offeredBeforeFlag),
 		endpoint:       identifier.Endpoint(names[1]),
 	}
 	if len(names) > 2 {
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -30,6 +30,8 @@
 			rank:           identifier.Rank(rapid.Uint16().Draw(t, "rank")),
 			nested:         rapid.Bool().Draw(t, "nested"),
 			arrivalCounted: rapid.Bool().Draw(t, "again"),
+			once:           rapid.Bool().Draw(t, "once"),
+			offeredBefore:  rapid.Bool().Draw(t, "offeredBefore"),
 			endpoint:       identifier.Endpoint(rapid.StringN(1, 20, 40).Draw(t, "endpoint")),
 			rateUnchecked:  identifier.Team(rapid.StringN(0, 20, 40).Draw(t, "rateUnchecked")),
 		}
@@ -129,7 +131,7 @@
 		a := entry.forward(context.Background(), conductor.Send{
 			Address: beside.member.DeliveryAddress, Endpoint: "i-beside", Team: "parish", RateUnchecked: true, Crossing: router.NoneNear,
 			Deadline: entry.options.Clock.Now().Add(clock.Second), QueueTimeout: 100,
-		}, out, body)
+		}, out, body, false)
 		a.finish(true)
 		return a.outcome
 	}
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -50,12 +50,16 @@
 		arrivalCounted: received.arrivalCounted,
 		rateUnchecked:  received.rateUnchecked,
 		limit:          r.readPassedLimit(request.Header),
+		once:           received.once,
+		offeredBefore:  received.offeredBefore,
 		request:        outgoing(request, endToEndFields(request.Header)),
 	}
 	if u != nil {
 		d.request.Body = u
 	}
+	arrived := r.options.Clock.Now()
 	a := r.deliver(ctx, d)
+	r.logUnanswered(d, a, arrived)
 	if a.outcome == conductor.Answered {
 		a.upload, a.deadline = u, d.deadline
 		a = r.delimitEarlyAnswer(ctx, a)
@@ -64,6 +68,9 @@
 	// The sending node writes its own Date.
 	w.Header()["Date"] = nil
 	r.announceClose(request.Context(), w.Header())
+	if a.connection != "" && (d.offeredBefore || a.outcome != conductor.Answered) {
+		w.Header()[connectionField] = []string{a.connection}
+	}
 	if a.outcome != conductor.Answered {
 		w.Header()[outcomeField] = []string{a.outcome.String()}
 		if a.outcome == conductor.Moved {
@@ -87,7 +94,7 @@
 	body, err := readBody(a.Response)
 	if err != nil {
 		a.finish(false)
-		return incompleteAttempt(ctx)
+		return incompleteAttempt(ctx).on(a.connection)
 	}
 	a.putBack(body)
 	return a
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -45,6 +45,8 @@
 	var body *replayable
 	var last answer
 	var err error
+	offers := offered{relayer: r, request: request, started: started}
+	defer offers.log()
 	for {
 		switch e := effect.(type) {
 		case conductor.Refuse:
@@ -64,7 +66,9 @@
 				r.apply(id, conductor.RequestClosed{ID: id})
 				panic(http.ErrAbortHandler)
 			}
-			last = r.attempt(request, e, body)
+			sent := r.options.Clock.Now()
+			last = r.attempt(request, e, body, offers.any())
+			offers.add(e, last, sent)
 			effect = r.apply(id, conductor.AttemptEnded{
 				ID:         id,
 				Outcome:    last.outcome,
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -42,13 +42,15 @@
 
 // Header fields between nodes.
 const (
-	fleetPrefix         = "Jackdaw-"
-	callField           = fleetPrefix + "Call"
-	stateField          = fleetPrefix + "State"
-	outcomeField        = fleetPrefix + "Outcome"
-	memberField         = fleetPrefix + "Member"
-	waitField           = fleetPrefix + "Wait"
-	provedField         = fleetPrefix + "Proved"
+	fleetPrefix  = "Jackdaw-"
+	callField    = fleetPrefix + "Call"
+	stateField   = fleetPrefix + "State"
+	outcomeField = fleetPrefix + "Outcome"
+	memberField  = fleetPrefix + "Member"
+	waitField    = fleetPrefix + "Wait"
+	provedField  = fleetPrefix + "Proved"
+	// connectionField is the local address of the connection on which the endpoint beside a node answered.
+	connectionField     = fleetPrefix + "Connection"
 	teamField           = fleetPrefix + "Team"
 	returnedTokensField = fleetPrefix + "Back"
 	tokenField          = fleetPrefix + "Token"
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -29,7 +29,9 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{options: o, pool: newPool(o.MaxIdle), seed: maphash.MakeSeed()}
+	c := &Client{options: o, pool: newPool(o.MaxIdle), seed: maphash.MakeSeed()}
+	c.pool.reportUnread = c.reportUnread
+	return c
 }
 
 // Dials returns how many connections the client has tried to open.
@@ -90,14 +92,20 @@
 		if cause := ctx.Err(); cause != nil {
 			err = cause
 		}
-		return nil, SentError{Address: address, Cause: err}
+		return nil, SentError{Address: address, Connection: n.LocalAddr().String(), Cause: err}
 	}
+	n.sent.setStatus(key, response.StatusCode)
 	response.client = c
 	response.stop = stop
 	response.ended = ctx.Done()
 	return response, nil
 }
 
+// Connection returns the local address of the connection on which the answer came.
+func (r *Response) Connection() string {
+	return r.conn.LocalAddr().String()
+}
+
 // Sending returns whether the request's body is still being sent, since the server has answered early.
 func (r *Response) Sending() bool {
 	return r.sending != nil && !r.sending.hasEnded()
@@ -171,7 +179,7 @@
 		if c.belongsTo(head, r) {
 			return c.response(n, head, sent, true), nil
 		}
-		c.reportDropped(n, r, head)
+		c.reportDropped(n, r.ID, head)
 		// A late answer to an earlier request on this connection; the answer to this request may follow it.
 		if err := skipBody(head); err != nil {
 			return nil, err
@@ -201,6 +209,9 @@
 	}
 	r.closed = true
 	cancelled := !r.stop()
+	if readToEnd && r.framed && r.conn.reader.Buffered() > 0 {
+		r.client.reportUnread(r.conn)
+	}
 	crowded := r.client.options.Connections.Crowded()
 	reusable := readToEnd && r.framed && !r.Response.Close && r.bodySent() && r.conn.reader.Buffered() == 0 && !r.conn.sent.full()
 	if cancelled || crowded || !reusable {
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -113,6 +113,8 @@
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	maxIdle int
+	// reportUnread is called before an idle connection is closed.
+	reportUnread func(*conn)
 }
 
 func newPool(maxIdle int) *pool {
@@ -127,10 +129,16 @@
 		if c == nil || now < c.idleUntil && c.hasNoInput() {
 			return c, passedOver
 		}
-		_ = c.Close()
+		p.discard(c)
 	}
 }
 
+// discard closes an idle connection.
+func (p *pool) discard(c *conn) {
+	p.reportUnread(c)
+	_ = c.Close()
+}
+
 func (p *pool) pop(address string, k requestKey) (c *conn, passedOver int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -168,7 +176,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			_ = c.Close()
+			p.discard(c)
 		}
 		if len(kept) == 0 {
 			delete(p.idle, address)
@@ -183,7 +191,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[address] {
-		_ = c.Close()
+		p.discard(c)
 	}
 	delete(p.idle, address)
 }
@@ -193,20 +201,46 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if _, ok := c.Conn.(syscall.Conn); !ok {
+		return true
+	}
+	var b [1]byte
+	_, err := c.peek(b[:])
+	return err == unix.EAGAIN
+}
+
+// peekInput returns up to size bytes that have arrived and were not read, and leaves them where they are.
+func (c *conn) peekInput(size int) []byte {
+	if n := c.reader.Buffered(); n > 0 {
+		// The bytes are buffered, so Peek returns no error.
+		text, _ := c.reader.Peek(min(n, size))
+		return text
+	}
+	b := make([]byte, size)
+	n, err := c.peek(b)
+	if err != nil {
+		return nil
+	}
+	return b[:n]
+}
+
+// peek reads what has arrived at the socket without waiting and without removing it; at the end of file it returns 0.
+func (c *conn) peek(b []byte) (n int, err error) {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.ENOTSUP
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	hasNoInput := false
+	var failed error
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		hasNoInput = err == unix.EAGAIN
+		n, _, failed = unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return hasNoInput && err == nil
+	if err != nil {
+		return 0, err
+	}
+	return n, failed
 }
--- a/internal/requester/receive.go
+++ b/internal/requester/receive.go
@@ -5,6 +5,8 @@
 // Example: 503 for c3-17 arrives while c3-18 is awaited; it is dropped, and the answer behind it is returned.
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -16,15 +18,35 @@
 	return c.options.IDField == "" || r.NewConnection || head.Header.Get(c.options.IDField) == r.ID
 }
 
-func (c *Client) reportDropped(n *conn, r *Request, head *http.Response) {
+func (c *Client) reportDropped(n *conn, awaited string, head *http.Response) {
 	if c.options.AnswerDropped == nil {
 		return
 	}
-	got := head.Header.Get(c.options.IDField)
-	c.options.AnswerDropped(DroppedAnswer{
-		Connection: n.LocalAddr().String(), Awaited: r.ID, Got: got, Status: head.StatusCode,
-		Known: n.sent.contains(c.keyOf(got)),
-	})
+	d := DroppedAnswer{Connection: n.LocalAddr().String(), Awaited: awaited, Status: head.StatusCode}
+	d.Got = head.Header.Get(c.options.IDField)
+	if sent := n.sent.find(c.keyOf(d.Got)); sent != nil {
+		d.Known, d.Taken = true, sent.status
+	}
+	c.options.AnswerDropped(d)
+}
+
+// maxReportedBytes is how much of what has arrived on an idle connection is read to report it.
+const maxReportedBytes = 2 << 10
+
+// reportUnread reports the first answer that has arrived on a connection without a request under way, before it is closed.
+func (c *Client) reportUnread(n *conn) {
+	if c.options.AnswerDropped == nil {
+		return
+	}
+	text := n.peekInput(maxReportedBytes)
+	if len(text) == 0 {
+		return
+	}
+	head, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
+	if err != nil {
+		head = &http.Response{}
+	}
+	c.reportDropped(n, "", head)
 }
 
 // maxDroppedAnswers is how many answers to other requests may come before the right one.
--- a/internal/requester/sent.go
+++ b/internal/requester/sent.go
@@ -22,6 +22,8 @@
 type sentRequest struct {
 	key   requestKey
 	until clock.Time
+	// status is that of the answer that was returned, 0 for none.
+	status int
 }
 
 // maxSentRequests is the number of remembered requests above which a connection is closed instead of reused; it bounds the
@@ -48,15 +50,27 @@
 }
 
 func (s *sentRequests) contains(k requestKey) bool {
+	return s.find(k) != nil
+}
+
+// find returns the last request with a key, nil for none.
+func (s *sentRequests) find(k requestKey) *sentRequest {
 	if k == 0 {
-		return false
+		return nil
 	}
-	for i := range s.list {
+	for i := range slices.Backward(s.list) {
 		if s.list[i].key == k {
-			return true
+			return &s.list[i]
 		}
 	}
-	return false
+	return nil
+}
+
+// setStatus records the status of the answer to the request that was sent last.
+func (s *sentRequests) setStatus(k requestKey, status int) {
+	if sent := s.find(k); sent != nil {
+		sent.status = status
+	}
 }
 
 func (s *sentRequests) full() bool {
--- a/internal/requester/sent_test.go
+++ b/internal/requester/sent_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -111,11 +112,47 @@
 		assert.Equal(t, got, "mine")
 	}
 	assert.DeepEqual(t, dropped, []DroppedAnswer{
-		{Awaited: "b", Got: "a", Status: 503, Known: true},
+		{Awaited: "b", Got: "a", Status: 503, Known: true, Taken: 200},
 		{Awaited: "b", Got: "other", Status: 503},
 	})
 }
 
+// Guards against answers that arrive after the one that was returned and leave no trace when their connection is closed.
+func TestAnswersOnClosedConnectionsAreReported(t *testing.T) {
+	tests := map[string]time.Duration{"at once": 0, "while idle": 20 * time.Millisecond}
+	for name, delay := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(n net.Conn, r *http.Request, _ *bufio.Reader) bool {
+				declined := fmt.Sprintf("HTTP/1.1 503 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+				late := answerTo(r, "late")
+				if delay == 0 {
+					declined, late = declined+late, ""
+				}
+				_, _ = io.WriteString(n, declined)
+				time.Sleep(delay)
+				_, err := io.WriteString(n, late)
+				return err == nil
+			})
+			var dropped []DroppedAnswer
+			c := client()
+			c.options.AnswerDropped = func(d DroppedAnswer) {
+				d.Connection = ""
+				dropped = append(dropped, d)
+			}
+			for _, id := range []string{"a", "b"} {
+				_, err := do(t, c, s, get(id))
+				assert.NilError(t, err)
+				time.Sleep(2 * delay)
+			}
+			c.CloseIdle(s.Addr().String())
+			assert.DeepEqual(t, dropped, []DroppedAnswer{
+				{Got: "a", Status: 200, Known: true, Taken: 503},
+				{Got: "b", Status: 200, Known: true, Taken: 503},
+			})
+		})
+	}
+}
+
 // Guards against the loss of a sound answer behind a copy of another answer that was sent in chunks, and against a copy without
 // an end that keeps the request waiting.
 func TestAnswerBehindCopyInChunksIsDelivered(t *testing.T) {
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -57,21 +57,25 @@
 	// IDField is the header field in which an answer repeats the id of its request. If it is empty, each answer belongs to
 	// the request sent last.
 	IDField string
-	// AnswerDropped is called for each answer that belongs to no request under way on its connection; nil calls nothing.
+	// AnswerDropped is called for each answer that belongs to no request under way on its connection, also for one that is found
+	// when its connection is closed; nil calls nothing.
 	AnswerDropped func(DroppedAnswer)
 	// BoundExceeded is called for each answer that is longer than this client reads; nil calls nothing.
 	BoundExceeded func(ExceededBound)
 }
 
-// DroppedAnswer is an answer that was read while another one was awaited.
+// DroppedAnswer is an answer that was read while another one was awaited, or none.
 type DroppedAnswer struct {
 	// Connection is the local address of the connection.
 	Connection string
-	// Awaited and Got are the ids of the request under way and of the answer.
+	// Awaited and Got are the ids of the request under way and of the answer. Awaited is empty on an idle connection, Got is
+	// empty for bytes that are no answer.
 	Awaited, Got string
 	Status       int
-	// Known is whether the connection has carried a request with the answer's id that is still remembered.
+	// Known is whether the connection has carried a request with the answer's id that is still remembered, Taken the status of
+	// the answer that was returned for it, 0 for none.
 	Known bool
+	Taken int
 }
 
 // BoundError reports an answer that exceeds a bound; its request may have run.
@@ -112,7 +116,9 @@
 // SentError reports that the request was sent, completely or in part, and got no answer; it may have run.
 type SentError struct {
 	Address string
-	Cause   error
+	// Connection is the local address of the connection on which it was sent.
+	Connection string
+	Cause      error
 }
 
 // Error names the address.
--- a/internal/tracer/reader.go
+++ b/internal/tracer/reader.go
@@ -39,6 +39,21 @@
 	Version    int64              `json:"version"`
 	Suspended  int64              `json:"suspendedMs"`
 	LeftOut    int                `json:"leftOut"`
+	Connection string             `json:"connection"`
+	Cause      string             `json:"cause"`
+	Taken      int                `json:"taken"`
+	Offers     []wireOffer        `json:"offers"`
+}
+
+// wireOffer is one of the offers in a line.
+type wireOffer struct {
+	Endpoint   string `json:"endpoint"`
+	At         string `json:"at"`
+	Connection string `json:"connection"`
+	Outcome    string `json:"outcome"`
+	Status     int    `json:"status"`
+	SentMs     int64  `json:"sentMs"`
+	TookMs     int64  `json:"tookMs"`
 }
 
 // maxLineBytes is the upper bound of one line: a load line names every service, at about 30 bytes each.
@@ -87,7 +102,25 @@
 		Excesses:   w.Excesses,
 		Detail:     detail(w),
 		LeftOut:    w.LeftOut,
+		Connection: w.Connection,
+		Taken:      w.Taken,
+		Offers:     offersOf(w),
+	}
+}
+
+func offersOf(w wireLine) (offers []Offer) {
+	for _, o := range w.Offers {
+		offers = append(offers, Offer{
+			Endpoint:   o.Endpoint,
+			At:         o.At,
+			Connection: o.Connection,
+			Outcome:    o.Outcome,
+			Status:     o.Status,
+			Sent:       milliseconds(o.SentMs),
+			Took:       milliseconds(o.TookMs),
+		})
 	}
+	return offers
 }
 
 func detail(w wireLine) string {
@@ -99,7 +132,7 @@
 	case w.Version > 0:
 		return fmt.Sprintf("version %d", w.Version)
 	default:
-		return w.Dependency + w.Topic
+		return w.Dependency + w.Topic + w.Cause
 	}
 }
 
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -109,7 +109,7 @@
 }
 
 // excludedMessages are messages that the trace shows elsewhere or that concern single requests; they are not events.
-var excludedMessages = []string{"load", "attempt ended", "request refused", cutMessage}
+var excludedMessages = []string{"load", "attempt ended", "request refused", cutMessage, offeredMessage, unansweredMessage, droppedMessage}
 
 func (t *Trace) addEvents(lines []Line) {
 	nodes := t.nodes()
@@ -141,9 +141,23 @@
 	"nodeStopping":    "the node was stopping and could not wait for it",
 }
 
+// lastOutcome returns the last line that says how the request or an attempt ended, or the last line if none does.
+func (t *Trace) lastOutcome() Line {
+	for _, l := range slices.Backward(t.Lines) {
+		if l.Message == cutMessage || l.Reason != "" || l.At != "" {
+			return l
+		}
+	}
+	return t.last()
+}
+
 func (t *Trace) cause() string {
-	last := t.last()
+	last := t.lastOutcome()
 	switch {
+	case len(last.Offers) > 0:
+		return "the last offer, " + last.Offers[len(last.Offers)-1].String()
+	case last.Message == droppedMessage || last.Message == unansweredMessage:
+		return last.String()
 	case last.Message == cutMessage:
 		return fmt.Sprintf("%s ended its planned stop %s after the request's arrival, before its answer had been passed on completely",
 			last.Node, last.After)
@@ -185,8 +199,8 @@
 	if last.Reason == "pressure" {
 		cause += t.overloadText(last.Node)
 	}
-	if len(t.Lines) > 1 {
-		cause += fmt.Sprintf("; the attempt before it %s", outcomeText(t.Lines[len(t.Lines)-2]))
+	if a, ok := t.lastAttempt(); ok {
+		cause += fmt.Sprintf("; the attempt before it %s", outcomeText(a))
 	}
 	return cause + t.nestedCause()
 }
--- a/internal/tracer/tracer_test.go
+++ b/internal/tracer/tracer_test.go
@@ -62,6 +62,17 @@
 func TestCauses(t *testing.T) {
 	const attempt = `{"time":"2026-01-01T00:00:01Z","node":"a","msg":"attempt ended","request":"1","endpoint":"i","at":"b",`
 	tests := map[string]struct{ log, want string }{
+		"offered twice, no line of its attempts": {
+			`{"time":"2026-01-01T00:00:01Z","node":"a","msg":"request offered","request":"1","offers":[` +
+				`{"endpoint":"i","at":"b","connection":"127.0.0.1:7","outcome":"declined","status":0,"sentMs":1,"tookMs":2},` +
+				`{"endpoint":"j","at":"c","connection":"127.0.0.1:8","outcome":"answered","status":200,"sentMs":4,"tookMs":30}]}`,
+			`the last offer, after 4ms to j beside c on "127.0.0.1:8": answered, status 200, after 30ms`,
+		},
+		"refused, and the run's answer came after the refusal was taken": {
+			`{"time":"2026-01-01T00:00:01Z","node":"a","msg":"request refused","request":"1","status":503,"reason":"endpointRefused","afterMs":9}` + "\n" +
+				`{"time":"2026-01-01T00:00:02Z","node":"b","msg":"answer dropped","request":"1","status":200,"taken":503,"connection":"127.0.0.1:8"}`,
+			"a answered 503 after 9ms: the endpoint declined to run it",
+		},
 		"success": {
 			attempt + `"outcome":"answered","status":200,"tookMs":30}`,
 			"answered with 200 by endpoint i beside b in 30ms",
--- a/internal/tracer/types.go
+++ b/internal/tracer/types.go
@@ -37,12 +37,33 @@
 	QueueDelay             time.Duration
 	Excesses               map[string]float64
 
+	// Connection is set on an unanswered delivery and a dropped answer. Taken is the status of the answer that was returned for
+	// the request of a dropped one, 0 for none.
+	Connection string
+	Taken      int
+	// Offers are set on a request that was offered to endpoints.
+	Offers []Offer
+
 	// Detail is further text to show, such as the name of a dependency and its error.
 	Detail string
 	// LeftOut is the number of lines of the same kind that the node left out before this one.
 	LeftOut int
 }
 
+// Offer is one offer of a request to an endpoint; At is the node beside it, Connection that node's connection to it.
+type Offer struct {
+	Endpoint, At, Connection string
+	Outcome                  string
+	Status                   int
+	Sent, Took               time.Duration
+}
+
+// String describes the offer in words.
+func (o Offer) String() string {
+	return fmt.Sprintf("after %s to %s beside %s on %q: %s, status %d, after %s", o.Sent, o.Endpoint, o.At, o.Connection, o.Outcome,
+		o.Status, o.Took)
+}
+
 // String describes the line in words, without its time and node.
 func (l Line) String() string {
 	switch l.Message {
@@ -57,6 +78,16 @@
 		}
 		return fmt.Sprintf("%s at endpoint %s beside %s: %s, status %d, after %s",
 			kind, l.Endpoint, l.At, l.Outcome, l.Status, l.Took)
+	case offeredMessage:
+		var offers []string
+		for _, o := range l.Offers {
+			offers = append(offers, o.String())
+		}
+		return fmt.Sprintf("offered %d times: %s", len(l.Offers), strings.Join(offers, "; "))
+	case unansweredMessage:
+		return fmt.Sprintf("delivered to %s on %q: %s after %s", l.Endpoint, l.Connection, l.Outcome, l.Took)
+	case droppedMessage:
+		return fmt.Sprintf("answer %d dropped on %q, %s; %d was returned there", l.Status, l.Connection, l.Detail, l.Taken)
 	case "load":
 		load := fmt.Sprintf("%d of %d running, %d queued for %s", l.Running, l.Limit, l.Queued, l.QueueDelay)
 		if overloaded := l.overloadedServices(); overloaded != "" {
@@ -93,6 +124,8 @@
 	outcomeAnswered = "answered"
 	// cutMessage is the message of the line of a request that its node cut off.
 	cutMessage = "request cut"
+	// The messages of lines that name the connections of a request.
+	offeredMessage, unansweredMessage, droppedMessage = "request offered", "delivery unanswered", "answer dropped"
 	// firstServerErrorStatus is the lowest HTTP status of a server error.
 	firstServerErrorStatus = 500
 )
