Soak: endpoints that spoil their answers, callers that send only orders

A row of its own plays them beside all other faults (declines, resets, stops, kills, pauses), at the endpoints of orders and of one more service, which decline a part of their requests meanwhile. ranTwice and falseNotRun judge orders by the endpoints' and callers' records; a new check compares the bodies that endpoints read with those sent, also after an early answer.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,6 +28,7 @@
 	nodes := app.Flag("nodes", "Number of nodes.").Default("6").Int()
 	returns := app.Flag("returns", "Whether callers return once after a refusal that says when.").Default("true").Bool()
 	stays := app.Flag("stays", "Whether some callers stay on one connection until it ends.").Default("true").Bool()
+	orders := app.Flag("orders", "Whether a caller at each node sends only requests that may run once.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -39,7 +40,7 @@
 		}
 		report, err := soaker.Run(ctx, soaker.Options{
 			Program: *program, Directory: folder, Seed: s, Length: *length, Nodes: *nodes, Faults: *faults,
-			Returns: *returns, Stays: *stays,
+			Returns: *returns, Stays: *stays, Orders: *orders,
 		})
 		app.FatalIfError(err, "seed %d", s)
 		breaches += len(report.Breaches)
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -20,6 +20,7 @@
 	// Node is the node at which the request began.
 	Node       string
 	Path       string
+	Body       string
 	Team       string
 	Key        string
 	Idempotent bool
@@ -85,6 +86,9 @@
 	stops, disruptions map[string][]span
 	// ended holds when each run ended, by request and endpoint.
 	ended map[[2]string]time.Time
+	// spoiled are the requests whose answers never arrived whole, received the bodies that were read after the answer.
+	spoiled  map[string]bool
+	received map[string]string
 	// faultsEnded is when the last fault ended; zero while faults go on.
 	faultsEnded time.Time
 }
@@ -105,6 +109,7 @@
 		excuses:    map[string][]span{},
 
 		stops: map[string][]span{}, disruptions: map[string][]span{}, ended: map[[2]string]time.Time{},
+		spoiled: map[string]bool{}, received: map[string]string{},
 	}
 }
 
@@ -182,7 +187,7 @@
 	return len(r.sent), served, len(r.runs)
 }
 
-// Judge returns the breaches found, at most maxBreachesPerCheck of each check.
+// Judge returns the breaches found, at most maxBreachesPerCheck of each check; the last of these says how many more there are.
 func (r *Record) Judge(t Terms) []Breach {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -190,10 +195,14 @@
 	for _, check := range []func(Terms) []Breach{
 		r.wrongAnswers, r.ranTwice, r.falseNotRun, r.unknownRuns, r.keyBreaches, r.rateExceeded, r.afterLeaving,
 		r.limitExceeded, r.afterLeavingAnswer, r.withoutRetryAfter, r.retriesExceeded, r.notRecovered, r.unexpectedExits,
-		r.cutByStop,
+		r.cutByStop, r.damagedBodies,
 	} {
 		found := check(t)
-		all = append(all, found[:min(len(found), maxBreachesPerCheck)]...)
+		if more := len(found) - maxBreachesPerCheck; more > 0 {
+			found = found[:maxBreachesPerCheck]
+			found[maxBreachesPerCheck-1].Detail += fmt.Sprintf("; %d more", more)
+		}
+		all = append(all, found...)
 	}
 	return all
 }
--- a/internal/soaker/judge_test.go
+++ b/internal/soaker/judge_test.go
@@ -162,6 +162,29 @@
 			r.AddArrival(standin.Arrival{Request: "x", Instance: "i-1", At: second(24.01)})
 			r.stops["node-1"] = []span{{from: second(20), to: second(24.8)}}
 		}, "cutByStop"},
+		"a request without a whole answer from its endpoint, during a planned stop": {func(r *Record) {
+			s := sent("x", 24, 0)
+			s.Node, s.Answered, s.Answer.Err = "node-1", second(24.8), io.ErrUnexpectedEOF
+			r.AddRequest(s)
+			r.AddArrival(standin.Arrival{Request: "x", Instance: "i-1", At: second(24.01)})
+			r.AddSpoiled(standin.Arrival{Request: "x"})
+			r.stops["node-1"] = []span{{from: second(20), to: second(24.8)}}
+		}, ""},
+		"a run with another body": {func(r *Record) {
+			s := sent("x", 1, 200)
+			s.Body = "whole"
+			r.AddRequest(s)
+			run := ran("x", "i-1", 1)
+			run.Body = "whol"
+			r.AddRun(run)
+		}, "damagedBody"},
+		"another body after an early answer": {func(r *Record) {
+			s := sent("x", 1, 200)
+			s.Body = "whole"
+			r.AddRequest(s)
+			r.AddRun(ran("x", "i-1", 1))
+			r.AddReceived("x", "whol")
+		}, "damagedBody"},
 		"a process exited": {func(r *Record) { r.AddExit("node 3: exit status 2") }, "ended"},
 	}
 	for name, test := range tests {
--- a/internal/soaker/load.go
+++ b/internal/soaker/load.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	declined float64
 	current  pace
+	spoiled  spoiledAnswers
 }
 
 // pace is how long an endpoint's runs take, as a percentage of the usual time, and what it reports. In the report,
@@ -91,7 +92,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return standin.Condition{
-		Declines:   rand.Float64() < c.declined,
+		Declines:   rand.Float64() < max(c.declined, c.spoiled.declined),
+		Fault:      c.spoiled.drawFault(),
 		Slowdown:   float64(c.current.percent) / usualPace,
 		LoadReport: strings.ReplaceAll(c.current.report, runningFigure, strconv.Itoa(running)),
 	}
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -17,7 +17,8 @@
 	"github.com/jackdawtide/jackdawtide/platform/standin"
 )
 
-// generalSequences is the number of sequences that draw from faults; one more draws from loadFaults and one from stopFaults.
+// generalSequences is the number of sequences that draw from faults; one more each draws from loadFaults, stopFaults and
+// answerFaults.
 const generalSequences = 3
 
 const (
@@ -108,19 +109,19 @@
 
 // FaultNames returns the names of all faults.
 func FaultNames() (names []string) {
-	for _, f := range slices.Concat(faults, loadFaults, stopFaults) {
+	for _, f := range slices.Concat(faults, loadFaults, stopFaults, answerFaults) {
 		names = append(names, f.name)
 	}
 	return names
 }
 
-// faultsBySequence returns the faults that each sequence draws from. The faults of loadFaults and those of stopFaults have a
+// faultsBySequence returns the faults that each sequence draws from. Those of loadFaults, stopFaults and answerFaults have a
 // sequence of their own each, since a longer list in the other sequences would change the plan of every seed.
 func faultsBySequence(names []string) (sequences [][]fault) {
 	for range generalSequences {
 		sequences = append(sequences, selectedFaults(faults, names))
 	}
-	return append(sequences, selectedFaults(loadFaults, names), selectedFaults(stopFaults, names))
+	return append(sequences, selectedFaults(loadFaults, names), selectedFaults(stopFaults, names), selectedFaults(answerFaults, names))
 }
 
 // selectedFaults returns the faults with the given names, all if none is given.
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -230,6 +230,7 @@
 		Control: n.announcements, Outbound: n.outbound, Host: host, Nested: nested, Address: n.endpoint.Address(),
 		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name, nested), Acknowledged: f.record.AddLeave,
 		Condition: n.condition.draw, Ended: f.record.AddRunEnd,
+		Received: f.record.AddReceived, Spoiled: f.record.AddSpoiled,
 	})
 	go n.backend.Announce(ctx)
 	f.nodes = append(f.nodes, n)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -91,7 +91,7 @@
 			random := rand.New(rand.NewPCG(f.options.Seed, uint64(1000+i*callersPerNode+caller)))
 			go func() {
 				defer callers.Done()
-				f.runCaller(calling, n, caller, random)
+				f.runCaller(calling, n, caller, f.interval(requestInterval), random, f.drawRequest)
 			}()
 		}
 	}
@@ -100,6 +100,11 @@
 			f.startStayingCallers(calling, n, i, &callers)
 		}
 	}
+	if f.options.Orders {
+		for i, n := range f.nodes {
+			f.startOrderingCaller(calling, n, i, &callers)
+		}
+	}
 	return func() {
 		cancel()
 		callers.Wait()
--- a/internal/soaker/stays.go
+++ b/internal/soaker/stays.go
@@ -69,7 +69,8 @@
 			var idempotent bool
 			o.request, team, idempotent = f.drawRequest(random, n.outbound, fmt.Sprintf("%s-stays%d-%d", n.name, ahead, i*ahead+j))
 			o.sent = Sent{
-				ID: o.request.ID, Node: n.name, Path: o.request.Path, Team: team, Key: o.request.Key, Idempotent: idempotent,
+				ID: o.request.ID, Node: n.name, Path: o.request.Path, Body: o.request.Body, Team: team, Key: o.request.Key,
+				Idempotent: idempotent,
 			}
 		}
 		c.exchange(all)
--- a/internal/soaker/stops.go
+++ b/internal/soaker/stops.go
@@ -80,7 +80,7 @@
 	last := r.lastArrivals()
 	for _, s := range r.sent {
 		at, isCut := s.cutAt()
-		if !isCut || anyTouches(r.disruptions[s.Node], s.At.Add(-t.Contact), at) {
+		if !isCut || r.spoiled[s.ID] || anyTouches(r.disruptions[s.Node], s.At.Add(-t.Contact), at) {
 			continue
 		}
 		i := slices.IndexFunc(r.stops[s.Node], func(stop span) bool { return stop.touches(s.At, at) })
--- a/internal/soaker/traffic.go
+++ b/internal/soaker/traffic.go
@@ -39,7 +39,7 @@
 var routes = []standin.Route{
 	{Name: "read", Host: host, Prefix: "/read/", Service: services[0], Kind: "idempotent", TimeoutMs: 1500},
 	{Name: "browse", Host: host, Prefix: "/browse/", Service: services[0], Kind: "idempotent", TimeoutMs: 1500, Priority: 3},
-	{Name: "order", Host: host, Prefix: "/order/", Service: services[1], Kind: "non_idempotent", TimeoutMs: 1500},
+	{Name: "order", Host: host, Prefix: "/order/", Service: orderService, Kind: "non_idempotent", TimeoutMs: 1500},
 	{Name: "look", Host: host, Prefix: "/look/", Service: services[2], Kind: "idempotent", TimeoutMs: 800},
 	{Name: "inner", Host: host, Prefix: "/inner/", Service: services[2], Kind: "idempotent", TimeoutMs: 800, Public: true},
 }
@@ -122,13 +122,16 @@
 	return i * time.Duration(max(fullRateNodes, f.options.Nodes)) / fullRateNodes
 }
 
+// drawer returns a random request with a key, the key's team, and whether the request may run again.
+type drawer func(random *rand.Rand, address, id string) (q standin.Request, team string, idempotent bool)
+
 // runCaller runs one caller at a node until the context ends.
-func (f *fleet) runCaller(ctx context.Context, n *node, caller int, random *rand.Rand) {
+func (f *fleet) runCaller(ctx context.Context, n *node, caller int, interval time.Duration, random *rand.Rand, draw drawer) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersPerNode, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	var pending sync.WaitGroup
 	defer pending.Wait()
-	ticker := time.NewTicker(f.interval(requestInterval))
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		select {
@@ -136,7 +139,7 @@
 			return
 		case <-ticker.C:
 		}
-		q, team, idempotent := f.drawRequest(random, n.callers.Address(), fmt.Sprintf("%s-%d-%d", n.name, caller, i))
+		q, team, idempotent := draw(random, n.callers.Address(), fmt.Sprintf("%s-%d-%d", n.name, caller, i))
 		pending.Add(1)
 		go func() {
 			defer pending.Done()
@@ -185,7 +188,7 @@
 func (f *fleet) send(client *http.Client, node string, q standin.Request, team string, idempotent bool) standin.Answer {
 	limited, cancel := context.WithTimeout(context.Background(), q.Timeout)
 	defer cancel()
-	s := Sent{ID: q.ID, Node: node, Path: q.Path, Team: team, Key: q.Key, Idempotent: idempotent, At: time.Now()}
+	s := Sent{ID: q.ID, Node: node, Path: q.Path, Body: q.Body, Team: team, Key: q.Key, Idempotent: idempotent, At: time.Now()}
 	s.Answer = standin.Call(limited, client, q)
 	s.Answered = time.Now()
 	f.record.AddRequest(s)
--- a/internal/soaker/types.go
+++ b/internal/soaker/types.go
@@ -30,6 +30,9 @@
 	// Stays adds callers that stay on their connections, one request or two at a time. Without them a seed's demand is as it
 	// was before they were added.
 	Stays bool
+	// Orders adds a caller at each node that sends only requests that may run once. Without it a seed's demand is as it was
+	// before it was added.
+	Orders bool
 }
 
 // Report is the outcome of a soak.
@@ -76,3 +79,6 @@
 
 // services are the services of the fleet; the first calls the last.
 var services = []string{"portal", "desk", "clock"}
+
+// orderService is the service of the requests that may run once only.
+var orderService = services[1]
