Refuse a head in which another answer begins

Cause: a second answer that is cut short within its head is continued by the next answer on the connection. HTTP marks no border, so one head was read with the status line, or the field for "not run", of the one and the id of the other, which is that of the request under way. Change: the second answer's status line then stands within the first one's head, so a head that holds one ends the connection and the request may have run (502). Why it works: the answer to the request under way is whole, so its status line is, too; at the beginning of a line it is no field, and was refused before.

--- a/internal/requester/client_test.go
+++ b/internal/requester/client_test.go
@@ -71,6 +71,14 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(body), body)
 }
 
+// timeLimit returns a context that ends after a time or with the test.
+func timeLimit(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 func do(t *testing.T, c *Client, s *server, r *Request) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/internal/requester/receive.go
+++ b/internal/requester/receive.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"strings"
 )
 
 // belongsTo returns whether an answer is one to the request under way on its connection.
@@ -89,10 +91,34 @@
 	n.headLeft.Store(MaxHeadBytes)
 	defer n.headLeft.Store(unboundedHead)
 	head, err := http.ReadResponse(n.reader, &http.Request{Method: r.Method})
-	if err != nil && n.headLeft.Load() == 0 {
+	switch {
+	case err != nil && n.headLeft.Load() == 0:
 		return nil, BoundError{Bound: "head", Limit: MaxHeadBytes}
+	case err != nil:
+		return nil, err
+	case holdsOtherStatusLine(head):
+		return nil, BoundError{Bound: "statusLines", Limit: 1}
 	}
-	return head, err
+	return head, nil
+}
+
+// statusLine matches the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d{3}`)
+
+// holdsOtherStatusLine returns whether another answer begins within a head, since the one before it was cut short. Status, id and
+// all other fields may then be of either.
+func holdsOtherStatusLine(head *http.Response) bool {
+	if statusLine.MatchString(head.Status) {
+		return true
+	}
+	for _, values := range head.Header {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/") && statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func readFinalHead(n *conn, r *Request) (*http.Response, error) {
