A connection never forgets the requests that it has carried

Cause: a connection remembered an id until a second after the request's deadline, as the node beside the endpoint computes it from the time left. A node that was paused, or cut off, passes the request on with the time left from before, so the same id can be sent later than that on the same connection, and a late copy of its first answer is taken for the second one. Change: the memory has no time; a connection is closed after 4,096 requests, as before where their deadlines were late. SentUntil and its margin are gone.

Tests: TestConnectionNeverForgetsRequest and TestCopyOfRefusalIsNotTakenForOfferThatComesLate fail before (the copy of the refusal is returned, while the request runs).

--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -154,7 +154,7 @@
 	d.request.Header[h.Target] = []string{string(d.endpoint)}
 	setMilliseconds(d.request.Header, h.TimeLeft, left)
 	d.request.ExpectContinue = false
-	d.request.ID, d.request.SentUntil = d.id, d.deadline.Add(sentMargin)
+	d.request.ID = d.id
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
 	if err != nil {
 		return r.deliveryFailed(ctx, d, err)
@@ -184,10 +184,6 @@
 	return a
 }
 
-// sentMargin is added to the deadline up to which a request may be sent again: with each attempt that arrives from another
-// node, the deadline is computed anew from the time left and so moves by the way between the nodes.
-const sentMargin = clock.Second
-
 // maxDrainBytes bounds the bytes of an unused body that are read so that its connection can be reused.
 const maxDrainBytes = 16 << 10
 
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -80,7 +80,7 @@
 	}
 	n.traffic.Store(r.Traffic)
 	stop := context.AfterFunc(ctx, n.abort)
-	n.sent.add(sentRequest{key: key, until: r.SentUntil}, c.options.Now())
+	n.sent.add(key)
 	response, err := c.exchange(n, r)
 	if err != nil {
 		stop()
--- a/internal/requester/sent.go
+++ b/internal/requester/sent.go
@@ -2,8 +2,8 @@
 
 // A faulty server may send an answer again at the point where a later answer on the connection is expected, and the answer
 // names its request by id only. If the request has been sent again on the same connection, the copy of the first answer
-// can't be told from the answer to the second. Each connection therefore remembers the requests that it has carried, for as
-// long as they may be sent again, and is not used for them again.
+// can't be told from the answer to the second. Each connection therefore remembers all requests that it has carried, and is not
+// used for them again. No time limits this: a node that was paused passes requests on long after their deadline.
 //
 // Example: c3-17 is declined on one connection and sent again on another; a copy of the refusal arrives on the first one
 // while c3-18 is awaited there, and is dropped.
@@ -11,23 +11,19 @@
 import (
 	"hash/maphash"
 	"slices"
-
-	"github.com/jackdawtide/jackdawtide/internal/clock"
 )
 
 // requestKey is the hash of a request's id, 0 for a request without one.
 type requestKey uint64
 
-// sentRequest is a request that may be sent again until a time.
+// sentRequest is a request that a connection has carried.
 type sentRequest struct {
-	key   requestKey
-	until clock.Time
+	key requestKey
 	// status is that of the answer that was returned, 0 for none.
 	status int
 }
 
-// maxSentRequests is the number of remembered requests above which a connection is closed instead of reused; it bounds the
-// memory of a connection whose requests have late deadlines.
+// maxSentRequests is the number of requests that a connection carries; it bounds what is remembered.
 const maxSentRequests = 4096
 
 // sentRequests are the requests that a connection has carried.
@@ -35,18 +31,10 @@
 	list []sentRequest
 }
 
-// add records a request and forgets those that are not sent again any more.
-func (s *sentRequests) add(r sentRequest, now clock.Time) {
-	if r.key == 0 {
-		return
-	}
-	if len(s.list) == cap(s.list) {
-		s.list = slices.DeleteFunc(s.list, func(old sentRequest) bool { return now >= old.until })
-		if len(s.list) > cap(s.list)/2 {
-			s.list = slices.Grow(s.list, cap(s.list))
-		}
+func (s *sentRequests) add(k requestKey) {
+	if k != 0 {
+		s.list = append(s.list, sentRequest{key: k})
 	}
-	s.list = append(s.list, r)
 }
 
 func (s *sentRequests) contains(k requestKey) bool {
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -28,11 +28,9 @@
 	ExpectContinue bool
 	// Traffic counts the bytes of the request and its answer on the wire; nil counts none.
 	Traffic *Traffic
-	// ID is the id that the answer has to repeat in Options.IDField; other answers are read and dropped.
+	// ID is the id that the answer has to repeat in Options.IDField; other answers are read and dropped. No connection carries two
+	// requests with the same id.
 	ID string
-	// SentUntil is the time until which the request may be sent again under the same ID. Until then no connection that has
-	// carried it is used for it again.
-	SentUntil clock.Time
 	// NewConnection sends the request on a new connection and accepts an answer without regard to its id.
 	NewConnection bool
 }
