Take an answer for the endpoint's only if a node passed it on

Cause: an answer on a connection to another node was told from others by the connection alone. net/http's own 400, or any process that listens at the address of a node that is gone, passed for the endpoint's: callers got its status, a 503 as the promise that nothing ran, and a forged outcome made a request be offered elsewhere. Change: an answer needs the field that every answer of a node has; without it the request may have run, and callers get 502. A token needs its field. The warning 'dependency failed' names the node, address and status.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -96,7 +96,12 @@
 		count()
 		return r.peerFailed(ctx, s, err)
 	}
-	state := readPeerState(response.Header)
+	state, ok := readPeerState(response.Header)
+	if !ok {
+		response.Close(false)
+		count()
+		return r.peerFailed(ctx, s, NotFromNodeError{Address: s.Address, Status: response.StatusCode, Field: stateField})
+	}
 	r.applyProof(state.proof, requestedAt)
 	connection := response.Header.Get(connectionField)
 	if name := response.Header.Get(outcomeField); name != "" {
@@ -148,6 +153,10 @@
 		r.options.Recorder.Dependency("node "+string(s.Node), err)
 		return failedAttempt(conductor.Unreached, conductor.EndpointDown)
 	default:
+		var stranger NotFromNodeError
+		if errors.As(err, &stranger) {
+			r.options.Recorder.Dependency("node "+string(s.Node), err)
+		}
 		r.peers.CloseIdle(s.Address)
 		return failedAttempt(conductor.Broken, conductor.InDoubt)
 	}
--- a/internal/relayer/handover.go
+++ b/internal/relayer/handover.go
@@ -132,23 +132,35 @@
 	return strings.TrimSpace(fmt.Sprintf("%d %d %s", s.headroom, s.queueDelay, s.proof))
 }
 
-// readPeerState returns the state of an endpoint without headroom if the field can't be parsed.
-func readPeerState(h http.Header) peerState {
+// NotFromNodeError reports an answer without the field that each answer between nodes has.
+type NotFromNodeError struct {
+	Address string
+	Status  int
+	Field   string
+}
+
+// Error names the address, the status and the field.
+func (e NotFromNodeError) Error() string {
+	return fmt.Sprintf("answer %d from %s has no readable field %s, so it is not from a node", e.Status, e.Address, e.Field)
+}
+
+// readPeerState reports whether the state can be parsed.
+func readPeerState(h http.Header) (s peerState, ok bool) {
 	parts := strings.Fields(h.Get(stateField))
 	if len(parts) < 2 {
-		return peerState{}
+		return peerState{}, false
 	}
 	headroom, err := strconv.ParseUint(parts[0], 10, 8)
 	if err != nil {
-		return peerState{}
+		return peerState{}, false
 	}
 	queueDelay, err := strconv.ParseUint(parts[1], 10, 63)
 	if err != nil {
-		return peerState{}
+		return peerState{}, false
 	}
-	s := peerState{headroom: uint8(headroom), queueDelay: clock.Duration(queueDelay)}
+	s = peerState{headroom: uint8(headroom), queueDelay: clock.Duration(queueDelay)}
 	if len(parts) > 2 {
 		s.proof = parts[2]
 	}
-	return s
+	return s, true
 }
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -70,11 +70,15 @@
 		"without a proof": {headroom: 0, queueDelay: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, readPeerState(http.Header{stateField: {s.String()}}), s)
+			read, ok := readPeerState(http.Header{stateField: {s.String()}})
+			assert.Assert(t, ok)
+			assert.Equal(t, read, s)
 		})
 	}
 	for _, text := range []string{"", "245", "256 0", "x 0", "1 x"} {
-		assert.Equal(t, readPeerState(http.Header{stateField: {text}}), peerState{}, text)
+		read, ok := readPeerState(http.Header{stateField: {text}})
+		assert.Assert(t, !ok, text)
+		assert.Equal(t, read, peerState{}, text)
 	}
 }
 
--- a/internal/relayer/tokens.go
+++ b/internal/relayer/tokens.go
@@ -75,8 +75,12 @@
 	if response.StatusCode != http.StatusOK {
 		return pooler.Grant{}, requester.StatusError{Address: d.Address, Status: response.StatusCode}
 	}
+	token := response.Header.Get(tokenField)
+	if token == "" {
+		return pooler.Grant{}, NotFromNodeError{Address: d.Address, Status: response.StatusCode, Field: tokenField}
+	}
 	wait, _ := milliseconds(response.Header, waitField)
-	return pooler.Grant{Allowed: response.Header.Get(tokenField) == "1", Wait: wait}, nil
+	return pooler.Grant{Allowed: token == "1", Wait: wait}, nil
 }
 
 // ServeTokens answers another node's request for a token.
