jackdawtide node: an answer of a backend server belongs to the call that it names

Cause: BACKENDS.md defined no mark of the call in answers, and net/http matches them by their order, so a second answer was given to the next call on the connection: in TestSecondAnswerIsNotGivenToNextCall call 2 got the answer to call 0. Change: an answer repeats the call's token (Jackdawtide-Call), which is new for each delivery. One with another token is never passed on; the call ends with lostAnswer, as one that may have run. A backend server whose answers have no token gets a connection for each call, on which no other call's answer can come, so none has to change. A head that holds a second status line is refused here, too. The stand-in and the example repeat the token and keep their connections.

Tests fail before: another call's answer; one connection kept for answers without the token.

--- /dev/null
+++ b/internal/deliverer/answer_test.go
@@ -0,0 +1,147 @@
+package deliverer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/reducer"
+	"github.com/jackdawtide/jackdawtide/internal/transporter"
+)
+
+// answerRecorder keeps what is written to a caller.
+type answerRecorder struct {
+	bytes.Buffer
+	head transporter.AnswerHead
+}
+
+func (r *answerRecorder) WriteHead(h transporter.AnswerHead) error {
+	r.head = h
+	return nil
+}
+
+func (r *answerRecorder) Flush() error { return nil }
+
+func (r *answerRecorder) Close(transporter.AnswerTail) error { return nil }
+
+// startBackend serves connections with an answer to each request, made from its token and its path, and counts them.
+func startBackend(t *testing.T, answer func(token, path string) string, before func(sent []string) string) (d *Deliverer, connections *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int32{}
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer n.Close()
+				reader := bufio.NewReader(n)
+				var sent []string
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text := before(sent)
+					sent = append(sent, answer(r.Header.Get(TokenHeader), r.URL.Path))
+					if _, err := io.WriteString(n, text+sent[len(sent)-1]); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	d = New(nil)
+	d.putBackend("i", l.Addr().String(), 4)
+	return d, connections
+}
+
+func call(d *Deliverer, path string) *answerRecorder {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	w := &answerRecorder{}
+	d.exchange(ctx, reducer.Dispatch{Endpoint: "i", Deadline: clock.Second}, transporter.CallHead{Method: http.MethodPost, Path: path},
+		newToken(), http.NoBody, w)
+	return w
+}
+
+func plainAnswer(_, path string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+}
+
+func echoingAnswer(token, path string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", TokenHeader, token, len(path), path)
+}
+
+// Guards against a call that gets the answer to another one, since a backend server has sent that answer twice.
+func TestSecondAnswerIsNotGivenToNextCall(t *testing.T) {
+	tests := map[string]struct {
+		answer func(token, path string) string
+		// lost is how many calls may get no answer.
+		lost int
+	}{
+		"answers without the token": {plainAnswer, 0},
+		"answers with the token":    {echoingAnswer, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, _ := startBackend(t, test.answer, func(sent []string) string {
+				if len(sent) == 2 {
+					return sent[0]
+				}
+				return ""
+			})
+			lost := 0
+			for i := range 6 {
+				path := fmt.Sprint("/", i)
+				w := call(d, path)
+				if w.head.Refusal != nil {
+					assert.Equal(t, w.head.Refusal.Reason, string(reducer.LostAnswer))
+					assert.Assert(t, !w.head.Refusal.NotRun)
+					lost++
+					continue
+				}
+				assert.Equal(t, w.String(), path)
+			}
+			assert.Assert(t, lost <= test.lost, "%d lost", lost)
+		})
+	}
+}
+
+// Guards against a connection for each call of a backend server that names the call in its answers, and against one that is kept
+// for a backend server that does not.
+func TestConnectionsAreKeptIfAnswersNameTheirCall(t *testing.T) {
+	tests := map[string]struct {
+		answer func(token, path string) string
+		want   int32
+	}{
+		"answers without the token":  {plainAnswer, 6},
+		"answers with another token": {func(_, path string) string { return echoingAnswer("other", path) }, 6},
+		"answers with the token":     {echoingAnswer, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, connections := startBackend(t, test.answer, func([]string) string { return "" })
+			for range 6 {
+				_ = call(d, "/x")
+			}
+			assert.Equal(t, connections.Load(), test.want)
+		})
+	}
+}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
@@ -51,6 +52,8 @@
 type backend struct {
 	address string
 	client  *http.Transport
+	// namesCalls is set while the backend server's answers name their calls, so that its connections can be kept.
+	namesCalls atomic.Bool
 }
 
 // New returns a deliverer that applies its events to p.
@@ -152,6 +155,10 @@
 		return refuseFailed(ctx, w, e, err)
 	}
 	defer resp.Body.Close()
+	if !b.answers(req, resp) {
+		b.client.CloseIdleConnections()
+		return refuse(w, e, reducer.LostAnswer, false, reducer.DeliveryFailed)
+	}
 	if err := w.WriteHead(transporter.AnswerHead{Status: resp.StatusCode, Header: answerFields(resp)}); err != nil {
 		return exchangeResult{delivery: reducer.DeliveryAborted}
 	}
@@ -209,6 +216,7 @@
 		return nil, fmt.Errorf("create request for %s: %w", e.Endpoint, err)
 	}
 	req.ContentLength = head.ContentLength
+	req.Close = !b.namesCalls.Load()
 	for _, f := range head.Header {
 		req.Header.Add(f.Name, f.Value)
 	}
--- a/internal/requester/receive.go
+++ b/internal/requester/receive.go
@@ -96,7 +96,7 @@
 		return nil, BoundError{Bound: "head", Limit: MaxHeadBytes}
 	case err != nil:
 		return nil, err
-	case holdsOtherStatusLine(head):
+	case HoldsOtherStatusLine(head):
 		return nil, BoundError{Bound: "statusLines", Limit: 1}
 	}
 	return head, nil
@@ -105,9 +105,9 @@
 // statusLine matches the beginning of an answer.
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d +\d{3}`)
 
-// holdsOtherStatusLine returns whether another answer begins within a head, since the one before it was cut short. Status, id and
+// HoldsOtherStatusLine returns whether another answer begins within a head, since the one before it was cut short. Status, id and
 // all other fields may then be of either.
-func holdsOtherStatusLine(head *http.Response) bool {
+func HoldsOtherStatusLine(head *http.Response) bool {
 	if statusLine.MatchString(head.Status) {
 		return true
 	}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -233,6 +233,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.arrived.Add(1)
 	s.recordStart(r)
+	w.Header().Set(CallHeader, r.Header.Get(CallHeader))
 	if s.options.IgnoreCancel {
 		r = r.WithContext(context.WithoutCancel(r.Context()))
 	}
--- a/pkg/announcer/example_test.go
+++ b/pkg/announcer/example_test.go
@@ -18,6 +18,7 @@
 func serve(w http.ResponseWriter, r *http.Request) {
 	busy.Add(1)
 	defer busy.Add(-1)
+	w.Header().Set("Jackdawtide-Call", r.Header.Get("Jackdawtide-Call"))
 	// The request's context ends when the caller has gone or its deadline has passed, and the nested call with it.
 	q, _ := http.NewRequestWithContext(r.Context(), http.MethodGet, node+"/ice/bulletins", http.NoBody)
 	q.Header.Set("Jackdawtide-Call", r.Header.Get("Jackdawtide-Call"))
