--- a/internal/soaker/answers.go
+++ b/internal/soaker/answers.go
@@ -94,6 +94,7 @@
 	}
 	if random.Float64() < longBodyPart {
 		q.Body += strings.Repeat("x", minLongBody+random.IntN(maxLongBody-minLongBody))
+		q.Chunked = random.IntN(2) == 0
 	}
 	return q, "steady", false
 }
