--- a/internal/relayer/early_test.go
+++ b/internal/relayer/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -263,8 +264,7 @@
 						waitUntil(t, "the slot is free", func() bool { return running(beside) == 0 })
 						// The connection has ended, or it was closed by the caller.
 						_, err = io.Copy(io.Discard, u.reader)
-						var timeout net.Error
-						assert.Assert(t, err == nil || !isTimeout(err, &timeout), "%v", err)
+						assert.Assert(t, !isTimeout(err), "%v", err)
 						assert.Assert(t, time.Since(begun) < 1500*time.Millisecond)
 					})
 				}
@@ -296,8 +296,7 @@
 	waitUntil(t, "the slots are free", func() bool { return running(n) == 0 })
 }
 
-func isTimeout(err error, as *net.Error) bool {
-	n, ok := err.(net.Error)
-	*as = n
-	return ok && n.Timeout()
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/requester/pool.go
+++ b/internal/requester/pool.go
@@ -28,14 +28,8 @@
 	writeBuffer = 4 << 10
 )
 
-const (
-	// MaxHeadBytes is the length of the longest status line and head of an answer that are read.
-	MaxHeadBytes = 64 << 10
-	// unboundedHead is what headLeft is while no head is read.
-	unboundedHead = -1
-	// maxInterimAnswers is how many answers with a status below 200 may come before the final one.
-	maxInterimAnswers = 8
-)
+// unboundedHead is what headLeft is while no head is read.
+const unboundedHead = -1
 
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
--- a/internal/requester/receive.go
+++ b/internal/requester/receive.go
@@ -51,11 +51,16 @@
 	c.reportDropped(n, "", head)
 }
 
-// maxDroppedAnswers is how many answers to other requests may come before the right one.
-const maxDroppedAnswers = 16
-
-// maxStrayBytes is the longest answer to another request that is read and dropped to reach the right one.
-const maxStrayBytes = 256 << 10
+const (
+	// MaxHeadBytes is the length of the longest status line and head of an answer that are read.
+	MaxHeadBytes = 64 << 10
+	// maxInterimAnswers is how many answers with a status below 200 may come before the final one.
+	maxInterimAnswers = 8
+	// maxDroppedAnswers is how many answers to other requests may come before the right one.
+	maxDroppedAnswers = 16
+	// maxStrayBytes is the longest answer to another request that is read and dropped to reach the right one.
+	maxStrayBytes = 256 << 10
+)
 
 var errStray = errors.New("answer belongs to another request")
 
