--- a/internal/recorder/offers.go
+++ b/internal/recorder/offers.go
@@ -17,7 +17,7 @@
 	Node       identifier.Node
 	Connection string
 	Outcome    string
-	// Status is that of the answer, 0 for none and for one that says that the request was not run.
+	// Status is that of the endpoint's answer, 0 for none.
 	Status int
 	// InDoubt is set if the request may have run and there is no answer.
 	InDoubt bool
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -103,11 +103,11 @@
 		return r.peerFailed(ctx, s, NotFromNodeError{Address: s.Address, Status: response.StatusCode, Field: stateField})
 	}
 	r.applyProof(state.proof, requestedAt)
-	connection := response.Header.Get(connectionField)
+	connection, rejectedWith := readConnection(response.Header)
 	if name := response.Header.Get(outcomeField); name != "" {
 		response.Close(drainBody(response))
 		count()
-		a := failedAttempt(conductor.ParseOutcome(name), "").on(connection)
+		a := rejectedAttempt(conductor.ParseOutcome(name), "", rejectedWith).on(connection)
 		a.headroom, a.queueDelay, a.member = state.headroom, state.queueDelay, r.readMember(response.Header)
 		return a
 	}
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -50,6 +50,8 @@
 	// connection is the local address of the connection on which a request that may run once only was offered to the endpoint,
 	// empty if it is not known.
 	connection string
+	// rejectedWith is the status of an endpoint's answer that says that the request was not run, 0 for none.
+	rejectedWith int
 	// member is the other node's present record if the requested endpoint is no longer beside it.
 	member *exchanger.Member
 	// notice is what an answer that came through another node says about the endpoint.
@@ -75,6 +77,12 @@
 	return answer{outcome: o, reason: reason, finish: func(bool) {}}
 }
 
+func rejectedAttempt(o conductor.Outcome, reason conductor.Reason, status int) answer {
+	a := failedAttempt(o, reason)
+	a.rejectedWith = status
+	return a
+}
+
 // bodyReadFailed returns the outcome of an attempt during which the caller's body could not be read to its end.
 func bodyReadFailed(err error) answer {
 	a := failedAttempt(conductor.Abandoned, conductor.InDoubt)
@@ -171,9 +179,9 @@
 		response.Close(drainBody(response))
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			r.ApplyEvent(conductor.EndpointUnreachable{Endpoint: d.endpoint})
-			return failedAttempt(conductor.Moved, conductor.EndpointGone).on(connection)
+			return rejectedAttempt(conductor.Moved, conductor.EndpointGone, response.StatusCode).on(connection)
 		}
-		return failedAttempt(conductor.Declined, conductor.EndpointRefused).on(connection)
+		return rejectedAttempt(conductor.Declined, conductor.EndpointRefused, response.StatusCode).on(connection)
 	}
 	return answer{Response: response, outcome: conductor.Answered}.on(connection)
 }
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -69,7 +69,7 @@
 	w.Header()["Date"] = nil
 	r.announceClose(request.Context(), w.Header())
 	if a.connection != "" && (d.offeredBefore || a.outcome != conductor.Answered) {
-		w.Header()[connectionField] = []string{a.connection}
+		w.Header()[connectionField] = []string{a.connection + " " + strconv.Itoa(a.rejectedWith)}
 	}
 	if a.outcome != conductor.Answered {
 		w.Header()[outcomeField] = []string{a.outcome.String()}
--- a/internal/relayer/offers.go
+++ b/internal/relayer/offers.go
@@ -7,6 +7,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
@@ -33,12 +35,16 @@
 		return
 	}
 	o.route = s.Route
+	status := a.rejectedWith
+	if status == 0 {
+		status = a.status()
+	}
 	o.offers = append(o.offers, recorder.Offer{
 		Endpoint:   s.Endpoint,
 		Node:       s.Node,
 		Connection: a.connection,
 		Outcome:    a.outcome.String(),
-		Status:     a.status(),
+		Status:     status,
 		InDoubt:    mayHaveRunUnanswered(a.outcome),
 		Sent:       sent.Sub(o.started),
 		Took:       o.relayer.options.Clock.Now().Sub(sent),
@@ -58,6 +64,14 @@
 	})
 }
 
+// readConnection returns the connection and the status in an answer of another node, empty and 0 if there are none.
+func readConnection(h http.Header) (connection string, rejectedWith int) {
+	connection, status, _ := strings.Cut(h.Get(connectionField), " ")
+	// Without a number, the status is not known.
+	rejectedWith, _ = strconv.Atoi(status)
+	return connection, rejectedWith
+}
+
 func mayHaveRunUnanswered(o conductor.Outcome) bool {
 	return o != conductor.Answered && !o.NotRun()
 }
--- a/internal/relayer/offers_test.go
+++ b/internal/relayer/offers_test.go
@@ -105,6 +105,7 @@
 		assert.Equal(t, o.Endpoint, "i-"+o.At)
 	}
 	assert.Equal(t, offers[0].Outcome, "declined")
+	assert.Equal(t, offers[0].Status, http.StatusServiceUnavailable)
 	assert.Equal(t, offers[1].Outcome, "answered")
 	assert.Equal(t, offers[1].Status, http.StatusOK)
 }
--- a/internal/relayer/types.go
+++ b/internal/relayer/types.go
@@ -49,7 +49,8 @@
 	memberField  = fleetPrefix + "Member"
 	waitField    = fleetPrefix + "Wait"
 	provedField  = fleetPrefix + "Proved"
-	// connectionField is the local address of the connection on which the endpoint beside a node answered.
+	// connectionField is the local address of the connection on which the endpoint beside a node got the request, and the status
+	// with which the endpoint rejected it, 0 for none.
 	connectionField     = fleetPrefix + "Connection"
 	teamField           = fleetPrefix + "Team"
 	returnedTokensField = fleetPrefix + "Back"
