Count and log answers whose chunk sizes or trailer exceed their bound

The body of an answer in chunks now reports both as the other bounds are (log line 'answer too long', exceeded_bounds_total). The trailer's error is known by its text only, which the test guards. Requests that callers send in chunks have the same bounds and still no counter.

Test: TestLongFramingOfBodyIsReported; before, nothing was reported.

--- a/internal/requester/bound_test.go
+++ b/internal/requester/bound_test.go
@@ -1,11 +1,13 @@
 package requester
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -127,3 +129,29 @@
 		}
 	})
 }
+
+// Guards against answers that end for a long chunk size or trailer without a trace.
+func TestLongFramingOfBodyIsReported(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("x", 2*framingBytes)
+	tests := map[string]struct{ text, bound string }{
+		"chunk size": {head + "1;" + long, "chunkLine"},
+		"trailer":    {head + "0\r\nX-Long: " + long + "\r\n\r\n", "trailer"},
+		"sound":      {head + "1\r\nx\r\n0\r\nX-Short: x\r\n\r\n", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(n net.Conn, _ *http.Request, _ *bufio.Reader) bool {
+				_, err := io.WriteString(n, test.text)
+				return err == nil
+			})
+			reported := ""
+			c := client()
+			c.options.BoundExceeded = func(e ExceededBound) { reported += e.Bound }
+			_, err := do(t, c, s, get("a"))
+			assert.Equal(t, reported, test.bound)
+			var exceeded BoundError
+			assert.Equal(t, errors.As(err, &exceeded), test.bound != "")
+		})
+	}
+}
--- a/internal/requester/client.go
+++ b/internal/requester/client.go
@@ -165,7 +165,7 @@
 		}
 		first, err := readHead(n, r)
 		if err != nil || first.StatusCode != http.StatusContinue {
-			return c.response(n, first, nil, false), err
+			return c.response(n, r, first, nil, false), err
 		}
 		sent = sendBody(n, r)
 	default:
@@ -177,7 +177,7 @@
 			return nil, err
 		}
 		if c.belongsTo(head, r) {
-			return c.response(n, head, sent, true), nil
+			return c.response(n, r, head, sent, true), nil
 		}
 		c.reportDropped(n, r.ID, head)
 		// A late answer to an earlier request on this connection; the answer to this request may follow it.
@@ -188,10 +188,13 @@
 	return nil, BoundError{Bound: "droppedAnswers", Limit: maxDroppedAnswers}
 }
 
-func (c *Client) response(n *conn, head *http.Response, sent *sending, requestBodyAllowed bool) *Response {
+func (c *Client) response(n *conn, r *Request, head *http.Response, sent *sending, requestBodyAllowed bool) *Response {
 	if head == nil {
 		return nil
 	}
+	if len(head.TransferEncoding) > 0 {
+		head.Body = chunkedBody{ReadCloser: head.Body, report: func(err error) { c.reportBound(n, r, err) }}
+	}
 	return &Response{
 		Response:           head,
 		conn:               n,
