--- a/internal/requester/receive.go
+++ b/internal/requester/receive.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 )
 
@@ -113,19 +114,21 @@
 // HoldsOtherStatusLine returns whether another answer begins within a head, since the one before it was cut short. Status, id and
 // all other fields may then be of either.
 func HoldsOtherStatusLine(head *http.Response) bool {
-	if statusLine.MatchString(head.Status) {
+	if holdsStatusLine(head.Status) {
 		return true
 	}
 	for _, values := range head.Header {
-		for _, value := range values {
-			if strings.Contains(value, "HTTP/") && statusLine.MatchString(value) {
-				return true
-			}
+		if slices.ContainsFunc(values, holdsStatusLine) {
+			return true
 		}
 	}
 	return false
 }
 
+func holdsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/") && statusLine.MatchString(text)
+}
+
 func readFinalHead(n *conn, r *Request) (*http.Response, error) {
 	for range maxInterimAnswers + 1 {
 		head, err := readHead(n, r)
