--- a/internal/soaker/answers.go
+++ b/internal/soaker/answers.go
@@ -54,8 +54,12 @@
 	answerFault("answersEarly", standin.Early, 0.3, 1),
 	answerFault("endlessHeads", standin.EndlessHead, 0.01, 0.05),
 	answerFault("endlessBodies", standin.EndlessBody, 0.01, 0.05),
+	answerFault("answersSpoiledInAllWays", anyFault, 0.1, 0.5),
 }
 
+// anyFault stands for all faults, one of which is drawn for each answer.
+const anyFault = standin.EndlessBody + 1
+
 func (c *condition) setSpoiled(s spoiledAnswers) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,10 +68,14 @@
 
 // drawFault returns the fault of one answer.
 func (s spoiledAnswers) drawFault() standin.AnswerFault {
-	if rand.Float64() < s.part {
+	switch {
+	case rand.Float64() >= s.part:
+		return standin.Sound
+	case s.fault == anyFault:
+		return standin.CopiedAtOnce + standin.AnswerFault(rand.IntN(int(anyFault-standin.CopiedAtOnce)))
+	default:
 		return s.fault
 	}
-	return standin.Sound
 }
 
 const (
--- a/internal/soaker/load_test.go
+++ b/internal/soaker/load_test.go
@@ -126,3 +126,15 @@
 	}
 	assert.Assert(t, truths > draws*4/10 && truths < draws*6/10, "%d of %d", truths, draws)
 }
+
+// Guards against a fault that draws only some of the ways in which answers are spoiled.
+func TestAllWaysToSpoilAnswersAreDrawn(t *testing.T) {
+	drawn := map[standin.AnswerFault]bool{}
+	for range 1000 {
+		drawn[spoiledAnswers{fault: anyFault, part: 0.9}.drawFault()] = true
+	}
+	for f := standin.Sound; f <= standin.EndlessBody; f++ {
+		assert.Assert(t, drawn[f], "%d", f)
+	}
+	assert.Equal(t, len(drawn), int(anyFault))
+}
