--- /dev/null
+++ b/review/lab2/quota.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jackdawtide/jackdawtide/platform"
+)
+
+const tenantKey = "6wsjnbanfqasnmgkcuyj"
+
+// tenantQuota returns a limit with the tolerance of the deployments' sheets.
+func tenantQuota(ratePerS, burst float64) quota {
+	return quota{ratePerS: ratePerS, burst: burst, window: 5 * time.Second, excess: 0.1, slack: 20}
+}
+
+// configuration returns a configuration with one idempotent route and one tenant.
+func configuration(version int, q quota) []byte {
+	data, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", version),
+		"routes": []map[string]any{{
+			"name": "r-book", "host": host, "pathPrefix": "/book/", "kind": "idempotent", "timeout": "5000ms", "slo": "1200ms",
+			"priority": 1, "service": service, "maxAttempts": 2, "noAuth": false,
+		}},
+		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConnections": 1684, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+		"tenants": []map[string]any{{
+			"name": "pulo780", "apiKeys": []string{tenantKey}, "priority": 1, "ratePerS": q.ratePerS, "burst": q.burst,
+		}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// judge writes the record and compares the runs with the limit.
+func judge(f *fleet, q quota, path string) (int, error) {
+	if err := f.record.write(path); err != nil {
+		return notRun, err
+	}
+	most, begins := q.most(f.record.sorted())
+	fmt.Printf("most requests of the tenant sent and run within %v: %d from %d ms on, allowed are %d\n",
+		q.window, most, begins.Milliseconds(), q.allowed())
+	if most > q.allowed() {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// traffic is how a tenant's traffic goes on: first within its limit, then far beyond it.
+type traffic struct {
+	// calm and hot are the requests a second at each node.
+	calm, hot float64
+}
+
+// calmTime is how long the tenant stays within its limit, which fills its budget.
+const calmTime = 10 * time.Second
+
+// playQuotaChange raises a tenant's rate a little, from four requests a second and node to a little more, while the tenant sends
+// more than it may.
+func playQuotaChange(ctx context.Context, s setup) (int, error) {
+	const nodes = 10
+	load := traffic{calm: 1, hot: 40}
+	before, after := tenantQuota(40, 120), tenantQuota(44, 120)
+	f, err := newFleet(ctx, s.directory, soundMachines(nodes), configuration(7, before))
+	defer f.close()
+	if err != nil {
+		return notRun, err
+	}
+	c := newCallers(f, tenantKey)
+	c.begin(load.calm)
+	f.record.note("the tenant sends %v requests a second; version 7: %v a second and a burst of %v", load.calm*nodes, before.ratePerS, before.burst)
+	if err := f.pause(calmTime); err != nil {
+		return notRun, err
+	}
+	f.record.note("the tenant sends %v requests a second", load.hot*nodes)
+	c.setRate(load.hot)
+	if err := f.pause(500 * time.Millisecond); err != nil {
+		return notRun, err
+	}
+	allowed := before
+	if s.trouble {
+		f.store.Write(platform.OperatorsTopic, platform.ConfigurationKey, configuration(9, after))
+		f.record.note("version 9 is acknowledged: %v a second and a burst of %v", after.ratePerS, after.burst)
+		allowed = after
+	}
+	if err := f.pause(7 * time.Second); err != nil {
+		return notRun, err
+	}
+	c.end()
+	return judge(f, allowed, s.record)
+}
+
+// playPartialStore adds a machine while the one partition of the store that holds the nodes' records is down.
+func playPartialStore(ctx context.Context, s setup) (int, error) {
+	const (
+		nodes = 5
+		// downTime is how long the partition is down.
+		downTime = 4500 * time.Millisecond
+	)
+	load := traffic{calm: 12, hot: 150}
+	limit := tenantQuota(100, 100)
+	f, err := newFleet(ctx, s.directory, soundMachines(nodes), configuration(7, limit))
+	defer f.close()
+	if err != nil {
+		return notRun, err
+	}
+	c := newCallers(f, tenantKey)
+	c.begin(load.calm)
+	f.record.note("the tenant sends %v requests a second; its limit is %v a second and a burst of %v", load.calm*nodes, limit.ratePerS, limit.burst)
+	if err := f.pause(calmTime); err != nil {
+		return notRun, err
+	}
+	f.record.note("the tenant sends %v requests a second at each node", load.hot)
+	c.setRate(load.hot)
+	if err := f.pause(3 * time.Second); err != nil {
+		return notRun, err
+	}
+	if s.trouble {
+		f.faults.setDown(platform.MembersTopic)
+		f.record.note("the store answers 503 for topic %s", platform.MembersTopic)
+	}
+	downUntil := time.Now().Add(downTime)
+	if err := f.addNode(machine{service: service}); err != nil {
+		return notRun, err
+	}
+	f.record.note("%s starts", f.nodes[nodes].name)
+	if err := f.awaitReady(); err != nil {
+		return notRun, err
+	}
+	f.record.note("%s is ready and gets the tenant's requests", f.nodes[nodes].name)
+	c.run(f.nodes[nodes])
+	if err := f.pause(time.Until(downUntil)); err != nil {
+		return notRun, err
+	}
+	f.faults.setDown("")
+	f.record.note("the store answers for all topics")
+	if err := f.pause(3 * time.Second); err != nil {
+		return notRun, err
+	}
+	c.end()
+	return judge(f, limit, s.record)
+}
