--- a/review/lab2/quota.go
+++ b/review/lab2/quota.go
@@ -63,7 +63,7 @@
 // more than it may.
 func playQuotaChange(ctx context.Context, s setup) (int, error) {
 	const nodes = 10
-	load := traffic{calm: 1, hot: 40}
+	load := traffic{calm: 2.5, hot: 19}
 	before, after := tenantQuota(40, 120), tenantQuota(44, 120)
 	f, err := newFleet(ctx, s.directory, soundMachines(nodes), configuration(7, before))
 	defer f.close()
@@ -101,7 +101,7 @@
 		// downTime is how long the partition is down.
 		downTime = 4500 * time.Millisecond
 	)
-	load := traffic{calm: 12, hot: 150}
+	load := traffic{calm: 12, hot: 80}
 	limit := tenantQuota(100, 100)
 	f, err := newFleet(ctx, s.directory, soundMachines(nodes), configuration(7, limit))
 	defer f.close()
