--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -26,7 +26,6 @@
 
 // cases are the cases by name; each returns an exit status.
 var cases = map[string]func(context.Context, setup) (int, error){
-	"quotaChange":  playQuotaChange,
 	"partialStore": playPartialStore,
 	"cutAhead":     playCutAhead,
 	"lateTimeout":  playLateTimeout,
--- a/review/lab2/quota.go
+++ b/review/lab2/quota.go
@@ -59,47 +59,14 @@
 // calmTime is how long the tenant stays within its limit, which fills its budget.
 const calmTime = 10 * time.Second
 
-// playQuotaChange raises a tenant's rate a little, from four requests a second and node to a little more, while the tenant sends
-// more than it may.
-func playQuotaChange(ctx context.Context, s setup) (int, error) {
-	const nodes = 10
-	load := traffic{calm: 2.5, hot: 19}
-	before, after := tenantQuota(40, 120), tenantQuota(44, 120)
-	f, err := newFleet(ctx, s.directory, soundMachines(nodes), configuration(7, before))
-	defer f.close()
-	if err != nil {
-		return notRun, err
-	}
-	c := newCallers(f, tenantKey)
-	c.begin(load.calm)
-	f.record.note("the tenant sends %v requests a second; version 7: %v a second and a burst of %v", load.calm*nodes, before.ratePerS, before.burst)
-	if err := f.pause(calmTime); err != nil {
-		return notRun, err
-	}
-	f.record.note("the tenant sends %v requests a second", load.hot*nodes)
-	c.setRate(load.hot)
-	if err := f.pause(500 * time.Millisecond); err != nil {
-		return notRun, err
-	}
-	allowed := before
-	if s.trouble {
-		f.store.Write(platform.OperatorsTopic, platform.ConfigurationKey, configuration(9, after))
-		f.record.note("version 9 is acknowledged: %v a second and a burst of %v", after.ratePerS, after.burst)
-		allowed = after
-	}
-	if err := f.pause(7 * time.Second); err != nil {
-		return notRun, err
-	}
-	c.end()
-	return judge(f, allowed, s.record)
-}
-
 // playPartialStore adds a machine while the one partition of the store that holds the nodes' records is down.
 func playPartialStore(ctx context.Context, s setup) (int, error) {
 	const (
 		nodes = 5
-		// downTime is how long the partition is down.
-		downTime = 4500 * time.Millisecond
+		// downTime is how long the partition is down, hotBefore and hotAfter how long the tenant sends too much around that.
+		downTime  = 4500 * time.Millisecond
+		hotBefore = 500 * time.Millisecond
+		hotAfter  = time.Second
 	)
 	load := traffic{calm: 12, hot: 80}
 	limit := tenantQuota(100, 100)
@@ -116,7 +83,7 @@
 	}
 	f.record.note("the tenant sends %v requests a second at each node", load.hot)
 	c.setRate(load.hot)
-	if err := f.pause(3 * time.Second); err != nil {
+	if err := f.pause(hotBefore); err != nil {
 		return notRun, err
 	}
 	if s.trouble {
@@ -138,7 +105,7 @@
 	}
 	f.faults.setDown("")
 	f.record.note("the store answers for all topics")
-	if err := f.pause(3 * time.Second); err != nil {
+	if err := f.pause(hotAfter); err != nil {
 		return notRun, err
 	}
 	c.end()
