Show by which configuration a request was decided, and how soon a change was in force

Cause: a refusal with 401 or 404 named neither the version in force nor the age of its proof; a request that ran on an older route could not be found at all, and nothing told how much of the time for a change was used.

Change: refusals for a route or key carry version, age of the proof and who relayed both. Histogram of the longest time for which the store may have held a change before it was in force.

No decision changes.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -67,7 +67,11 @@
 	configurationReadAt clock.Time
 	provedAt            clock.Time
 	proved              bool
-	receivedProof       receivedProof
+	// configurationFrom and provedBy are the nodes that relayed the configuration in force and its last proof, empty for the
+	// store. decisions are the last ones made by the configuration in force.
+	configurationFrom, provedBy identifier.Node
+	decisions                   decisions
+	receivedProof               receivedProof
 	// ordersNext is the offset up to which this node knows the operators' orders, which are configurations and
 	// evacuations.
 	ordersNext identifier.Offset
--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -18,8 +18,9 @@
 	if c.matcher != nil && e.Matcher.Version() <= c.matcher.Version() {
 		return
 	}
+	c.reportInForce(e)
 	// A proof of the previous version also holds for this one: keys withdrawn by then are missing here as well.
-	c.matcher, c.configurationReadAt = e.Matcher, e.At
+	c.matcher, c.configurationReadAt, c.configurationFrom = e.Matcher, e.At, e.From
 	c.routeShares = sharesOf(e.Matcher.Configuration())
 	c.runs.retain(c.routeShares)
 	c.teamArrivals.keep(e.Matcher.Configuration().Teams)
@@ -50,7 +51,7 @@
 	}
 	if !c.proved || e.AsOf > c.provedAt {
 		c.proved = true
-		c.provedAt = e.AsOf
+		c.provedAt, c.provedBy = e.AsOf, e.From
 	}
 }
 
--- a/internal/conductor/configuration_proof.go
+++ b/internal/conductor/configuration_proof.go
@@ -56,7 +56,7 @@
 }
 
 func (c *Conductor) learnProof(e ProofReceived, now clock.Time) {
-	c.acceptProof(ConfigurationProved{Version: e.Version, AsOf: e.AsOf})
+	c.acceptProof(ConfigurationProved{Version: e.Version, AsOf: e.AsOf, From: e.From})
 	if !c.knowsOfNewer() {
 		c.receivedProof.newerSince = now
 	}
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -22,6 +22,8 @@
 	Reason Reason
 	// RetryAfter is when the caller should retry; 0 omits it.
 	RetryAfter clock.Duration
+	// Basis is the configuration by which the request is refused, nil if it is refused for another reason.
+	Basis *Basis
 }
 
 // Draw requests a token of a team from another node; TokenDrawn follows.
@@ -138,26 +140,40 @@
 	Ratio     float64
 }
 
+// ConfigurationInForce reports that a configuration was put in force, for the log.
+type ConfigurationInForce struct {
+	Version, Previous identifier.Version
+	// From is the node that relayed it, empty for the store.
+	From identifier.Node
+	// Within is the longest time for which the store may have held it before, -1 if that is not known.
+	Within clock.Duration
+	// Outdated are requests that this configuration treats otherwise, and that arrived when it may have been acknowledged
+	// already; OutdatedCount is how many there are of the last ones that are known.
+	Outdated      []OutdatedDecision
+	OutdatedCount int
+}
+
 // Publish writes this node's record to the store and sends it to its peers.
 type Publish struct {
 	Member exchanger.Member
 }
 
-func (Refuse) effect()           {}
-func (Draw) effect()             {}
-func (Give) effect()             {}
-func (Probe) effect()            {}
-func (Abort) effect()            {}
-func (Send) effect()             {}
-func (Reply) effect()            {}
-func (Run) effect()              {}
-func (Hold) effect()             {}
-func (TurnAway) effect()         {}
-func (CheckEndpoint) effect()    {}
-func (LimitChanged) effect()     {}
-func (EndpointLeft) effect()     {}
-func (DecliningChanged) effect() {}
-func (Publish) effect()          {}
+func (Refuse) effect()               {}
+func (Draw) effect()                 {}
+func (Give) effect()                 {}
+func (Probe) effect()                {}
+func (Abort) effect()                {}
+func (Send) effect()                 {}
+func (Reply) effect()                {}
+func (Run) effect()                  {}
+func (Hold) effect()                 {}
+func (TurnAway) effect()             {}
+func (CheckEndpoint) effect()        {}
+func (LimitChanged) effect()         {}
+func (EndpointLeft) effect()         {}
+func (DecliningChanged) effect()     {}
+func (Publish) effect()              {}
+func (ConfigurationInForce) effect() {}
 
 // Reason is why a request was refused, as shown in log lines and metrics.
 type Reason string
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -73,13 +73,14 @@
 	}
 	route, ok := c.matcher.Match(e.Host, e.Path)
 	if !ok {
-		c.refuse(e.ID, http.StatusNotFound, NoRoute, 0)
+		c.refuseByConfiguration(e, http.StatusNotFound, NoRoute, 0)
 		return
 	}
 	team, ok := c.authenticate(e, route)
 	if !ok {
 		return
 	}
+	c.recordDecision(e, route, 0)
 	r := &call{
 		id:       e.ID,
 		route:    route,
@@ -125,18 +126,18 @@
 	keysProved := c.keysProved(e.Boot)
 	switch {
 	case !ok && e.Key == "":
-		c.refuse(e.ID, http.StatusUnauthorized, UnknownKey, 0)
+		c.refuseByConfiguration(e, http.StatusUnauthorized, UnknownKey, 0)
 		return nil, false
 	case !ok && !keysProved:
 		// The key may have been issued since this node last read the store.
-		c.refuse(e.ID, http.StatusServiceUnavailable, StaleKeys, retryAfterStaleKeys)
+		c.refuseByConfiguration(e, http.StatusServiceUnavailable, StaleKeys, retryAfterStaleKeys)
 		return nil, false
 	case !ok:
-		c.refuse(e.ID, http.StatusUnauthorized, UnknownKey, 0)
+		c.refuseByConfiguration(e, http.StatusUnauthorized, UnknownKey, 0)
 		return nil, false
 	case !keysProved:
 		// The key may have been withdrawn since the last proof.
-		c.refuse(e.ID, http.StatusServiceUnavailable, StaleKeys, retryAfterStaleKeys)
+		c.refuseByConfiguration(e, http.StatusServiceUnavailable, StaleKeys, retryAfterStaleKeys)
 		return nil, false
 	}
 	return team, true
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -22,9 +22,11 @@
 
 // RequestArrived is a request from a caller or from the local endpoint.
 type RequestArrived struct {
-	ID   CallID
-	Host string
-	Path string
+	ID CallID
+	// Request is the id that the caller gave the request.
+	Request identifier.Request
+	Host    string
+	Path    string
 	// Key is the caller's key, empty if the request has none.
 	Key string
 	// Parent is the request whose run at the local endpoint makes this nested call, empty if unknown.
@@ -153,12 +155,16 @@
 	Matcher *matcher.Matcher
 	// At is the boot time at which it was received.
 	At clock.Time
+	// From is the node that relayed it, empty for the store.
+	From identifier.Node
 }
 
 // ConfigurationProved means that the store held no configuration newer than Version at AsOf, by the boot clock.
 type ConfigurationProved struct {
 	Version identifier.Version
 	AsOf    clock.Time
+	// From is the node that passed the proof on, empty for the store.
+	From identifier.Node
 }
 
 // ProofReceived means that another node knew of no configuration newer than Version at AsOf, by the local boot clock.
--- a/internal/mesher/relay.go
+++ b/internal/mesher/relay.go
@@ -139,7 +139,7 @@
 	from identifier.Offset,
 	wait clock.Duration,
 ) (watcher.Batch, error) {
-	batch := watcher.Batch{End: from, Relayed: true}
+	batch := watcher.Batch{End: from, Relayed: true, From: source.Node}
 	query := url.Values{"from": {strconv.FormatInt(int64(from), 10)}, waitParameter: {strconv.FormatInt(int64(wait), 10)}}
 	address := "http://" + source.PeerAddress + ordersPath + "?" + query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -75,7 +75,7 @@
 func (n *node) applyOrders(u watcher.Update) {
 	merged := n.orders.merge(u, n.isOrder)
 	for _, r := range merged.configurations(n.options.Platform.ConfigurationKey) {
-		n.applyConfiguration(r)
+		n.applyConfiguration(r, u.From)
 	}
 	if merged.evacuations {
 		n.applyEvacuations()
@@ -119,7 +119,7 @@
 	n.relayer.ApplyEvent(conductor.DomainsEvacuated{Domains: domains})
 }
 
-func (n *node) applyConfiguration(r watcher.Record) {
+func (n *node) applyConfiguration(r watcher.Record, from identifier.Node) {
 	refuse := func(err error) {
 		n.recorder.Event("configuration refused", "offset", int64(r.Offset), "error", err.Error())
 	}
@@ -137,8 +137,8 @@
 		refuse(err)
 		return
 	}
-	n.relayer.ApplyEvent(conductor.ConfigurationRead{Matcher: m, At: clock.Boot{}.Now()})
 	n.recorder.Event("configuration read", "version", int64(m.Version()), "offset", int64(r.Offset))
+	n.relayer.ApplyEvent(conductor.ConfigurationRead{Matcher: m, At: clock.Boot{}.Now(), From: from})
 }
 
 func (n *node) watchMembers(ctx context.Context) {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -39,6 +39,8 @@
 	Reason  string
 	Path    string
 	After   clock.Duration
+	// Basis is the configuration by which it was refused, nil if it was refused for another reason.
+	Basis *Basis
 }
 
 // Attempt is one attempt of a request.
@@ -117,8 +119,10 @@
 	if !ok {
 		return
 	}
-	r.logger.Warn("request refused", "request", e.Request, "status", e.Status, "reason", e.Reason, "path", e.Path,
-		"afterMs", int64(e.After), "leftOut", leftOut)
+	pairs := []any{
+		"request", e.Request, "status", e.Status, "reason", e.Reason, "path", e.Path, "afterMs", int64(e.After), "leftOut", leftOut,
+	}
+	r.logger.Warn("request refused", append(pairs, e.Basis.pairs()...)...)
 }
 
 // Cut is a request whose connection ends without a whole answer because this node ends.
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -102,7 +102,7 @@
 		count()
 		return r.peerFailed(ctx, s, NotFromNodeError{Address: s.Address, Status: response.StatusCode, Field: stateField})
 	}
-	r.applyProof(state.proof, requestedAt)
+	r.applyProof(state.proof, requestedAt, s.Node)
 	connection, rejectedWith := readConnection(response.Header)
 	if name := response.Header.Get(outcomeField); name != "" {
 		response.Close(drainBody(response))
--- /dev/null
+++ b/internal/relayer/basis.go
@@ -0,0 +1,29 @@
+package relayer
+
+// What the conductor says of the configuration by which it decides is passed on to the log.
+//
+// Example: a request refused by version 12, proved 1900 ms before by node c: "version":12,"proofAgeMs":1900,"proofFrom":"c".
+
+import (
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/recorder"
+)
+
+func basisOf(b *conductor.Basis) *recorder.Basis {
+	if b == nil {
+		return nil
+	}
+	return &recorder.Basis{Version: b.Version, ProofAge: b.ProofAge, VersionFrom: b.VersionFrom, ProofFrom: b.ProofFrom}
+}
+
+func (r *Relayer) logInForce(e conductor.ConfigurationInForce) {
+	r.options.Recorder.PutInForce(recorder.InForce{
+		Version: e.Version, Previous: e.Previous, From: e.From, Within: e.Within, Outdated: e.OutdatedCount,
+	})
+	for _, o := range e.Outdated {
+		r.options.Recorder.DecidedByOlder(recorder.Outdated{
+			Request: string(o.Request), Path: o.Path, Status: o.Status, Route: o.Route, Newer: e.Version, After: o.Age,
+			Basis: *basisOf(&o.Basis),
+		})
+	}
+}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -31,13 +31,14 @@
 	path := pathOf(request.RequestURI)
 	started := r.options.Clock.Now()
 	effect := r.apply(id, conductor.RequestArrived{
-		ID:     id,
-		Host:   request.Host,
-		Path:   path,
-		Key:    key,
-		Parent: r.parent(request.Header.Get(h.RequestID)),
-		Left:   left,
-		Boot:   r.options.Boot.Now(),
+		ID:      id,
+		Request: identifier.Request(request.Header.Get(h.RequestID)),
+		Host:    request.Host,
+		Path:    path,
+		Key:     key,
+		Parent:  r.parent(request.Header.Get(h.RequestID)),
+		Left:    left,
+		Boot:    r.options.Boot.Now(),
 	})
 	if d, draws := effect.(conductor.Draw); draws {
 		effect = r.draw(request.Context(), d)
@@ -195,6 +196,7 @@
 		Reason:  string(e.Reason),
 		After:   r.options.Clock.Now().Sub(started),
 		Path:    request.URL.Path,
+		Basis:   basisOf(e.Basis),
 	})
 }
 
--- a/internal/relayer/proof.go
+++ b/internal/relayer/proof.go
@@ -81,8 +81,8 @@
 	return identifier.Version(numbers[0]), clock.Duration(numbers[1]), identifier.Offset(numbers[2]), true
 }
 
-// applyProof applies another node's proof if it is for the version in force here and fresher by at least minProofGain.
-func (r *Relayer) applyProof(text string, requestedAt clock.Time) {
+// applyProof applies a proof that another node passed on, if it is for the version in force here and fresher by at least minProofGain.
+func (r *Relayer) applyProof(text string, requestedAt clock.Time, from identifier.Node) {
 	proof, ok := proofAt(text, requestedAt)
 	if !ok {
 		return
@@ -92,7 +92,7 @@
 	if known != proof.Version || proved && proof.AsOf.Sub(at) < minProofGain {
 		return
 	}
-	r.ApplyEvent(conductor.ConfigurationProved{Version: proof.Version, AsOf: proof.AsOf})
+	r.ApplyEvent(conductor.ConfigurationProved{Version: proof.Version, AsOf: proof.AsOf, From: from})
 }
 
 // minProofGain is how much fresher a proof must be to be applied; a smaller gain would have no effect but still take the
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -221,6 +221,8 @@
 		r.logLimit(e)
 	case conductor.DecliningChanged:
 		r.logDeclining(e)
+	case conductor.ConfigurationInForce:
+		r.logInForce(e)
 	case conductor.EndpointLeft:
 		r.options.Recorder.Event("endpoint leaving", "endpoint", string(e.Endpoint), "at", string(e.Node))
 	case conductor.Abort:
--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -26,6 +26,8 @@
 	End     identifier.Offset
 	// Relayed is set if another node relayed the records, which is no proof of where the topic ends.
 	Relayed bool
+	// From is the node that relayed the records, empty for the store.
+	From identifier.Node
 }
 
 // Topic is a keyed topic of the store.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -27,6 +27,8 @@
 	Complete bool
 	// Snapshot is set if Records holds the newest record of every key; a key without a record has none.
 	Snapshot bool
+	// From is the node that relayed the records, empty for the store.
+	From identifier.Node
 }
 
 // Options configures a Watcher; Topic, Wait, Now, OnUpdate, OnLost and OnRegained are required.
@@ -202,7 +204,9 @@
 		w.next = b.Records[n-1].Offset + 1
 		w.hadRecords = !b.Relayed
 	}
-	w.options.OnUpdate(Update{Records: b.Records, Next: w.next, AsOf: sentAt, Complete: w.next >= b.End && !b.Relayed})
+	w.options.OnUpdate(Update{
+		Records: b.Records, Next: w.next, AsOf: sentAt, Complete: w.next >= b.End && !b.Relayed, From: b.From,
+	})
 	return nil
 }
 
