Show each end of a backend server and each offer of the requests under which it ended

Cause: nothing told a server's end from a broken connection, and a request that comes again under another id, at another node or as a nested call of another run could not be recognized.

Change: the node beside an endpoint opens a connection when a request breaks off; if it is refused, one line names the requests that ran. They are recognized by a fingerprint (method, host, path, query, team, body; a nested call also with its root request), which nodes pass on with a request. Further offers are logged with it. Requests that a server has answered shortly before are counted only.

No request is treated otherwise yet. Tests: two ends and the offer between them share a fingerprint; a connection that breaks is no end.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
 	"github.com/jackdawtide/jackdawtide/internal/router"
 	"github.com/jackdawtide/jackdawtide/internal/throttler"
@@ -161,6 +162,10 @@
 	// heldBack counts the deliveries turned away because of the local endpoint's rate limit.
 	heldBack int64
 
+	// quarantiner knows the requests under which endpoints ended; endsSeen counts the ends of the local endpoint.
+	quarantiner *quarantiner.Quarantiner
+	endsSeen    int64
+
 	calls map[CallID]*call
 	// awaitingEndpoint are the requests that wait for an endpoint.
 	awaitingEndpoint []CallID
@@ -190,6 +195,7 @@
 		apportioner:    apportioner.New(o.Self.Node, o.Bounds.Rate, now),
 		detector:       detector.New(),
 		pooler:         pooler.New(o.Bounds.Rate, now),
+		quarantiner:    quarantiner.New(),
 		retryBudgets:   map[identifier.Service]*retryBudget{},
 		budgets:        map[identifier.Service]*serviceBudget{},
 		splits:         map[string]*split{},
@@ -255,6 +261,10 @@
 		c.endpointRemoved(e, now)
 	case EndpointUnreachable:
 		c.endpointUnreachable(e, now)
+	case EndpointEnded:
+		c.endpointEnded(e, now)
+	case EndReceived:
+		c.quarantiner.Ended(e.End, now)
 	case EndpointChecked:
 		c.endpointChecked(e, now)
 	case ConfigurationRead:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -30,7 +30,10 @@
 	started    clock.Time
 	deadline   clock.Time
 	// chargedTeam is the team that a token was taken from here; the token is returned if the request is turned away.
-	chargedTeam identifier.Team
+	chargedTeam  identifier.Team
+	fingerprints []identifier.Fingerprint
+	// endReported is set once the endpoint's end under the request has been reported.
+	endReported bool
 }
 
 // parent is a request that runs at the local endpoint and may make nested calls.
@@ -39,6 +42,8 @@
 	delivery CallID
 	route    identifier.Route
 	rank     identifier.Rank
+	// fingerprint is that of the root request, 0 if unknown.
+	fingerprint identifier.Fingerprint
 	// failed is set when a nested call of the run was rejected.
 	failed bool
 }
@@ -80,7 +85,7 @@
 	}
 	c.deliveries[e.ID] = &delivery{
 		countIfRun: countIfRun, nested: e.Nested, request: e.Request, route: c.routeOf(e), rank: e.Rank,
-		deadline: e.Deadline, chargedTeam: e.RateUnchecked,
+		deadline: e.Deadline, chargedTeam: e.RateUnchecked, fingerprints: e.Fingerprints,
 	}
 	offered := limiter.Call{
 		ID:        limiter.CallID(e.ID),
@@ -119,7 +124,7 @@
 				c.runs.runStarted(d.route)
 				c.offers.countOffered(now)
 				if d.request != "" {
-					c.parents[d.request] = parent{delivery: id, route: d.route, rank: d.rank}
+					c.parents[d.request] = parent{delivery: id, route: d.route, rank: d.rank, fingerprint: d.rootFingerprint()}
 				}
 			}
 			c.emit(Run{ID: id})
@@ -177,6 +182,9 @@
 	if c.limiter == nil {
 		return
 	}
+	if e.Outcome == Answered {
+		c.quarantiner.Survived(d.fingerprints, now)
+	}
 	if took := now.Sub(d.started); e.Outcome == Answered {
 		c.throttler.Answered()
 		c.runTimes.of(d.nested).learn(took)
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
@@ -140,6 +141,21 @@
 	Ratio     float64
 }
 
+// ReportEnd tells all other nodes under which requests the local endpoint ended.
+type ReportEnd struct {
+	ID  CallID
+	End quarantiner.End
+	// Requests are those requests, Innocent how many more there are that an endpoint has answered shortly before.
+	Requests []EndedRequest
+	Innocent int
+}
+
+// EndedRequest is a request under which an endpoint ended.
+type EndedRequest struct {
+	Request      identifier.Request
+	Fingerprints []identifier.Fingerprint
+}
+
 // ConfigurationInForce reports that a configuration was put in force, for the log.
 type ConfigurationInForce struct {
 	Version, Previous identifier.Version
@@ -174,6 +190,7 @@
 func (DecliningChanged) effect()     {}
 func (Publish) effect()              {}
 func (ConfigurationInForce) effect() {}
+func (ReportEnd) effect()            {}
 
 // Reason is why a request was refused, as shown in log lines and metrics.
 type Reason string
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/pooler"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
 )
 
@@ -49,6 +50,8 @@
 	Wait clock.Duration
 	// Notice is what the endpoint's answer says about the endpoint.
 	Notice Notice
+	// Fingerprints are those of the request if the endpoint answered it.
+	Fingerprints []identifier.Fingerprint
 	// Replayable is set when the request's body can be sent again from its start.
 	Replayable bool
 	// Member is the other node's record if it answered that the endpoint is no longer there; nil otherwise.
@@ -104,6 +107,8 @@
 	RateUnchecked identifier.Team
 	// Limit is what the sending node knows of the endpoint's rate limit.
 	Limit Notice
+	// Fingerprints identify the request whatever its id, a nested call also together with the root request.
+	Fingerprints []identifier.Fingerprint
 }
 
 // NoticeReceived is what the local endpoint's answer to a delivery says about the endpoint.
@@ -139,6 +144,17 @@
 	Endpoint identifier.Endpoint
 }
 
+// EndpointEnded means that the local endpoint broke off the requests that it ran and then refused a connection.
+type EndpointEnded struct {
+	ID       CallID
+	Endpoint identifier.Endpoint
+}
+
+// EndReceived is the end of an endpoint beside another node.
+type EndReceived struct {
+	End quarantiner.End
+}
+
 // EndpointChecked is the result of a CheckEndpoint.
 type EndpointChecked struct {
 	// Endpoint is the id of the endpoint that answered, empty if none did.
@@ -248,6 +264,8 @@
 func (EndpointAnnounced) event()   {}
 func (EndpointRemoved) event()     {}
 func (EndpointUnreachable) event() {}
+func (EndpointEnded) event()       {}
+func (EndReceived) event()         {}
 func (EndpointChecked) event()     {}
 func (ConfigurationRead) event()   {}
 func (ConfigurationProved) event() {}
--- /dev/null
+++ b/internal/conductor/quarantine.go
@@ -0,0 +1,62 @@
+package conductor
+
+// The node beside an endpoint is the only one that can tell the endpoint's end from a broken connection, and from its own end. It
+// reports the requests that ran then to all nodes before their callers learn of it, so that a request that comes again finds
+// every node informed.
+//
+// Example: i-7 breaks off r-1 and refuses a connection: ReportEnd names r-1, unless an endpoint has answered the same before.
+
+import (
+	"slices"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
+)
+
+// endpointEnded counts and reports the end of the local endpoint under the requests that it runs.
+func (c *Conductor) endpointEnded(e EndpointEnded, now clock.Time) {
+	report := ReportEnd{ID: e.ID}
+	var all []identifier.Fingerprint
+	for _, d := range c.deliveries {
+		if !d.running || d.endReported {
+			continue
+		}
+		d.endReported = true
+		suspected := c.quarantiner.Suspected(d.fingerprints, now)
+		if len(suspected) == 0 {
+			report.Innocent++
+			continue
+		}
+		report.Requests = append(report.Requests, EndedRequest{Request: d.request, Fingerprints: d.fingerprints})
+		all = append(all, suspected...)
+	}
+	slices.Sort(all)
+	c.endsSeen++
+	report.End = quarantiner.End{
+		ID:           quarantiner.EndID{Node: c.self.Node, Incarnation: c.options.Self.Incarnation, Number: c.endsSeen},
+		Endpoint:     e.Endpoint,
+		Fingerprints: slices.Compact(all),
+	}
+	c.quarantiner.Ended(report.End, now)
+	c.emit(report)
+	c.endpointUnreachable(EndpointUnreachable{Endpoint: e.Endpoint}, now)
+}
+
+// Verdict returns what is known of a request with the given fingerprints.
+func (c *Conductor) Verdict(fingerprints []identifier.Fingerprint, now clock.Time) quarantiner.Verdict {
+	return c.quarantiner.Judge(fingerprints, now)
+}
+
+// RootFingerprint returns that of the root request of a run at the local endpoint, 0 if it is not known.
+func (c *Conductor) RootFingerprint(run identifier.Request) identifier.Fingerprint {
+	return c.parents[run].fingerprint
+}
+
+// rootFingerprint is the first fingerprint of a root request, and the second one of a nested call.
+func (d *delivery) rootFingerprint() identifier.Fingerprint {
+	if len(d.fingerprints) == 0 {
+		return 0
+	}
+	return d.fingerprints[len(d.fingerprints)-1]
+}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -25,6 +25,9 @@
 // Endpoint is the id of one backend server, unique while it is announced.
 type Endpoint string
 
+// Fingerprint identifies requests that ask for the same, whatever their ids: a hash of method, host, path, query, team and body.
+type Fingerprint uint64
+
 // Request is the id of one call, assigned by the node at which it entered.
 type Request string
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -18,7 +18,13 @@
 
 // attempt makes one attempt, at the local endpoint or through another node; offeredBefore is whether an endpoint got the request
 // in an earlier one.
-func (r *Relayer) attempt(request *http.Request, s conductor.Send, body *replayable, offeredBefore bool) answer {
+func (r *Relayer) attempt(
+	request *http.Request,
+	s conductor.Send,
+	body *replayable,
+	offeredBefore bool,
+	fingerprints []identifier.Fingerprint,
+) answer {
 	left := s.Deadline.Sub(r.options.Clock.Now())
 	parent, stop, stopWatch := request.Context(), func() {}, func() {}
 	if body.streamed() {
@@ -58,11 +64,13 @@
 			rateUnchecked:  uncheckedTeam(s),
 			once:           !s.Idempotent,
 			offeredBefore:  offeredBefore,
+			fingerprints:   fingerprints,
 		})
 		r.View(func(c *conductor.Conductor, now clock.Time) {
 			a.headroom, a.queueDelay = c.Headroom(now), c.QueueDelay(now)
 		})
 	} else {
+		out.Header[fingerprintsField] = []string{formatFingerprints(fingerprints)}
 		a = r.forward(ctx, s, out, body, offeredBefore)
 	}
 	a.upload, a.deadline = body.stream, s.Deadline
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -36,7 +36,8 @@
 	// once is set if the request may run once only, offeredBefore if it was offered to an endpoint before.
 	once, offeredBefore bool
 	// limit is what the sending node knows of the endpoint's rate limit.
-	limit conductor.Notice
+	limit        conductor.Notice
+	fingerprints []identifier.Fingerprint
 }
 
 // answer is the result of an attempt; Response is set if the outcome is Answered.
@@ -122,6 +123,7 @@
 		ArrivalCounted: d.arrivalCounted,
 		RateUnchecked:  d.rateUnchecked,
 		Limit:          d.limit,
+		Fingerprints:   d.fingerprints,
 	})
 	if h, ok := effect.(held); ok {
 		resumed, err := r.wait(ctx, h)
@@ -223,6 +225,7 @@
 	case errors.As(err, &body):
 		return bodyReadFailed(err).on(connection)
 	default:
+		r.checkEnd(d.endpoint)
 		return failedAttempt(conductor.Broken, conductor.InDoubt).on(connection)
 	}
 }
--- /dev/null
+++ b/internal/relayer/endpoint_end.go
@@ -0,0 +1,126 @@
+package relayer
+
+// A request whose connection broke may have ended the endpoint that ran it. A refused connection tells the endpoint's end from a
+// broken connection. All requests that break off at the same time share one such check, and their callers learn of the break only
+// when the other nodes know the requests that ran.
+//
+// Example: 12 requests break off, one connection is opened and refused: one line names the 12 requests.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"syscall"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/recorder"
+	"github.com/jackdawtide/jackdawtide/internal/requester"
+)
+
+// endCheckInterval is how long an endpoint that has ended is not checked again: requests that break off together are noticed some milliseconds apart.
+const endCheckInterval = 20 * clock.Millisecond
+
+// endChecks lets requests that break off together share a check.
+type endChecks struct {
+	mu sync.Mutex
+	// ended is set if the last check found that the endpoint had ended, at the given time.
+	ended   bool
+	checked clock.Time
+	running chan struct{}
+}
+
+// begin returns nil if the caller has to make the check and call end, or else what to wait for; closed if a check has just ended.
+func (e *endChecks) begin(now clock.Time) <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running != nil {
+		return e.running
+	}
+	if e.ended && now.Sub(e.checked) <= endCheckInterval {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	e.running = make(chan struct{})
+	return nil
+}
+
+func (e *endChecks) end(ended bool, now clock.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.checked, e.ended = now, ended
+	close(e.running)
+	e.running = nil
+}
+
+// checkEnd finds out whether the local endpoint has ended, and if so reports the requests that it ran.
+func (r *Relayer) checkEnd(endpoint identifier.Endpoint) {
+	if wait := r.endChecks.begin(r.options.Clock.Now()); wait != nil {
+		<-wait
+		return
+	}
+	ended := false
+	defer func() { r.endChecks.end(ended, r.options.Clock.Now()) }()
+	connection, err := requester.Dial(context.Background(), r.options.EndpointAddress, endpointDialTimeout.Std())
+	if err == nil {
+		_ = connection.Close()
+		return
+	}
+	if ended = errors.Is(err, syscall.ECONNREFUSED); !ended {
+		return
+	}
+	id := r.newID()
+	report, ok := r.apply(id, conductor.EndpointEnded{ID: id, Endpoint: endpoint}).(conductor.ReportEnd)
+	if !ok {
+		return
+	}
+	r.options.Recorder.EndpointEnded(endedEndpoint(report))
+	if r.options.ReportEnd != nil && len(report.End.Fingerprints) > 0 {
+		r.options.ReportEnd(report.End)
+	}
+}
+
+func endedEndpoint(e conductor.ReportEnd) recorder.EndedEndpoint {
+	line := recorder.EndedEndpoint{Endpoint: e.End.Endpoint, Innocent: e.Innocent}
+	for _, q := range e.Requests {
+		line.Requests = append(line.Requests, recorder.EndedRequest{
+			Request: string(q.Request), Fingerprints: formatFingerprints(q.Fingerprints),
+		})
+	}
+	return line
+}
+
+// endsUnder returns how many endpoints are known to have ended under a request.
+func (r *Relayer) endsUnder(fingerprints []identifier.Fingerprint) (ends int) {
+	r.View(func(c *conductor.Conductor, now clock.Time) { ends = c.Verdict(fingerprints, now).Ends })
+	return ends
+}
+
+// suspicion is what was known of a request when it was sent.
+type suspicion struct {
+	fingerprints []identifier.Fingerprint
+	ends         int
+	sent         clock.Time
+}
+
+// logSuspect logs an offer of a request under which endpoints had ended before.
+func (r *Relayer) logSuspect(request *http.Request, s conductor.Send, a answer, known suspicion) {
+	if known.ends == 0 || a.outcome.NotRun() && a.outcome != conductor.Declined {
+		return
+	}
+	r.options.Recorder.SuspectOffered(recorder.SuspectOffer{
+		Request:      request.Header.Get(r.options.Headers.RequestID),
+		Fingerprints: formatFingerprints(known.fingerprints),
+		Ends:         known.ends,
+		Offer: recorder.Offer{
+			Endpoint: s.Endpoint,
+			Node:     s.Node,
+			Outcome:  a.outcome.String(),
+			Status:   a.status(),
+			Took:     r.options.Clock.Now().Sub(known.sent),
+		},
+	})
+}
--- /dev/null
+++ b/internal/relayer/endpoint_end_test.go
@@ -0,0 +1,107 @@
+package relayer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
+)
+
+const fatalPath = "/obs/fatal"
+
+// newMortalNodes returns nodes whose endpoints end when they run a request to fatalPath; ends counts those that have. All nodes
+// are told of each end.
+func newMortalNodes(t *testing.T, count int, kind matcher.Kind) (nodes []*node, ends *atomic.Int32) {
+	t.Helper()
+	ends = new(atomic.Int32)
+	for i := range count {
+		var e *endpoint
+		e = newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, fatalPath) {
+				return
+			}
+			ends.Add(1)
+			_ = e.Listener.Close()
+			e.CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		})
+		n := newNode(t, fmt.Sprint("n", i), "portal", e)
+		n.configure(t, configurationOf(kind, 2))
+		nodes = append(nodes, n)
+	}
+	exchangeMembers(nodes...)
+	for _, n := range nodes {
+		n.options.ReportEnd = func(end quarantiner.End) {
+			for _, other := range nodes {
+				other.ApplyEvent(conductor.EndReceived{End: end})
+			}
+		}
+	}
+	return nodes, ends
+}
+
+func to(path string) func(*http.Request) {
+	return func(r *http.Request) { r.URL.Path = path }
+}
+
+type suspectLine struct {
+	Message      string `json:"msg"`
+	Request      string `json:"request"`
+	Fingerprints string `json:"fingerprints"`
+	Ends         int    `json:"ends"`
+	Requests     []struct {
+		Request      string `json:"request"`
+		Fingerprints string `json:"fingerprints"`
+	} `json:"requests"`
+}
+
+// Guards against ends of endpoints, and offers after them, that can't be attributed to the request that caused them.
+func TestEndsAndOffersOfARequestShareAFingerprint(t *testing.T) {
+	nodes, _ := newMortalNodes(t, 3, matcher.NonIdempotent)
+	texts := make([]func() string, len(nodes))
+	for i, n := range nodes {
+		texts[i] = captureText(t, n)
+	}
+	for _, n := range nodes[:2] {
+		sendRequest(t, n, to(fatalPath))
+	}
+	ended, offered := map[string]int{}, map[string]int{}
+	for _, text := range texts {
+		for _, line := range strings.Split(strings.TrimSpace(text()), "\n") {
+			var l suspectLine
+			if json.Unmarshal([]byte(line), &l) != nil {
+				continue
+			}
+			switch l.Message {
+			case "endpoint ended":
+				assert.Equal(t, len(l.Requests), 1)
+				ended[l.Requests[0].Fingerprints]++
+			case "suspect request offered":
+				assert.Equal(t, l.Ends, 1)
+				offered[l.Fingerprints]++
+			}
+		}
+	}
+	assert.Equal(t, len(ended), 1)
+	for print, count := range ended {
+		assert.Equal(t, count, 2)
+		assert.Equal(t, offered[print], 1)
+	}
+}
+
+// Guards against a connection that breaks being taken for the end of its endpoint.
+func TestBrokenConnectionIsNoEndOfItsEndpoint(t *testing.T) {
+	e := newEndpoint(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	n := newNode(t, "a", "portal", e)
+	n.configure(t, configurationOf(matcher.NonIdempotent, 1))
+	n.options.ReportEnd = func(quarantiner.End) { t.Error("an end was reported") }
+	assert.Equal(t, sendRequest(t, n, nil).StatusCode, http.StatusBadGateway)
+}
--- a/internal/relayer/inbound.go
+++ b/internal/relayer/inbound.go
@@ -29,6 +29,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	fingerprints, err := parseFingerprints(request.Header.Get(fingerprintsField))
+	if err != nil {
+		r.options.Recorder.Dependency("node", err)
+	}
 	parent, u := request.Context(), (*upload)(nil)
 	if isStreamed(request) {
 		u = &upload{Reader: request.Body}
@@ -52,6 +56,7 @@
 		limit:          r.readPassedLimit(request.Header),
 		once:           received.once,
 		offeredBefore:  received.offeredBefore,
+		fingerprints:   fingerprints,
 		request:        outgoing(request, endToEndFields(request.Header)),
 	}
 	if u != nil {
--- a/internal/relayer/offers_test.go
+++ b/internal/relayer/offers_test.go
@@ -35,14 +35,23 @@
 	Offers     []loggedOffer `json:"offers"`
 }
 
+// captureText makes a node write its log to a buffer, which the returned function returns.
+func captureText(t *testing.T, n *node) (text func() string) {
+	t.Helper()
+	var buffer bytes.Buffer
+	n.options.Recorder = recorder.New(&buffer, string(n.member.Node), n.options.Clock.Now)
+	return func() string {
+		assert.Assert(t, n.options.Recorder.Flush(clock.Second))
+		return buffer.String()
+	}
+}
+
 // captureLog makes a node write its log to a buffer, which the returned function reads.
 func captureLog(t *testing.T, n *node) (warnings func() []loggedLine) {
 	t.Helper()
-	var text bytes.Buffer
-	n.options.Recorder = recorder.New(&text, string(n.member.Node), n.options.Clock.Now)
+	text := captureText(t, n)
 	return func() (lines []loggedLine) {
-		assert.Assert(t, n.options.Recorder.Flush(clock.Second))
-		for _, line := range strings.Split(strings.TrimSpace(text.String()), "\n") {
+		for _, line := range strings.Split(strings.TrimSpace(text()), "\n") {
 			var l loggedLine
 			if json.Unmarshal([]byte(line), &l) == nil && l.Level == "warn" {
 				lines = append(lines, l)
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -45,6 +45,7 @@
 	}
 	var body *replayable
 	var last answer
+	var fingerprints []identifier.Fingerprint
 	var err error
 	offers := offered{relayer: r, request: request, started: started}
 	defer offers.log()
@@ -67,8 +68,12 @@
 				r.apply(id, conductor.RequestClosed{ID: id})
 				panic(http.ErrAbortHandler)
 			}
+			if fingerprints == nil {
+				fingerprints = r.fingerprints(request, e, body)
+			}
+			ends := r.endsUnder(fingerprints)
 			sent := r.options.Clock.Now()
-			last = r.attempt(request, e, body, offers.any())
+			last = r.attempt(request, e, body, offers.any(), fingerprints)
 			offers.add(e, last, sent)
 			effect = r.apply(id, conductor.AttemptEnded{
 				ID:         id,
@@ -79,7 +84,10 @@
 				Notice:     last.notice,
 				Replayable: body.canResend(),
 				Member:     last.member,
+
+				Fingerprints: fingerprints,
 			})
+			r.logSuspect(request, e, last, suspicion{fingerprints: fingerprints, ends: ends, sent: sent})
 			r.logAttempt(request, e, last, started)
 			if last.exceededLimit > 0 {
 				r.apply(id, conductor.RequestClosed{ID: id})
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -33,8 +34,11 @@
 	// Connections counts all of the node's connections.
 	Connections *requester.Connections
 	// Publish is called with this node's member record after each change; it must not block.
-	Publish  func(exchanger.Member)
-	Recorder *recorder.Recorder
+	Publish func(exchanger.Member)
+	// ReportEnd tells the other nodes under which requests the local endpoint ended, and returns when they know, or after a
+	// short time; nil if there are no others.
+	ReportEnd func(quarantiner.End)
+	Recorder  *recorder.Recorder
 }
 
 // Relayer carries out the effects that the conductor returns; it is safe for concurrent use.
@@ -51,6 +55,7 @@
 	// no limit that an answer could lift.
 	noticesUsed atomic.Bool
 	unread      *unreadFields
+	endChecks   endChecks
 	peers       *requester.Client
 	endpoints   *requester.Client
 	stopping    atomic.Bool
@@ -285,6 +290,8 @@
 		return e.ID, true
 	case conductor.TurnAway:
 		return e.ID, true
+	case conductor.ReportEnd:
+		return e.ID, true
 	default:
 		return 0, false
 	}
