Soak: operators who change routes and keys, an odd store, and requests that end endpoints

The soak judged no configuration from outside, and no request that ends the endpoint that runs it. Two rows are new. Operators move, add, drop and retime routes, change the weights of a split, issue and withdraw keys, singly, in bursts and beside 300 further routes; the store answers in part, writes late, is down for one topic, trims, and creates the operators' topic again; a node lacks processor time. Requests end their endpoint, sent again with other ids at other nodes or made by other runs.

Checks: olderConfiguration, configurationRegressed, addedRouteNotServed, splitOff, pastTimeout, offeredAfterEnds, healthyQuarantined. Each is fed a record that breaks it, and the nearest one that does not.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	returns := app.Flag("returns", "Whether callers return once after a refusal that says when.").Default("true").Bool()
 	stays := app.Flag("stays", "Whether some callers stay on one connection until it ends.").Default("true").Bool()
 	orders := app.Flag("orders", "Whether a caller at each node sends only requests that may run once.").Default("true").Bool()
+	probes := app.Flag("probes", "Whether operators change routes and keys, and callers probe what is in force.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -40,7 +41,7 @@
 		}
 		report, err := soaker.Run(ctx, soaker.Options{
 			Program: *program, Directory: folder, Seed: s, Length: *length, Nodes: *nodes, Faults: *faults,
-			Returns: *returns, Stays: *stays, Orders: *orders,
+			Returns: *returns, Stays: *stays, Orders: *orders, Probes: *probes,
 		})
 		app.FatalIfError(err, "seed %d", s)
 		breaches += len(report.Breaches)
--- a/internal/soaker/judge_test.go
+++ b/internal/soaker/judge_test.go
@@ -15,6 +15,7 @@
 	Revoke: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20,
 	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 5, MinRecoveredRatio: 0.95,
 	Contact: 3 * time.Second, Grace: 6 * time.Second, LossSlack: 200 * time.Millisecond,
+	ApplyWithin: 2 * time.Second, MaxStretch: 5 * time.Second, RollbackSlack: 250 * time.Millisecond, MaxEnds: 3,
 }
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -17,8 +17,8 @@
 	"github.com/jackdawtide/jackdawtide/platform/standin"
 )
 
-// generalSequences is the number of sequences that draw from faults; one more each draws from loadFaults, stopFaults and
-// answerFaults.
+// generalSequences is the number of sequences that draw from faults; one more each draws from loadFaults, stopFaults,
+// answerFaults, operatorFaults and fatalFaults.
 const generalSequences = 3
 
 const (
@@ -46,6 +46,7 @@
 
 func storeFault(name string, m standin.Mode) fault {
 	return fault{name, func(f *fleet, _ *node, d time.Duration) error {
+		defer f.record.BeginStoreDisruption()()
 		f.store.SetMode(m)
 		time.Sleep(d)
 		f.store.SetMode(standin.Healthy)
@@ -74,7 +75,11 @@
 	storeFault("storeSilent", standin.Silent),
 	storeFault("storeLosesAnswers", standin.LosingAnswers),
 	storeFault("storeSlow", standin.Slow),
-	{"storeForgets", func(f *fleet, _ *node, _ time.Duration) error { f.store.DropHistory(); return nil }},
+	{"storeForgets", func(f *fleet, _ *node, _ time.Duration) error {
+		f.record.AddStoreInstability()
+		f.store.DropHistory()
+		return nil
+	}},
 	proxyFault("storeCutThere", storeProxy, DroppingToTarget),
 	proxyFault("storeCutBack", storeProxy, DroppingFromTarget),
 	proxyFault("storeSilenced", storeProxy, Silenced),
@@ -84,7 +89,7 @@
 	proxyFault("callersReset", callersProxy, Resetting),
 	proxyFault("callersCutBack", callersProxy, DroppingFromTarget),
 	{"keyRotated", func(f *fleet, _ *node, _ time.Duration) error { f.teams.rotateKey(f.store, f.record); return nil }},
-	{"routeAdded", func(f *fleet, _ *node, _ time.Duration) error { f.teams.addRoute(f.store); return nil }},
+	{"routeAdded", func(f *fleet, _ *node, _ time.Duration) error { f.teams.addRoute(f.store, f.record); return nil }},
 	{"endpointLeaves", func(f *fleet, n *node, d time.Duration) error {
 		n.backend.Leave()
 		time.Sleep(d + Promises.Drain)
@@ -109,19 +114,21 @@
 
 // FaultNames returns the names of all faults.
 func FaultNames() (names []string) {
-	for _, f := range slices.Concat(faults, loadFaults, stopFaults, answerFaults) {
+	for _, f := range slices.Concat(faults, loadFaults, stopFaults, answerFaults, operatorFaults, fatalFaults) {
 		names = append(names, f.name)
 	}
 	return names
 }
 
-// faultsBySequence returns the faults that each sequence draws from. Those of loadFaults, stopFaults and answerFaults have a
-// sequence of their own each, since a longer list in the other sequences would change the plan of every seed.
+// faultsBySequence returns the faults that each sequence draws from. Each of the later lists has a sequence of its own, since a longer list in the other sequences would change the plan of every seed.
 func faultsBySequence(names []string) (sequences [][]fault) {
 	for range generalSequences {
 		sequences = append(sequences, selectedFaults(faults, names))
 	}
-	return append(sequences, selectedFaults(loadFaults, names), selectedFaults(stopFaults, names), selectedFaults(answerFaults, names))
+	for _, others := range [][]fault{loadFaults, stopFaults, answerFaults, operatorFaults, fatalFaults} {
+		sequences = append(sequences, selectedFaults(others, names))
+	}
+	return sequences
 }
 
 // selectedFaults returns the faults with the given names, all if none is given.
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -122,6 +122,7 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", n.name, err)
 	}
+	n.record.AddNodeStart(n.name, time.Now())
 	n.command, n.exited, n.exitExpected = c, make(chan struct{}), false
 	go n.wait(c, n.exited)
 	return nil
@@ -228,9 +229,9 @@
 	n.backend.Start(standin.BackendOptions{
 		Instance: n.instance, Service: service, Zone: n.domain, Slots: slots, Work: 10 * time.Millisecond,
 		Control: n.announcements, Outbound: n.outbound, Host: host, Nested: nested, Address: n.endpoint.Address(),
-		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name, nested), Acknowledged: f.record.AddLeave,
+		Arrived: f.record.AddArrival, Ran: f.record.AddRun, Called: f.recordNestedCall(n.name), Acknowledged: f.record.AddLeave,
 		Condition: n.condition.draw, Ended: f.record.AddRunEnd,
-		Received: f.record.AddReceived, Spoiled: f.record.AddSpoiled,
+		Received: f.record.AddReceived, Spoiled: f.record.AddSpoiled, Down: f.endEndpoint(n),
 	})
 	go n.backend.Announce(ctx)
 	f.nodes = append(f.nodes, n)
@@ -238,9 +239,9 @@
 }
 
 // recordNestedCall returns a function that records a nested call of the endpoint beside a node as a request of that node.
-func (f *fleet) recordNestedCall(node, path string) func(standin.NestedCall) {
+func (f *fleet) recordNestedCall(node string) func(standin.NestedCall) {
 	return func(c standin.NestedCall) {
-		f.record.AddRequest(Sent{ID: c.Request, Node: node, Path: path, Idempotent: true, At: c.At, Answered: c.Answered, Answer: c.Answer})
+		f.record.AddRequest(Sent{ID: c.Request, Node: node, Path: c.Path, Idempotent: true, At: c.At, Answered: c.Answered, Answer: c.Answer})
 	}
 }
 
@@ -263,3 +264,21 @@
 	}
 	ending.Wait()
 }
+
+// endEndpoint returns a function that refuses connections to the endpoint beside a node while it is down.
+func (f *fleet) endEndpoint(n *node) func(request string, down bool) {
+	end := func() {}
+	return func(request string, down bool) {
+		if down {
+			f.record.AddEnd(request, time.Now())
+			end = f.record.BeginDisruption(n.instance)
+			n.endpoint.Refuse()
+			return
+		}
+		f.record.AddStart(n.instance, time.Now())
+		end()
+		if err := n.endpoint.Accept(); err != nil {
+			f.record.AddExit(fmt.Sprintf("%s: its endpoint is not back: %v", n.name, err))
+		}
+	}
+}
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -35,6 +35,8 @@
 
 // Proxy forwards TCP connections to one address.
 type Proxy struct {
+	// address is where the listener listens; it is closed while connections are refused.
+	address   string
 	listener  net.Listener
 	target    string
 	treatment atomic.Int32
@@ -54,14 +56,37 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, open: map[*connectionPair]bool{}}
-	go p.accept()
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, open: map[*connectionPair]bool{}}
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns where the proxy listens.
 func (p *Proxy) Address() string {
-	return p.listener.Addr().String()
+	return p.address
+}
+
+// Refuse resets all connections and refuses new ones, as if the target had ended; Accept ends that.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+	for c := range p.open {
+		c.reset()
+	}
+}
+
+// Accept accepts connections again.
+func (p *Proxy) Accept() error {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
 }
 
 // Set changes the treatment of all connections from now on.
@@ -82,13 +107,15 @@
 
 // Close ends the proxy and all its connections.
 func (p *Proxy) Close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.Set(Resetting)
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		near, err := p.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soaker/retries.go
+++ b/internal/soaker/retries.go
@@ -28,7 +28,7 @@
 type serviceTimes struct{ requests, retries []time.Time }
 
 // timesOfServices returns the times by service. A request counts when it was sent, whether it arrived or not; one whose
-// sender had recorded no outcome by the end, a nested call in progress, counts at its first arrival. Each arrival of a
+// sender had recorded no outcome by the end, a nested call in progress, and one on a route that changes, counts at its first arrival. Each arrival of a
 // request beyond its first is a retry.
 func (r *Record) timesOfServices() map[string]*serviceTimes {
 	services := map[string]*serviceTimes{}
@@ -39,8 +39,10 @@
 		return services[service]
 	}
 	for _, s := range r.sent {
-		t := of(serviceOf(s.Path))
-		t.requests = append(t.requests, s.At)
+		if service := serviceOf(s.Path); service != "" {
+			t := of(service)
+			t.requests = append(t.requests, s.At)
+		}
 	}
 	arrivals := slices.SortedFunc(func(yield func(standin.Arrival) bool) {
 		for _, all := range r.arrivals {
@@ -54,7 +56,8 @@
 	arrived := map[string]bool{}
 	for _, a := range arrivals {
 		t := of(a.Service)
-		_, isSent := r.sent[a.Request]
+		s, isSent := r.sent[a.Request]
+		isSent = isSent && serviceOf(s.Path) != ""
 		switch {
 		case arrived[a.Request]:
 			t.retries = append(t.retries, a.At)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -29,6 +29,8 @@
 	RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 	MinRecoveredRatio: 0.95,
 	Grace:             terminationGrace, LossSlack: 200 * time.Millisecond,
+	ApplyWithin: 2 * time.Second, MaxStretch: 5 * time.Second, RollbackSlack: 250 * time.Millisecond,
+	MaxEnds: 3,
 }
 
 // Run runs one soak and returns its report; an error means that the soak could not be completed.
@@ -64,7 +66,11 @@
 	f.storeURL = strings.TrimPrefix(server.URL, "http://")
 	f.record.AddKey(steadyKey, "steady", 0, 0)
 	f.record.AddKey(greedyKey, "greedy", greedyRate, greedyBurst)
+	f.record.AddKey(probingKey, probingTeam, 0, 0)
 	f.teams.rotateKey(f.store, f.record)
+	if o.Probes {
+		f.startOperators()
+	}
 	announcing, stopAnnouncing := context.WithCancel(ctx)
 	end = func() {
 		f.close()
@@ -105,6 +111,11 @@
 			f.startOrderingCaller(calling, n, i, &callers)
 		}
 	}
+	if f.options.Probes {
+		for i, n := range f.nodes {
+			f.startProbing(calling, n, i, &callers)
+		}
+	}
 	return func() {
 		cancel()
 		callers.Wait()
@@ -141,6 +152,7 @@
 // endFaults ends every fault that overlapping sequences may have left in place.
 func (f *fleet) endFaults() {
 	f.store.SetMode(standin.Healthy)
+	f.store.SetQuirk(standin.NoQuirk)
 	for _, n := range f.nodes {
 		n.signal(syscall.SIGCONT)
 		f.returnEndpoint(n)
--- a/internal/soaker/traffic.go
+++ b/internal/soaker/traffic.go
@@ -52,6 +52,7 @@
 	// withdrawn holds the withdrawn keys, which callers still use at times.
 	withdrawn   []string
 	extraRoutes int
+	operated    operatedConfiguration
 }
 
 const (
@@ -60,7 +61,7 @@
 )
 
 // publish writes the current configuration to the store.
-func (t *teams) publish(s *standin.Store) {
+func (t *teams) publish(s *standin.Store, record *Record) {
 	t.version += 1 + int64(rand.IntN(3))
 	all := append([]standin.Route(nil), routes...)
 	for i := range t.extraRoutes {
@@ -69,11 +70,16 @@
 			Kind: "idempotent", TimeoutMs: 800,
 		})
 	}
-	standin.Configuration{Version: t.version, Routes: all, Teams: []standin.Team{
+	all = append(all, t.operated.routes()...)
+	c := standin.Configuration{Version: t.version, Routes: all, Teams: []standin.Team{
 		{Name: "steady", Keys: []string{steadyKey}},
 		{Name: "greedy", Keys: []string{greedyKey}, Rate: greedyRate, Burst: greedyBurst},
 		{Name: "roaming", Keys: t.roamingKeys},
-	}}.Publish(s)
+		{Name: probingTeam, Keys: append([]string{probingKey}, t.operated.keys...)},
+	}}
+	record.BeginVersion(c)
+	c.Publish(s)
+	record.EndVersion()
 }
 
 // rotateKey issues a key and withdraws the oldest if there are more than two, so that callers have time to change keys.
@@ -87,18 +93,18 @@
 	if len(t.roamingKeys) > 2 {
 		oldKey, t.roamingKeys = t.roamingKeys[0], t.roamingKeys[1:]
 	}
-	t.publish(s)
+	t.publish(s, r)
 	if oldKey != "" {
 		r.AddWithdrawal(oldKey, time.Now())
 		t.withdrawn = append(t.withdrawn, oldKey)
 	}
 }
 
-func (t *teams) addRoute(s *standin.Store) {
+func (t *teams) addRoute(s *standin.Store, r *Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.extraRoutes++
-	t.publish(s)
+	t.publish(s, r)
 }
 
 // pickKey returns a random team and one of its keys, at times a withdrawn one.
@@ -189,6 +195,7 @@
 	limited, cancel := context.WithTimeout(context.Background(), q.Timeout)
 	defer cancel()
 	s := Sent{ID: q.ID, Node: node, Path: q.Path, Body: q.Body, Team: team, Key: q.Key, Idempotent: idempotent, At: time.Now()}
+	s.Probe = team == probingTeam
 	s.Answer = standin.Call(limited, client, q)
 	s.Answered = time.Now()
 	f.record.AddRequest(s)
--- a/internal/soaker/types.go
+++ b/internal/soaker/types.go
@@ -33,6 +33,9 @@
 	// Orders adds a caller at each node that sends only requests that may run once. Without it a seed's demand is as it was
 	// before it was added.
 	Orders bool
+	// Probes adds routes and keys that operators change, and a caller at each node that probes what is in force there. Without it
+	// a seed's demand is as it was before they were added.
+	Probes bool
 }
 
 // Report is the outcome of a soak.
