Put configurations of a topic that was created again in force

Cause: records are compared by offset. Those of the new topic have lower offsets and were dropped as old, yet the read was complete and proved the version in force the newest. The proof spread to all nodes. Besides, a node that had once heard of a higher offset would have asked the store ten times a second for ever.

Change: a read of the newest records that ends before the last position says that the topic restarted; known offsets are dropped then, and offsets of other nodes expire when nobody names them.

The unit tests fail before.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -274,7 +274,7 @@
 	case ProofReceived:
 		c.learnProof(e, now)
 	case OrdersRead:
-		c.ordersNext = max(c.ordersNext, e.Next)
+		c.learnOrders(e)
 	case DomainsEvacuated:
 		c.evacuate(e, now)
 	case MemberLearned:
--- a/internal/conductor/configuration_proof.go
+++ b/internal/conductor/configuration_proof.go
@@ -49,9 +49,11 @@
 	known      bool
 	from       identifier.Node
 	// newestVersion is the newest version known to other nodes, nextOrders the largest offset up to which one of them
-	// knows the operators' orders, and newerSince when this node first learned that it lacks one of them.
+	// knows the operators' orders, as last said at nextOrdersAt, and newerSince when this node first learned that it lacks one
+	// of them.
 	newestVersion identifier.Version
 	nextOrders    identifier.Offset
+	nextOrdersAt  clock.Time
 	newerSince    clock.Time
 }
 
@@ -61,7 +63,10 @@
 		c.receivedProof.newerSince = now
 	}
 	c.receivedProof.newestVersion = max(c.receivedProof.newestVersion, e.Version)
-	c.receivedProof.nextOrders = max(c.receivedProof.nextOrders, e.Next)
+	if p := &c.receivedProof; e.Next >= p.nextOrders || now.Sub(p.nextOrdersAt) > proofTrustedFor {
+		// An offset that nobody names any more is that of a topic that was created again.
+		p.nextOrders, p.nextOrdersAt = e.Next, now
+	}
 	c.receivedProof.receivedAt, c.receivedProof.asOf, c.receivedProof.known, c.receivedProof.from = now, e.AsOf, true, e.From
 }
 
@@ -89,6 +94,14 @@
 	return c.knowsOfNewer() && now.Sub(c.receivedProof.newerSince) > newerTimeout
 }
 
+func (c *Conductor) learnOrders(e OrdersRead) {
+	if e.Restarted {
+		c.ordersNext, c.receivedProof.nextOrders = e.Next, e.Next
+		return
+	}
+	c.ordersNext = max(c.ordersNext, e.Next)
+}
+
 // OrdersNext returns the offset up to which the operators' orders are known.
 func (c *Conductor) OrdersNext() identifier.Offset {
 	return c.ordersNext
--- a/internal/conductor/configuration_proof_test.go
+++ b/internal/conductor/configuration_proof_test.go
@@ -160,3 +160,20 @@
 	receiveReport(other, 8000)
 	assert.Equal(t, c.ExchangePeriod(8000), shortPeriod)
 }
+
+// Guards against a node that asks the store ten times a second for ever, since another node once knew an offset of a topic that
+// was created again.
+func TestOffsetsOfATopicThatIsGoneAreForgotten(t *testing.T) {
+	c := newConductor("desk")
+	configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent)), 0)
+	learnMembers(c, peer("a", "desk"))
+	c.Apply(OrdersRead{Next: 57}, 0)
+	c.Apply(OrdersRead{Next: 1, Restarted: true}, 1000)
+	assert.Equal(t, c.OrdersNext(), identifier.Offset(1))
+	c.Apply(ProofReceived{From: "a", Version: 3, AsOf: boot, Next: 57}, 1100)
+	assert.Assert(t, c.lacksNewer(1400))
+	for now := clock.Time(1600); now <= 3100; now += 500 {
+		c.Apply(ProofReceived{From: "a", Version: 3, AsOf: boot, Next: 1}, now)
+	}
+	assert.Assert(t, !c.lacksNewer(3100))
+}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -195,6 +195,8 @@
 // OrdersRead gives the offset up to which the operators' orders are known.
 type OrdersRead struct {
 	Next identifier.Offset
+	// Restarted is set if the topic was created again, so that earlier offsets mean nothing any more.
+	Restarted bool
 }
 
 // DomainsEvacuated lists the evacuated failure domains; all others are not evacuated.
--- a/internal/mesher/orders.go
+++ b/internal/mesher/orders.go
@@ -46,6 +46,11 @@
 		o.records = map[string]watcher.Record{}
 	}
 	var t mergedOrders
+	if u.Restarted {
+		// The offsets known so far belong to a topic that is gone; compared with them, the new records would look old.
+		t.evacuations = len(o.records) > 0
+		clear(o.records)
+	}
 	for _, r := range append(u.Records, o.tombstones(u)...) {
 		followed, evacuation := isOrder(r.Key)
 		known, ok := o.records[r.Key]
@@ -56,7 +61,7 @@
 		t.records = append(t.records, r)
 		t.evacuations = t.evacuations || evacuation
 	}
-	if len(t.records) > 0 && o.changed != nil {
+	if (len(t.records) > 0 || u.Restarted) && o.changed != nil {
 		close(o.changed)
 		o.changed = nil
 	}
--- a/internal/mesher/orders_test.go
+++ b/internal/mesher/orders_test.go
@@ -44,3 +44,16 @@
 	assert.Equal(t, len(o.all()), 1)
 	assert.Equal(t, o.next(), identifier.Offset(8))
 }
+
+// Guards against configurations that are never put in force, since their offsets are lower than those of a topic that is gone.
+func TestOrdersOfTopicThatWasCreatedAgainAreTaken(t *testing.T) {
+	var o orders
+	o.merge(watcher.Update{Records: []watcher.Record{record("rules", "1", 56), record("east", "{}", 57)}, Next: 58}, isTestOrder)
+	again := o.merge(watcher.Update{
+		Records: []watcher.Record{record("rules", "2", 0)}, Next: 1, Snapshot: true, Restarted: true,
+	}, isTestOrder)
+	assert.Equal(t, len(again.configurations("rules")), 1)
+	assert.Assert(t, again.evacuations)
+	assert.Equal(t, len(o.all()), 1)
+	assert.Equal(t, o.next(), identifier.Offset(1))
+}
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -80,8 +80,11 @@
 	if merged.evacuations {
 		n.applyEvacuations()
 	}
-	if len(merged.records) > 0 {
-		n.relayer.ApplyEvent(conductor.OrdersRead{Next: n.orders.next()})
+	if u.Restarted {
+		n.recorder.Event("operators' topic created again", "next", int64(u.Next))
+	}
+	if len(merged.records) > 0 || u.Restarted {
+		n.relayer.ApplyEvent(conductor.OrdersRead{Next: n.orders.next(), Restarted: u.Restarted})
 		// The exchange fetches the collector's proof at once, so that the node need not read its own from the store.
 		n.exchangeSoon()
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -27,6 +27,8 @@
 	Complete bool
 	// Snapshot is set if Records holds the newest record of every key; a key without a record has none.
 	Snapshot bool
+	// Restarted is set if the topic was created again: offsets that were known before mean nothing any more.
+	Restarted bool
 	// From is the node that relayed the records, empty for the store.
 	From identifier.Node
 }
@@ -244,9 +246,12 @@
 	if err != nil {
 		return err
 	}
+	restarted := b.End < w.next
 	w.next = b.End
 	w.positionKnown = true
 	w.hadRecords = true
-	w.options.OnUpdate(Update{Records: b.Records, Next: w.next, AsOf: sentAt, Complete: true, Snapshot: true})
+	w.options.OnUpdate(Update{
+		Records: b.Records, Next: w.next, AsOf: sentAt, Complete: true, Snapshot: true, Restarted: restarted,
+	})
 	return nil
 }
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -328,3 +328,27 @@
 	w.Retry()
 	eventually(t, "read again", func() bool { return s.value("a") == "2" })
 }
+
+// Guards against a topic that was created again and is taken for the continuation of the one before.
+func TestTopicThatWasCreatedAgainIsMarked(t *testing.T) {
+	f := &fakeTopic{}
+	f.add("config", "1")
+	f.add("config", "2")
+	s := watch(t, f)
+	eventually(t, "last value", func() bool { return s.value("config") == "2" })
+	f.mu.Lock()
+	f.records = nil
+	f.mu.Unlock()
+	f.add("config", "3")
+	eventually(t, "value of the new topic", func() bool { return s.value("config") == "3" })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restarts := 0
+	for _, u := range s.updates {
+		if u.Restarted {
+			restarts++
+			assert.Assert(t, u.Snapshot && u.Complete)
+		}
+	}
+	assert.Equal(t, restarts, 1)
+}
