Read bursts of configurations without pauses, and put only the newest in force

Cause: after each answer with records the reader paused 0.4 s, also when the answer did not reach the topic's end: an answer holds 1 MB, four of the largest configurations, so a burst was read at 2.5 MB a second at most and never proved. Each configuration of an answer was decoded and put in force, though only the last one counts.

Change: the pause follows only a read that reached the end; the newest valid configuration of an answer is taken. By reading, no run of real processes showed it; the test fails before (1.2 s of pauses).

--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -74,8 +75,10 @@
 
 func (n *node) applyOrders(u watcher.Update) {
 	merged := n.orders.merge(u, n.isOrder)
-	for _, r := range merged.configurations(n.options.Platform.ConfigurationKey) {
-		n.applyConfiguration(r, u.From)
+	for _, r := range slices.Backward(merged.configurations(n.options.Platform.ConfigurationKey)) {
+		if n.applyConfiguration(r, u.From) {
+			break
+		}
 	}
 	if merged.evacuations {
 		n.applyEvacuations()
@@ -122,26 +125,28 @@
 	n.relayer.ApplyEvent(conductor.DomainsEvacuated{Domains: domains})
 }
 
-func (n *node) applyConfiguration(r watcher.Record, from identifier.Node) {
+// applyConfiguration puts a configuration in force, and returns false if it is not valid.
+func (n *node) applyConfiguration(r watcher.Record, from identifier.Node) (valid bool) {
 	refuse := func(err error) {
 		n.recorder.Event("configuration refused", "offset", int64(r.Offset), "error", err.Error())
 	}
 	configuration, err := n.options.Platform.Decode(r.Value)
 	if err != nil {
 		refuse(err)
-		return
+		return false
 	}
 	m, err := matcher.New(configuration)
 	if err != nil {
 		refuse(err)
-		return
+		return false
 	}
 	if err := m.CheckRegions(n.options.Settings.Regions); err != nil {
 		refuse(err)
-		return
+		return false
 	}
 	n.recorder.Event("configuration read", "version", int64(m.Version()), "offset", int64(r.Offset))
 	n.relayer.ApplyEvent(conductor.ConfigurationRead{Matcher: m, At: clock.Boot{}.Now(), From: from})
+	return true
 }
 
 func (n *node) watchMembers(ctx context.Context) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -206,6 +206,8 @@
 		w.next = b.Records[n-1].Offset + 1
 		w.hadRecords = !b.Relayed
 	}
+	// A pause between the parts of an answer would only make the reader later.
+	w.hadRecords = w.hadRecords && w.next >= b.End
 	w.options.OnUpdate(Update{
 		Records: b.Records, Next: w.next, AsOf: sentAt, Complete: w.next >= b.End && !b.Relayed, From: b.From,
 	})
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -23,6 +23,8 @@
 	silent  bool
 	reads   int
 	waits   []clock.Duration
+	// most is the largest number of records in an answer, 0 for no bound; hang is how many reads get no answer.
+	most, hang int
 }
 
 func (f *fakeTopic) add(key, value string) {
@@ -66,7 +68,15 @@
 	f.mu.Lock()
 	f.reads++
 	f.waits = append(f.waits, wait)
+	hangs := f.hang > 0
+	if hangs {
+		f.hang--
+	}
 	f.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
 	end := time.Now().Add(wait.Std())
 	for {
 		if ctx.Err() != nil {
@@ -86,6 +96,9 @@
 			if from < length {
 				b.Records = append(b.Records, f.records[from:]...)
 			}
+			if f.most > 0 && len(b.Records) > f.most {
+				b.Records = b.Records[:f.most]
+			}
 			f.mu.Unlock()
 			return b, nil
 		}
@@ -352,3 +365,24 @@
 	}
 	assert.Equal(t, restarts, 1)
 }
+
+// Guards against a reader that falls behind a burst of large records, since it pauses between the parts of one answer.
+func TestPartsOfARecordBurstAreReadWithoutPause(t *testing.T) {
+	f := &fakeTopic{most: 1}
+	f.add("config", "0")
+	s := &updateRecorder{values: map[string]string{}}
+	w := New(Options{
+		Topic: f, Wait: func() clock.Duration { return 30 }, Slack: 60, PauseAfterRecords: 200, Now: clock.New().Now, OnUpdate: s.record,
+		OnLost: func(error) {}, OnRegained: func() {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	eventually(t, "first value", func() bool { return s.value("config") == "0" })
+	for _, value := range []string{"1", "2", "3", "4", "5", "6"} {
+		f.add("config", value)
+	}
+	began := time.Now()
+	eventually(t, "last value", func() bool { return s.value("config") == "6" })
+	assert.Assert(t, time.Since(began) < 600*time.Millisecond)
+}
