Leave time for a read without an answer before a configuration must be in force

Callers may see: a change that is in force late at some nodes while their collector fails and a connection to the store has gone silent without a word. After an outage nodes waited up to 4 s between calls, and only a collector's proof ended that: with the collector cut off from the store, 1 s beyond the moment at which time bounds hold again.

The first read after a good one may be 0.25 s late instead of 0.7 s, and is repeated at once on a new connection, since the idle ones are closed after a call without an answer. The longest backoff is 2 s.

The new test of a hanging read fails before (2 s).

--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -22,6 +22,9 @@
 	// maxStoreLateness is how much later than the requested wait an answer of the store may arrive: its round trip takes some
 	// 10 ms, and sixty times as long when it is slow.
 	maxStoreLateness = 700 * clock.Millisecond
+	// maxFirstStoreLateness is the same for a read of the configuration that is repeated at once: on a connection that went
+	// silent, the repetition still ends before the configuration must be in force.
+	maxFirstStoreLateness = 250 * clock.Millisecond
 	// membersReadWait is how long a read of the members' topic waits. Such a read proves nothing, so only its cost matters,
 	// and the wait is the longest that stores of this kind allow.
 	membersReadWait = 30 * clock.Second
@@ -40,6 +43,7 @@
 		Wait:              n.readWait,
 		PauseAfterRecords: configurationReadPause,
 		Slack:             maxStoreLateness,
+		FirstSlack:        maxFirstStoreLateness,
 
 		Backoff:  n.storeBackoff,
 		Now:      clock.Boot{}.Now,
@@ -53,8 +57,9 @@
 
 // relayedBackoff is the backoff between failed calls to the store for a node that gets proofs and members from a collector:
 // they come with the reports, soon after the collector has them. With a collector's shorter backoff, 195 nodes would make a
-// thousand calls in an outage of some seconds.
-var relayedBackoff = watcher.Backoff{First: 100 * clock.Millisecond, Max: 4 * clock.Second, Factor: 20}
+// thousand calls in an outage of some seconds. Its longest wait ends before time bounds hold again after an outage (3 s), since the
+// collector may be cut off from the store by then.
+var relayedBackoff = watcher.Backoff{First: 100 * clock.Millisecond, Max: 2 * clock.Second, Factor: 20}
 
 func (n *node) storeBackoff() watcher.Backoff {
 	reliedOn := false
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -45,6 +45,9 @@
 	Backoff func() Backoff
 	// Slack is how long after the end of Wait an answer may arrive before the read counts as failed.
 	Slack clock.Duration
+	// FirstSlack is the same for a read after one that succeeded; if it fails without an answer, it is repeated at once with
+	// Slack. A connection that has gone silent is then noticed sooner than a slow store. 0 means Slack, without that repetition.
+	FirstSlack clock.Duration
 	// PauseAfterRecords is the pause after an answer of the store that had records. It lets one read collect several
 	// records: when a whole fleet starts, they arrive one by one.
 	PauseAfterRecords clock.Duration
@@ -107,12 +110,14 @@
 			clock.Sleep(ctx, needCheckInterval.Std())
 			continue
 		}
+		first := !w.failing
 		err := w.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		w.reportState(err)
 		switch {
+		case err != nil && first && w.options.FirstSlack > 0 && !isRefusal(err):
 		case err != nil:
 			w.waitToRetry(ctx, w.nextRetryWait())
 		case w.hadRecords:
@@ -121,6 +126,20 @@
 	}
 }
 
+// isRefusal reports whether the store has answered, so that a repetition on another connection would be refused as well.
+func isRefusal(err error) bool {
+	var refused RefusedError
+	return errors.As(err, &refused)
+}
+
+// slack returns how late the answer to the next read may be.
+func (w *Watcher) slack() clock.Duration {
+	if w.failing || w.options.FirstSlack == 0 {
+		return w.options.Slack
+	}
+	return w.options.FirstSlack
+}
+
 // waitToRetry waits after a failed attempt; Retry ends the wait early.
 func (w *Watcher) waitToRetry(ctx context.Context, span clock.Duration) {
 	limited, cancel := context.WithTimeout(ctx, span.Std())
@@ -181,7 +200,7 @@
 		wait = 0
 	}
 	w.interrupted = false
-	limited, cancel := context.WithTimeout(ctx, (wait + w.options.Slack).Std())
+	limited, cancel := context.WithTimeout(ctx, (wait + w.slack()).Std())
 	defer cancel()
 	w.beginRead(cancel, wait)
 	b, err := w.options.Topic.Read(limited, w.next, wait)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -386,3 +386,27 @@
 	eventually(t, "last value", func() bool { return s.value("config") == "6" })
 	assert.Assert(t, time.Since(began) < 600*time.Millisecond)
 }
+
+// Guards against a configuration that comes late since the read of it hangs on a connection that went silent.
+func TestReadWithoutAnswerIsRepeatedAtOnce(t *testing.T) {
+	f := &fakeTopic{}
+	f.add("config", "1")
+	s := &updateRecorder{values: map[string]string{}}
+	w := New(Options{
+		Topic: f, Wait: func() clock.Duration { return 20 }, Slack: 700, FirstSlack: 60, Now: clock.New().Now, OnUpdate: s.record,
+		Backoff: func() Backoff { return Backoff{First: 2000, Max: 2000, Factor: 1} },
+		OnLost:  func(error) {}, OnRegained: func() {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	eventually(t, "first value", func() bool { return s.value("config") == "1" })
+	f.mu.Lock()
+	f.hang = 1
+	f.mu.Unlock()
+	time.Sleep(30 * time.Millisecond)
+	f.add("config", "2")
+	began := time.Now()
+	eventually(t, "value after the silence", func() bool { return s.value("config") == "2" })
+	assert.Assert(t, time.Since(began) < 400*time.Millisecond)
+}
