Refuse for a missing route or key only on a proof that is young enough

Callers may see 404 or 401 for what a configuration holds that was accepted longer ago than configApply (rule CONFIG).

Cause: a refusal with 404 asked for no proof at all, one with 401 for one within revoke (5 s), though a change must be in force within configApply (2 s). In between nothing but the speed of the proof's way kept the promise: a refusal was final whatever the age of what it rested on.

Change: with a proof older than configApply less 50 ms these refusals become 503 (new reason staleConfiguration) with a time to return. Before any decision on such a proof the request waits up to 0.3 s for the next one, which is asked for at once, so that moved and retimed routes are decided by the newest configuration too; not while the store is known not to answer, when nothing can be confirmed and the node serves on what it has. The rule holds by the age of the proof now, not by the sum of the waits.

--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -6,6 +6,8 @@
 // Example: version 12 proved as of 1000, RevokeWithin 5000: a keyed request at 5900 is served, one at 6100 gets 503.
 
 import (
+	"net/http"
+
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
@@ -60,6 +62,25 @@
 	return c.proved && boot.Sub(c.provedAt) <= c.options.Bounds.RevokeWithin-clockMargin
 }
 
+// ConfigurationOverdue reports whether a newer configuration may have been accepted so long ago that it had to be in force here.
+func (c *Conductor) ConfigurationOverdue(boot clock.Time) bool {
+	within := c.options.Bounds.ApplyWithin
+	if c.matcher == nil || within == 0 {
+		return false
+	}
+	return !c.proved || boot.Sub(c.provedAt) > within-clockMargin
+}
+
+// refuseUnlessOverdue refuses a request for what the configuration in force lacks. While a newer one may have it, the caller is told
+// to come back: it gives up after the other refusals.
+func (c *Conductor) refuseUnlessOverdue(e RequestArrived, status int, reason Reason) {
+	if c.ConfigurationOverdue(e.Boot) {
+		c.refuseByConfiguration(e, http.StatusServiceUnavailable, StaleConfiguration, c.jitter(retryAfterStaleKeys))
+		return
+	}
+	c.refuseByConfiguration(e, status, reason, 0)
+}
+
 // ProvedAt returns the version in force and the boot time as of which it was the newest.
 func (c *Conductor) ProvedAt() (identifier.Version, clock.Time, bool) {
 	return c.Version(), c.provedAt, c.proved
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -73,7 +73,7 @@
 	}
 	route, ok := c.matcher.Match(e.Host, e.Path)
 	if !ok {
-		c.refuseByConfiguration(e, http.StatusNotFound, NoRoute, 0)
+		c.refuseUnlessOverdue(e, http.StatusNotFound, NoRoute)
 		return
 	}
 	team, ok := c.authenticate(e, route)
@@ -126,14 +126,14 @@
 	keysProved := c.keysProved(e.Boot)
 	switch {
 	case !ok && e.Key == "":
-		c.refuseByConfiguration(e, http.StatusUnauthorized, UnknownKey, 0)
+		c.refuseUnlessOverdue(e, http.StatusUnauthorized, UnknownKey)
 		return nil, false
 	case !ok && !keysProved:
 		// The key may have been issued since this node last read the store.
 		c.refuseByConfiguration(e, http.StatusServiceUnavailable, StaleKeys, retryAfterStaleKeys)
 		return nil, false
 	case !ok:
-		c.refuseByConfiguration(e, http.StatusUnauthorized, UnknownKey, 0)
+		c.refuseUnlessOverdue(e, http.StatusUnauthorized, UnknownKey)
 		return nil, false
 	case !keysProved:
 		// The key may have been withdrawn since the last proof.
--- a/internal/conductor/entry_test.go
+++ b/internal/conductor/entry_test.go
@@ -331,3 +331,35 @@
 		})
 	}
 }
+
+// Guards against refusals by an older configuration: a newer one that has the route or the key may have been accepted so long ago
+// that callers may rely on it.
+func TestRefusalsRestOnAProofThatIsYoungEnough(t *testing.T) {
+	const within = 2000 * clock.Millisecond
+	tests := map[string]struct {
+		path, key string
+		age       clock.Duration
+		status    int
+		reason    Reason
+	}{
+		"no route, young proof":    {"/new/x", "k", within - clockMargin, 404, NoRoute},
+		"no route, old proof":      {"/new/x", "k", within - clockMargin + 1, 503, StaleConfiguration},
+		"unknown key, young proof": {"/obs/x", "z", within - clockMargin, 401, UnknownKey},
+		"unknown key, old proof":   {"/obs/x", "z", within - clockMargin + 1, 503, StaleConfiguration},
+		"no key, young proof":      {"/obs/x", "", 0, 401, UnknownKey},
+		"no key, old proof":        {"/obs/x", "", within, 503, StaleConfiguration},
+		"no proof for long":        {"/obs/x", "z", 10 * within, 503, StaleKeys},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := readyConductor(t, matcher.Idempotent, peer("a", "portal"))
+			r := arrival(1, test.path)
+			r.Key, r.Boot = test.key, boot.Add(test.age)
+			refused := onlyEffect[Refuse](t, c.Apply(r, 0))
+			assert.Equal(t, refused.Status, test.status)
+			assert.Equal(t, refused.Reason, test.reason)
+			assert.Equal(t, refused.RetryAfter > 0, test.status == 503)
+			assert.Equal(t, refused.Basis.ProofAge, test.age)
+		})
+	}
+}
--- /dev/null
+++ b/internal/mesher/confirm_test.go
@@ -0,0 +1,58 @@
+package mesher
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/loader"
+	"github.com/jackdawtide/jackdawtide/internal/matcher"
+	"github.com/jackdawtide/jackdawtide/internal/recorder"
+)
+
+// Guards against requests that are decided by an older configuration although its successor is just being read, and against
+// requests that wait while the store is lost.
+func TestRequestsWaitForAProofThatCanCome(t *testing.T) {
+	const within = clock.Second
+	tests := map[string]struct {
+		age   clock.Duration
+		event func(n *node)
+		min   time.Duration
+		max   time.Duration
+	}{
+		"young proof": {age: 0, max: 20 * time.Millisecond},
+		"proof comes": {age: 2 * within, event: func(n *node) {
+			n.relayer.ApplyEvent(conductor.ConfigurationProved{Version: 1, AsOf: clock.Boot{}.Now()})
+			n.confirmation.notify()
+		}, min: 50 * time.Millisecond, max: 200 * time.Millisecond},
+		"store is lost meanwhile": {age: 2 * within, event: func(n *node) { n.confirmation.setStoreLost(true) }, min: 50 * time.Millisecond, max: 200 * time.Millisecond},
+		"older proof comes":       {age: 2 * within, event: func(n *node) { n.confirmation.notify() }, min: confirmTimeout.Std(), max: time.Second},
+		"nothing comes":           {age: 2 * within, min: confirmTimeout.Std(), max: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := clock.New()
+			k := conductor.New(conductor.Options{
+				Bounds: conductor.Bounds{RevokeWithin: 5 * within, ApplyWithin: within}, Random: rand.New(rand.NewPCG(1, 2)),
+			}, c.Now())
+			n := newNode(Options{Settings: loader.Sidecar{Descriptors: 100}}, c, k, recorder.New(io.Discard, "a", c.Now))
+			m, err := matcher.New(matcher.Configuration{Version: 1})
+			assert.NilError(t, err)
+			n.relayer.ApplyEvent(conductor.ConfigurationRead{Matcher: m})
+			n.relayer.ApplyEvent(conductor.ConfigurationProved{Version: 1, AsOf: clock.Boot{}.Now().Add(-test.age)})
+			if test.event != nil {
+				time.AfterFunc(50*time.Millisecond, func() { test.event(n) })
+			}
+			began := time.Now()
+			n.confirmConfiguration(context.Background())
+			took := time.Since(began)
+			assert.Assert(t, took >= test.min && took <= test.max, "%s", took)
+		})
+	}
+}
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -86,7 +86,8 @@
 	cancel            context.CancelFunc
 	exchangeRequested chan struct{}
 	// connections counts all open connections of the node.
-	connections *requester.Connections
+	connections  *requester.Connections
+	confirmation confirmation
 	// configurations watches the operators' topic.
 	configurations *watcher.Watcher
 }
@@ -192,6 +193,7 @@
 		EndpointAddress: o.Settings.Endpoint.String(),
 		Connections:     n.connections,
 		Publish:         n.publish,
+		Confirm:         n.confirmConfiguration,
 		Recorder:        log,
 	})
 	n.grace.Store(int64(o.Settings.Bounds.Grace))
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -97,6 +97,7 @@
 	n.relayer.ApplyEvent(conductor.PeerAnswered{Node: node, Answer: answer})
 	if proof != nil {
 		n.relayer.ApplyEvent(*proof)
+		n.confirmation.notify()
 	}
 	return false
 }
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -50,8 +50,12 @@
 		OnUpdate: n.applyOrders,
 		OnLost: func(err error) {
 			n.recorder.Event("store lost", "topic", "operators", "error", err.Error())
+			n.confirmation.setStoreLost(true)
+		},
+		OnRegained: func() {
+			n.recorder.Event("store regained", "topic", "operators")
+			n.confirmation.setStoreLost(false)
 		},
-		OnRegained: func() { n.recorder.Event("store regained", "topic", "operators") },
 	})
 }
 
@@ -102,6 +106,7 @@
 	var version identifier.Version
 	n.relayer.View(func(c *conductor.Conductor, _ clock.Time) { version = c.Version() })
 	n.relayer.ApplyEvent(conductor.ConfigurationProved{Version: version, AsOf: u.AsOf})
+	n.confirmation.notify()
 }
 
 // isOrder reports whether nodes follow a key, and whether the key evacuates a failure domain.
--- a/internal/recorder/configurations.go
+++ b/internal/recorder/configurations.go
@@ -90,3 +90,8 @@
 	}
 	r.logger.Warn("request decided by an older configuration", append(pairs, e.Basis.pairs()...)...)
 }
+
+// AwaitedConfirmation records that a request waited for a proof that the configuration in force is the newest.
+func (r *Recorder) AwaitedConfirmation() {
+	r.meters.increment("awaited_confirmations", "of", "configuration")
+}
--- a/internal/relayer/basis.go
+++ b/internal/relayer/basis.go
@@ -5,6 +5,9 @@
 // Example: a request refused by version 12, proved 1900 ms before by node c: "version":12,"proofAgeMs":1900,"proofFrom":"c".
 
 import (
+	"context"
+
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 )
@@ -27,3 +30,15 @@
 		})
 	}
 }
+
+// confirmConfiguration waits for a proof that the configuration in force is the newest, if the last one is too old to decide by.
+func (r *Relayer) confirmConfiguration(ctx context.Context) {
+	if r.options.Confirm == nil {
+		return
+	}
+	overdue := false
+	r.View(func(c *conductor.Conductor, _ clock.Time) { overdue = c.ConfigurationOverdue(r.options.Boot.Now()) })
+	if overdue {
+		r.options.Confirm(ctx)
+	}
+}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -30,6 +30,7 @@
 	key, _ := strings.CutPrefix(request.Header.Get(h.Key), h.KeyScheme)
 	path := pathOf(request.RequestURI)
 	started := r.options.Clock.Now()
+	r.confirmConfiguration(request.Context())
 	effect := r.apply(id, conductor.RequestArrived{
 		ID:      id,
 		Request: identifier.Request(request.Header.Get(h.RequestID)),
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -35,6 +35,9 @@
 	Connections *requester.Connections
 	// Publish is called with this node's member record after each change; it must not block.
 	Publish func(exchanger.Member)
+	// Confirm waits until the configuration in force is proved to be the newest, the store is known not to answer, or a short time
+	// has passed; nil if nothing can be confirmed.
+	Confirm func(context.Context)
 	// ReportEnd tells the other nodes under which requests the local endpoint ended, and returns when they know, or after a
 	// short time; nil if there are no others.
 	ReportEnd func(quarantiner.End)
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -124,21 +124,22 @@
 
 // reasonTexts explain the reasons with which a node answers a request itself.
 var reasonTexts = map[string]string{
-	"noConfiguration": "the node had read no configuration yet",
-	"noRoute":         "no route of the version in force matched",
-	"unknownKey":      "no team of the version in force held the key",
-	"staleKeys":       "the store had been out of reach for nearly as long as a withdrawn key may live",
-	"overRate":        "the team was over its rate",
-	"pressure":        "a service that the request leads to had more load than it could take",
-	"noEndpoint":      "no endpoint was left to try",
-	"noRoom":          "all endpoints that were asked were full",
-	"expired":         "the queue took longer than the request could wait",
-	"endpointGone":    "the endpoint had left",
-	"endpointDown":    "the endpoint took no connection",
-	"endpointRefused": "the endpoint declined to run it",
-	"inDoubt":         "it was sent and no answer came, so it may have run",
-	"deadline":        "its time was up",
-	"nodeStopping":    "the node was stopping and could not wait for it",
+	"noConfiguration":    "the node had read no configuration yet",
+	"noRoute":            "no route of the version in force matched",
+	"unknownKey":         "no team of the version in force held the key",
+	"staleKeys":          "the store had been out of reach for nearly as long as a withdrawn key may live",
+	"staleConfiguration": "the version in force lacks the route or key, and a newer one may have been accepted long enough ago to be in force",
+	"overRate":           "the team was over its rate",
+	"pressure":           "a service that the request leads to had more load than it could take",
+	"noEndpoint":         "no endpoint was left to try",
+	"noRoom":             "all endpoints that were asked were full",
+	"expired":            "the queue took longer than the request could wait",
+	"endpointGone":       "the endpoint had left",
+	"endpointDown":       "the endpoint took no connection",
+	"endpointRefused":    "the endpoint declined to run it",
+	"inDoubt":            "it was sent and no answer came, so it may have run",
+	"deadline":           "its time was up",
+	"nodeStopping":       "the node was stopping and could not wait for it",
 }
 
 // lastOutcome returns the last line that says how the request or an attempt ended, or the last line if none does.
