Quarantine requests under which backend servers end

Cause: the bounds on attempts hold for one caller's attempt at one node. Nothing remembered that servers had ended under a request.

Change: the node beside a server tells all others at once under which requests the server ended, before their callers learn of the break. After two ends the request, known by its fingerprint, is refused for 30 s, unrun and with a time to return; then it is offered once more, and each further end multiplies the time by four. A nested call is known by itself and together with its root request. An answer clears a request; what was answered within 10 s is not suspected; ends more than a minute apart are not added up; a VM or a failure domain that ends takes the only witness along. Weighed: reports (0.65 s on average: later than the next try), one node that keeps each request's count (a question for every request), no further attempt after an end (the requests beside the guilty one would fail).

The test of six nodes fails before (6 ends, now 2).

More than one message a node and end would be needed only beyond some thousand nodes; a push over collectors is not built.

--- a/internal/conductor/attempt_end.go
+++ b/internal/conductor/attempt_end.go
@@ -153,6 +153,8 @@
 			reason = Evacuated
 		}
 		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.jitter(r.retryAfterNoEndpoint(now)))
+	case reason == Quarantined:
+		c.refuse(r.id, http.StatusServiceUnavailable, reason, r.quarantineLeft)
 	case reason == EndpointLimited:
 		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.jitter(r.retryAfterLimit(r.limitWait, now)))
 	default:
@@ -170,14 +172,20 @@
 	if !ok {
 		return
 	}
-	if r.attempting {
-		unsent := AttemptEnded{ID: e.ID, Outcome: Abandoned}
-		c.recordAttempt(r, unsent, now)
-		c.learnReachability(r, unsent.Outcome, now)
-	}
+	c.dropUnsent(r, now)
 	c.closeCall(e.ID)
 }
 
+// dropUnsent ends an attempt that was not made.
+func (c *Conductor) dropUnsent(r *call, now clock.Time) {
+	if !r.attempting {
+		return
+	}
+	unsent := AttemptEnded{ID: r.id, Outcome: Abandoned}
+	c.recordAttempt(r, unsent, now)
+	c.learnReachability(r, unsent.Outcome, now)
+}
+
 func (c *Conductor) closeCall(id CallID) {
 	delete(c.calls, id)
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -239,6 +239,8 @@
 		c.requestArrived(e, now)
 	case AttemptEnded:
 		c.attemptEnded(e, now)
+	case RequestRecognized:
+		c.requestRecognized(e, now)
 	case RequestClosed:
 		c.requestClosed(e, now)
 	case TokenDrawn:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -73,6 +73,11 @@
 		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: EndpointGone})
 		return
 	}
+	if c.quarantiner.Judge(e.Fingerprints, now).Quarantined {
+		// The node at which the request entered was started after the ends under it.
+		c.emit(TurnAway{ID: e.ID, Outcome: Full, Reason: Quarantined})
+		return
+	}
 	if e.RateUnchecked != "" && !c.apportioner.TakeForPeer(e.RateUnchecked, now) {
 		c.emit(TurnAway{ID: e.ID, Outcome: Over, Reason: OverRate})
 		return
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -217,4 +217,5 @@
 	InDoubt            Reason = "inDoubt"
 	Deadline           Reason = "deadline"
 	NodeStopping       Reason = "nodeStopping"
+	Quarantined        Reason = "quarantined"
 )
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -64,6 +64,8 @@
 	// would have kept it waiting.
 	heldBack  bool
 	limitWait clock.Duration
+	// quarantineLeft is for how much longer the request is quarantined.
+	quarantineLeft clock.Duration
 }
 
 func (c *Conductor) requestArrived(e RequestArrived, now clock.Time) {
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -58,6 +58,12 @@
 	Member *exchanger.Member
 }
 
+// RequestRecognized gives the fingerprints of a request that a Send wants to be sent and that is quarantined; Refuse follows.
+type RequestRecognized struct {
+	ID           CallID
+	Fingerprints []identifier.Fingerprint
+}
+
 // TokenDrawn is the result of a Draw.
 type TokenDrawn struct {
 	ID   CallID
@@ -255,6 +261,7 @@
 
 func (RequestArrived) event()      {}
 func (AttemptEnded) event()        {}
+func (RequestRecognized) event()   {}
 func (TokenDrawn) event()          {}
 func (TokenRequested) event()      {}
 func (Probed) event()              {}
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 )
@@ -43,6 +44,17 @@
 	c.endpointUnreachable(EndpointUnreachable{Endpoint: e.Endpoint}, now)
 }
 
+// requestRecognized refuses a request that is quarantined; the attempt that was to be made is not.
+func (c *Conductor) requestRecognized(e RequestRecognized, now clock.Time) {
+	r, ok := c.calls[e.ID]
+	if !ok {
+		return
+	}
+	r.quarantineLeft = c.quarantiner.Judge(e.Fingerprints, now).Left
+	c.dropUnsent(r, now)
+	c.rejectCall(r, Quarantined, now)
+}
+
 // Verdict returns what is known of a request with the given fingerprints.
 func (c *Conductor) Verdict(fingerprints []identifier.Fingerprint, now clock.Time) quarantiner.Verdict {
 	return c.quarantiner.Judge(fingerprints, now)
@@ -53,6 +65,16 @@
 	return c.parents[run].fingerprint
 }
 
+// Others returns the records of all other nodes that are not lost.
+func (c *Conductor) Others() (others []exchanger.Member) {
+	for node, m := range c.members {
+		if node != c.self.Node && !c.detector.Lost(node) {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
 // rootFingerprint is the first fingerprint of a root request, and the second one of a nested call.
 func (d *delivery) rootFingerprint() identifier.Fingerprint {
 	if len(d.fingerprints) == 0 {
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -194,6 +194,7 @@
 		Connections:     n.connections,
 		Publish:         n.publish,
 		Confirm:         n.confirmConfiguration,
+		ReportEnd:       n.reportEnd,
 		Recorder:        log,
 	})
 	n.grace.Store(int64(o.Settings.Bounds.Grace))
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -144,6 +144,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/reports", n.serveReports).Methods(http.MethodPost)
 	router.HandleFunc(relayer.TokensPath, n.relayer.ServeTokens).Methods(http.MethodPost)
+	router.HandleFunc(endsPath, n.serveEnd).Methods(http.MethodPost)
 	router.HandleFunc(ordersPath, n.serveOrders).Methods(http.MethodGet)
 	router.HandleFunc("/state", n.serveState).Methods(http.MethodGet)
 	return router
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -24,8 +24,9 @@
 	firstQuarantine  = 30 * clock.Second
 	quarantineFactor = 4
 	maxQuarantine    = 10 * clock.Minute
-	// forgetAfter is how long after its last end a request is forgotten.
-	forgetAfter = 2 * maxQuarantine
+	// forgetAfter is how long after its last end, or after its quarantine, a request is forgotten. A node that does not see it
+	// answered elsewhere must not add up ends that lie far apart.
+	forgetAfter = clock.Minute
 	// survivalCounts is how long a request that a server has answered is not suspected.
 	survivalCounts = 10 * clock.Second
 	// maxSuspects and maxSurvivors bound the requests, and maxKnownEnds the ends, that are remembered.
@@ -66,7 +67,7 @@
 			continue
 		}
 		s, ok := q.suspects.get(f)
-		if !ok || now.Sub(s.ended) > forgetAfter {
+		if !ok || s.forgotten(now) {
 			s = suspect{}
 		}
 		q.suspects.put(f, suspect{ends: s.ends + 1, ended: now})
@@ -95,7 +96,7 @@
 func (q *Quarantiner) Judge(fingerprints []identifier.Fingerprint, now clock.Time) (v Verdict) {
 	for _, f := range fingerprints {
 		s, ok := q.suspects.get(f)
-		if !ok || now.Sub(s.ended) > forgetAfter {
+		if !ok || s.forgotten(now) {
 			continue
 		}
 		v.Ends = max(v.Ends, s.ends)
@@ -111,6 +112,10 @@
 	return q.suspects.len()
 }
 
+func (s suspect) forgotten(now clock.Time) bool {
+	return now.Sub(s.ended) > s.quarantine()+forgetAfter
+}
+
 func (s suspect) quarantine() clock.Duration {
 	if s.ends < maxEnds {
 		return 0
--- a/internal/relayer/endpoint_end.go
+++ b/internal/relayer/endpoint_end.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
@@ -93,10 +94,10 @@
 	return line
 }
 
-// endsUnder returns how many endpoints are known to have ended under a request.
-func (r *Relayer) endsUnder(fingerprints []identifier.Fingerprint) (ends int) {
-	r.View(func(c *conductor.Conductor, now clock.Time) { ends = c.Verdict(fingerprints, now).Ends })
-	return ends
+// verdict returns what is known of the ends of endpoints under a request.
+func (r *Relayer) verdict(fingerprints []identifier.Fingerprint) (v quarantiner.Verdict) {
+	r.View(func(c *conductor.Conductor, now clock.Time) { v = c.Verdict(fingerprints, now) })
+	return v
 }
 
 // suspicion is what was known of a request when it was sent.
--- a/internal/relayer/endpoint_end_test.go
+++ b/internal/relayer/endpoint_end_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/quarantiner"
 )
@@ -105,3 +107,45 @@
 	n.options.ReportEnd = func(quarantiner.End) { t.Error("an end was reported") }
 	assert.Equal(t, sendRequest(t, n, nil).StatusCode, http.StatusBadGateway)
 }
+
+// Guards against a request that ends one endpoint after the other, since its caller sends it again with other ids at other nodes.
+func TestRequestThatEndsEndpointsIsQuarantinedEverywhere(t *testing.T) {
+	for name, kind := range map[string]matcher.Kind{"idempotent": matcher.Idempotent, "once": matcher.NonIdempotent} {
+		t.Run(name, func(t *testing.T) {
+			nodes, ends := newMortalNodes(t, 6, kind)
+			var statuses []int
+			for _, n := range nodes {
+				statuses = append(statuses, sendRequest(t, n, to(fatalPath)).StatusCode)
+			}
+			assert.Equal(t, ends.Load(), int32(2), "%v", statuses)
+			last := sendRequest(t, nodes[5], to(fatalPath))
+			assert.Equal(t, last.StatusCode, http.StatusServiceUnavailable)
+			assert.Equal(t, strings.TrimSpace(last.text), string(conductor.Quarantined))
+			assert.Assert(t, last.Header.Get("Retry-After") != "")
+			assert.Equal(t, sendRequest(t, nodes[5], nil).StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// Guards against the quarantine of a request that endpoints answer in good health, for ends that another one caused.
+func TestRequestThatEndpointsAnswerIsNotQuarantined(t *testing.T) {
+	nodes, _ := newMortalNodes(t, 6, matcher.Idempotent)
+	healthy := []identifier.Fingerprint{}
+	for i := range 3 {
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example/obs/1?q=2", nil)
+		assert.NilError(t, err)
+		request.RequestURI = "/obs/1?q=2"
+		healthy = nodes[0].fingerprints(request, conductor.Send{Team: "parish"}, &replayable{})
+		assert.Equal(t, sendRequest(t, nodes[i], nil).StatusCode, http.StatusOK)
+	}
+	for number := range int64(3) {
+		for _, n := range nodes {
+			n.ApplyEvent(conductor.EndReceived{End: quarantiner.End{
+				ID: quarantiner.EndID{Node: "n5", Number: number}, Fingerprints: healthy,
+			}})
+		}
+	}
+	for _, n := range nodes[:3] {
+		assert.Equal(t, sendRequest(t, n, nil).StatusCode, http.StatusOK)
+	}
+}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -72,7 +72,11 @@
 			if fingerprints == nil {
 				fingerprints = r.fingerprints(request, e, body)
 			}
-			ends := r.endsUnder(fingerprints)
+			verdict := r.verdict(fingerprints)
+			if verdict.Quarantined {
+				effect = r.apply(id, conductor.RequestRecognized{ID: id, Fingerprints: fingerprints})
+				continue
+			}
 			sent := r.options.Clock.Now()
 			last = r.attempt(request, e, body, offers.any(), fingerprints)
 			offers.add(e, last, sent)
@@ -88,7 +92,7 @@
 
 				Fingerprints: fingerprints,
 			})
-			r.logSuspect(request, e, last, suspicion{fingerprints: fingerprints, ends: ends, sent: sent})
+			r.logSuspect(request, e, last, suspicion{fingerprints: fingerprints, ends: verdict.Ends, sent: sent})
 			r.logAttempt(request, e, last, started)
 			if last.exceededLimit > 0 {
 				r.apply(id, conductor.RequestClosed{ID: id})
