Don't suspect requests that outlast their time

Such requests are never answered, so nothing cleared them, and they are under an end more often than short ones. A run that lasts to its deadline has not ended its endpoint either: it counts as survived. The test fails before.

--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -187,7 +187,7 @@
 	if c.limiter == nil {
 		return
 	}
-	if e.Outcome == Answered {
+	if e.Outcome.survived() {
 		c.quarantiner.Survived(d.fingerprints, now)
 	}
 	if took := now.Sub(d.started); e.Outcome == Answered {
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -50,7 +50,7 @@
 	Wait clock.Duration
 	// Notice is what the endpoint's answer says about the endpoint.
 	Notice Notice
-	// Fingerprints are those of the request if the endpoint answered it.
+	// Fingerprints are those of the request.
 	Fingerprints []identifier.Fingerprint
 	// Replayable is set when the request's body can be sent again from its start.
 	Replayable bool
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -55,6 +55,11 @@
 	c.rejectCall(r, Quarantined, now)
 }
 
+// survived reports whether an endpoint has run the request to its answer, or to its deadline, without ending under it.
+func (o Outcome) survived() bool {
+	return o == Answered || o == Late
+}
+
 // Verdict returns what is known of a request with the given fingerprints.
 func (c *Conductor) Verdict(fingerprints []identifier.Fingerprint, now clock.Time) quarantiner.Verdict {
 	return c.quarantiner.Judge(fingerprints, now)
--- a/internal/relayer/endpoint_end_test.go
+++ b/internal/relayer/endpoint_end_test.go
@@ -149,3 +149,19 @@
 		assert.Equal(t, sendRequest(t, n, nil).StatusCode, http.StatusOK)
 	}
 }
+
+// Guards against the quarantine of requests that take longer than their time: no endpoint answers them, and none ends under them.
+func TestRequestThatOutlastsItsTimeIsNotSuspected(t *testing.T) {
+	e := newEndpoint(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	n := newNode(t, "a", "portal", e)
+	n.configure(t, configurationOf(matcher.NonIdempotent, 1))
+	sendRequest(t, n, nil)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example/obs/1?q=2", nil)
+	assert.NilError(t, err)
+	request.RequestURI = "/obs/1?q=2"
+	slow := n.fingerprints(request, conductor.Send{Team: "parish"}, &replayable{})
+	for number := range int64(2) {
+		n.ApplyEvent(conductor.EndReceived{End: quarantiner.End{ID: quarantiner.EndID{Node: "b", Number: number}, Fingerprints: slow}})
+	}
+	assert.Equal(t, n.verdict(slow).Ends, 0)
+}
