jackdawtide node: final refusals only with recent news of the configuration

A node cut off from log and peers refused a key that had been issued long before.

Change: when the newest news is older than 4 s, the time in which a change is in force everywhere, the reason is noPreset (503). By reading; no run of real processes showed it. Two of the four cases of the test fail before.

--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -87,7 +87,7 @@
 	s.calls[c.id] = c
 	team, ok := s.configurer.Resolve(e.KeyHash)
 	if !ok {
-		s.refuseKey(c)
+		s.refuseUnknown(c, Refusal{Reason: UnknownKey})
 		return
 	}
 	c.team = team
@@ -184,14 +184,20 @@
 	d.nestedCalls++
 }
 
-// refuseKey refuses a call whose key this node does not know. While a node that has just started still reads the
-// configuration, the reason is not UnknownKey, since callers treat that as final.
-func (s *State) refuseKey(c *call) {
-	if s.stillReading() {
-		s.refuse(c, Refusal{Reason: NoPreset, RetryAfter: s.randomRetryAfter(), Detail: "this node is still reading the configuration"})
-		return
+// maxFinalAge is the freshness up to which a refusal may be final: a change is in force everywhere within this time, so that what
+// is unknown here was unknown when the call was sent.
+const maxFinalAge = 4 * clock.Second
+
+// refuseUnknown refuses a call whose key or service this node does not know. While a newer configuration may know it, the reason
+// is not the given one, since callers treat that as final.
+func (s *State) refuseUnknown(c *call, r Refusal) {
+	switch {
+	case s.stillReading():
+		r = Refusal{Reason: NoPreset, RetryAfter: s.randomRetryAfter(), Detail: "this node is still reading the configuration"}
+	case s.configurer.Freshness(s.now) > maxFinalAge:
+		r = Refusal{Reason: NoPreset, RetryAfter: s.randomRetryAfter(), Detail: "no news of the configuration for too long"}
 	}
-	s.refuse(c, Refusal{Reason: UnknownKey})
+	s.refuse(c, r)
 }
 
 // stillReading reports whether this node, after its start, has not yet read the configuration to the end. What it has
@@ -217,7 +223,7 @@
 func (s *State) applyRules(c *call, deadline clock.Duration, length int64) bool {
 	r, ok := s.rules.services[c.service]
 	if !ok {
-		s.refuse(c, Refusal{Reason: UnknownService, Detail: string(c.service)})
+		s.refuseUnknown(c, Refusal{Reason: UnknownService, Detail: string(c.service)})
 		return false
 	}
 	if r.maxBody > 0 && length > r.maxBody {
--- a/internal/reducer/hold_test.go
+++ b/internal/reducer/hold_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/jackdawtide/jackdawtide/internal/claimer"
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/definer"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
@@ -58,3 +59,36 @@
 	s.Reduce(&RecordsRead{Earliest: 1, Next: 1, Asked: 5}, 20, nil)
 	assert.Assert(t, !s.refuseIfNotReady(&call{id: 2}))
 }
+
+// Guards against final refusals by an old configuration: a newer one that has the key or the service may have been in force at
+// other nodes for long.
+func TestRefusalsAreFinalOnlyWithRecentNews(t *testing.T) {
+	const read = 20
+	tests := map[string]struct {
+		after   clock.Duration
+		service identifier.Service
+		known   bool
+		want    Reason
+	}{
+		"unknown key":               {after: maxFinalAge, service: "ice", want: UnknownKey},
+		"unknown key, old news":     {after: maxFinalAge + 1, service: "ice", want: NoPreset},
+		"unknown service":           {after: maxFinalAge, service: "new", known: true, want: UnknownService},
+		"unknown service, old news": {after: maxFinalAge + 1, service: "new", known: true, want: NoPreset},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Options{Self: "a", Domain: "alfa", Decode: func([]byte) (any, error) { return nil, nil }})
+			s.rules = newRules(&definer.Preset{Name: "ordinary"}, 1)
+			s.Reduce(&RecordsRead{Earliest: 1, Next: 1, Asked: read}, read, nil)
+			s.now = clock.Time(read).Add(test.after)
+			c := &call{id: 1, service: test.service}
+			s.calls[c.id] = c
+			if test.known {
+				assert.Assert(t, !s.applyRules(c, clock.Second, 0))
+			} else {
+				s.refuseUnknown(c, Refusal{Reason: UnknownKey})
+			}
+			assert.Equal(t, s.out[len(s.out)-1].(Refuse).Refusal.Reason, test.want)
+		})
+	}
+}
