--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -187,7 +187,7 @@
 	if c.limiter == nil {
 		return
 	}
-	if e.Outcome.survived() {
+	if e.Outcome.survived() || e.Outcome == Abandoned && now.Add(deadlineSlack) >= d.deadline {
 		c.quarantiner.Survived(d.fingerprints, now)
 	}
 	if took := now.Sub(d.started); e.Outcome == Answered {
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -55,6 +55,9 @@
 	c.rejectCall(r, Quarantined, now)
 }
 
+// deadlineSlack is how much earlier than here a deadline may pass at the node where the request entered, which then leaves.
+const deadlineSlack = 50 * clock.Millisecond
+
 // survived reports whether an endpoint has run the request to its answer, or to its deadline, without ending under it.
 func (o Outcome) survived() bool {
 	return o == Answered || o == Late
--- a/internal/relayer/endpoint_end_test.go
+++ b/internal/relayer/endpoint_end_test.go
@@ -8,9 +8,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
@@ -150,12 +152,30 @@
 	}
 }
 
+// eventuallyIdle waits until no delivery is open at a node.
+func eventuallyIdle(t *testing.T, n *node) {
+	t.Helper()
+	for range 200 {
+		open := 0
+		n.View(func(c *conductor.Conductor, _ clock.Time) { _, open = c.Open() })
+		if open == 0 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("a delivery is still open after 1 s")
+}
+
 // Guards against the quarantine of requests that take longer than their time: no endpoint answers them, and none ends under them.
 func TestRequestThatOutlastsItsTimeIsNotSuspected(t *testing.T) {
 	e := newEndpoint(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	n := newNode(t, "a", "portal", e)
 	n.configure(t, configurationOf(matcher.NonIdempotent, 1))
-	sendRequest(t, n, nil)
+	entry := newNode(t, "b", "desk", newEndpoint(t, func(http.ResponseWriter, *http.Request) {}))
+	entry.configure(t, configurationOf(matcher.NonIdempotent, 1))
+	exchangeMembers(n, entry)
+	sendRequest(t, entry, nil)
+	eventuallyIdle(t, n)
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example/obs/1?q=2", nil)
 	assert.NilError(t, err)
 	request.RequestURI = "/obs/1?q=2"
