A node that knows no members admits no team that has a rate

Cause: the age of an answer's basis again: before it had read any record the node took the number of nodes it knew, one, for the fleet's, and its part of the rate for the whole.

Change: until the records have been read once, or another node has answered with what it knows, requests of teams with a rate are refused unrun (membersUnknown, 503, back in some 0.3 s), and no token is given to other nodes. Teams without a rate are served; readiness is as before. Weighed: a part by a guessed number of nodes (none is safe), not being ready (callers of unlimited teams would lose the node).

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -81,6 +81,8 @@
 
 	self    exchanger.Member
 	members map[identifier.Node]exchanger.Member
+	// seeksMembers is set until this node knows how many others there are.
+	seeksMembers bool
 	// incarnationLearnedAt is when this node learned of another node's current incarnation. silenceCheckedAt is when
 	// members were last checked for missing reports.
 	incarnationLearnedAt map[identifier.Node]clock.Time
@@ -279,6 +281,10 @@
 		c.learnOrders(e)
 	case DomainsEvacuated:
 		c.evacuate(e, now)
+	case MembersSought:
+		c.seeksMembers = true
+	case MembersRead:
+		c.seeksMembers = false
 	case MemberLearned:
 		c.learnMember(e, now)
 	case ReportsReceived:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -78,7 +78,7 @@
 		c.emit(TurnAway{ID: e.ID, Outcome: Full, Reason: Quarantined})
 		return
 	}
-	if e.RateUnchecked != "" && !c.apportioner.TakeForPeer(e.RateUnchecked, now) {
+	if e.RateUnchecked != "" && (c.seeksMembers || !c.apportioner.TakeForPeer(e.RateUnchecked, now)) {
 		c.emit(TurnAway{ID: e.ID, Outcome: Over, Reason: OverRate})
 		return
 	}
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -218,4 +218,5 @@
 	Deadline           Reason = "deadline"
 	NodeStopping       Reason = "nodeStopping"
 	Quarantined        Reason = "quarantined"
+	MembersUnknown     Reason = "membersUnknown"
 )
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -167,6 +167,10 @@
 	if r.team == nil {
 		return true
 	}
+	if c.seeksMembers && r.team.Rate > 0 {
+		c.refuse(r.id, http.StatusServiceUnavailable, MembersUnknown, c.jitter(retryAfterNoConfiguration))
+		return false
+	}
 	if c.isPooled(r.team.Name) {
 		return c.draw(r, now)
 	}
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -210,6 +210,13 @@
 	Domains []identifier.FailureDomain
 }
 
+// MembersSought means that the node knows no other node yet, and does not know whether there are any. Until MembersRead, or until
+// another node reports, it can't tell which part of a team's rate is its own.
+type MembersSought struct{}
+
+// MembersRead means that the records of all members have been read.
+type MembersRead struct{}
+
 // MemberLearned is a node's record; Dropped is set when the node withdrew it.
 type MemberLearned struct {
 	Member  exchanger.Member
@@ -281,6 +288,8 @@
 func (ProofReceived) event()       {}
 func (OrdersRead) event()          {}
 func (DomainsEvacuated) event()    {}
+func (MembersSought) event()       {}
+func (MembersRead) event()         {}
 func (MemberLearned) event()       {}
 func (ReportsReceived) event()     {}
 func (PeerFailed) event()          {}
--- a/internal/conductor/membership.go
+++ b/internal/conductor/membership.go
@@ -164,6 +164,8 @@
 func (c *Conductor) peerAnswered(e PeerAnswered, now clock.Time) {
 	c.table.RecordAnswer(e.Node)
 	c.lastExchangeAt, c.exchangeFailed = now, false
+	// The answer holds what its node knows of all others.
+	c.seeksMembers = false
 	c.detector.RecordContact(e.Node, now)
 	c.takeReports(c.table.AcceptAnswer(e.Node, e.Answer), c.members[e.Node], now)
 }
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -34,6 +34,7 @@
 func (n *node) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.relayer.ApplyEvent(conductor.MembersSought{})
 	s := n.options.Settings.Listen
 	listeners := []struct {
 		address string
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -199,6 +199,7 @@
 		}
 		n.relayer.ApplyEvent(conductor.MemberLearned{Member: m})
 	}
+	n.relayer.ApplyEvent(conductor.MembersRead{})
 	if len(u.Records) > 0 {
 		n.exchangeSoon()
 	}
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -139,6 +139,7 @@
 	"endpointRefused":    "the endpoint declined to run it",
 	"inDoubt":            "it was sent and no answer came, so it may have run",
 	"deadline":           "its time was up",
+	"membersUnknown":     "the node had not read the member records yet, and could not tell its part of the team's rate",
 	"quarantined":        "endpoints had ended under requests that ask for the same",
 	"nodeStopping":       "the node was stopping and could not wait for it",
 }
