Refuse a request at once while its body is still arriving

Cause: net/http reads up to 256 KiB of a request's body before it writes an answer, so the refusal at the deadline, and any earlier one, waited for the upload. A small body was read without any deadline before the first attempt.

Change: a refusal is written and flushed at once; what is left of the body is read after it, as long as the caller waits and up to 256 KiB, so that a caller that reads only when it has sent everything gets it, and the connection can be used again. The deadline bounds the reading of a small body too.

--- a/internal/relayer/body.go
+++ b/internal/relayer/body.go
@@ -34,16 +34,31 @@
 	maxBufferedBody = 16 << 10
 )
 
-func newReplayable(request *http.Request) (*replayable, error) {
-	if request.ContentLength == 0 {
+// newReplayable returns a request's body; a small one is read now, until the given time.
+func newReplayable(w http.ResponseWriter, request *http.Request, u *upload, until time.Time) (*replayable, error) {
+	if u == nil {
 		return &replayable{}, nil
 	}
-	if !isStreamed(request) {
-		buffered := make([]byte, request.ContentLength)
-		_, err := io.ReadFull(request.Body, buffered)
-		return &replayable{buffered: buffered, length: request.ContentLength}, err
+	if isStreamed(request) {
+		return &replayable{stream: u, length: request.ContentLength}, nil
+	}
+	buffered := make([]byte, request.ContentLength)
+	c := http.NewResponseController(w)
+	// Without support for deadlines, a caller that pauses within its body is waited for.
+	bounded := c.SetReadDeadline(until) == nil
+	_, err := io.ReadFull(u, buffered)
+	if bounded && err == nil {
+		err = c.SetReadDeadline(time.Time{})
+	}
+	return &replayable{buffered: buffered, length: request.ContentLength}, err
+}
+
+// newUpload returns the body of a request, nil if it has none.
+func newUpload(request *http.Request) *upload {
+	if request.ContentLength == 0 {
+		return nil
 	}
-	return &replayable{stream: &upload{Reader: request.Body}, length: request.ContentLength}, nil
+	return &upload{Reader: request.Body}
 }
 
 // isStreamed returns whether a request's body is too long to be buffered, or may be.
--- a/internal/relayer/handover_test.go
+++ b/internal/relayer/handover_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -127,7 +129,7 @@
 	moveToOtherDomain(entry, beside)
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "/obs/1", strings.NewReader(strings.Repeat("x", 8000)))
 	assert.NilError(t, err)
-	body, err := newReplayable(request)
+	body, err := newReplayable(httptest.NewRecorder(), request, newUpload(request), time.Now().Add(time.Second))
 	assert.NilError(t, err)
 	attempt := func() conductor.Outcome {
 		out := &requester.Request{Method: http.MethodPost, URI: "/obs/1", Host: "h.example", Header: http.Header{}}
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -6,7 +6,6 @@
 // Example: node b turns the request away as full, and the endpoint of node c answers: the caller gets only that answer.
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,6 +43,7 @@
 	if d, draws := effect.(conductor.Draw); draws {
 		effect = r.draw(request.Context(), d)
 	}
+	in := incoming{request: request, started: started, upload: newUpload(request), left: left}
 	var body *replayable
 	var last answer
 	var fingerprints []identifier.Fingerprint
@@ -53,21 +53,21 @@
 	for {
 		switch e := effect.(type) {
 		case conductor.Refuse:
-			r.refuse(w, request, e, started)
+			r.refuse(w, in, e)
 			return
 		case held:
 			effect, err = r.wait(request.Context(), e)
 			if err != nil {
-				r.endUnanswered(w, request, id, body != nil, started)
+				r.endUnanswered(w, in, id, body != nil)
 				return
 			}
 		case conductor.Send:
 			if body == nil {
-				body, err = newReplayable(request)
+				body, err = newReplayable(w, request, in.upload, r.wallTime(e.Deadline))
 			}
 			if err != nil {
-				r.apply(id, conductor.RequestClosed{ID: id})
-				panic(http.ErrAbortHandler)
+				r.bodyNotRead(w, in, id, err)
+				return
 			}
 			if fingerprints == nil {
 				fingerprints = r.fingerprints(request, e, body)
@@ -100,7 +100,7 @@
 				return
 			}
 			if last.outcome == conductor.Abandoned || last.outcome != conductor.Answered && endedByStop(request.Context()) {
-				r.endUnanswered(w, request, id, true, started)
+				r.endUnanswered(w, in, id, true)
 				return
 			}
 		case conductor.Reply:
@@ -119,16 +119,16 @@
 
 // endUnanswered ends a request whose context has ended: it is refused if its node ends, and aborted if its caller has
 // disconnected.
-func (r *Relayer) endUnanswered(w http.ResponseWriter, request *http.Request, id conductor.CallID, sent bool, started clock.Time) {
+func (r *Relayer) endUnanswered(w http.ResponseWriter, in incoming, id conductor.CallID, sent bool) {
 	r.apply(id, conductor.RequestClosed{ID: id})
-	if !endedByStop(request.Context()) {
+	if !endedByStop(in.request.Context()) {
 		panic(http.ErrAbortHandler)
 	}
 	e := conductor.Refuse{ID: id, Status: http.StatusServiceUnavailable, Reason: conductor.NodeStopping}
 	if sent {
 		e.Status = http.StatusBadGateway
 	}
-	r.refuse(w, request, e, started)
+	r.refuse(w, in, e)
 }
 
 func (r *Relayer) parent(id string) identifier.Request {
@@ -185,7 +185,8 @@
 	return true
 }
 
-func (r *Relayer) refuse(w http.ResponseWriter, request *http.Request, e conductor.Refuse, started clock.Time) {
+func (r *Relayer) refuse(w http.ResponseWriter, in incoming, e conductor.Refuse) {
+	request := in.request
 	h := w.Header()
 	if id := request.Header.Get(r.options.Headers.RequestID); id != "" {
 		h[r.options.Headers.RequestID] = []string{id}
@@ -201,13 +202,12 @@
 	}
 	h.Set("Content-Type", "text/plain")
 	r.announceIdleTimeout(request.Context(), h)
-	w.WriteHeader(e.Status)
-	_, _ = io.WriteString(w, string(e.Reason)+"\n")
+	r.writeRefusal(w, in, e)
 	r.options.Recorder.Refused(recorder.Refusal{
 		Request: request.Header.Get(r.options.Headers.RequestID),
 		Status:  e.Status,
 		Reason:  string(e.Reason),
-		After:   r.options.Clock.Now().Sub(started),
+		After:   r.options.Clock.Now().Sub(in.started),
 		Path:    request.URL.Path,
 		Basis:   basisOf(e.Basis),
 	})
