Tell the guilty request from those that ran beside it by a third end

Change: after two ends a request runs only at an endpoint that runs no other such request, and is quarantined after the third, the bound of the rule. A run to its deadline clears a request only if the endpoint has answered others meanwhile: one that ended without a word would clear the request that ended it.

--- a/internal/conductor/attempt_end.go
+++ b/internal/conductor/attempt_end.go
@@ -35,10 +35,8 @@
 		// report.
 		c.learnMember(MemberLearned{Member: *e.Member}, now)
 	}
-	if e.Outcome.survived() {
-		c.quarantiner.Survived(e.Fingerprints, now)
-	}
 	if e.Outcome == Answered {
+		c.quarantiner.Survived(e.Fingerprints, now)
 		c.learnOtherNotice(r, e.Notice, now)
 		c.emit(Reply{ID: r.id})
 		return
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -167,6 +167,8 @@
 	// quarantiner knows the requests under which endpoints ended; endsSeen counts the ends of the local endpoint.
 	quarantiner *quarantiner.Quarantiner
 	endsSeen    int64
+	// lastAnswerAt is when the local endpoint last answered a delivery.
+	lastAnswerAt clock.Time
 
 	calls map[CallID]*call
 	// awaitingEndpoint are the requests that wait for an endpoint.
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -73,8 +73,8 @@
 		c.emit(TurnAway{ID: e.ID, Outcome: Moved, Reason: EndpointGone})
 		return
 	}
-	if c.quarantiner.Judge(e.Fingerprints, now).Quarantined {
-		// The node at which the request entered was started after the ends under it.
+	if v := c.quarantiner.Judge(e.Fingerprints, now); v.Quarantined || v.Alone && c.runsSuspect(now) {
+		// A quarantined request comes from a node that was started after the ends under it.
 		c.emit(TurnAway{ID: e.ID, Outcome: Full, Reason: Quarantined})
 		return
 	}
@@ -187,7 +187,10 @@
 	if c.limiter == nil {
 		return
 	}
-	if e.Outcome.survived() || e.Outcome == Abandoned && now.Add(deadlineSlack) >= d.deadline {
+	if e.Outcome == Answered {
+		c.lastAnswerAt = now
+	}
+	if c.survivedRun(d, e.Outcome, now) {
 		c.quarantiner.Survived(d.fingerprints, now)
 	}
 	if took := now.Sub(d.started); e.Outcome == Answered {
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -58,9 +58,27 @@
 // deadlineSlack is how much earlier than here a deadline may pass at the node where the request entered, which then leaves.
 const deadlineSlack = 50 * clock.Millisecond
 
-// survived reports whether an endpoint has run the request to its answer, or to its deadline, without ending under it.
-func (o Outcome) survived() bool {
-	return o == Answered || o == Late
+// survivedRun reports whether the local endpoint has run the request to its answer, or to its deadline, without ending under it. At
+// the deadline it must have answered others meanwhile: it may have ended without a word.
+func (c *Conductor) survivedRun(d *delivery, o Outcome, now clock.Time) bool {
+	switch {
+	case o == Answered:
+		return true
+	case o == Late, o == Abandoned && now.Add(deadlineSlack) >= d.deadline:
+		return c.lastAnswerAt >= d.started.Add(now.Sub(d.started)/2)
+	default:
+		return false
+	}
+}
+
+// runsSuspect reports whether the local endpoint runs, or has queued, a request that may run only apart from others like it.
+func (c *Conductor) runsSuspect(now clock.Time) bool {
+	for _, d := range c.deliveries {
+		if c.quarantiner.Judge(d.fingerprints, now).Alone {
+			return true
+		}
+	}
+	return false
 }
 
 // Verdict returns what is known of a request with the given fingerprints.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -2,11 +2,13 @@
 
 // A request that ends whatever runs it would go from one backend server to the next: its caller sends it again with another id
 // and at another node, and a run that is repeated makes the same nested call again. It is therefore known by what it asks for.
-// Most requests under which a server ends are innocent. They are told apart by what happens next: an innocent request is soon
-// answered by another server, which clears it, and a request that was answered shortly before is not counted.
+// Most requests under which a server ends are innocent, and some of them move on to the next server together with the guilty one.
+// They are told apart by what happens next: an innocent request is soon answered by another server, which clears it, and a request
+// that was answered shortly before is not counted. After two ends a request may run only where no other such request does, so that a
+// third end tells which one is guilty.
 //
-// Example: two servers end under a fingerprint within a second: it is quarantined for 30 s. It is then sent once more, a third
-// server ends, and it is quarantined for 2 minutes.
+// Example: two servers end under f and g. Each is sent to a server of its own: g is answered and cleared, a third server ends under
+// f, which is quarantined for 30 s. It is then sent once more, a fourth server ends, and it is quarantined for 2 minutes.
 
 import (
 	"slices"
@@ -17,10 +19,11 @@
 
 const (
 	// maxEnds is how many backend servers may end under a request before it is quarantined. One end proves nothing, since all
-	// requests that the server ran are under it.
-	maxEnds = 2
+	// requests that the server ran are under it; from aloneEnds on the request runs apart from others like it.
+	maxEnds   = 3
+	aloneEnds = 2
 	// firstQuarantine is how long a request is quarantined after maxEnds ends; each further end multiplies that by
-	// quarantineFactor, up to maxQuarantine. An innocent request that was under two ends is sent again after the first one.
+	// quarantineFactor, up to maxQuarantine. A request that is innocent after all is sent again after the first one.
 	firstQuarantine  = 30 * clock.Second
 	quarantineFactor = 4
 	maxQuarantine    = 10 * clock.Minute
@@ -100,6 +103,7 @@
 			continue
 		}
 		v.Ends = max(v.Ends, s.ends)
+		v.Alone = v.Alone || s.ends >= aloneEnds
 		if left := s.quarantine() - now.Sub(s.ended); left > 0 {
 			v.Quarantined, v.Left = true, max(v.Left, left)
 		}
--- a/internal/quarantiner/types.go
+++ b/internal/quarantiner/types.go
@@ -23,6 +23,8 @@
 type Verdict struct {
 	// Ends is how many backend servers have ended under it since one last survived it.
 	Ends int
+	// Alone is set if it may run only where no other such request does.
+	Alone bool
 	// Quarantined is set if it may not be sent, for Left at most.
 	Quarantined bool
 	Left        clock.Duration
