Keep the answers to requests behind a long answer that breaks off

Cause: requests sent ahead are started before it is known how the answer before them ends. An answer above 64 KiB was forwarded from its beginning; once begun, it can end early only together with the connection.

Change: while later requests of the connection have been started, an answer above 64 KiB is read to its end before its beginning is forwarded, up to 4 MiB each and 16 MiB at a node; without an end, broken off or beyond that it fails by itself (502 or 504), and the others are answered. Where none has been started it is forwarded as before, and none is started behind it. Weighed: starting no request ahead (its callers would wait for each other), and giving up only the later ones (they have run).

--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,8 @@
 	closing bool
 	// closeAnnounced is whether mayClose has let an answer end the connection; nothing is read behind that one.
 	closeAnnounced bool
+	// holdAhead is whether no further request may be started behind the current one.
+	holdAhead bool
 	// readAborted is whether the server has aborted its background read, reading whether a read of the network is in
 	// progress; stateCond signals changes of both.
 	readAborted bool
@@ -323,6 +326,7 @@
 	}
 	handedRun := c.handedRun
 	c.handedRun = nil
+	c.holdAhead = handedRun != nil && handedRun.holdsAhead
 	return handedRun
 }
 
@@ -330,7 +334,7 @@
 func (c *connection) served() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.requestBegun = false, false
+	c.serving, c.requestBegun, c.holdAhead = false, false, false
 	if c.phase == answeringPhase {
 		c.phase = headPhase
 	}
@@ -338,7 +342,7 @@
 
 // startAhead starts requests that were sent ahead, up to Options.MaxAhead; the caller holds the lock.
 func (c *connection) startAhead() {
-	for c.serving && !c.closing && c.phase == answeringPhase && c.queue.len() < c.pipeliner.options.MaxAhead {
+	for c.serving && !c.closing && !c.holdAhead && !c.queue.holdsAhead() && c.phase == answeringPhase && c.queue.len() < c.pipeliner.options.MaxAhead {
 		ahead := c.readAhead[c.queue.coveredBytes:]
 		var b boundary
 		n, complete := b.end(ahead)
@@ -354,6 +358,19 @@
 	}
 }
 
+// holdFollowers lets no further request be started behind one, and returns whether one has been.
+func (c *connection) holdFollowers(current *run) (followed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.Index(c.queue.runs, current)
+	if i >= 0 {
+		current.holdsAhead = true
+	} else {
+		c.holdAhead = true
+	}
+	return c.queue.len() > i+1
+}
+
 // load returns whether a request is being answered, and whether bytes of a later one have been read.
 func (c *connection) load() (answering, ahead bool) {
 	c.mu.Lock()
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -186,3 +186,10 @@
 	current, ok := ctx.Value(positionKey{}).(position)
 	return !ok || current.connection.mayClose(current.run)
 }
+
+// HoldFollowers lets no further request be started behind a handler's, and returns whether one has been: its answer is lost if the
+// handler's own breaks off, since an answer that has begun can end early only together with the connection.
+func HoldFollowers(ctx context.Context) (followed bool) {
+	current, ok := ctx.Value(positionKey{}).(position)
+	return ok && current.connection.holdFollowers(current.run)
+}
--- a/internal/pipeliner/run.go
+++ b/internal/pipeliner/run.go
@@ -23,6 +23,8 @@
 type run struct {
 	// headBytesLeft is how many bytes of the request's head have not been given to the server.
 	headBytesLeft int
+	// holdsAhead is whether no further request may be started behind this one; the connection's lock guards it.
+	holdsAhead bool
 	// done is closed when the handler has returned; aborted is whether it ended by a panic.
 	done    chan struct{}
 	aborted bool
@@ -70,6 +72,11 @@
 	return first
 }
 
+// holdsAhead returns whether no further request may be started behind one of the runs.
+func (q *queue) holdsAhead() bool {
+	return slices.ContainsFunc(q.runs, func(r *run) bool { return r.holdsAhead })
+}
+
 // contains returns whether r is a run whose turn has not come.
 func (q *queue) contains(r *run) bool {
 	return slices.Contains(q.runs, r)
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/requester"
 )
 
@@ -23,11 +24,15 @@
 		cancel()
 		return a
 	}
-	if a.ContentLength > maxBufferedAnswer {
+	if a.ContentLength > maxFollowedAnswer || a.ContentLength > maxBufferedAnswer && !mayHoldUpOthers(ctx, a) {
 		return cancelAfterBody(a, cancel)
 	}
 	body, err := readBody(a.Response)
-	if err == nil && (len(body) > maxBufferedAnswer || a.early()) {
+	followed := err == nil && len(body) > maxBufferedAnswer && mayHoldUpOthers(ctx, a)
+	if followed {
+		body, err = r.readFollowedBody(a, body)
+	}
+	if err == nil && !followed && (len(body) > maxBufferedAnswer || a.early()) {
 		// The attempt goes on until the request's body has been sent.
 		a.putBack(body)
 		return cancelAfterBody(a, cancel)
@@ -41,6 +46,42 @@
 	return incompleteAttempt(ctx).on(a.connection)
 }
 
+// mayHoldUpOthers returns whether answers to later requests are due on the caller's connection, and lets no more of them be started.
+func mayHoldUpOthers(ctx context.Context, a answer) bool {
+	return !a.early() && pipeliner.HoldFollowers(ctx)
+}
+
+const (
+	// maxFollowedAnswer bounds an answer that is buffered because requests behind it on its caller's connection have been started,
+	// maxFollowedBytes all of them at this node.
+	maxFollowedAnswer = 4 << 20
+	maxFollowedBytes  = 16 << 20
+)
+
+// readFollowedBody reads a long answer to its end, though it could be forwarded from its beginning. One that has no end, or breaks
+// off, then fails by itself; forwarded in part, it would end the connection on which the answers to later requests are due.
+func (r *Relayer) readFollowedBody(a answer, begun []byte) ([]byte, error) {
+	body := bytes.NewBuffer(begun)
+	reserved := int64(0)
+	defer func() { r.followedBytes.Add(-reserved) }()
+	for {
+		reserved += maxBufferedAnswer
+		if r.followedBytes.Add(maxBufferedAnswer) > maxFollowedBytes || body.Len() > maxFollowedAnswer {
+			exceeded := requester.BoundError{Bound: "followedAnswer", Limit: maxFollowedAnswer}
+			r.options.Recorder.BoundExceeded(requester.ExceededBound{BoundError: exceeded, Connection: a.connection})
+			return nil, exceeded
+		}
+		switch _, err := io.CopyN(body, a.Body, maxBufferedAnswer); {
+		case err == io.EOF && a.ContentLength > int64(body.Len()):
+			return nil, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // putBack makes bytes that were read from the body available again, and sets the length of a body that they are all of.
 func (a answer) putBack(body []byte) {
 	if a.ContentLength < 0 && len(body) <= maxBufferedAnswer {
@@ -60,10 +101,10 @@
 	var body bytes.Buffer
 	if response.ContentLength > 0 {
 		// The buffer has room for the whole body and for the read that finds its end.
-		body.Grow(int(response.ContentLength) + bytes.MinRead)
+		body.Grow(int(min(response.ContentLength, maxBufferedAnswer+1)) + bytes.MinRead)
 	}
 	_, err := body.ReadFrom(io.LimitReader(response.Body, maxBufferedAnswer+1))
-	if err == nil && response.ContentLength > int64(body.Len()) && response.Request.Method != http.MethodHead {
+	if err == nil && response.ContentLength > int64(body.Len()) && body.Len() <= maxBufferedAnswer && response.Request.Method != http.MethodHead {
 		return nil, io.ErrUnexpectedEOF
 	}
 	return body.Bytes(), err
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -59,9 +59,11 @@
 	noticesUsed atomic.Bool
 	unread      *unreadFields
 	endChecks   endChecks
-	peers       *requester.Client
-	endpoints   *requester.Client
-	stopping    atomic.Bool
+	// followedBytes are the bytes of long answers that are buffered for the requests behind them.
+	followedBytes atomic.Int64
+	peers         *requester.Client
+	endpoints     *requester.Client
+	stopping      atomic.Bool
 }
 
 // Stop makes every further answer close its connection. Closing idle connections from this side instead could cut off a
--- a/internal/requester/types.go
+++ b/internal/requester/types.go
@@ -78,8 +78,8 @@
 
 // BoundError reports an answer that exceeds a bound; its request may have run.
 type BoundError struct {
-	// Bound is head, statusLines, chunkLine, trailer, interimAnswers or droppedAnswers, Limit the bytes, lines in a head or answers
-	// allowed.
+	// Bound is head, statusLines, chunkLine, trailer, interimAnswers, droppedAnswers or followedAnswer, Limit the bytes, lines in a
+	// head or answers allowed.
 	Bound string
 	Limit int64
 }
