Check the length of a body by the confirmed configuration

The same cause as for refusals with 404 and 401, by looking for it elsewhere: 413 is final for callers, and was given by whatever limit was in force before the wait for a proof. The check comes after that wait now, in the same look at the configuration.

--- a/internal/relayer/basis.go
+++ b/internal/relayer/basis.go
@@ -31,14 +31,20 @@
 	}
 }
 
-// confirmConfiguration waits for a proof that the configuration in force is the newest, if the last one is too old to decide by.
-func (r *Relayer) confirmConfiguration(ctx context.Context) {
-	if r.options.Confirm == nil {
-		return
-	}
+// confirmedBodyLimit returns how many bytes a body may have by the configuration in force, 0 for any number. If the last proof that it
+// is the newest is too old to decide by, it first waits for the next one.
+func (r *Relayer) confirmedBodyLimit(ctx context.Context) (limit int64) {
 	overdue := false
-	r.View(func(c *conductor.Conductor, _ clock.Time) { overdue = c.ConfigurationOverdue(r.options.Boot.Now()) })
-	if overdue {
+	read := func(c *conductor.Conductor, _ clock.Time) {
+		overdue = c.ConfigurationOverdue(r.options.Boot.Now())
+		if m := c.Matcher(); m != nil {
+			limit = m.Configuration().Limits.BodyBytes
+		}
+	}
+	r.View(read)
+	if overdue && r.options.Confirm != nil {
 		r.options.Confirm(ctx)
+		r.View(read)
 	}
+	return limit
 }
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -29,7 +29,6 @@
 	key, _ := strings.CutPrefix(request.Header.Get(h.Key), h.KeyScheme)
 	path := pathOf(request.RequestURI)
 	started := r.options.Clock.Now()
-	r.confirmConfiguration(request.Context())
 	effect := r.apply(id, conductor.RequestArrived{
 		ID:      id,
 		Request: identifier.Request(request.Header.Get(h.RequestID)),
@@ -164,12 +163,7 @@
 
 // validate answers a request that must not be forwarded with an error, and reports whether the request is valid.
 func (r *Relayer) validate(w http.ResponseWriter, request *http.Request) bool {
-	limit := int64(0)
-	r.View(func(c *conductor.Conductor, _ clock.Time) {
-		if m := c.Matcher(); m != nil {
-			limit = m.Configuration().Limits.BodyBytes
-		}
-	})
+	limit := r.confirmedBodyLimit(request.Context())
 	if limit > 0 && request.ContentLength > limit {
 		r.refuseTooLarge(w, limit)
 		return false
