--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -340,37 +339,6 @@
 	}
 }
 
-// startAhead starts requests that were sent ahead, up to Options.MaxAhead; the caller holds the lock.
-func (c *connection) startAhead() {
-	for c.serving && !c.closing && !c.holdAhead && !c.queue.holdsAhead() && c.phase == answeringPhase && c.queue.len() < c.pipeliner.options.MaxAhead {
-		ahead := c.readAhead[c.queue.coveredBytes:]
-		var b boundary
-		n, complete := b.end(ahead)
-		if !complete {
-			return
-		}
-		request, ok := parseHead(ahead[:n])
-		if !ok || !c.pipeliner.options.MayStartAhead(request) {
-			return
-		}
-		c.closing = request.Close
-		c.queue.add(c.startRun(request, n))
-	}
-}
-
-// holdFollowers lets no further request be started behind one, and returns whether one has been.
-func (c *connection) holdFollowers(current *run) (followed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	i := slices.Index(c.queue.runs, current)
-	if i >= 0 {
-		current.holdsAhead = true
-	} else {
-		c.holdAhead = true
-	}
-	return c.queue.len() > i+1
-}
-
 // load returns whether a request is being answered, and whether bytes of a later one have been read.
 func (c *connection) load() (answering, ahead bool) {
 	c.mu.Lock()
--- a/internal/recorder/ends.go
+++ b/internal/recorder/ends.go
@@ -39,7 +39,7 @@
 	}
 	requests := make([]wireEndedRequest, 0, min(len(e.Requests), maxRequestsInLine))
 	for _, q := range e.Requests[:min(len(e.Requests), maxRequestsInLine)] {
-		requests = append(requests, wireEndedRequest{Request: q.Request, Fingerprints: q.Fingerprints})
+		requests = append(requests, wireEndedRequest(q))
 	}
 	r.logger.Warn("endpoint ended", "endpoint", string(e.Endpoint), "requests", requests, "more", len(e.Requests)-len(requests),
 		"innocent", e.Innocent, "leftOut", leftOut)
--- a/internal/relayer/endpoint_end_test.go
+++ b/internal/relayer/endpoint_end_test.go
@@ -28,7 +28,7 @@
 	ends = new(atomic.Int32)
 	for i := range count {
 		var e *endpoint
-		e = newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		e = newEndpoint(t, func(_ http.ResponseWriter, r *http.Request) {
 			if !strings.HasPrefix(r.URL.Path, fatalPath) {
 				return
 			}
