--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -21,14 +21,17 @@
 // ServeOutbound serves a request from a caller or from the local endpoint.
 func (r *Relayer) ServeOutbound(w http.ResponseWriter, request *http.Request) {
 	id := r.newID()
+	started := r.options.Clock.Now()
 	if !r.validate(w, request) {
 		return
 	}
 	h := r.options.Headers
 	left, _ := milliseconds(request.Header, h.TimeLeft)
+	if waited := r.options.Clock.Now().Sub(started); left > 0 {
+		left = max(1, left-waited)
+	}
 	key, _ := strings.CutPrefix(request.Header.Get(h.Key), h.KeyScheme)
 	path := pathOf(request.RequestURI)
-	started := r.options.Clock.Now()
 	effect := r.apply(id, conductor.RequestArrived{
 		ID:      id,
 		Request: identifier.Request(request.Header.Get(h.RequestID)),
