Find a topic that was created again with as many records as before

Change: the node that reads the store looks every 4 s whether the last record that it read is still the same; one that is not belongs to another topic, which is read whole. A call and a configuration's bytes every 4 s at that node.

The test fails before.

--- a/internal/mesher/relay.go
+++ b/internal/mesher/relay.go
@@ -80,6 +80,12 @@
 	node *node
 }
 
+// IsRelayed reports whether the next read goes to a collector.
+func (t relayedTopic) IsRelayed() bool {
+	_, ok := t.node.configurationSource()
+	return ok
+}
+
 // Read waits for records at the collector or at the store. A collector that gives no answer is not a failure of the store: an
 // empty batch is returned until another collector is found or the proofs have become too old.
 func (t relayedTopic) Read(ctx context.Context, from identifier.Offset, wait clock.Duration) (watcher.Batch, error) {
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -25,6 +25,9 @@
 	// maxFirstStoreLateness is the same for a read of the configuration that is repeated at once: on a connection that went
 	// silent, the repetition still ends before the configuration must be in force.
 	maxFirstStoreLateness = 250 * clock.Millisecond
+	// verifyPeriod is how often the node that reads the store checks that the operators' topic is still the same one: within the
+	// time by which a change may be later while the store drops history (5 s).
+	verifyPeriod = 4 * clock.Second
 	// membersReadWait is how long a read of the members' topic waits. Such a read proves nothing, so only its cost matters,
 	// and the wait is the longest that stores of this kind allow.
 	membersReadWait = 30 * clock.Second
@@ -44,6 +47,7 @@
 		PauseAfterRecords: configurationReadPause,
 		Slack:             maxStoreLateness,
 		FirstSlack:        maxFirstStoreLateness,
+		VerifyEvery:       verifyPeriod,
 
 		Backoff:  n.storeBackoff,
 		Now:      clock.Boot{}.Now,
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -7,6 +7,7 @@
 // Example: a read sent at 1000 that returns empty at 2500 proves where the topic ended at 1000, not at 2500.
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -48,6 +49,9 @@
 	// FirstSlack is the same for a read after one that succeeded; if it fails without an answer, it is repeated at once with
 	// Slack. A connection that has gone silent is then noticed sooner than a slow store. 0 means Slack, without that repetition.
 	FirstSlack clock.Duration
+	// VerifyEvery is the time between two checks that the last record is still there, 0 for none. Without it a topic that was created
+	// again and holds as many records as before is taken for the same.
+	VerifyEvery clock.Duration
 	// PauseAfterRecords is the pause after an answer of the store that had records. It lets one read collect several
 	// records: when a whole fleet starts, they arrive one by one.
 	PauseAfterRecords clock.Duration
@@ -87,6 +91,12 @@
 	// records.
 	hadRecords bool
 	retryWait  clock.Duration
+	// last is the record before next, as the store gave it; lastKnown is set if it did. restarted is set when it is not there any
+	// more, and verifiedAt is when that was last checked.
+	last       Record
+	lastKnown  bool
+	restarted  bool
+	verifiedAt clock.Time
 
 	mu sync.Mutex
 	// interrupt ends the current read, which may stay open for readWait; nil while there is none.
@@ -200,6 +210,9 @@
 		wait = 0
 	}
 	w.interrupted = false
+	if w.verificationDue(sentAt) {
+		return w.verify(ctx, sentAt)
+	}
 	limited, cancel := context.WithTimeout(ctx, (wait + w.slack()).Std())
 	defer cancel()
 	w.beginRead(cancel, wait)
@@ -223,6 +236,7 @@
 	}
 	if n := len(b.Records); n > 0 {
 		w.next = b.Records[n-1].Offset + 1
+		w.last, w.lastKnown = b.Records[n-1], !b.Relayed
 		w.hadRecords = !b.Relayed
 	}
 	// A pause between the parts of an answer would only make the reader later.
@@ -233,6 +247,35 @@
 	return nil
 }
 
+// verificationDue reports whether the last record has to be looked at: not while the next read waits at another node.
+func (w *Watcher) verificationDue(now clock.Time) bool {
+	if w.options.VerifyEvery == 0 || !w.lastKnown || w.failing || now.Sub(w.verifiedAt) < w.options.VerifyEvery {
+		return false
+	}
+	relayed, ok := w.options.Topic.(interface{ IsRelayed() bool })
+	return !ok || !relayed.IsRelayed()
+}
+
+// verify reads the last record again; one that is not the same belongs to a topic that was created again.
+func (w *Watcher) verify(ctx context.Context, now clock.Time) error {
+	limited, cancel := context.WithTimeout(ctx, w.slack().Std())
+	defer cancel()
+	b, err := w.options.Topic.Read(limited, w.last.Offset, 0)
+	var dropped DroppedError
+	switch {
+	case errors.As(err, &dropped):
+		// Its history is gone, so nothing tells whether it is the same topic.
+		w.positionKnown = false
+	case err != nil:
+		return err
+	case b.Relayed:
+	case len(b.Records) == 0 || b.Records[0].Key != w.last.Key || !bytes.Equal(b.Records[0].Value, w.last.Value):
+		w.positionKnown, w.restarted = false, true
+	}
+	w.verifiedAt = now
+	return nil
+}
+
 func (w *Watcher) beginRead(interrupt context.CancelFunc, wait clock.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -267,8 +310,13 @@
 	if err != nil {
 		return err
 	}
-	restarted := b.End < w.next
-	w.next = b.End
+	restarted := w.restarted || b.End < w.next
+	w.next, w.restarted, w.lastKnown = b.End, false, false
+	for _, r := range b.Records {
+		if r.Offset == b.End-1 {
+			w.last, w.lastKnown = r, true
+		}
+	}
 	w.positionKnown = true
 	w.hadRecords = true
 	w.options.OnUpdate(Update{
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -410,3 +410,34 @@
 	eventually(t, "value after the silence", func() bool { return s.value("config") == "2" })
 	assert.Assert(t, time.Since(began) < 400*time.Millisecond)
 }
+
+// Guards against a topic that was created again, holds as many records as before, and is taken for the same one.
+func TestTopicOfTheSameLengthIsFoundToBeAnotherOne(t *testing.T) {
+	f := &fakeTopic{}
+	f.add("config", "1")
+	f.add("config", "2")
+	s := &updateRecorder{values: map[string]string{}}
+	w := New(Options{
+		Topic: f, Wait: func() clock.Duration { return 20 }, Slack: 60, VerifyEvery: 100, Now: clock.New().Now, OnUpdate: s.record,
+		OnLost: func(error) {}, OnRegained: func() {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	eventually(t, "last value", func() bool { return s.value("config") == "2" })
+	f.mu.Lock()
+	f.records = nil
+	f.mu.Unlock()
+	f.add("other", "3")
+	f.add("config", "4")
+	eventually(t, "value of the new topic", func() bool { return s.value("config") == "4" })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restarts := 0
+	for _, u := range s.updates {
+		if u.Restarted {
+			restarts++
+		}
+	}
+	assert.Equal(t, restarts, 1)
+}
