Prove no version that is older than a known one, and verify relayed records too

Change: the last record is verified whoever gave it; a version older than one that another node has is not proved. The test of the latter fails before.

--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -47,6 +47,10 @@
 	if c.matcher == nil || e.Version > c.matcher.Version() {
 		return
 	}
+	if e.Version < c.receivedProof.newestVersion {
+		// Another node has a newer version, so what was read is not the topic that holds it.
+		return
+	}
 	if e.Version < c.matcher.Version() && e.AsOf > c.configurationReadAt {
 		// The store already had the version in force here at that time, so a proof of an older version is wrong.
 		return
--- a/internal/conductor/configuration_proof_test.go
+++ b/internal/conductor/configuration_proof_test.go
@@ -177,3 +177,21 @@
 	}
 	assert.Assert(t, !c.lacksNewer(3100))
 }
+
+// Guards against a node that serves withdrawn keys since it proves its version the newest, although it knows of a newer one: it reads
+// a topic that was created again at the offset of the one before.
+func TestVersionOlderThanAKnownOneIsNotProved(t *testing.T) {
+	c := newConductor("desk")
+	configure(t, c, configuration(3, route("obs", "portal", matcher.Idempotent)), 0)
+	learnMembers(c, peer("a", "desk"))
+	c.Apply(ProofReceived{From: "a", Version: 4, AsOf: boot + 1000}, 1000)
+	c.Apply(ConfigurationProved{Version: 3, AsOf: boot + 2000}, 2000)
+	_, at, _ := c.ProvedAt()
+	assert.Equal(t, at, boot)
+	m, err := matcher.New(configuration(4, route("obs", "portal", matcher.Idempotent)))
+	assert.NilError(t, err)
+	c.Apply(ConfigurationRead{Matcher: m, At: boot + 3000}, 3000)
+	c.Apply(ConfigurationProved{Version: 4, AsOf: boot + 3000}, 3000)
+	_, at, _ = c.ProvedAt()
+	assert.Equal(t, at, boot+3000)
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -91,7 +91,7 @@
 	// records.
 	hadRecords bool
 	retryWait  clock.Duration
-	// last is the record before next, as the store gave it; lastKnown is set if it did. restarted is set when it is not there any
+	// last is the record before next, if lastKnown is set. restarted is set when it is not there any
 	// more, and verifiedAt is when that was last checked.
 	last       Record
 	lastKnown  bool
@@ -236,7 +236,8 @@
 	}
 	if n := len(b.Records); n > 0 {
 		w.next = b.Records[n-1].Offset + 1
-		w.last, w.lastKnown = b.Records[n-1], !b.Relayed
+		// An empty record may stand for a key that was missing at another node.
+		w.last, w.lastKnown = b.Records[n-1], len(b.Records[n-1].Value) > 0
 		w.hadRecords = !b.Relayed
 	}
 	// A pause between the parts of an answer would only make the reader later.
