--- a/internal/conductor/configuration.go
+++ b/internal/conductor/configuration.go
@@ -76,7 +76,7 @@
 }
 
 // refuseUnlessOverdue refuses a request for what the configuration in force lacks. While a newer one may have it, the caller is told
-// to come back: it gives up after the other refusals.
+// to retry later, since callers don't retry after 404 and 401.
 func (c *Conductor) refuseUnlessOverdue(e RequestArrived, status int, reason Reason) {
 	if c.ConfigurationOverdue(e.Boot) {
 		c.refuseByConfiguration(e, http.StatusServiceUnavailable, StaleConfiguration, c.jitter(retryAfterStaleKeys))
--- a/internal/conductor/decisions.go
+++ b/internal/conductor/decisions.go
@@ -128,7 +128,8 @@
 // other services or for another time.
 func (d decision) differsUnder(m *matcher.Matcher) bool {
 	route, found := m.Match(d.host, d.path)
-	accepted := found && (route.Public || !m.HasTeams() || m.Holds(d.key))
+	_, holds := m.TeamOf(d.key)
+	accepted := found && (route.Public || !m.HasTeams() || holds)
 	switch {
 	case accepted != (d.status == 0):
 		return true
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -179,12 +179,6 @@
 	return t, ok
 }
 
-// Holds reports whether a team holds the key.
-func (m *Matcher) Holds(key string) bool {
-	_, ok := m.keys[key]
-	return ok
-}
-
 // Service returns the service of that name, or a zero Service if the configuration has none.
 func (m *Matcher) Service(name identifier.Service) Service {
 	return m.services[name]
--- a/internal/soaker/fatal.go
+++ b/internal/soaker/fatal.go
@@ -6,7 +6,6 @@
 // Example: /look/fatal/3 ends i-2, i-5 and i-8, and is offered to i-11: offeredAfterEnds.
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -48,20 +47,18 @@
 			Address: other.outbound, Host: host, Path: path + key, ID: fmt.Sprintf("fatal-%s-%d", key, i), Key: steadyKey, Body: body,
 			Timeout: callTimeout,
 		}
-		s := Sent{
-			ID: q.ID, Node: other.name, Path: q.Path, Body: q.Body, Team: "steady", Key: q.Key, Idempotent: body == "", At: time.Now(), Fatal: true,
-		}
-		limited, cancel := context.WithTimeout(context.Background(), q.Timeout)
-		s.Answer = standin.Call(limited, client, q)
-		cancel()
-		s.Answered = time.Now()
-		f.record.AddRequest(s)
+		f.send(client, other.name, q, "steady", body == "")
 		time.Sleep(fatalPause)
 	}
 	time.Sleep(d)
 	return nil
 }
 
+// isFatal returns whether a request is meant to end an endpoint, by its own run or by that run's nested call.
+func (s Sent) isFatal() bool {
+	return strings.Contains(s.Path, standin.FatalPath) || strings.Contains(s.Path, standin.FatalNestedPath)
+}
+
 // fatalKey returns what the tries of a request that ends endpoints have in common, empty for other requests.
 func fatalKey(path string) string {
 	if _, key, ok := strings.Cut(path, standin.FatalPath); ok {
@@ -114,7 +111,7 @@
 // healthyQuarantined finds requests that were refused for ends of endpoints which they did not cause.
 func (r *Record) healthyQuarantined(Terms) (found []Breach) {
 	for _, s := range r.sent {
-		if s.Answer.Reason == quarantinedReason && !s.Fatal && fatalKey(s.Path) == "" {
+		if s.Answer.Reason == quarantinedReason && !s.isFatal() {
 			found = append(found, Breach{"healthyQuarantined", fmt.Sprintf("%s for %s was refused as %s", s.ID, s.Path, s.Answer.Reason)})
 		}
 	}
--- a/internal/soaker/judge.go
+++ b/internal/soaker/judge.go
@@ -31,8 +31,6 @@
 	// FirstInLine is when the last answer before its own had arrived on its connection, or when it was sent, if there was
 	// none. It is zero if an answer before it said that the connection closes, and if the caller cannot tell.
 	FirstInLine time.Time
-	// Probe is set for a request that may rightly be refused, Fatal for one that is meant to end endpoints.
-	Probe, Fatal bool
 }
 
 // Breach is one case of a broken promise.
@@ -346,7 +344,7 @@
 func (r *Record) notRecovered(t Terms) []Breach {
 	total, served := 0, 0
 	for _, s := range r.sent {
-		if s.Probe || s.Fatal || r.faultsEnded.IsZero() || s.At.Before(r.faultsEnded.Add(recoveryGrace)) || r.rates[s.Team].perSecond > 0 || r.issued[s.Key] == "" {
+		if s.Team == probingTeam || s.isFatal() || r.faultsEnded.IsZero() || s.At.Before(r.faultsEnded.Add(recoveryGrace)) || r.rates[s.Team].perSecond > 0 || r.issued[s.Key] == "" {
 			continue
 		}
 		if _, isWithdrawn := r.withdrawn[s.Key]; isWithdrawn {
--- a/internal/soaker/operators.go
+++ b/internal/soaker/operators.go
@@ -157,13 +157,7 @@
 }
 
 func quirkFault(name string, q standin.Quirk) fault {
-	return fault{name, func(f *fleet, _ *node, d time.Duration) error {
-		defer f.record.BeginStoreDisruption()()
-		f.store.SetQuirk(q)
-		time.Sleep(d)
-		f.store.SetQuirk(standin.NoQuirk)
-		return nil
-	}}
+	return disruptedStoreFault(name, func(s *standin.Store) { s.SetQuirk(q) }, func(s *standin.Store) { s.SetQuirk(standin.NoQuirk) })
 }
 
 // operatorFaults are changes by operators, odd behaviour of the store, and nodes that lack processor time.
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -45,11 +45,15 @@
 }
 
 func storeFault(name string, m standin.Mode) fault {
+	return disruptedStoreFault(name, func(s *standin.Store) { s.SetMode(m) }, func(s *standin.Store) { s.SetMode(standin.Healthy) })
+}
+
+func disruptedStoreFault(name string, begin, end func(*standin.Store)) fault {
 	return fault{name, func(f *fleet, _ *node, d time.Duration) error {
 		defer f.record.BeginStoreDisruption()()
-		f.store.SetMode(m)
+		begin(f.store)
 		time.Sleep(d)
-		f.store.SetMode(standin.Healthy)
+		end(f.store)
 		return nil
 	}}
 }
--- a/internal/soaker/traffic.go
+++ b/internal/soaker/traffic.go
@@ -195,7 +195,6 @@
 	limited, cancel := context.WithTimeout(context.Background(), q.Timeout)
 	defer cancel()
 	s := Sent{ID: q.ID, Node: node, Path: q.Path, Body: q.Body, Team: team, Key: q.Key, Idempotent: idempotent, At: time.Now()}
-	s.Probe = team == probingTeam
 	s.Answer = standin.Call(limited, client, q)
 	s.Answered = time.Now()
 	f.record.AddRequest(s)
--- a/internal/soaker/versions_test.go
+++ b/internal/soaker/versions_test.go
@@ -47,7 +47,7 @@
 
 func addProbe(r *Record, id, path, key string, at float64, service string, status int) {
 	s := Sent{
-		ID: id, Node: "node-1", Path: path, Key: key, Team: probingTeam, Idempotent: true, Probe: true, At: second(at), Answered: second(at + 0.05),
+		ID: id, Node: "node-1", Path: path, Key: key, Team: probingTeam, Idempotent: true, At: second(at), Answered: second(at + 0.05),
 		Answer: standin.Answer{Status: status, Correct: true, RetryAfter: "1"},
 	}
 	r.AddRequest(s)
@@ -107,7 +107,7 @@
 			for i := range 20 {
 				addProbe(r, fmt.Sprint("x", i), "/shift1/x", probingKey, 25, "", 503)
 			}
-			s := Sent{ID: "first", Node: "node-1", Key: steadyKey, At: second(25), Answered: second(25), Probe: true}
+			s := Sent{ID: "first", Node: "node-1", Key: steadyKey, At: second(25), Answered: second(25)}
 			s.Answer = standin.Answer{Status: 200, Correct: true}
 			r.AddRequest(s)
 		}, "addedRouteNotServed"},
@@ -157,7 +157,7 @@
 func addLongProbes(r *Record, all, late int, lasting float64) {
 	for i := range all {
 		s := Sent{
-			ID: fmt.Sprint("long", i), Node: "node-1", Path: "/shift0/slow", Key: probingKey, Team: probingTeam, Probe: true,
+			ID: fmt.Sprint("long", i), Node: "node-1", Path: "/shift0/slow", Key: probingKey, Team: probingTeam,
 			At: second(30), Answered: second(30.5), Answer: standin.Answer{Status: 504},
 		}
 		if i < late {
@@ -186,7 +186,7 @@
 			for i, at := range test.offers {
 				// Half of the tries are nested calls, which have no key.
 				id := fmt.Sprint("try-", i)
-				r.AddRequest(Sent{ID: id, Path: []string{"/look/fatal/7", "/inner/fatal/7"}[i%2], At: second(at), Fatal: true})
+				r.AddRequest(Sent{ID: id, Path: []string{"/look/fatal/7", "/inner/fatal/7"}[i%2], At: second(at)})
 				r.AddArrival(standin.Arrival{Request: id, Instance: fmt.Sprint("i-", i), At: second(at)})
 			}
 			for i, at := range test.ends {
@@ -201,7 +201,7 @@
 func TestHealthyQuarantineCheck(t *testing.T) {
 	r := NewRecord()
 	refused := standin.Answer{Status: 503, Reason: quarantinedReason}
-	r.AddRequest(Sent{ID: "fatal", Path: "/look/fatal/7", Answer: refused, Fatal: true})
+	r.AddRequest(Sent{ID: "fatal", Path: "/look/fatal/7", Answer: refused})
 	assert.Equal(t, len(r.healthyQuarantined(terms)), 0)
 	r.AddRequest(Sent{ID: "healthy", Path: "/look/x", Answer: refused})
 	assert.Equal(t, len(r.healthyQuarantined(terms)), 1)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -132,14 +132,21 @@
 }
 
 func watch(t *testing.T, f *fakeTopic) *updateRecorder {
+	t.Helper()
+	return watchWith(t, f, func(*Options) {})
+}
+
+// watchWith watches a topic with changed options.
+func watchWith(t *testing.T, f *fakeTopic, change func(o *Options)) *updateRecorder {
 	t.Helper()
 	s := &updateRecorder{values: map[string]string{}}
-	c := clock.New()
-	w := New(Options{
-		Topic: f, Wait: func() clock.Duration { return 30 }, Slack: 60, Now: c.Now, OnUpdate: s.record,
+	o := Options{
+		Topic: f, Wait: func() clock.Duration { return 30 }, Slack: 60, Now: clock.New().Now, OnUpdate: s.record,
 		OnLost:     func(error) { s.mu.Lock(); s.lost++; s.mu.Unlock() },
 		OnRegained: func() { s.mu.Lock(); s.regained++; s.mu.Unlock() },
-	})
+	}
+	change(&o)
+	w := New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { w.Run(ctx); close(done) }()
@@ -370,14 +377,7 @@
 func TestPartsOfARecordBurstAreReadWithoutPause(t *testing.T) {
 	f := &fakeTopic{most: 1}
 	f.add("config", "0")
-	s := &updateRecorder{values: map[string]string{}}
-	w := New(Options{
-		Topic: f, Wait: func() clock.Duration { return 30 }, Slack: 60, PauseAfterRecords: 200, Now: clock.New().Now, OnUpdate: s.record,
-		OnLost: func(error) {}, OnRegained: func() {},
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go w.Run(ctx)
+	s := watchWith(t, f, func(o *Options) { o.PauseAfterRecords = 200 })
 	eventually(t, "first value", func() bool { return s.value("config") == "0" })
 	for _, value := range []string{"1", "2", "3", "4", "5", "6"} {
 		f.add("config", value)
@@ -391,15 +391,10 @@
 func TestReadWithoutAnswerIsRepeatedAtOnce(t *testing.T) {
 	f := &fakeTopic{}
 	f.add("config", "1")
-	s := &updateRecorder{values: map[string]string{}}
-	w := New(Options{
-		Topic: f, Wait: func() clock.Duration { return 20 }, Slack: 700, FirstSlack: 60, Now: clock.New().Now, OnUpdate: s.record,
-		Backoff: func() Backoff { return Backoff{First: 2000, Max: 2000, Factor: 1} },
-		OnLost:  func(error) {}, OnRegained: func() {},
+	s := watchWith(t, f, func(o *Options) {
+		o.Slack, o.FirstSlack = 700, 60
+		o.Backoff = func() Backoff { return Backoff{First: 2000, Max: 2000, Factor: 1} }
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go w.Run(ctx)
 	eventually(t, "first value", func() bool { return s.value("config") == "1" })
 	f.mu.Lock()
 	f.hang = 1
@@ -416,14 +411,7 @@
 	f := &fakeTopic{}
 	f.add("config", "1")
 	f.add("config", "2")
-	s := &updateRecorder{values: map[string]string{}}
-	w := New(Options{
-		Topic: f, Wait: func() clock.Duration { return 20 }, Slack: 60, VerifyEvery: 100, Now: clock.New().Now, OnUpdate: s.record,
-		OnLost: func(error) {}, OnRegained: func() {},
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go w.Run(ctx)
+	s := watchWith(t, f, func(o *Options) { o.VerifyEvery = 100 })
 	eventually(t, "last value", func() bool { return s.value("config") == "2" })
 	f.mu.Lock()
 	f.records = nil
