A stopping node resets no connection that is being set up

Cause: two gaps in the listener's close. After a millisecond without a connection it closed, also if that millisecond had passed while the process had no processor and a connection waited. And closing resets connections that are set up between the last look and the close, and those whose callers have the system's answer already and not yet sent the last segment.

Change: a stop first attaches a socket filter that drops segments with SYN, so that no connection begins any more; then it accepts until none waits, by poll and not by the clock alone, and closes. Multipath TCP is switched off for these listeners, as it takes no filter.

--- a/internal/assembler/lifecycle.go
+++ b/internal/assembler/lifecycle.go
@@ -117,7 +117,9 @@
 	// Callers that use their connections while the node leaves are told by an answer that these end. Those that send ahead
 	// can't be told so, and others may send nothing; after that time no more is read. Half of the drain timeout is left for
 	// what was read.
-	s.servers.caller.startStop()
+	if err := s.servers.caller.startStop(); err != nil {
+		s.logger.Warn("connections being set up may be reset", "error", err)
+	}
 	leaveCtx, cancelLeave := context.WithTimeout(drainCtx, s.drainTimeout/2)
 	defer cancelLeave()
 	s.await(leaveCtx, s.state.Departed)
--- a/internal/assembler/listener.go
+++ b/internal/assembler/listener.go
@@ -1,5 +1,6 @@
-// A listener that closes resets the connections that the system has set up and the node has not accepted: their callers have
-// connected, may have sent a request, and get no answer. Therefore a listener accepts what waits before it closes.
+// A listener that closes resets the connections that the system has set up or is setting up and the node has not accepted: their
+// callers have connected, may have sent a request, and get no answer. Therefore a listener that stops lets no further connection
+// begin, accepts those that have begun, and only then closes. Callers that try meanwhile are refused at their system's next try.
 //
 // Example: at the bound of connections a fifth caller waits; a stop begins; another connection ends with its answer; the fifth
 // is accepted and answered, and only then is the listener closed.
@@ -7,18 +8,36 @@
 package assembler
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// emptyAfter is how long no connection must have waited before a closing listener closes; package net tries to accept only if
-// the deadline lies ahead.
+// emptyAfter is how long no connection must have waited before a closing listener closes: the round trip in which a connection
+// that has begun is set up.
 const emptyAfter = time.Millisecond
 
+// dropBeginnings is a socket filter that drops TCP segments with SYN, the first of a connection, and passes all others.
+var dropBeginnings = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+	{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: tcpSYN, Jf: 1},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: wholeSegment},
+}
+
+const (
+	// tcpFlagsOffset is where the flags stand in a TCP header, tcpSYN is that of a connection's first segment.
+	tcpFlagsOffset = 13
+	tcpSYN         = 0x02
+	wholeSegment   = 0xffffffff
+)
+
 // listener bounds the number of open connections; more wait until one closes.
 type listener struct {
 	*net.TCPListener
@@ -29,7 +48,10 @@
 }
 
 func listen(address string, maxConnections int64) (*listener, error) {
-	inner, err := net.Listen("tcp", address)
+	config := net.ListenConfig{}
+	// Multipath TCP takes no socket filter.
+	config.SetMultipathTCP(false)
+	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -65,16 +87,51 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
-		if closing {
+		if closing && !l.waiting() {
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 	}
 }
 
-// closeWhenEmpty lets Accept close the listener once no connection waits.
-func (l *listener) closeWhenEmpty() {
+// closeWhenEmpty lets no further connection begin, and Accept close the listener once none waits. Calling it again has no effect.
+func (l *listener) closeWhenEmpty() error {
+	if l.closing.Load() {
+		return nil
+	}
+	err := l.control(func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{
+			Len: uint16(len(dropBeginnings)), Filter: &dropBeginnings[0],
+		})
+	})
 	l.closing.Store(true)
+	// An error means that Accept has closed the listener already.
 	_ = l.SetDeadline(time.Now().Add(emptyAfter))
+	return err
+}
+
+// waiting returns whether a connection waits to be accepted: on a busy processor the deadline may pass before Accept has looked.
+func (l *listener) waiting() bool {
+	waits := false
+	err := l.control(func(fd int) error {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = n > 0
+		return err
+	})
+	// An error means that the listener is closed, or that a signal came first.
+	return waits || errors.Is(err, unix.EINTR)
+}
+
+// control calls f with the listener's file descriptor.
+func (l *listener) control(f func(fd int) error) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
+		return err
+	}
+	return failed
 }
 
 // Close closes the listener at once; closing it again has no effect.
--- a/internal/assembler/servers.go
+++ b/internal/assembler/servers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -153,31 +154,35 @@
 	return nil
 }
 
-// startStop closes the listener and lets each answer end its connection. Requests on open connections are served.
-func (s *server) startStop() {
+// startStop closes the listener and lets each answer end its connection. Requests on open connections are served. After an error
+// the listener closes as well, but may reset connections that are being set up.
+func (s *server) startStop() error {
 	s.leaving.Store(true)
-	s.listener.closeWhenEmpty()
+	if err := s.listener.closeWhenEmpty(); err != nil {
+		return fmt.Errorf("%s listener: let no connection begin: %w", s.name, err)
+	}
+	return nil
 }
 
 // stop reads no more requests and waits until those that were read are answered and all connections have ended. Requests that are
 // at work when ctx ends are cancelled and answered.
 func (s *server) stop(ctx context.Context) error {
-	s.startStop()
+	startErr := s.startStop()
 	select {
 	case <-s.accepted:
 	case <-time.After(acceptTimeout):
 	}
 	if err := s.pipeliner.StopReading(); err != nil {
-		return fmt.Errorf("%s listener: %w", s.name, err)
+		return errors.Join(startErr, fmt.Errorf("%s listener: %w", s.name, err))
 	}
 	if s.awaitEnd(ctx) {
-		return nil
+		return startErr
 	}
 	s.cancelRequests(receiver.ErrStopped)
 	cancelledCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer cancel()
 	s.awaitEnd(cancelledCtx)
-	return fmt.Errorf("%s listener: calls still under way: %w", s.name, ctx.Err())
+	return errors.Join(startErr, fmt.Errorf("%s listener: calls still under way: %w", s.name, ctx.Err()))
 }
 
 // awaitEnd waits until all connections have ended, and returns whether they have before ctx ends.
--- a/internal/assembler/stop_test.go
+++ b/internal/assembler/stop_test.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -157,3 +161,56 @@
 	}
 	assert.NilError(t, <-result)
 }
+
+// Callers connect all the time while a listener stops: one whose connection is set up between the last that is accepted and the
+// listener's close is reset with its request.
+func TestStopResetsNoConnectionThatIsBeingSetUp(t *testing.T) {
+	const stops, callers, work = 60, 16, 7 * time.Millisecond
+	var answers, cut atomic.Int64
+	var stopping sync.WaitGroup
+	for range stops {
+		s := newServer("test", "127.0.0.1:0", nil, loader.DefaultLimits(), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			time.Sleep(work)
+		}))
+		assert.NilError(t, s.start())
+		t.Cleanup(s.kill)
+		for range callers {
+			stopping.Go(func() {
+				for {
+					err := callOnNewConnection(s.address())
+					var dial *net.OpError
+					switch {
+					case err == nil:
+						answers.Add(1)
+					case errors.As(err, &dial) && dial.Op == "dial" && errors.Is(err, syscall.ECONNREFUSED):
+						return
+					default:
+						cut.Add(1)
+					}
+				}
+			})
+		}
+		stopping.Go(func() {
+			time.Sleep(50 * time.Millisecond)
+			assert.Check(t, s.startStop())
+		})
+	}
+	stopping.Wait()
+	assert.Equal(t, cut.Load(), int64(0), "beside %d answers", answers.Load())
+}
+
+func callOnNewConnection(address string) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, smallRequest); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
