Read the store no more often than before to follow the configuration

Change: a topic that was just read, or is read through another node, which checks it, counts as checked.

--- a/internal/mesher/confirm_test.go
+++ b/internal/mesher/confirm_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/exchanger"
 	"github.com/jackdawtide/jackdawtide/internal/loader"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
@@ -56,3 +57,29 @@
 		})
 	}
 }
+
+// Guards against a configuration that is late at a node whose collector fails and whose first read of the store gets no answer: a
+// second read must fit into the time.
+func TestReadWithoutAnswerLeavesTimeForAnother(t *testing.T) {
+	const within, roundTrip = 2 * clock.Second, 10 * clock.Millisecond
+	proved, now := clock.Time(50_000), clock.Time(10_000)
+	k := conductor.New(conductor.Options{
+		Bounds: conductor.Bounds{RevokeWithin: 5 * clock.Second, ApplyWithin: within}, Random: rand.New(rand.NewPCG(1, 2)),
+	}, now)
+	m, err := matcher.New(matcher.Configuration{Version: 1})
+	assert.NilError(t, err)
+	collector := exchanger.Member{Node: "a", Service: "portal"}
+	k.Apply(conductor.ConfigurationRead{Matcher: m}, now)
+	k.Apply(conductor.MemberLearned{Member: collector}, now)
+	age := clock.Duration(0)
+	for relayed := true; relayed; age += 10 {
+		k.Apply(conductor.PeerAnswered{Node: "a", Answer: exchanger.Answer{Reports: []exchanger.Report{
+			{Member: collector, Number: int64(age) + 1},
+		}}}, now.Add(age))
+		k.Apply(conductor.ProofReceived{From: "a", Version: 1, AsOf: proved}, now.Add(age))
+		_, relayed = k.ConfigurationSource(now.Add(age), proved.Add(age))
+		assert.Assert(t, age < within, "no read of the store at all")
+	}
+	assert.Assert(t, age >= within/2, "a read of the store %d ms after the proof", age)
+	assert.Assert(t, age+maxFirstStoreLateness+2*roundTrip < within, "relies on a proof for %d ms", age)
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -217,6 +217,10 @@
 	defer cancel()
 	w.beginRead(cancel, wait)
 	b, err := w.options.Topic.Read(limited, w.next, wait)
+	if b.Relayed {
+		// The node that relays checks the topic that it reads.
+		w.verifiedAt = sentAt
+	}
 	if w.endRead() {
 		w.interrupted = true
 		return nil
@@ -313,6 +317,7 @@
 	}
 	restarted := w.restarted || b.End < w.next
 	w.next, w.restarted, w.lastKnown = b.End, false, false
+	w.verifiedAt = sentAt
 	for _, r := range b.Records {
 		if r.Offset == b.End-1 {
 			w.last, w.lastKnown = r, true
