A stopping node waits until its listener has accepted what waits

With requests of 100 ms or more the waiting connections were reset each time. One that had been accepted a moment before was closed as idle before its request had been read.

Change: no connection begins any more, so the ones that wait are finite and the stop waits for all of them; at the bound it ends connections that have been open for 100 ms, idle ones at once, others with their answers. Afterwards what was accepted last has 100 ms to send its request. If the filter can't be set, connections may begin for ever, and the stop does not wait.

--- a/internal/assembler/servers.go
+++ b/internal/assembler/servers.go
@@ -24,7 +24,7 @@
 	"github.com/jackdawtide/jackdawtide/internal/receiver"
 )
 
-// acceptTimeout bounds how long a stop waits for the listener to accept what waits; longer only if no connection may be added.
+// acceptTimeout is how long a stop lets a connection that was just accepted send its first request.
 const acceptTimeout = 100 * time.Millisecond
 
 // cancelTimeout bounds how long requests that are cancelled at the end of a stop may take to be answered.
@@ -168,10 +168,10 @@
 // at work when ctx ends are cancelled and answered.
 func (s *server) stop(ctx context.Context) error {
 	startErr := s.startStop()
-	select {
-	case <-s.accepted:
-	case <-time.After(acceptTimeout):
+	if startErr == nil {
+		s.awaitAccepted(ctx)
 	}
+	s.awaitFirstRequests(ctx)
 	if err := s.pipeliner.StopReading(); err != nil {
 		return errors.Join(startErr, fmt.Errorf("%s listener: %w", s.name, err))
 	}
@@ -185,6 +185,31 @@
 	return errors.Join(startErr, fmt.Errorf("%s listener: calls still under way: %w", s.name, ctx.Err()))
 }
 
+// awaitAccepted waits until the listener has accepted the connections that wait. At the bound of connections they get the room of
+// those that are idle, or have their answers.
+func (s *server) awaitAccepted(ctx context.Context) {
+	t := time.NewTicker(acceptTimeout)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.accepted:
+			return
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			s.pipeliner.StopReadingOpened(now.Add(-acceptTimeout))
+		}
+	}
+}
+
+// awaitFirstRequests lets connections that were just accepted send a request; all others end.
+func (s *server) awaitFirstRequests(ctx context.Context) {
+	s.pipeliner.StopReadingOpened(time.Now().Add(-acceptTimeout))
+	limited, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	s.awaitEnd(limited)
+}
+
 // awaitEnd waits until all connections have ended, and returns whether they have before ctx ends.
 func (s *server) awaitEnd(ctx context.Context) bool {
 	t := time.NewTicker(idlePollInterval)
--- a/internal/assembler/stop_test.go
+++ b/internal/assembler/stop_test.go
@@ -144,22 +144,40 @@
 	return c
 }
 
-// All connections that a listener may have are open, and one more waits with its request: if the listener closed at once, the
-// system would reset that connection.
+// All connections that a listener may have are open, and more wait with their requests: if the listener closed at once, or after a
+// time, the system would reset those connections.
 func TestStopAnswersConnectionsThatWait(t *testing.T) {
-	s := serve(t, 0, answerSizes)
-	var readers []*bufio.Reader
-	for range 3 {
-		c := dial(t, s)
-		fmt.Fprint(c, smallRequest)
-		readers = append(readers, bufio.NewReader(c))
-	}
-	time.Sleep(20 * time.Millisecond)
-	result := stopSoon(t, s)
-	for _, r := range readers {
-		readAnswer(t, r)
+	for name, test := range map[string]struct {
+		work time.Duration
+		// idle is how many connections send nothing; more is how many wait for others to end.
+		idle, more int
+	}{
+		"short requests":     {work: 50 * time.Millisecond, more: 1},
+		"long requests":      {work: 4 * acceptTimeout, more: 1},
+		"several in a row":   {work: 2 * acceptTimeout, more: 5},
+		"an idle connection": {work: 2 * acceptTimeout, idle: 1, more: 2},
+		"only idle ones":     {work: 50 * time.Millisecond, idle: 2, more: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, 0, func(http.ResponseWriter, *http.Request) { time.Sleep(test.work) })
+			for range test.idle {
+				dial(t, s)
+			}
+			time.Sleep(20 * time.Millisecond)
+			var readers []*bufio.Reader
+			for range cap(s.listener.slots) - test.idle + test.more {
+				c := dial(t, s)
+				fmt.Fprint(c, smallRequest)
+				readers = append(readers, bufio.NewReader(c))
+			}
+			time.Sleep(20 * time.Millisecond)
+			result := stopSoon(t, s)
+			for _, r := range readers {
+				readAnswer(t, r)
+			}
+			assert.NilError(t, <-result)
+		})
 	}
-	assert.NilError(t, <-result)
 }
 
 // Callers connect all the time while a listener stops: one whose connection is set up between the last that is accepted and the
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -50,6 +50,7 @@
 type connection struct {
 	net.Conn
 	pipeliner *Pipeliner
+	openedAt  time.Time
 	// cancelAhead cancels the context of the requests that were started ahead.
 	cancelAhead context.CancelFunc
 	context     context.Context
@@ -92,7 +93,7 @@
 
 func newConnection(inner net.Conn, p *Pipeliner) *connection {
 	ctx, cancel := context.WithCancel(p.options.Context)
-	c := &connection{Conn: inner, pipeliner: p, context: ctx, cancelAhead: cancel}
+	c := &connection{Conn: inner, pipeliner: p, openedAt: time.Now(), context: ctx, cancelAhead: cancel}
 	c.stateCond = sync.NewCond(&c.mu)
 	return c
 }
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Options configures a pipeliner.
@@ -90,6 +91,15 @@
 	return errors.Join(failed...)
 }
 
+// StopReadingOpened lets no further request be read from connections that were opened before a time; they end as in StopReading.
+func (p *Pipeliner) StopReadingOpened(before time.Time) {
+	for _, c := range p.snapshot() {
+		if c.openedAt.Before(before) {
+			c.stopReading()
+		}
+	}
+}
+
 // Close closes all connections at once, whatever they hold.
 func (p *Pipeliner) Close() {
 	p.cancel()
