--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -36,6 +36,13 @@
 	f.records = append(f.records, Record{Key: key, Value: []byte(value), Offset: identifier.Offset(len(f.records))})
 }
 
+// createAgain empties the topic, so that offsets begin at 0.
+func (f *fakeTopic) createAgain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = nil
+}
+
 func (f *fakeTopic) simulateFault(ctx context.Context) error {
 	f.mu.Lock()
 	silent, refuse := f.silent, f.refuse
@@ -137,6 +144,18 @@
 	return s.values[key]
 }
 
+// restarts returns the updates that say that the topic was created again.
+func (s *updateRecorder) restarts() (all []Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.updates {
+		if u.Restarted {
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
 func watch(t *testing.T, f *fakeTopic) *updateRecorder {
 	t.Helper()
 	return watchWith(t, f, func(*Options) {})
@@ -362,21 +381,12 @@
 	f.add("config", "2")
 	s := watch(t, f)
 	eventually(t, "last value", func() bool { return s.value("config") == "2" })
-	f.mu.Lock()
-	f.records = nil
-	f.mu.Unlock()
+	f.createAgain()
 	f.add("config", "3")
 	eventually(t, "value of the new topic", func() bool { return s.value("config") == "3" })
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	restarts := 0
-	for _, u := range s.updates {
-		if u.Restarted {
-			restarts++
-			assert.Assert(t, u.Snapshot && u.Complete)
-		}
-	}
-	assert.Equal(t, restarts, 1)
+	restarts := s.restarts()
+	assert.Equal(t, len(restarts), 1)
+	assert.Assert(t, restarts[0].Snapshot && restarts[0].Complete)
 }
 
 // Guards against a reader that falls behind a burst of large records, since it pauses between the parts of one answer.
@@ -419,21 +429,11 @@
 	f.add("config", "2")
 	s := watchWith(t, f, func(o *Options) { o.VerifyEvery = 100 })
 	eventually(t, "last value", func() bool { return s.value("config") == "2" })
-	f.mu.Lock()
-	f.records = nil
-	f.mu.Unlock()
+	f.createAgain()
 	f.add("other", "3")
 	f.add("config", "4")
 	eventually(t, "value of the new topic", func() bool { return s.value("config") == "4" })
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	restarts := 0
-	for _, u := range s.updates {
-		if u.Restarted {
-			restarts++
-		}
-	}
-	assert.Equal(t, restarts, 1)
+	assert.Equal(t, len(s.restarts()), 1)
 }
 
 // Guards against calls to the store that check what has just been read: at a node's start, and while another node relays.
