--- a/internal/relayer/basis.go
+++ b/internal/relayer/basis.go
@@ -12,13 +12,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 )
 
-func basisOf(b *conductor.Basis) *recorder.Basis {
-	if b == nil {
-		return nil
-	}
-	return &recorder.Basis{Version: b.Version, ProofAge: b.ProofAge, VersionFrom: b.VersionFrom, ProofFrom: b.ProofFrom}
-}
-
 func (r *Relayer) logInForce(e conductor.ConfigurationInForce) {
 	r.options.Recorder.PutInForce(recorder.InForce{
 		Version: e.Version, Previous: e.Previous, From: e.From, Within: e.Within, Outdated: e.OutdatedCount,
@@ -26,7 +19,7 @@
 	for _, o := range e.Outdated {
 		r.options.Recorder.DecidedByOlder(recorder.Outdated{
 			Request: string(o.Request), Path: o.Path, Status: o.Status, Route: o.Route, Newer: e.Version, After: o.Age,
-			Basis: *basisOf(&o.Basis),
+			Basis: recorder.Basis(o.Basis),
 		})
 	}
 }
--- a/internal/relayer/outbound.go
+++ b/internal/relayer/outbound.go
@@ -206,7 +206,7 @@
 		Reason:  string(e.Reason),
 		After:   r.options.Clock.Now().Sub(in.started),
 		Path:    request.URL.Path,
-		Basis:   basisOf(e.Basis),
+		Basis:   (*recorder.Basis)(e.Basis),
 	})
 }
 
