Soak: judge a rate limit only once an endpoint has named it

Change: a limit counts if a request reached the endpoint while its answers named it, as it can only be named in an answer. The record now also holds when the unreadable text began. All cases of TestLimitCheck stay as they are; the new case of a limit that nobody was told fails before, and its twin, in which one request was told, is broken before and after.

--- a/internal/soaker/limits.go
+++ b/internal/soaker/limits.go
@@ -48,6 +48,7 @@
 		f.setLimit(n, randomLimit(random))
 		time.Sleep(minLimitTime + d/limitChanges)
 	}
+	f.record.AddUnreadableLimit(n.instance, time.Now())
 	n.backend.SetLimit(nonsenseLimits[random.IntN(len(nonsenseLimits))])
 	time.Sleep(minLimitTime / 2)
 	f.liftLimit(n)
--- a/internal/soaker/limits_test.go
+++ b/internal/soaker/limits_test.go
@@ -43,6 +43,8 @@
 	type step struct {
 		at, perSecond float64
 		lifted        bool
+		// unreadableAt is when answers began to hold other text, 0 for never.
+		unreadableAt float64
 	}
 	named := func(at, perSecond float64) step { return step{at: at, perSecond: perSecond} }
 	tests := map[string]struct {
@@ -51,8 +53,10 @@
 		toldAt float64
 		// from, to and perSecond are the requests of the node that reach the endpoint.
 		from, to, perSecond float64
-		excused             [2]float64
-		want                int
+		// early is when single requests reach the endpoint before from.
+		early   []float64
+		excused [2]float64
+		want    int
 	}{
 		"as named":                           {steps: []step{named(10, 20)}, toldAt: 10.1, from: 10, to: 30, perSecond: 20},
 		"half more than named":               {steps: []step{named(10, 20)}, toldAt: 10.1, from: 10, to: 30, perSecond: 29},
@@ -68,7 +72,13 @@
 		"lowered": {steps: []step{named(10, 40), named(20, 5)}, toldAt: 10.1, from: 10, to: 30, perSecond: 40, want: 1},
 		"raised":  {steps: []step{named(10, 5), named(10.2, 40)}, toldAt: 10.1, from: 14, to: 30, perSecond: 40},
 		"lifted":  {steps: []step{named(10, 5), {at: 13, lifted: true}}, toldAt: 10.1, from: 14, to: 30, perSecond: 40},
-		"none":    {steps: []step{named(10, 0)}, toldAt: 10.1, from: 10, to: 30, perSecond: 0.5},
+		"lowered, but never named": {
+			steps: []step{named(10, 40), {at: 20, unreadableAt: 23}}, toldAt: 10.1, early: []float64{12}, from: 24, to: 30, perSecond: 30,
+		},
+		"lowered and named once": {
+			steps: []step{named(10, 40), {at: 20, unreadableAt: 23}}, toldAt: 10.1, early: []float64{12, 22}, from: 24, to: 30, perSecond: 30, want: 1,
+		},
+		"none": {steps: []step{named(10, 0)}, toldAt: 10.1, from: 10, to: 30, perSecond: 0.5},
 		"none, but some": {
 			steps: []step{named(10, 0)}, toldAt: 10.1, from: 10, to: 30, perSecond: 3, want: 1,
 		},
@@ -82,6 +92,9 @@
 				} else {
 					r.AddLimit(instance, second(s.at), s.perSecond)
 				}
+				if s.unreadableAt > 0 {
+					r.AddUnreadableLimit(instance, second(s.unreadableAt))
+				}
 			}
 			if test.toldAt > 0 {
 				r.AddRequest(Sent{ID: "told", Node: node, At: second(test.toldAt), Answered: second(test.toldAt), Answer: limitedAnswer(instance)})
@@ -89,6 +102,9 @@
 			if test.excused[1] > 0 {
 				r.excuses[node] = []span{{from: second(test.excused[0]), to: second(test.excused[1])}}
 			}
+			for i, at := range test.early {
+				addArrival(r, node, instance, -1-i, at)
+			}
 			for i := 0; test.from+float64(i)/test.perSecond < test.to; i++ {
 				addArrival(r, node, instance, i, test.from+float64(i)/test.perSecond)
 			}
--- a/internal/soaker/notices.go
+++ b/internal/soaker/notices.go
@@ -19,6 +19,8 @@
 	at        time.Time
 	limited   bool
 	perSecond float64
+	// unreadableAt is when the endpoint's answers began to hold text instead that is no limit, zero if they never did.
+	unreadableAt time.Time
 }
 
 // AddArrival records a request that reached an endpoint.
@@ -38,6 +40,15 @@
 	r.addLimitChange(instance, limitChange{at: at})
 }
 
+// AddUnreadableLimit records that an endpoint's answers hold text from now on that is no limit.
+func (r *Record) AddUnreadableLimit(instance string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if changes := r.limits[instance]; len(changes) > 0 {
+		changes[len(changes)-1].unreadableAt = at
+	}
+}
+
 func (r *Record) addLimitChange(instance string, c limitChange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,10 +132,27 @@
 	changes  []limitChange
 }
 
+// named returns whether a request reached an endpoint while its answers named a limit; until is when the next one replaced it, zero
+// for never. Endpoints say nothing but in answers, so that otherwise nobody was told.
+func (r *Record) named(instance string, c limitChange, until time.Time) bool {
+	if !c.unreadableAt.IsZero() {
+		until = c.unreadableAt
+	}
+	return slices.ContainsFunc(r.arrivals[instance], func(a standin.Arrival) bool {
+		return !a.At.Before(c.at) && (until.IsZero() || a.At.Before(until))
+	})
+}
+
 func (r *Record) limitPeriods(instance string) (periods []limitPeriod) {
 	var current *limitPeriod
-	for _, c := range r.limits[instance] {
+	changes := r.limits[instance]
+	for i, c := range changes {
+		until := time.Time{}
+		if i+1 < len(changes) {
+			until = changes[i+1].at
+		}
 		switch {
+		case c.limited && !r.named(instance, c, until):
 		case c.limited && current == nil:
 			current = &limitPeriod{from: c.at, changes: []limitChange{c}}
 		case c.limited:
