Find a topic that was created again by what its answers tell

What callers saw: nothing was reported; a test shows that a node stays with the routes and keys of a topic that is gone.

Cause: the topic's identity was known by its end and by one record only. (1) Where the end had moved back, the node forgot why by the time it read the newest records: if the topic had grown past the old end by then, its lower offsets passed for old ones. (2) Where history had been dropped as well, nothing was compared. (3) The oldest kept offset, which is in each answer and never moves back in one topic, was ignored, so that a check by a read of its own was the only way.

Change: an end or an oldest kept offset that moved back marks the topic as created again; the newest records are compared with the last one that was read; an unchanged oldest offset above 0 counts as a check, so that no further read is made for it.

--- a/internal/watcher/types.go
+++ b/internal/watcher/types.go
@@ -24,6 +24,8 @@
 type Batch struct {
 	Records []Record
 	End     identifier.Offset
+	// First is the oldest offset that a read may ask for, 0 if nothing was dropped or it is not known.
+	First identifier.Offset
 	// Relayed is set if another node relayed the records, which is no proof of where the topic ends.
 	Relayed bool
 	// From is the node that relayed the records, empty for the store.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -8,9 +8,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
@@ -49,8 +51,8 @@
 	// FirstSlack is the same for a read after one that succeeded; if it fails without an answer, it is repeated at once with
 	// Slack. A connection that has gone silent is then noticed sooner than a slow store. 0 means Slack, without that repetition.
 	FirstSlack clock.Duration
-	// VerifyEvery is the time between two checks that the last record is still there, 0 for none. Without it a topic that was created
-	// again and holds as many records as before is taken for the same.
+	// VerifyEvery is the longest time without a check that the topic is still the same one, 0 for no checks. Without them a topic
+	// that was created again and holds as many records as before is taken for the same.
 	VerifyEvery clock.Duration
 	// PauseAfterRecords is the pause after an answer of the store that had records. It lets one read collect several
 	// records: when a whole fleet starts, they arrive one by one.
@@ -91,12 +93,14 @@
 	// records.
 	hadRecords bool
 	retryWait  clock.Duration
-	// last is the record before next, if lastKnown is set. restarted is set when it is not there any
-	// more, and verifiedAt is when that was last checked.
+	// last is the newest record that was read, if lastKnown is set. restarted is set when another topic has taken its place, and
+	// verifiedAt is when that was last checked.
 	last       Record
 	lastKnown  bool
 	restarted  bool
 	verifiedAt clock.Time
+	// first is the oldest offset that the topic kept when it was last verified.
+	first identifier.Offset
 
 	mu sync.Mutex
 	// interrupt ends the current read, which may stay open for readWait; nil while there is none.
@@ -227,17 +231,21 @@
 	}
 	var dropped DroppedError
 	if errors.As(err, &dropped) {
-		w.positionKnown = false
+		w.positionKnown, w.first = false, dropped.First
 		return w.readNewest(ctx, w.options.Now())
 	}
 	if err != nil {
 		return err
 	}
-	if b.End < w.next && !b.Relayed {
+	if !b.Relayed && (b.End < w.next || b.First < w.first) {
 		// The topic was created again, so the position in the old topic is no longer valid.
-		w.positionKnown = false
+		w.positionKnown, w.restarted = false, true
 		return nil
 	}
+	if !b.Relayed && b.First == w.first && w.first > 0 {
+		// A topic that was created again keeps its records from offset 0 on.
+		w.verifiedAt = sentAt
+	}
 	if n := len(b.Records); n > 0 {
 		w.next = b.Records[n-1].Offset + 1
 		// An empty record may stand for a key that was missing at another node.
@@ -261,7 +269,8 @@
 	return !ok || !relayed.IsRelayed()
 }
 
-// verify reads the last record again; one that is not the same belongs to a topic that was created again.
+// verify reads the last record again; one that is not the same belongs to a topic that was created again. If that record is no
+// longer kept, the newest records are compared.
 func (w *Watcher) verify(ctx context.Context, now clock.Time) error {
 	limited, cancel := context.WithTimeout(ctx, w.slack().Std())
 	defer cancel()
@@ -269,18 +278,38 @@
 	var dropped DroppedError
 	switch {
 	case errors.As(err, &dropped):
-		// Its history is gone, so nothing tells whether it is the same topic.
-		w.positionKnown = false
+		w.positionKnown, w.first = false, dropped.First
 	case err != nil:
 		return err
 	case b.Relayed:
-	case len(b.Records) == 0 || b.Records[0].Key != w.last.Key || !bytes.Equal(b.Records[0].Value, w.last.Value):
+	case len(b.Records) == 0 || !w.last.equal(b.Records[0]):
 		w.positionKnown, w.restarted = false, true
+	default:
+		w.first = b.First
 	}
 	w.verifiedAt = now
 	return nil
 }
 
+// lacksLast reports whether the newest records can't be those of the topic that the last record was read from.
+func (w *Watcher) lacksLast(b Batch) bool {
+	if !w.lastKnown {
+		return false
+	}
+	for _, r := range b.Records {
+		if r.Key == w.last.Key {
+			return r.Offset < w.last.Offset || !w.last.equal(r) && r.Offset == w.last.Offset
+		}
+	}
+	// Deleting the key would have appended a record.
+	return b.End <= w.last.Offset+1
+}
+
+// equal reports whether two records of the same offset are the same.
+func (r Record) equal(other Record) bool {
+	return r.Key == other.Key && bytes.Equal(r.Value, other.Value)
+}
+
 func (w *Watcher) beginRead(interrupt context.CancelFunc, wait clock.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -315,13 +344,14 @@
 	if err != nil {
 		return err
 	}
-	restarted := w.restarted || b.End < w.next
-	w.next, w.restarted, w.lastKnown = b.End, false, false
+	restarted := w.restarted || b.End < w.next || w.lacksLast(b)
+	if restarted {
+		w.first = 0
+	}
+	w.next, w.restarted, w.lastKnown = b.End, false, len(b.Records) > 0
 	w.verifiedAt = sentAt
-	for _, r := range b.Records {
-		if r.Offset == b.End-1 {
-			w.last, w.lastKnown = r, true
-		}
+	if w.lastKnown {
+		w.last = slices.MaxFunc(b.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
 	w.positionKnown = true
 	w.hadRecords = true
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -28,6 +28,9 @@
 	// relayed is whether another node relays the topic; readsOfKnown counts the reads of records that were read before.
 	relayed      bool
 	readsOfKnown int
+	// snapshots counts the reads of the newest records; beforeSnapshot, if set, runs before each.
+	snapshots      int
+	beforeSnapshot func()
 }
 
 func (f *fakeTopic) add(key, value string) {
@@ -36,11 +39,21 @@
 	f.records = append(f.records, Record{Key: key, Value: []byte(value), Offset: identifier.Offset(len(f.records))})
 }
 
-// createAgain empties the topic, so that offsets begin at 0.
-func (f *fakeTopic) createAgain() {
+// createAgain empties the topic, so that offsets begin at 0, and adds a record of a key with each value.
+func (f *fakeTopic) createAgain(key string, values ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.records = nil
+	f.records, f.first = nil, 0
+	for i, value := range values {
+		f.records = append(f.records, Record{Key: key, Value: []byte(value), Offset: identifier.Offset(i)})
+	}
+}
+
+// dropBefore drops the history before an offset.
+func (f *fakeTopic) dropBefore(offset identifier.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first = offset
 }
 
 func (f *fakeTopic) simulateFault(ctx context.Context) error {
@@ -61,8 +74,12 @@
 	if err := f.simulateFault(ctx); err != nil {
 		return Batch{}, err
 	}
+	if f.beforeSnapshot != nil {
+		f.beforeSnapshot()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.snapshots++
 	newest := map[string]Record{}
 	for _, r := range f.records {
 		newest[r.Key] = r
@@ -105,7 +122,7 @@
 		}
 		length := identifier.Offset(len(f.records))
 		if from < length || time.Now().After(end) {
-			b := Batch{End: length, Relayed: f.relayed}
+			b := Batch{End: length, First: f.first, Relayed: f.relayed}
 			if from < length {
 				b.Records = append(b.Records, f.records[from:]...)
 			}
@@ -381,8 +398,7 @@
 	f.add("config", "2")
 	s := watch(t, f)
 	eventually(t, "last value", func() bool { return s.value("config") == "2" })
-	f.createAgain()
-	f.add("config", "3")
+	f.createAgain("config", "3")
 	eventually(t, "value of the new topic", func() bool { return s.value("config") == "3" })
 	restarts := s.restarts()
 	assert.Equal(t, len(restarts), 1)
@@ -429,9 +445,7 @@
 	f.add("config", "2")
 	s := watchWith(t, f, func(o *Options) { o.VerifyEvery = 100 })
 	eventually(t, "last value", func() bool { return s.value("config") == "2" })
-	f.createAgain()
-	f.add("other", "3")
-	f.add("config", "4")
+	f.createAgain("config", "3", "4")
 	eventually(t, "value of the new topic", func() bool { return s.value("config") == "4" })
 	assert.Equal(t, len(s.restarts()), 1)
 }
@@ -461,3 +475,75 @@
 		})
 	}
 }
+
+// Guards against offsets of a topic that is gone, where the store's answers alone tell that another one has taken its place.
+func TestTopicThatWasCreatedAgainIsFoundWithoutReadingItsLastRecord(t *testing.T) {
+	for name, test := range map[string]struct {
+		dropped     identifier.Offset
+		createAgain func(f *fakeTopic)
+	}{
+		"nothing is dropped any more": {dropped: 2, createAgain: func(f *fakeTopic) { f.createAgain("config", "3", "4") }},
+		"grown before it is read whole": {createAgain: func(f *fakeTopic) {
+			f.beforeSnapshot = func() { f.createAgain("config", "1", "2", "3", "4") }
+			f.createAgain("config", "3")
+		}},
+		"history dropped, an older offset": {dropped: 1, createAgain: func(f *fakeTopic) {
+			f.beforeSnapshot = func() { f.createAgain("config", "4"); f.add("other", "5"); f.add("other", "6") }
+			f.dropBefore(3)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeTopic{}
+			f.add("config", "1")
+			f.add("config", "2")
+			s := watchWith(t, f, func(o *Options) { o.VerifyEvery = 150 })
+			eventually(t, "last value", func() bool { return s.value("config") == "2" })
+			f.dropBefore(test.dropped)
+			time.Sleep(300 * time.Millisecond)
+			test.createAgain(f)
+			began := time.Now()
+			eventually(t, "the new topic", func() bool { return s.value("config") == "4" && len(s.restarts()) > 0 })
+			assert.Assert(t, time.Since(began) < 120*time.Millisecond)
+		})
+	}
+}
+
+// Guards against calls to the store that check what the answers of other calls tell: that a topic which has dropped history is still
+// the same one.
+func TestTopicThatHasDroppedHistoryIsVerifiedOnce(t *testing.T) {
+	for name, test := range map[string]struct{ dropped identifier.Offset }{
+		"in part": {1}, "as a whole": {2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeTopic{}
+			f.add("config", "1")
+			f.add("config", "2")
+			f.dropBefore(test.dropped)
+			watchWith(t, f, func(o *Options) { o.VerifyEvery = 60 })
+			time.Sleep(500 * time.Millisecond)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			assert.Assert(t, f.readsOfKnown <= 1 && f.snapshots <= 2, "%d, %d", f.readsOfKnown, f.snapshots)
+		})
+	}
+}
+
+// Guards against a topic that was created again, has dropped as many records as before, and is taken for the same one.
+func TestTopicWithOtherHistoryIsFoundToBeAnotherOne(t *testing.T) {
+	f := &fakeTopic{}
+	for _, value := range []string{"1", "2", "3"} {
+		f.add("config", value)
+	}
+	f.dropBefore(1)
+	s := watchWith(t, f, func(o *Options) { o.VerifyEvery = 60 })
+	eventually(t, "last value", func() bool { return s.value("config") == "3" })
+	time.Sleep(150 * time.Millisecond)
+	f.mu.Lock()
+	for i := range f.records {
+		f.records[i].Value = []byte("4")
+	}
+	f.first = 2
+	f.mu.Unlock()
+	eventually(t, "value of the new topic", func() bool { return s.value("config") == "4" })
+	assert.Equal(t, len(s.restarts()), 1)
+}
