Count an endpoint that ends within its answer

Cause: only a request that broke off before its answer made the node check its endpoint. One that broke off within the answer was removed from the requests that run there first, so that no end was reported under it.

Change: the node checks the endpoint before it removes such a request, unless it was the caller who left.

Result: TestRequestThatEndsEndpointsIsQuarantinedEverywhere/within_answer failed before with 6 ends, 3 now.

--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -149,6 +149,9 @@
 		outcome := conductor.Answered
 		if !whole {
 			outcome = conductor.Abandoned
+			if ctx.Err() == nil {
+				r.checkEnd(d.endpoint)
+			}
 		}
 		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome})
 	}
--- a/internal/relayer/endpoint_end_test.go
+++ b/internal/relayer/endpoint_end_test.go
@@ -21,21 +21,35 @@
 
 const fatalPath = "/obs/fatal"
 
+// mannerOfEnd ends an endpoint that runs a request.
+type mannerOfEnd func(t *testing.T, e *endpoint, w http.ResponseWriter)
+
+func endAtOnce(_ *testing.T, e *endpoint, _ http.ResponseWriter) {
+	_ = e.Listener.Close()
+	e.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
+func endWithinAnswer(t *testing.T, e *endpoint, w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("begun"))
+	assert.Check(t, http.NewResponseController(w).Flush())
+	time.Sleep(20 * time.Millisecond)
+	endAtOnce(t, e, w)
+}
+
 // newMortalNodes returns nodes whose endpoints end when they run a request to fatalPath; ends counts those that have. All nodes
 // are told of each end.
-func newMortalNodes(t *testing.T, count int, kind matcher.Kind) (nodes []*node, ends *atomic.Int32) {
+func newMortalNodes(t *testing.T, count int, kind matcher.Kind, end mannerOfEnd) (nodes []*node, ends *atomic.Int32) {
 	t.Helper()
 	ends = new(atomic.Int32)
 	for i := range count {
 		var e *endpoint
-		e = newEndpoint(t, func(_ http.ResponseWriter, r *http.Request) {
-			if !strings.HasPrefix(r.URL.Path, fatalPath) {
-				return
+		e = newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, fatalPath) {
+				ends.Add(1)
+				end(t, e, w)
 			}
-			ends.Add(1)
-			_ = e.Listener.Close()
-			e.CloseClientConnections()
-			panic(http.ErrAbortHandler)
 		})
 		n := newNode(t, fmt.Sprint("n", i), "portal", e)
 		n.configure(t, configurationOf(kind, 2))
@@ -69,7 +83,7 @@
 
 // Guards against ends of endpoints, and offers after them, that can't be attributed to the request that caused them.
 func TestEndsAndOffersOfARequestShareAFingerprint(t *testing.T) {
-	nodes, _ := newMortalNodes(t, 3, matcher.NonIdempotent)
+	nodes, _ := newMortalNodes(t, 3, matcher.NonIdempotent, endAtOnce)
 	texts := make([]func() string, len(nodes))
 	for i, n := range nodes {
 		texts[i] = captureText(t, n)
@@ -112,9 +126,16 @@
 
 // Guards against a request that ends one endpoint after the other, since its caller sends it again with other ids at other nodes.
 func TestRequestThatEndsEndpointsIsQuarantinedEverywhere(t *testing.T) {
-	for name, kind := range map[string]matcher.Kind{"idempotent": matcher.Idempotent, "once": matcher.NonIdempotent} {
+	for name, test := range map[string]struct {
+		kind matcher.Kind
+		end  mannerOfEnd
+	}{
+		"idempotent":    {matcher.Idempotent, endAtOnce},
+		"once":          {matcher.NonIdempotent, endAtOnce},
+		"within answer": {matcher.NonIdempotent, endWithinAnswer},
+	} {
 		t.Run(name, func(t *testing.T) {
-			nodes, ends := newMortalNodes(t, 6, kind)
+			nodes, ends := newMortalNodes(t, 6, test.kind, test.end)
 			var statuses []int
 			for _, n := range nodes {
 				statuses = append(statuses, sendRequest(t, n, to(fatalPath)).StatusCode)
@@ -131,7 +152,7 @@
 
 // Guards against the quarantine of a request that endpoints answer in good health, for ends that another one caused.
 func TestRequestThatEndpointsAnswerIsNotQuarantined(t *testing.T) {
-	nodes, _ := newMortalNodes(t, 6, matcher.Idempotent)
+	nodes, _ := newMortalNodes(t, 6, matcher.Idempotent, endAtOnce)
 	healthy := []identifier.Fingerprint{}
 	for i := range 3 {
 		request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example/obs/1?q=2", nil)
