Check an endpoint that gives no sign of life before a request's deadline

(2) A request under which an endpoint falls silent, without refusing connections, is not counted: in a test it was offered to four of six endpoints.

Cause: that an endpoint lives was known from its other answers only. Where there were none in the second half of a run, a request that reached its deadline was not cleared (1), and nothing told the endpoint from one that has ended without a word (2).

Change: shortly before the deadline of a request without an answer, a node that has seen no sign of life opens a connection to the endpoint. One that is accepted clears the request at its deadline; one that times out counts as the endpoint's end, unless the node itself stood still, and all nodes know when the caller may come again. Refused ones count as before.

Price: one timer a delivery, and a connection for requests that no endpoint answers.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -167,8 +167,8 @@
 	// quarantiner knows the requests under which endpoints ended; endsSeen counts the ends of the local endpoint.
 	quarantiner *quarantiner.Quarantiner
 	endsSeen    int64
-	// lastAnswerAt is when the local endpoint last answered a delivery.
-	lastAnswerAt clock.Time
+	// aliveAt is when the local endpoint last answered a delivery, or accepted a connection that was opened to check it.
+	aliveAt clock.Time
 
 	calls map[CallID]*call
 	// awaitingEndpoint are the requests that wait for an endpoint.
@@ -267,6 +267,8 @@
 		c.endpointRemoved(e, now)
 	case EndpointUnreachable:
 		c.endpointUnreachable(e, now)
+	case EndpointAlive:
+		c.aliveAt = now
 	case EndpointEnded:
 		c.endpointEnded(e, now)
 	case EndReceived:
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -188,7 +188,7 @@
 		return
 	}
 	if e.Outcome == Answered {
-		c.lastAnswerAt = now
+		c.aliveAt = now
 	}
 	if c.survivedRun(d, e.Outcome, now) {
 		c.quarantiner.Survived(d.fingerprints, now)
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -150,7 +150,11 @@
 	Endpoint identifier.Endpoint
 }
 
-// EndpointEnded means that the local endpoint broke off the requests that it ran and then refused a connection.
+// EndpointAlive means that the local endpoint accepted a connection that was opened to check it.
+type EndpointAlive struct{}
+
+// EndpointEnded means that the local endpoint broke off the requests that it ran and then refused a connection, or that it gives no
+// answers and accepts no connection.
 type EndpointEnded struct {
 	ID       CallID
 	Endpoint identifier.Endpoint
@@ -280,6 +284,7 @@
 func (EndpointAnnounced) event()   {}
 func (EndpointRemoved) event()     {}
 func (EndpointUnreachable) event() {}
+func (EndpointAlive) event()       {}
 func (EndpointEnded) event()       {}
 func (EndReceived) event()         {}
 func (EndpointChecked) event()     {}
--- a/internal/conductor/quarantine.go
+++ b/internal/conductor/quarantine.go
@@ -59,18 +59,30 @@
 const deadlineSlack = 50 * clock.Millisecond
 
 // survivedRun reports whether the local endpoint has run the request to its answer, or to its deadline, without ending under it. At
-// the deadline it must have answered others meanwhile: it may have ended without a word.
+// the deadline it must have given a sign of life meanwhile: it may have ended without a word.
 func (c *Conductor) survivedRun(d *delivery, o Outcome, now clock.Time) bool {
 	switch {
 	case o == Answered:
 		return true
 	case o == Late, o == Abandoned && now.Add(deadlineSlack) >= d.deadline:
-		return c.lastAnswerAt >= d.started.Add(now.Sub(d.started)/2)
+		return c.aliveDuring(d, now)
 	default:
 		return false
 	}
 }
 
+// aliveDuring reports whether the local endpoint has given a sign of life in the second half of a run.
+func (c *Conductor) aliveDuring(d *delivery, now clock.Time) bool {
+	return c.aliveAt >= d.started.Add(now.Sub(d.started)/2)
+}
+
+// SilentDuring reports whether the local endpoint has given no sign of life in the second half of the time for which it has run a
+// delivery.
+func (c *Conductor) SilentDuring(id CallID, now clock.Time) bool {
+	d, ok := c.deliveries[id]
+	return ok && d.running && !c.aliveDuring(d, now)
+}
+
 // runsSuspect reports whether the local endpoint runs, or has queued, a request that may run only apart from others like it.
 func (c *Conductor) runsSuspect(now clock.Time) bool {
 	for _, d := range c.deliveries {
--- a/internal/conductor/quarantine_test.go
+++ b/internal/conductor/quarantine_test.go
@@ -38,19 +38,25 @@
 
 // Guards against an endpoint that ends without a word and so clears the request that ended it.
 func TestRunToItsDeadlineAtASilentEndpointClearsNothing(t *testing.T) {
-	for name, answers := range map[string]bool{"answers others": true, "silent": false} {
+	for name, test := range map[string]struct{ answers, accepts bool }{
+		"answers others": {answers: true}, "accepts a connection": {accepts: true}, "silent": {},
+	} {
 		t.Run(name, func(t *testing.T) {
 			c := newConductor("portal")
 			announceEndpoint(c, 10, 1, false, 0)
 			prints := []identifier.Fingerprint{1}
 			c.Apply(EndReceived{End: quarantiner.End{ID: quarantiner.EndID{Node: "a"}, Fingerprints: prints}}, 0)
 			c.Apply(DeliveryArrived{ID: 1, Endpoint: "i-self", Deadline: 1000, Fingerprints: prints}, 0)
-			if answers {
+			if test.accepts {
+				assert.Assert(t, c.SilentDuring(1, 700))
+				c.Apply(EndpointAlive{}, 700)
+			}
+			if test.answers {
 				c.Apply(DeliveryArrived{ID: 2, Endpoint: "i-self", Deadline: 1000}, 0)
 				c.Apply(DeliveryEnded{ID: 2, Outcome: Answered}, 900)
 			}
 			c.Apply(DeliveryEnded{ID: 1, Outcome: Late}, 1000)
-			assert.Equal(t, c.Verdict(prints, 1000).Ends == 0, answers)
+			assert.Equal(t, c.Verdict(prints, 1000).Ends == 0, test.answers || test.accepts)
 		})
 	}
 }
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -150,7 +150,7 @@
 		if !whole {
 			outcome = conductor.Abandoned
 			if ctx.Err() == nil {
-				r.checkEnd(d.endpoint)
+				r.checkEnd(id, d.endpoint)
 			}
 		}
 		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome})
@@ -168,9 +168,11 @@
 	setMilliseconds(d.request.Header, h.TimeLeft, left)
 	d.request.ExpectContinue = false
 	d.request.ID = d.id
+	stopCheck := r.checkIfSilent(id, d.endpoint, left)
 	response, err := r.endpoints.Do(ctx, r.options.EndpointAddress, d.request)
+	stopCheck()
 	if err != nil {
-		return r.deliveryFailed(ctx, d, err)
+		return r.deliveryFailed(ctx, id, d, err)
 	}
 	connection := ""
 	if d.once {
@@ -205,7 +207,7 @@
 	return err == nil && n < maxDrainBytes
 }
 
-func (r *Relayer) deliveryFailed(ctx context.Context, d delivery, err error) answer {
+func (r *Relayer) deliveryFailed(ctx context.Context, id conductor.CallID, d delivery, err error) answer {
 	var dial requester.DialError
 	var body requester.BodyError
 	if errors.As(err, &dial) {
@@ -228,7 +230,7 @@
 	case errors.As(err, &body):
 		return bodyReadFailed(err).on(connection)
 	default:
-		r.checkEnd(d.endpoint)
+		r.checkEnd(id, d.endpoint)
 		return failedAttempt(conductor.Broken, conductor.InDoubt).on(connection)
 	}
 }
--- a/internal/relayer/early_test.go
+++ b/internal/relayer/early_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -300,8 +299,3 @@
 	}
 	waitUntil(t, "the slots are free", func() bool { return running(n) == 0 })
 }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/internal/relayer/endpoint_end.go
+++ b/internal/relayer/endpoint_end.go
@@ -1,7 +1,8 @@
 package relayer
 
-// A request whose connection broke may have ended the endpoint that ran it. A refused connection tells the endpoint's end from a
-// broken connection. All requests that break off at the same time share one such check, and their callers learn of the break only
+// A request whose connection broke, or that gets no answer, may have ended the endpoint that ran it. A refused
+// connection tells the endpoint's end from a broken connection, and one that is not accepted tells it from a slow endpoint: the
+// kernel accepts connections to a process that lives. All requests that break off at the same time share one such check, and their callers learn of the break only
 // when the other nodes know the requests that ran.
 //
 // Example: 12 requests break off, one connection is opened and refused: one line names the 12 requests.
@@ -9,9 +10,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
@@ -24,6 +27,13 @@
 // endCheckInterval is how long an endpoint that has ended is not checked again: requests that break off together are noticed some milliseconds apart.
 const endCheckInterval = 20 * clock.Millisecond
 
+// silenceCheckLead is how long before its deadline a request without an answer makes its node check the endpoint: the time to open a
+// connection, and to tell the other nodes.
+const silenceCheckLead = endpointDialTimeout + 100*clock.Millisecond
+
+// maxDialLateness is how late the timeout of a check may be noticed for it to count.
+const maxDialLateness = 100 * clock.Millisecond
+
 // endChecks lets requests that break off together share a check.
 type endChecks struct {
 	mu sync.Mutex
@@ -57,20 +67,24 @@
 	e.running = nil
 }
 
-// checkEnd finds out whether the local endpoint has ended, and if so reports the requests that it ran.
-func (r *Relayer) checkEnd(endpoint identifier.Endpoint) {
+// checkEnd finds out whether the local endpoint has ended during a delivery, and if so reports the requests that it ran.
+func (r *Relayer) checkEnd(delivery conductor.CallID, endpoint identifier.Endpoint) {
 	if wait := r.endChecks.begin(r.options.Clock.Now()); wait != nil {
 		<-wait
 		return
 	}
 	ended := false
 	defer func() { r.endChecks.end(ended, r.options.Clock.Now()) }()
+	began := r.options.Clock.Now()
 	connection, err := requester.Dial(context.Background(), r.options.EndpointAddress, endpointDialTimeout.Std())
 	if err == nil {
 		_ = connection.Close()
+		r.ApplyEvent(conductor.EndpointAlive{})
 		return
 	}
-	if ended = errors.Is(err, syscall.ECONNREFUSED); !ended {
+	// A node that stood still meanwhile finds its own timeout, not the endpoint's silence.
+	timedOut := isTimeout(err) && r.options.Clock.Now().Sub(began) <= endpointDialTimeout+maxDialLateness
+	if ended = errors.Is(err, syscall.ECONNREFUSED) || timedOut && r.isSilent(delivery); !ended {
 		return
 	}
 	id := r.newID()
@@ -84,6 +98,27 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (r *Relayer) isSilent(delivery conductor.CallID) (silent bool) {
+	r.View(func(c *conductor.Conductor, now clock.Time) { silent = c.SilentDuring(delivery, now) })
+	return silent
+}
+
+// checkIfSilent checks the local endpoint shortly before a delivery's deadline if it gives no sign of life. If it has ended, all nodes
+// know when the caller, who gets no answer, may come again; if not, the request is not to blame for what happens later. The
+// returned function calls the check off.
+func (r *Relayer) checkIfSilent(delivery conductor.CallID, endpoint identifier.Endpoint, left clock.Duration) (stop func() bool) {
+	return time.AfterFunc((left - min(silenceCheckLead, left/2)).Std(), func() {
+		if r.isSilent(delivery) {
+			r.checkEnd(delivery, endpoint)
+		}
+	}).Stop
+}
+
 func endedEndpoint(e conductor.ReportEnd) recorder.EndedEndpoint {
 	line := recorder.EndedEndpoint{Endpoint: e.End.Endpoint, Innocent: e.Innocent}
 	for _, q := range e.Requests {
--- a/internal/relayer/endpoint_end_test.go
+++ b/internal/relayer/endpoint_end_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -38,6 +41,43 @@
 	endAtOnce(t, e, w)
 }
 
+// endSilently leaves connections open and accepts no more, as if the endpoint's machine were gone.
+func endSilently(t *testing.T, e *endpoint, _ http.ResponseWriter) {
+	l := e.Listener.(*silentListener)
+	l.silent.Store(true)
+	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	assert.Check(t, err)
+	assert.Check(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	assert.Check(t, err)
+	// The first of these connections is taken from the queue, the second one fills it.
+	for failed := 0; failed < 3; {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			failed++
+			continue
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	<-l.closed
+}
+
+// silentListener returns no connection once it is silent.
+type silentListener struct {
+	net.Listener
+	silent atomic.Bool
+	closed chan struct{}
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil && l.silent.Load() {
+		<-l.closed
+		_ = c.Close()
+		return nil, net.ErrClosed
+	}
+	return c, err
+}
+
 // newMortalNodes returns nodes whose endpoints end when they run a request to fatalPath; ends counts those that have. All nodes
 // are told of each end.
 func newMortalNodes(t *testing.T, count int, kind matcher.Kind, end mannerOfEnd) (nodes []*node, ends *atomic.Int32) {
@@ -45,12 +85,16 @@
 	ends = new(atomic.Int32)
 	for i := range count {
 		var e *endpoint
-		e = newEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		l := &silentListener{closed: make(chan struct{})}
+		e = newEndpointAt(t, func(server *httptest.Server) {
+			l.Listener, server.Listener = server.Listener, l
+		}, func(w http.ResponseWriter, r *http.Request) {
 			if strings.HasPrefix(r.URL.Path, fatalPath) {
 				ends.Add(1)
 				end(t, e, w)
 			}
 		})
+		t.Cleanup(func() { close(l.closed) })
 		n := newNode(t, fmt.Sprint("n", i), "portal", e)
 		n.configure(t, configurationOf(kind, 2))
 		nodes = append(nodes, n)
@@ -133,6 +177,7 @@
 		"idempotent":    {matcher.Idempotent, endAtOnce},
 		"once":          {matcher.NonIdempotent, endAtOnce},
 		"within answer": {matcher.NonIdempotent, endWithinAnswer},
+		"silently":      {matcher.NonIdempotent, endSilently},
 	} {
 		t.Run(name, func(t *testing.T) {
 			nodes, ends := newMortalNodes(t, 6, test.kind, test.end)
@@ -189,6 +234,13 @@
 
 // Guards against the quarantine of requests that take longer than their time: no endpoint answers them, and none ends under them.
 func TestRequestThatOutlastsItsTimeIsNotSuspected(t *testing.T) {
+	for name, sendsOthers := range map[string]bool{"beside another one": true, "alone": false} {
+		t.Run(name, func(t *testing.T) { outlastTime(t, sendsOthers) })
+	}
+}
+
+func outlastTime(t *testing.T, sendsOthers bool) {
+	t.Helper()
 	e := newEndpoint(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/obs/1" {
 			<-r.Context().Done()
@@ -199,7 +251,9 @@
 	entry := newNode(t, "b", "desk", newEndpoint(t, func(http.ResponseWriter, *http.Request) {}))
 	entry.configure(t, configurationOf(matcher.NonIdempotent, 1))
 	exchangeMembers(n, entry)
-	time.AfterFunc(800*time.Millisecond, func() { sendRequest(t, n, to("/obs/2")) })
+	if sendsOthers {
+		time.AfterFunc(800*time.Millisecond, func() { sendRequest(t, n, to("/obs/2")) })
+	}
 	sendRequest(t, entry, nil)
 	eventuallyIdle(t, n)
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example/obs/1?q=2", nil)
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -39,9 +39,15 @@
 }
 
 func newEndpoint(t testing.TB, respond func(w http.ResponseWriter, r *http.Request)) *endpoint {
+	t.Helper()
+	return newEndpointAt(t, func(*httptest.Server) {}, respond)
+}
+
+// newEndpointAt returns an endpoint whose server is changed before it starts.
+func newEndpointAt(t testing.TB, change func(*httptest.Server), respond func(w http.ResponseWriter, r *http.Request)) *endpoint {
 	t.Helper()
 	e := &endpoint{}
-	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	e.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		e.mu.Lock()
 		e.seen = append(e.seen, r.Clone(context.Background()))
@@ -51,6 +57,8 @@
 		w.Header().Set(names.Signature, "signed")
 		respond(w, r)
 	}))
+	change(e.Server)
+	e.Start()
 	t.Cleanup(e.Close)
 	return e
 }
