Open a second connection before a silent endpoint counts as ended

Cause: a node that stands still for a moment while it checks its endpoint finds its own timeout. That the timeout was noticed late told this only if the pause outlasted it by 0.1 s.

Change: the check opens two connections, each within half the time.

--- a/internal/relayer/endpoint_end.go
+++ b/internal/relayer/endpoint_end.go
@@ -31,8 +31,8 @@
 // connection, and to tell the other nodes.
 const silenceCheckLead = endpointDialTimeout + 100*clock.Millisecond
 
-// maxDialLateness is how late the timeout of a check may be noticed for it to count.
-const maxDialLateness = 100 * clock.Millisecond
+// maxEndpointDials is how often a check tries to open a connection within endpointDialTimeout.
+const maxEndpointDials = 2
 
 // endChecks lets requests that break off together share a check.
 type endChecks struct {
@@ -75,16 +75,13 @@
 	}
 	ended := false
 	defer func() { r.endChecks.end(ended, r.options.Clock.Now()) }()
-	began := r.options.Clock.Now()
-	connection, err := requester.Dial(context.Background(), r.options.EndpointAddress, endpointDialTimeout.Std())
+	connection, err := r.dialEndpoint()
 	if err == nil {
 		_ = connection.Close()
 		r.ApplyEvent(conductor.EndpointAlive{})
 		return
 	}
-	// A node that stood still meanwhile finds its own timeout, not the endpoint's silence.
-	timedOut := isTimeout(err) && r.options.Clock.Now().Sub(began) <= endpointDialTimeout+maxDialLateness
-	if ended = errors.Is(err, syscall.ECONNREFUSED) || timedOut && r.isSilent(delivery); !ended {
+	if ended = errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err) && r.isSilent(delivery); !ended {
 		return
 	}
 	id := r.newID()
@@ -98,6 +95,17 @@
 	}
 }
 
+// dialEndpoint opens a connection to the local endpoint, again if that timed out: the node itself may have stood still.
+func (r *Relayer) dialEndpoint() (connection net.Conn, err error) {
+	for range maxEndpointDials {
+		connection, err = requester.Dial(context.Background(), r.options.EndpointAddress, (endpointDialTimeout / maxEndpointDials).Std())
+		if err == nil || !isTimeout(err) {
+			break
+		}
+	}
+	return connection, err
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
