--- a/internal/relayer/endpoint_end.go
+++ b/internal/relayer/endpoint_end.go
@@ -1,9 +1,9 @@
 package relayer
 
-// A request whose connection broke, or that gets no answer, may have ended the endpoint that ran it. A refused
-// connection tells the endpoint's end from a broken connection, and one that is not accepted tells it from a slow endpoint: the
-// kernel accepts connections to a process that lives. All requests that break off at the same time share one such check, and their callers learn of the break only
-// when the other nodes know the requests that ran.
+// A request whose connection broke, or that gets no answer, may have ended the endpoint that ran it. A refused connection tells the
+// endpoint's end from a broken connection, and one that is not accepted tells it from a slow endpoint: the kernel accepts
+// connections to a process that lives. All requests that break off at the same time share one such check, and their callers learn of
+// the break only when the other nodes know the requests that ran.
 //
 // Example: 12 requests break off, one connection is opened and refused: one line names the 12 requests.
 
