Watcher tests: one way to count reads; soak: plainer words for ends within answers

No assertion and no drawn fault changes. Tests of both packages pass with the race detector (watcher twice; soaker without the listed whole-fleet tests).

--- a/internal/soaker/fatal.go
+++ b/internal/soaker/fatal.go
@@ -3,7 +3,7 @@
 // Some requests end the endpoint that runs them. Their callers send them again with other ids at other nodes, or send requests
 // whose runs make the same nested call again. However they come, they may end only a few endpoints.
 //
-// With a third of the drawn durations, endpoints end within their answers.
+// One fault in withinAnswer ends endpoints within their answers; which ones, the drawn duration says.
 //
 // Example: /look/fatal/3 ends i-2, i-5 and i-8, and is offered to i-11: offeredAfterEnds.
 
@@ -21,8 +21,8 @@
 	// fatalTries is how often a caller sends a request that ends endpoints, fatalPause the time between two tries.
 	fatalTries = 8
 	fatalPause = 100 * time.Millisecond
-	// fatalManners is how many drawn durations there are for one with which endpoints end within their answers.
-	fatalManners = 3
+	// withinAnswer is how many faults there are for each that ends endpoints within their answers.
+	withinAnswer = 3
 	// quarantinedReason is the reason of a refusal because of endpoints that ended under the request.
 	quarantinedReason = "quarantined"
 )
@@ -44,7 +44,7 @@
 func (f *fleet) sendFatal(n *node, d time.Duration, path, body string) error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	key := fmt.Sprintf("%s-%d", n.name, time.Now().UnixNano())
-	if int64(d)%fatalManners == 0 {
+	if int64(d)%withinAnswer == 0 {
 		key += standin.AnsweringPart
 	}
 	first := slices.Index(f.nodes, n)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -304,8 +304,7 @@
 	go func() { w.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	updates := func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.updates) }
-	reads := func() int { f.mu.Lock(); defer f.mu.Unlock(); return f.reads }
-	eventually(t, "the long read is open", func() bool { return updates() == 1 && reads() == 1 })
+	eventually(t, "the long read is open", func() bool { return updates() == 1 && f.countReads() == 1 })
 	w.Interrupt(20 * clock.Second)
 	time.Sleep(20 * time.Millisecond)
 	assert.Equal(t, updates(), 1)
@@ -341,10 +340,7 @@
 	eventually(t, "first", func() bool { return s.value("a") == "1" })
 	f.add("b", "2")
 	time.Sleep(2 * needCheckInterval.Std())
-	f.mu.Lock()
-	reads := f.reads
-	f.mu.Unlock()
-	assert.Equal(t, reads, 0)
+	assert.Equal(t, f.countReads(), 0)
 	needed.Store(true)
 	eventually(t, "missed", func() bool { return s.value("b") == "2" })
 }
@@ -470,11 +466,7 @@
 			f := &fakeTopic{relayed: test.relayed}
 			f.add("config", "1")
 			watchWith(t, f, func(o *Options) { o.VerifyEvery, o.Now = test.verifyEvery, clock.Boot{}.Now })
-			eventually(t, "several reads", func() bool {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				return f.reads >= test.reads
-			})
+			eventually(t, "several reads", func() bool { return f.countReads() >= test.reads })
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			assert.Equal(t, f.readsOfKnown, 0)
