Log what became of each kind of request, second by second

After an overload the logs told single refusals, 20 a second, and no sums: not which kind lost what, by which decision, nor which part of a full service's slot time went to requests that then failed.

--- a/internal/conductor/attempt_end.go
+++ b/internal/conductor/attempt_end.go
@@ -14,11 +14,20 @@
 	"github.com/jackdawtide/jackdawtide/internal/router"
 )
 
+// firstServerError is the lowest status of an endpoint's failure.
+const firstServerError = http.StatusInternalServerError
+
 // jitter returns a random time around d, so that callers refused at the same time do not retry at the same time.
 func (c *Conductor) jitter(d clock.Duration) clock.Duration {
 	return d/2 + clock.Duration(c.random.Int64N(int64(d)+1))
 }
 
+// refuseCall answers a request that has a route, and counts its end.
+func (c *Conductor) refuseCall(r *call, status int, reason Reason, after clock.Duration) {
+	c.countRefusal(r, reason)
+	c.refuse(r.id, status, reason, after)
+}
+
 func (c *Conductor) refuse(id CallID, status int, reason Reason, after clock.Duration) {
 	c.emit(Refuse{ID: id, Status: status, Reason: reason, RetryAfter: after})
 }
@@ -38,6 +47,7 @@
 	if e.Outcome == Answered {
 		c.quarantiner.Survived(e.Fingerprints, now)
 		c.learnOtherNotice(r, e.Notice, now)
+		c.countAnswer(r, e.Status, now)
 		c.emit(Reply{ID: r.id})
 		return
 	}
@@ -89,7 +99,7 @@
 	switch e.Outcome {
 	case Answered:
 		result.Outcome = router.Succeeded
-		if e.Status >= http.StatusInternalServerError {
+		if e.Status >= firstServerError {
 			result.Outcome = router.Cancelled
 		}
 	case Full, Declined:
@@ -143,22 +153,22 @@
 	c.nestedCallRejected(r)
 	switch {
 	case r.mayHaveRun && reason == Deadline:
-		c.refuse(r.id, http.StatusGatewayTimeout, reason, 0)
+		c.refuseCall(r, http.StatusGatewayTimeout, reason, 0)
 	case r.mayHaveRun:
-		c.refuse(r.id, http.StatusBadGateway, reason, 0)
+		c.refuseCall(r, http.StatusBadGateway, reason, 0)
 	case reason == OverRate:
-		c.refuse(r.id, http.StatusTooManyRequests, OverRate, c.jitter(r.tokenWait))
+		c.refuseCall(r, http.StatusTooManyRequests, OverRate, c.jitter(r.tokenWait))
 	case reason == NoEndpoint || reason == EndpointGone || reason == EndpointDown:
 		if c.onlyEvacuated(r.service) {
 			reason = Evacuated
 		}
-		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.jitter(r.retryAfterNoEndpoint(now)))
+		c.refuseCall(r, http.StatusServiceUnavailable, reason, c.jitter(r.retryAfterNoEndpoint(now)))
 	case reason == Quarantined:
-		c.refuse(r.id, http.StatusServiceUnavailable, reason, r.quarantineLeft)
+		c.refuseCall(r, http.StatusServiceUnavailable, reason, r.quarantineLeft)
 	case reason == EndpointLimited:
-		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.jitter(r.retryAfterLimit(r.limitWait, now)))
+		c.refuseCall(r, http.StatusServiceUnavailable, reason, c.jitter(r.retryAfterLimit(r.limitWait, now)))
 	default:
-		c.refuse(r.id, http.StatusServiceUnavailable, reason, c.jitter(retryAfterNoRoom))
+		c.refuseCall(r, http.StatusServiceUnavailable, reason, c.jitter(retryAfterNoRoom))
 	}
 	if !r.mayHaveRun && r.endpointArrivals == 0 && r.team != nil && !r.rateUnchecked {
 		c.refundToken(r.team.Name, now)
@@ -173,6 +183,9 @@
 		return
 	}
 	c.dropUnsent(r, now)
+	if !r.answered {
+		c.kindCounts.route(r).Left++
+	}
 	c.closeCall(e.ID)
 }
 
--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -41,6 +41,8 @@
 	// limits holds, for each origin whose requests are refused for a service of which all endpoints name rate limits, the
 	// sum of these limits.
 	limits map[origin]float64
+	// causes holds the decision that refuses most of each kind, for the counts.
+	causes map[requestKind]refusalCause
 	// thresholds hold the kinds of requests that are refused in part, divided between teams.
 	thresholds []threshold
 	// arrivalReporters is the number of nodes whose arrivals the plan is based on; arrivalsComplete is set if these are all
--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -110,6 +110,7 @@
 		earning = rate * float64(c.nodeCount()) / total
 	}
 	retriesPerCall := declined / (1 - declined)
+	decision := Decision(decliningDecision + string(service))
 	for _, d := range callingServices {
 		retries := d.calls * earning * budgeter.NestedAllowance(c.options.Bounds.RetryRatio)
 		excess := min(maxCompletionExcess, 1-retries/retriesPerCall/d.calls)
@@ -117,6 +118,7 @@
 			ratio *= refusablePart(declined, d.kinds[i].calls)
 			if ratio > 0 {
 				c.raiseRefusedRatio(d.kinds[i].from, d.kinds[i].class, ratio)
+				c.plan.blame(d.kinds[i].requestKind, ratio, decision)
 			}
 		}
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -146,6 +146,8 @@
 	// of no use.
 	offers         offerCounts
 	failedSlotTime clock.Duration
+	// kindCounts tells what became of each kind of request, and of each level of deliveries, since it was last taken.
+	kindCounts KindCounts
 
 	// coldUntil is the time until which the local endpoint counts as cold; otherColdUntil is the same for endpoints
 	// beside other nodes.
--- a/internal/conductor/declined_count.go
+++ b/internal/conductor/declined_count.go
@@ -56,14 +56,19 @@
 	}
 }
 
-// countFailedRun adds the slot time of a run that was of no use: its caller left, its answer came too late or not at all,
-// or a nested call that it made was rejected.
-func (c *Conductor) countFailedRun(d *delivery, e DeliveryEnded, now clock.Time) {
+// countRun counts a run, and its slot time as wasted if it was of no use: its caller left, its answer came too late or not at
+// all, or a nested call that it made was rejected.
+func (c *Conductor) countRun(d *delivery, e DeliveryEnded, now clock.Time) {
+	counts, took := c.kindCounts.runs(d.rank), now.Sub(d.started)
+	counts.Runs++
+	counts.SlotTime += took
 	late := e.Outcome == Answered && now > d.deadline
 	lost := e.Outcome == Abandoned || e.Outcome == Late || e.Outcome == Broken
 	p := c.parents[d.request]
 	if late || lost || p.delivery == e.ID && p.failed {
-		c.failedSlotTime += now.Sub(d.started)
+		c.failedSlotTime += took
+		counts.Failed++
+		counts.FailedSlotTime += took
 	}
 }
 
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -161,6 +161,9 @@
 	if c.limit.limited {
 		c.heldBack++
 	}
+	if d, ok := c.deliveries[id]; ok {
+		c.kindCounts.runs(d.rank).TurnedAway++
+	}
 	c.dropDelivery(id)
 	c.emit(TurnAway{ID: id, Outcome: Full, Reason: reason})
 }
@@ -182,7 +185,7 @@
 	if e.Outcome == Declined {
 		c.offers.countDeclined(now)
 	}
-	c.countFailedRun(d, e, now)
+	c.countRun(d, e, now)
 	c.dropParent(e.ID, d)
 	if c.limiter == nil {
 		return
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -49,6 +49,8 @@
 	permittedDomains map[identifier.FailureDomain]bool
 	// mayHaveRun is set when an attempt may have run.
 	mayHaveRun bool
+	// answered is set once the request has got its answer.
+	answered bool
 	// arrivalCounted is set when a node has counted the request among its endpoint's arrivals. A request whose
 	// connection attempts failed has not been counted and must still be counted at the next node; otherwise the last
 	// endpoint of a service, which gets requests only after attempts at dead endpoints, would report too low a load.
@@ -98,6 +100,7 @@
 		r.left = e.Left
 		r.deadline = min(r.deadline, now.Add(e.Left))
 	}
+	c.kindCounts.route(r).Offered++
 	if !c.admitWhileStopping(r, now) {
 		return
 	}
@@ -115,7 +118,13 @@
 	if !c.admit(r, now) {
 		return
 	}
+	c.start(r, now)
+}
+
+// start makes the first attempt of an admitted request.
+func (c *Conductor) start(r *call, now clock.Time) {
 	c.calls[r.id] = r
+	c.kindCounts.route(r).Admitted++
 	c.attempt(r, now)
 }
 
@@ -161,14 +170,14 @@
 		return false
 	}
 	if c.lacksService(r) {
-		c.refuse(r.id, http.StatusServiceUnavailable, NoEndpoint, c.jitter(r.retryAfterNoEndpoint(now)))
+		c.refuseCall(r, http.StatusServiceUnavailable, NoEndpoint, c.jitter(r.retryAfterNoEndpoint(now)))
 		return false
 	}
 	if r.team == nil {
 		return true
 	}
 	if c.seeksMembers && r.team.Rate > 0 {
-		c.refuse(r.id, http.StatusServiceUnavailable, MembersUnknown, c.jitter(retryAfterNoConfiguration))
+		c.refuseCall(r, http.StatusServiceUnavailable, MembersUnknown, c.jitter(retryAfterNoConfiguration))
 		return false
 	}
 	if c.isPooled(r.team.Name) {
@@ -182,7 +191,7 @@
 	if v.Elsewhere {
 		return true
 	}
-	c.refuse(r.id, http.StatusTooManyRequests, OverRate, c.jitter(r.tokenWait))
+	c.refuseCall(r, http.StatusTooManyRequests, OverRate, c.jitter(r.tokenWait))
 	return false
 }
 
@@ -191,11 +200,11 @@
 func (c *Conductor) refuseForPressure(r *call, refused float64, now clock.Time) {
 	perSecond, limited := c.plan.limits[r.origin()]
 	if !limited {
-		c.refuse(r.id, http.StatusServiceUnavailable, Pressure, c.jitter(retryAfterOverload(refused, r.left)))
+		c.refuseCall(r, http.StatusServiceUnavailable, Pressure, c.jitter(retryAfterOverload(refused, r.left)))
 		return
 	}
 	next := clock.Duration(float64(clock.Second) / perSecond)
-	c.refuse(r.id, http.StatusServiceUnavailable, ServiceLimited, c.jitter(max(retryAfterPressure, r.retryAfterLimit(next, now))))
+	c.refuseCall(r, http.StatusServiceUnavailable, ServiceLimited, c.jitter(max(retryAfterPressure, r.retryAfterLimit(next, now))))
 }
 
 const (
--- a/internal/conductor/pool.go
+++ b/internal/conductor/pool.go
@@ -83,7 +83,7 @@
 }
 
 func (c *Conductor) refuseOverRate(r *call, wait clock.Duration) {
-	c.refuse(r.id, http.StatusTooManyRequests, OverRate, c.jitter(min(max(wait, minRetryAfterOverRate), maxRetryAfterOverRate)))
+	c.refuseCall(r, http.StatusTooManyRequests, OverRate, c.jitter(min(max(wait, minRetryAfterOverRate), maxRetryAfterOverRate)))
 }
 
 // maxRetryAfterOverRate bounds the time after which a caller over its team's rate is told to retry; a caller waits only
@@ -112,7 +112,7 @@
 		c.closeCall(r.id)
 		return
 	}
-	c.attempt(r, now)
+	c.start(r, now)
 }
 
 // grantToken answers another node's request for a token. It does so also while this node stops: the other nodes learn
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -157,12 +157,14 @@
 	}
 	limit, limited := c.serviceLimit(service, p.now)
 	var divided threshold
+	decision := Decision(pressureDecision + string(service))
 	for i, part := range r.parts {
 		if part <= 0 {
 			continue
 		}
 		k := d.kinds[i]
 		c.plan.refuse(k, part, p.fleet)
+		c.plan.blame(k, part, decision)
 		if limited {
 			c.plan.limits[k.from] = limit
 		}
--- a/internal/conductor/stopping.go
+++ b/internal/conductor/stopping.go
@@ -42,7 +42,7 @@
 	outlasts := r.deadline > c.stopEnd && !r.nested
 	mayLeave := min(leaveTime, clock.Duration(leaveRatio*float64(c.stopEnd.Sub(c.stopRequestedAt))))
 	if c.stopEnd.Sub(now) < minStopTimeLeft || outlasts && now.Sub(c.stopRequestedAt) > mayLeave {
-		c.refuse(r.id, http.StatusServiceUnavailable, NodeStopping, c.jitter(retryAfterStopping))
+		c.refuseCall(r, http.StatusServiceUnavailable, NodeStopping, c.jitter(retryAfterStopping))
 		return false
 	}
 	r.deadline = min(r.deadline, c.stopEnd)
--- a/internal/identifier/rank.go
+++ b/internal/identifier/rank.go
@@ -33,3 +33,11 @@
 func (r Rank) Priority() Priority {
 	return Priority(r >> (overuseBits + hashBits))
 }
+
+// Level is the part of a rank that all requests of a kind share: the priority and the team's overuse.
+type Level uint8
+
+// Level returns the rank without the root request's hash.
+func (r Rank) Level() Level {
+	return Level(r >> hashBits)
+}
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -15,6 +15,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
@@ -182,7 +183,9 @@
 // logLoad logs the load of the local endpoint, so that a refusal can be explained by the load in the same second.
 func (n *node) logLoad() {
 	var s conductor.State
-	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { s = c.Dump(now) })
+	var counts conductor.KindCounts
+	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { s, counts = c.Dump(now), c.TakeKindCounts() })
+	n.logKindCounts(counts)
 	n.recorder.Event("load", "running", s.Running, "queued", s.Queued, "limit", s.Limit, "queueMs", int64(s.QueueDelay),
 		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open,
 		"connections", n.connections.Open(), "coldMs", int64(s.ColdLeft), "coldOthers", s.ColdOthers, "evacuated", s.Evacuated,
@@ -194,3 +197,22 @@
 			"teamsDivided", s.TeamsDivided)
 	}
 }
+
+// logKindCounts logs what became of each kind of request that entered here, and of the runs at the local endpoint, within the
+// last second.
+func (n *node) logKindCounts(counts conductor.KindCounts) {
+	if len(counts.Routes) > 0 {
+		routes := make(map[identifier.Route]any, len(counts.Routes))
+		for route, r := range counts.Routes {
+			routes[route] = r.Fields()
+		}
+		n.recorder.Event("requests by route", "routes", routes)
+	}
+	if len(counts.Runs) > 0 {
+		levels := make(map[identifier.Level]any, len(counts.Runs))
+		for level, r := range counts.Runs {
+			levels[level] = r.Fields()
+		}
+		n.recorder.Event("runs by level", "levels", levels)
+	}
+}
