Learn what requests cost from runs that end well only

Cause: nested calls were counted for each run when made, runs when started. A run that breaks off at its first failed call makes few of its calls, so the more requests fail, the less they seem to cost: 1.4 instead of 4 calls a run in the test. Demand is computed from these costs, so the fleet admits more.

Change: a run counts, with its calls, when it has ended with an answer below 500 and none of its calls was rejected. Calls of unknown runs as before.

TestCostOfRequestsIsThatOfWholeRuns failed before (1.38 calls, 4 expected).

--- a/internal/conductor/declined_count.go
+++ b/internal/conductor/declined_count.go
@@ -65,7 +65,13 @@
 	late := e.Outcome == Answered && now > d.deadline
 	lost := e.Outcome == Abandoned || e.Outcome == Late || e.Outcome == Broken
 	p := c.parents[d.request]
-	if late || lost || p.delivery == e.ID && p.failed {
+	if p.delivery != e.ID {
+		p = parent{}
+	}
+	if e.Outcome == Answered && e.Status < firstServerError && !p.failed {
+		c.runs.runSucceeded(d.route, p.calls)
+	}
+	if late || lost || p.failed {
 		c.failedSlotTime += took
 		counts.Failed++
 		counts.FailedSlotTime += took
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -44,7 +44,8 @@
 	rank     identifier.Rank
 	// fingerprint is that of the root request, 0 if unknown.
 	fingerprint identifier.Fingerprint
-	// failed is set when a nested call of the run was rejected.
+	// calls are the nested calls that the run has made, failed is set when one of them was rejected.
+	calls  []identifier.Route
 	failed bool
 }
 
@@ -126,7 +127,7 @@
 				if d.countIfRun {
 					c.throttler.Arrived()
 				}
-				c.runs.runStarted(d.route)
+				c.runs.runStarted()
 				c.offers.countOffered(now)
 				if d.request != "" {
 					c.parents[d.request] = parent{delivery: id, route: d.route, rank: d.rank, fingerprint: d.rootFingerprint()}
@@ -206,6 +207,17 @@
 	c.applyVerdicts(now)
 }
 
+// countNestedCall counts a nested call for the run that makes it; its route's calls are known once the run has ended.
+func (c *Conductor) countNestedCall(run identifier.Request, nested identifier.Route) {
+	p, known := c.parents[run]
+	if !known || p.route == unknownRoute {
+		c.runs.unattributedCallMade(nested)
+		return
+	}
+	p.calls = append(p.calls, nested)
+	c.parents[run] = p
+}
+
 // dropParent removes a delivery that has ended from the runs that make nested calls.
 func (c *Conductor) dropParent(id CallID, d *delivery) {
 	if c.parents[d.request].delivery == id {
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -109,11 +109,10 @@
 	r.service = c.splitOf(route).next()
 	r.rank = r.class.rank(c.plan.costLevels[r.origin()], c.random.Uint64())
 	if r.nested {
-		caller, known := c.parents[e.Parent]
-		if known {
+		if caller, known := c.parents[e.Parent]; known {
 			r.rank = caller.rank
 		}
-		c.runs.nestedCallMade(caller.route, identifier.Route(route.Name))
+		c.countNestedCall(e.Parent, identifier.Route(route.Name))
 	}
 	if !c.admit(r, now) {
 		return
--- a/internal/conductor/events.go
+++ b/internal/conductor/events.go
@@ -127,6 +127,8 @@
 type DeliveryEnded struct {
 	ID      CallID
 	Outcome Outcome
+	// Status is the endpoint's status code if it answered, 0 if that is not known.
+	Status int
 }
 
 // DeliveryCancelled ends a delivery that was not sent, since its caller disconnected while it was queued. It may have been
--- a/internal/conductor/runs.go
+++ b/internal/conductor/runs.go
@@ -4,6 +4,9 @@
 // route of the run that makes them. Counted by service alone, a request without nested calls would appear to make four,
 // because other requests at the same endpoint do, and would be refused for a service that it never needs.
 //
+// Only runs that end well count. A run that breaks off at its first failed call makes few: if it counted, requests would
+// seem to cost the less the more of them fail, and an overloaded service would be sent more of them.
+//
 // Example: 100 runs of "charge" make no call, 300 runs of "ledger" make 1,200 of "rack": 0 and 4 a run.
 
 import (
@@ -46,14 +49,23 @@
 	return k
 }
 
-// runStarted counts a run, for its route and for all routes together.
-func (r *runCounter) runStarted(route identifier.Route) {
-	if route != unknownRoute {
-		r.countsOf(route).addRun()
-	}
+// runStarted counts a run for all routes together.
+func (r *runCounter) runStarted() {
 	r.countsOf(unknownRoute).addRun()
 }
 
+// runSucceeded counts a run that has ended well for its route, with the nested calls that it made.
+func (r *runCounter) runSucceeded(route identifier.Route, nested []identifier.Route) {
+	if route == unknownRoute {
+		return
+	}
+	counts := r.countsOf(route)
+	counts.addRun()
+	for _, call := range nested {
+		counts.nested[call]++
+	}
+}
+
 func (k *runCounts) addRun() {
 	k.runs++
 	if k.runs < maxRunSample {
@@ -65,9 +77,9 @@
 	}
 }
 
-// nestedCallMade counts a call to nestedRoute that a run of parentRoute made.
-func (r *runCounter) nestedCallMade(parentRoute, nestedRoute identifier.Route) {
-	r.countsOf(parentRoute).nested[nestedRoute]++
+// unattributedCallMade counts a call that an unknown run made.
+func (r *runCounter) unattributedCallMade(nested identifier.Route) {
+	r.countsOf(unknownRoute).nested[nested]++
 }
 
 // retain drops the counts of removed routes.
--- a/internal/relayer/delivery.go
+++ b/internal/relayer/delivery.go
@@ -153,7 +153,7 @@
 				r.checkEnd(id, d.endpoint)
 			}
 		}
-		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome})
+		r.apply(id, conductor.DeliveryEnded{ID: id, Outcome: outcome, Status: a.status()})
 	}
 	return a
 }
