Do not learn a lower demand from calls that come late

Cause: the computed demand is corrected by the slowly smoothed ratio of the measured to the computed one. Calls of a chain follow each other, so a service that answers late gets them late, and those of failed chains never: its endpoints then measure what they can run, not what was admitted.

Change: while the endpoints measure more excess than is refused, only a higher ratio is learned. A computed demand that is too high still falls, since the measured excess is then the smaller one.

--- a/internal/conductor/demand_model.go
+++ b/internal/conductor/demand_model.go
@@ -91,10 +91,26 @@
 	return min(throttler.MaxExcess, max(0, 1-targetUtilization*l.capacity*callCost/(correction*d.slotTime)))
 }
 
-// learn compares the measured demand, in calls a second, with the computed one, and updates the mix of admitted calls.
+// measuredLoad is the demand of a service as its endpoints measure it, in calls a second, and the measured excess.
+type measuredLoad struct {
+	demand, excess float64
+}
+
+// ratioTo returns the ratio of the measured to a computed demand, and whether it tells more than the known one. The calls of a
+// chain arrive one after the other, so at a service that answers late they arrive late, and those of a chain that has failed
+// never arrive: while the endpoints measure more excess than is refused, the measured demand is a lower bound.
+func (m measuredLoad) ratioTo(computed, known, refused float64) (ratio float64, ok bool) {
+	if computed <= 0 {
+		return 0, false
+	}
+	ratio = min(maxRatio, m.demand/computed)
+	return ratio, ratio > known || m.excess < refused+minComputedExcess
+}
+
+// learn compares the measured demand with the computed one, and updates the mix of admitted calls.
 // Ratios are only learned while the arrivals of all nodes are known: after a restart of all nodes, those of the first
 // reports differed by a factor of two between nodes, which then set different thresholds for seconds.
-func (m *demandModel) learn(measured float64, d serviceDemand, r *refusal, complete bool, now clock.Time) {
+func (m *demandModel) learn(measured measuredLoad, d serviceDemand, r *refusal, complete bool, now clock.Time) {
 	// The span is bounded so that a single plan after a calm period counts as one.
 	span := min(now.Sub(m.updatedAt), 2*planPeriod)
 	m.updatedAt = now
@@ -104,12 +120,12 @@
 	if math.Abs(r.excess-m.settledExcess) > settledChange {
 		m.settledExcess, m.changedAt = r.excess, now
 	}
-	if d.calls > 0 && complete {
+	if ratio, ok := measured.ratioTo(d.calls, m.ratio, r.excess); ok && complete {
 		weight := weightOf(span, correctionTimeConstant)
 		if now.Sub(m.changedAt) < settlingTime {
 			weight *= unsettledWeight
 		}
-		m.ratio += weight * (min(maxRatio, measured/d.calls) - m.ratio)
+		m.ratio += weight * (ratio - m.ratio)
 	}
 	if admitted := d.calls - d.callsOf(r.parts); admitted > 0 {
 		rootPart := min(1, max(0, (d.rootCalls-d.rootCallsOf(r.parts))/admitted))
--- a/internal/conductor/demand_model_test.go
+++ b/internal/conductor/demand_model_test.go
@@ -76,3 +76,33 @@
 	c.Apply(ConfigurationRead{Matcher: m, At: boot.Add(12_000)}, 12_000)
 	assert.Equal(t, len(c.demandModels)+len(c.orderLevels)+len(c.runTimeRatios), 0)
 }
+
+// Guards against refusals that end at a service whose queue grows: its chains make their calls late, or fail before they make
+// them, so that fewer calls arrive than were admitted.
+func TestDemandIsNotLearnedFromLateCalls(t *testing.T) {
+	for name, test := range map[string]struct {
+		excess float64
+		falls  bool
+	}{
+		"more excess than is refused": {excess: 0.5},
+		"less excess than is refused": {excess: 0.1, falls: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := planned(t, exchanger.Report{Load: 900, Capacity: 650}, exchanger.Report{})
+			for now := clock.Time(100); now < 4000; now += 100 {
+				r := exchanger.Report{
+					Member: peer("e", "clock"), Number: int64(now), Load: 700, Capacity: 650, Excess: test.excess,
+					Arrivals: map[identifier.Route]map[identifier.Class]float64{"obs": {2: 100}, "fast": {0: 100}},
+					RootTime: 40, NestedTime: 40,
+				}
+				portal := exchanger.Report{
+					Member: peer("p", "portal"), Number: int64(now), Calls: map[identifier.Route]map[identifier.Route]float64{"obs": {"in": 8}},
+					Arrivals: map[identifier.Route]map[identifier.Class]float64{unknownRoute: {0: 0}},
+				}
+				c.Apply(ReportsReceived{Reports: []exchanger.Report{r, portal}}, now)
+				c.makePlan(now)
+			}
+			assert.Equal(t, c.demandModels["clock"].ratio < 0.95, test.falls, "%v", c.demandModels["clock"].ratio)
+		})
+	}
+}
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -21,8 +21,9 @@
 	demand serviceDemand
 	ratios map[origin]*throttler.Mix
 	parts  []float64
-	// excess is the refused part of the demand's calls.
+	// excess is the refused part of the demand's calls, measured what the endpoints measure.
 	excess   float64
+	measured measuredLoad
 	computed bool
 }
 
@@ -100,7 +101,7 @@
 // planService computes what one service refuses, given what the others do.
 func (p *refusalPlanner) planService(service identifier.Service) {
 	l, excess := p.loads[service], p.c.plan.excess[service]
-	r := &refusal{computed: p.fleet && !l.capacityUnknown}
+	r := &refusal{computed: p.fleet && !l.capacityUnknown, measured: measuredLoad{demand: l.load, excess: excess}}
 	if !r.computed && excess <= 0 {
 		return
 	}
@@ -153,7 +154,7 @@
 	if r.computed {
 		c.plan.computedServices[service] = true
 		m := c.demandModelOf(service, p.now)
-		m.learn(p.loads[service].load, d, r, c.plan.arrivalsComplete, p.now)
+		m.learn(r.measured, d, r, c.plan.arrivalsComplete, p.now)
 	}
 	limit, limited := c.serviceLimit(service, p.now)
 	var divided threshold
