Arrivals over a team's rate are no demand

What callers saw: requests of other teams refused for overload while one team sends several times its rate.

Cause: arrivals are counted, and reported as demand, before the team's rate is looked at.

Change: a request that is refused for its team's rate is taken out of the arrivals again, weighted by what was refused for overload before the rate was looked at.

--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -65,6 +65,13 @@
 	m[c]++
 }
 
+// remove takes back a number of arrivals, as far as they are still counted.
+func (a *arrivalCounts) remove(from origin, c class, n float64) {
+	if m, ok := a.counts[from]; ok {
+		m[c] = max(0, m[c]-n)
+	}
+}
+
 // minArrivalCount is the decayed count below which an origin is dropped, because routes come and go.
 const minArrivalCount = 0.001
 
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -62,6 +62,8 @@
 	// rateUnchecked is set when this node had no token for the request; tokenWait is the time until it has one.
 	rateUnchecked bool
 	tokenWait     clock.Duration
+	// refusedPart is the part of requests like this one that was refused for overload when it was admitted.
+	refusedPart float64
 	// heldBack is set when a limited endpoint had no room for the request; limitWait is how long the last such endpoint
 	// would have kept it waiting.
 	heldBack  bool
@@ -164,8 +166,9 @@
 	if r.team != nil {
 		c.teamArrivals.add(r.team.Name, identifier.Route(r.route.Name))
 	}
-	if ratio := c.refusedRatio(r, now); ratio > 0 && c.random.Float64() < ratio {
-		c.refuseForPressure(r, ratio, now)
+	r.refusedPart = c.refusedRatio(r, now)
+	if r.refusedPart > 0 && c.random.Float64() < r.refusedPart {
+		c.refuseForPressure(r, r.refusedPart, now)
 		return false
 	}
 	if c.lacksService(r) {
@@ -194,6 +197,16 @@
 	return false
 }
 
+// forgetArrival takes back the count of a request that is over its team's rate. Such requests are refused whatever the load, so
+// they are no demand; one team at several times its rate made the services seem overloaded to the others. The request stands
+// for those that were refused for overload before their team's rate was looked at.
+func (c *Conductor) forgetArrival(r *call) {
+	n := 1 / (1 - min(maxRefusedPart, r.refusedPart))
+	c.arrivalCounts.remove(r.origin(), r.class, n)
+	c.recentArrivals.remove(r.origin(), r.class, n)
+	c.teamArrivals.remove(r.team.Name, identifier.Route(r.route.Name), n)
+}
+
 // refuseForPressure refuses a request for the load on the services that it leads to; refused is the part of its kind that
 // is refused.
 func (c *Conductor) refuseForPressure(r *call, refused float64, now clock.Time) {
--- a/internal/conductor/team_arrivals.go
+++ b/internal/conductor/team_arrivals.go
@@ -28,6 +28,13 @@
 	a.counts[team][route]++
 }
 
+// remove takes back a number of arrivals, as far as they are still counted.
+func (a *teamArrivals) remove(team identifier.Team, route identifier.Route, n float64) {
+	if byRoute, ok := a.counts[team]; ok {
+		byRoute[route] = max(0, byRoute[route]-n)
+	}
+}
+
 // decay reduces the weight of old arrivals.
 func (a *teamArrivals) decay(now clock.Time) {
 	age := float64(now.Sub(a.decayedAt)) / float64(recentArrivalTimeConstant)
