Give each kind of request a least part of an overloaded service

Cause: capacity was given by strict order within a team's rank. At 1.3 times the capacity the earlier kinds leave the last one 6 in 100, at 1.8 times nothing.

Change: half of what is left to a team rank is divided between its kinds in proportion to demand, the rest by order as before. A kind never gets a smaller part than a less important one. Requests of the least part share one rank before the others of their team rank, at every hop. The same division serves services that decline calls. Groups of which the same part is refused are divided between teams one by one.

--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -28,6 +28,9 @@
 	valid         bool
 	excess        map[identifier.Service]float64
 	refusedRatios map[origin]*[throttler.Classes]float64
+	// leastRatios holds the part of each kind that is admitted whatever its importance, for kinds that lead to a service that
+	// refuses some requests.
+	leastRatios map[requestKind]float64
 	// arrivalRates is the rate of calls that arrive at each service, in calls a second.
 	arrivalRates map[identifier.Service]float64
 	// costLevels holds, for each origin, the base-2 logarithm of the largest number of calls that a request makes at
@@ -74,6 +77,32 @@
 	return c.plan.divide(r, ratios[r.class])
 }
 
+// admitLeast records the part of a kind that one service admits whatever the kind's importance; the smallest part counts.
+func (p *plan) admitLeast(k requestKind, part float64) {
+	if known, ok := p.leastRatios[k]; part < 1 && (!ok || part < known) {
+		p.leastRatios[k] = part
+	}
+}
+
+// rankOf returns the rank of an admitted root request. The part of its kind that is admitted whatever its importance precedes
+// all others at each service of the chain, or the calls of the last kind would wait there until they expire.
+func (c *Conductor) rankOf(r *call) identifier.Rank {
+	k, hash := requestKind{from: r.origin(), class: r.class}, c.random.Uint64()
+	if least := c.plan.leastRatios[k]; least > 0 && c.random.Float64() < least/c.plan.admittedRatio(k) {
+		return r.class.leastRank(hash)
+	}
+	return r.class.rank(c.plan.costLevels[r.origin()], hash)
+}
+
+// admittedRatio returns the part of a kind that is admitted.
+func (p *plan) admittedRatio(k requestKind) float64 {
+	ratios, ok := p.refusedRatios[k.from]
+	if !ok {
+		return 1
+	}
+	return 1 - ratios[k.class]
+}
+
 // overloaded reports whether some service has more load than it can take.
 func (p *plan) overloaded() bool {
 	for _, excess := range p.excess {
@@ -101,6 +130,8 @@
 		costLevels: map[origin]int{},
 		limits:     map[origin]float64{},
 
+		leastRatios: map[requestKind]float64{},
+
 		computedServices: map[identifier.Service]bool{},
 	}
 	c.refreshGraph(now)
--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -114,7 +114,9 @@
 	for _, d := range callingServices {
 		retries := d.calls * earning * budgeter.NestedAllowance(c.options.Bounds.RetryRatio)
 		excess := min(maxCompletionExcess, 1-retries/retriesPerCall/d.calls)
-		for i, ratio := range rationer.Refuse(d.demands, (1-excess)*d.calls) {
+		division := rationer.Divide(d.demands, (1-excess)*d.calls)
+		for i, ratio := range division.Refused {
+			c.plan.admitLeast(d.kinds[i].requestKind, division.Least[i])
 			ratio *= refusablePart(declined, d.kinds[i].calls)
 			if ratio > 0 {
 				c.raiseRefusedRatio(d.kinds[i].from, d.kinds[i].class, ratio)
--- a/internal/conductor/class.go
+++ b/internal/conductor/class.go
@@ -42,6 +42,11 @@
 	return identifier.MakeRank(identifier.Priority(c/rankLevels), uint8(level), hash)
 }
 
+// leastRank is the rank of a request that is admitted whatever the importance of its kind: only the rank of its team counts.
+func (c class) leastRank(hash uint64) identifier.Rank {
+	return identifier.MakeRank(identifier.Priority(c/rankLevels), 0, hash)
+}
+
 // arrivalCounts counts the root requests that arrive at this node, by origin and class, with exponential decay.
 type arrivalCounts struct {
 	timeConstant clock.Duration
--- a/internal/conductor/entry.go
+++ b/internal/conductor/entry.go
@@ -109,11 +109,8 @@
 	r.permittedDomains = c.permittedDomainsOf(r)
 	r.class = classOf(r)
 	r.service = c.splitOf(route).next()
-	r.rank = r.class.rank(c.plan.costLevels[r.origin()], c.random.Uint64())
 	if r.nested {
-		if caller, known := c.parents[e.Parent]; known {
-			r.rank = caller.rank
-		}
+		r.rank = c.nestedRank(r)
 		c.countNestedCall(e.Parent, identifier.Route(route.Name))
 	}
 	if !c.admit(r, now) {
@@ -122,8 +119,19 @@
 	c.start(r, now)
 }
 
+// nestedRank returns the rank of a nested call: that of the run that makes it, if it is known.
+func (c *Conductor) nestedRank(r *call) identifier.Rank {
+	if caller, known := c.parents[r.parent]; known {
+		return caller.rank
+	}
+	return r.class.rank(c.plan.costLevels[r.origin()], c.random.Uint64())
+}
+
 // start makes the first attempt of an admitted request.
 func (c *Conductor) start(r *call, now clock.Time) {
+	if !r.nested {
+		r.rank = c.rankOf(r)
+	}
 	c.calls[r.id] = r
 	c.kindCounts.route(r).Admitted++
 	c.attempt(r, now)
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -20,7 +20,8 @@
 type refusal struct {
 	demand serviceDemand
 	ratios map[origin]*throttler.Mix
-	parts  []float64
+	// parts are the refused fractions, least those that are admitted whatever the importance of the kind.
+	parts, least []float64
 	// excess is the refused part of the demand's calls, measured what the endpoints measure.
 	excess   float64
 	measured measuredLoad
@@ -110,7 +111,8 @@
 		excess = p.computedExcess(service, r.demand, excess)
 	}
 	r.excess = excess
-	r.parts = rationer.Refuse(r.demand.rationed, (1-excess)*r.demand.slotTime)
+	division := rationer.Divide(r.demand.rationed, (1-excess)*r.demand.slotTime)
+	r.parts, r.least = division.Refused, division.Least
 	if p.fleet {
 		r.excess = r.demand.refused(r.parts)
 	}
@@ -157,26 +159,27 @@
 		m.learn(r.measured, d, r, c.plan.arrivalsComplete, p.now)
 	}
 	limit, limited := c.serviceLimit(service, p.now)
-	var divided threshold
+	var divided []threshold
 	decision := Decision(pressureDecision + string(service))
 	for i, part := range r.parts {
+		k := d.kinds[i]
+		c.plan.admitLeast(k, r.least[i])
 		if part <= 0 {
 			continue
 		}
-		k := d.kinds[i]
 		c.plan.refuse(k, part, p.fleet)
 		c.plan.blame(k, part, decision)
 		if limited {
 			c.plan.limits[k.from] = limit
 		}
 		if p.fleet && part < 1 {
-			divided.add(k, d.slotTimes[i], part)
+			divided = addToThreshold(divided, k, d.slotTimes[i], part)
 		}
 	}
-	if len(divided.kinds) > 0 {
-		c.divideBetweenTeams(&divided, p.now)
-		c.plan.thresholds = append(c.plan.thresholds, divided)
+	for i := range divided {
+		c.divideBetweenTeams(&divided[i], p.now)
 	}
+	c.plan.thresholds = append(c.plan.thresholds, divided...)
 }
 
 // refuse adds a service's refused part of a kind. With the fleet's arrivals, it is a part of what the other services admit.
--- a/internal/conductor/team_shares.go
+++ b/internal/conductor/team_shares.go
@@ -13,10 +13,11 @@
 	"github.com/jackdawtide/jackdawtide/internal/rationer"
 )
 
-// threshold holds the kinds of requests that a service refuses in part, and the part for each team.
+// threshold holds the kinds of requests of one team rank of which a service refuses the same part, and the part for each team.
 type threshold struct {
 	// The values of kinds are the slot time of a request at the service.
-	kinds map[requestKind]float64
+	kinds    map[requestKind]float64
+	teamRank int
 	// refused is the part that is refused of all requests together.
 	refused float64
 	// byTeam holds the part for each team with a rate and demand, others that for all other requests. They are used if
@@ -26,12 +27,16 @@
 	others  float64
 }
 
-func (t *threshold) add(k requestKind, slotTime, refused float64) {
-	if t.kinds == nil {
-		t.kinds = map[requestKind]float64{}
+// addToThreshold adds a kind to the threshold of those of its team rank of which the same part is refused.
+func addToThreshold(all []threshold, k requestKind, slotTime, refused float64) []threshold {
+	rank := int(k.class) / rankLevels
+	for i := range all {
+		if all[i].teamRank == rank && all[i].refused == refused {
+			all[i].kinds[k] = slotTime
+			return all
+		}
 	}
-	t.kinds[k] = slotTime
-	t.refused = refused
+	return append(all, threshold{kinds: map[requestKind]float64{k: slotTime}, teamRank: rank, refused: refused})
 }
 
 // refusedOf returns the part that is refused of a team's requests; a team that no report mentions is far below its share.
@@ -71,9 +76,8 @@
 // claim each, which is the slot time of their arrivals of the kinds at the threshold; all other requests of these kinds have
 // one together, with the mean rate as its weight.
 func (c *Conductor) divideBetweenTeams(t *threshold, now clock.Time) {
-	rank, costs := 0, map[identifier.Route]float64{}
+	costs := map[identifier.Route]float64{}
 	for k, slotTime := range t.kinds {
-		rank = int(k.class) / rankLevels
 		costs[k.from.route] += c.routeShares[k.from.route][k.from.service] * slotTime
 	}
 	arrivals := c.arrivalsAt(t, costs, now)
@@ -83,7 +87,7 @@
 	rated, weights, others := 0.0, 0.0, 0.0
 	for i := range teams {
 		team := &teams[i]
-		if teamRankOf(team) != rank {
+		if teamRankOf(team) != t.teamRank {
 			continue
 		}
 		demand := arrivals.byTeam[team.Name]
