--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -140,8 +140,10 @@
 	registrar *registrar.Registrar
 	limiter   *limiter.Limiter
 	throttler *throttler.Throttler
-	runs      runCounter
-	runTimes  runTimes
+	// queueFloor tells which part of the queue for the local endpoint stands.
+	queueFloor queueFloor
+	runs       runCounter
+	runTimes   runTimes
 	// offers counts calls offered to the local endpoint and declined by it; failedSlotTime is the time of runs that were
 	// of no use.
 	offers         offerCounts
@@ -360,6 +362,7 @@
 	c.limitCapacity(now)
 	c.checkAssumedCold(now)
 	c.refreshPlan(now)
+	c.queueFloor.observe(c.limiter.Queued())
 	c.throttler.ObserveSlots(c.limiter.InFlight(), c.limiter.Limit())
 	c.throttler.Observe(c.limiter.Queued(), c.plan.excess[c.self.Service], now)
 }
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -328,6 +328,7 @@
 	c.deliveries = map[CallID]*delivery{}
 	c.parents = map[identifier.Request]parent{}
 	c.runTimes = runTimes{}
+	c.queueFloor = queueFloor{}
 }
 
 // shedQueue turns away all queued requests; running requests continue.
--- a/internal/conductor/fleet_arrivals.go
+++ b/internal/conductor/fleet_arrivals.go
@@ -78,9 +78,9 @@
 }
 
 const (
-	// queueDrainTime is the time within which a standing queue at an endpoint should have run. A change of refusals
-	// shows there after half of that time; a shorter one lets the queue swing between full and empty.
-	queueDrainTime = 700 * clock.Millisecond
+	// queueDrainTime is the time within which a standing queue at an endpoint should have run: about the time after which a
+	// change of refusals shows there. With a shorter one the queue would swing between full and empty.
+	queueDrainTime = 500 * clock.Millisecond
 	// minArrivalPart is the part of an endpoint's capacity that remains for new calls however many are queued.
 	minArrivalPart = 0.1
 )
@@ -93,7 +93,7 @@
 	if c.limiter == nil {
 		return full
 	}
-	queued := float64(c.limiter.StandingQueue()) * float64(clock.Second) / float64(queueDrainTime)
+	queued := float64(c.queueFloor.standing()) * float64(clock.Second) / float64(queueDrainTime)
 	return max(minArrivalPart*full, full-queued)
 }
 
--- a/internal/conductor/queued_calls_test.go
+++ b/internal/conductor/queued_calls_test.go
@@ -53,7 +53,7 @@
 	for now := clock.Time(4000); now < 4500; now += 5 {
 		step(now, 12)
 	}
-	queued := float64(c.limiter.StandingQueue()) * float64(clock.Second) / float64(queueDrainTime)
+	queued := float64(c.queueFloor.standing()) * float64(clock.Second) / float64(queueDrainTime)
 	assert.Assert(t, queued > 100, "%v", queued)
 	full := c.throttler.FullRate()
 	assert.Equal(t, c.Report(4500).Capacity, full-queued)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -207,11 +207,6 @@
 	maxSlackFraction = 1.0 / 2
 )
 
-// StandingQueue returns how many calls are queued beyond those that random arrivals cause without overload.
-func (l *Limiter) StandingQueue() int {
-	return max(0, l.queue.len()-int(burstQueueFactor*math.Sqrt(float64(l.limit))))
-}
-
 // ExpectedDelay returns the queueing delay that random arrivals cause without overload.
 func (l *Limiter) ExpectedDelay() clock.Duration {
 	burstDelay := burstQueueFactor * l.serviceTime.mean / math.Sqrt(float64(l.limit))
