Take a higher rate of a full endpoint only if it lasts

Cause: the rate of a full endpoint jumps to that of one window if it is clearly higher, and falls slowly.

Change: the second window in a row counts, with the lower rate of the two.

TestFullRateOfAnswersInBatches failed before. TestFleetRecoversFromStall, for which the jump was made, passes.

--- a/internal/throttler/full_rate.go
+++ b/internal/throttler/full_rate.go
@@ -73,13 +73,20 @@
 		measured = rate / max(utilization, minExtrapolatedUtilization)
 	}
 	answered, expected := rate*seconds, t.fullRate*utilization*seconds
-	clearlyHigher := t.fullRate > 0 && answered > 0 && measured > t.fullRate*(1+changeNoise/math.Sqrt(answered))
+	higher := t.fullRate > 0 && answered > 0 && measured > t.fullRate*(1+changeNoise/math.Sqrt(answered))
+	// One window alone also has the answers that a pause of the process or of the endpoint has held up in the window before.
+	clearlyHigher := higher && t.higherRate > 0
+	sustained := min(measured, t.higherRate)
+	t.higherRate = 0
+	if higher {
+		t.higherRate = measured
+	}
 	clearlyLower := utilization >= minMeasuredUtilization && expected > 0 && measured < t.fullRate*(1-changeNoise/math.Sqrt(expected))
 	switch {
 	case clearlyHigher:
 		// Smoothed with fullRateGain, most requests were refused for a second after a stall of three seconds although the slots
 		// were free.
-		t.fullRate = measured
+		t.fullRate = sustained
 	case clearlyLower:
 		t.fullRate += max(fullRateGain, 1-math.Exp(-seconds/slowdownSeconds)) * (measured - t.fullRate)
 	case utilization < minMeasuredUtilization:
--- a/internal/throttler/full_rate_test.go
+++ b/internal/throttler/full_rate_test.go
@@ -107,3 +107,31 @@
 		})
 	}
 }
+
+// Guards against a capacity that is too high because answers come in batches: the node gets no processor time for a while, or
+// the endpoint pauses, and one window has the answers of two. The fleet would admit more than the endpoint can run.
+func TestFullRateOfAnswersInBatches(t *testing.T) {
+	th := New(0)
+	now, sum, samples := clock.Time(0), 0.0, 0.0
+	for tick := range 1600 {
+		now += 25
+		// Every 200 ms, the answers of 50 ms are held up to the next 50 ms.
+		answered := 100
+		switch tick % 8 {
+		case 4, 5:
+			answered = 30
+		case 6, 7:
+			answered = 170
+		}
+		for range answered {
+			th.Arrived()
+			th.Answered()
+		}
+		th.ObserveSlots(100, 100)
+		th.Observe(50, 0, now)
+		if tick > 400 {
+			sum, samples = sum+th.FullRate(), samples+1
+		}
+	}
+	assert.Assert(t, math.Abs(sum/samples-4000) <= 0.03*4000, "%v", sum/samples)
+}
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -81,6 +81,8 @@
 	fullAnswered     float64
 	occupied, usable float64
 	fullRate         float64
+	// higherRate is the rate of the last window if that was clearly higher than fullRate, 0 otherwise.
+	higherRate float64
 	// limitEnded is set if a rate limit ended in the current window of fullRate, whose calls are therefore no measure of the capacity.
 	limitEnded bool
 }
