Report the standing queue, and refuse for what of it still stands

Change: the queue is a field of the report (key 19; older nodes ignore it), and each node takes off what has run of it since: the part of the capacity that the admitted calls leave, for the age of the reports. What still stands is to run within 0.3 s, for at most 0.15 of the capacity.

--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -53,6 +53,8 @@
 	arrivalReporters int
 	arrivalsComplete bool
 	computedServices map[identifier.Service]bool
+	// demands and capacities are the demand and the capacity that their excess is computed from, in calls a second.
+	demands, capacities map[identifier.Service]float64
 	// leafServices holds the services that are known to make no nested calls.
 	leafServices map[identifier.Service]bool
 }
@@ -133,6 +135,8 @@
 		leastRatios: map[requestKind]float64{},
 
 		computedServices: map[identifier.Service]bool{},
+		demands:          map[identifier.Service]float64{},
+		capacities:       map[identifier.Service]float64{},
 	}
 	c.refreshGraph(now)
 	loads := c.planLoads(now)
--- a/internal/conductor/demand_model.go
+++ b/internal/conductor/demand_model.go
@@ -35,6 +35,12 @@
 	unsettledWeight = 0.2
 	// mixTimeConstant is the time in which the capacity that endpoints measure, in calls, follows a changed mix of calls.
 	mixTimeConstant = 500 * clock.Millisecond
+	// queueDrainSeconds is the time within which a standing queue should have run. Computed from arrivals alone, refusals that
+	// are a few parts in a hundred too low would let the queue grow for as long as the overload lasts; its calls then miss their
+	// deadlines, and so do the runs that wait for them.
+	queueDrainSeconds = 0.3
+	// maxQueuePart is the largest part of the capacity that is kept free for a standing queue.
+	maxQueuePart = 0.15
 	// minComputedExcess is the smallest excess that is acted on.
 	minComputedExcess = 0.005
 )
@@ -47,6 +53,8 @@
 	// rootPart is the part of the admitted calls that are root requests, negative before the first plan. It is kept in place
 	// of the mean slot time of a call, which was too long for a second after a stall, so that nothing was refused.
 	rootPart float64
+	// refused is the part of the demand that the last plan refused.
+	refused float64
 	// settledExcess is the excess that the present one is compared with, changedAt when it was last replaced.
 	settledExcess float64
 	changedAt     clock.Time
@@ -88,7 +96,9 @@
 	}
 	callCost := l.slotTime(rootPart, 1-rootPart)
 	correction := min(maxCorrection, max(minCorrection, m.ratio))
-	return min(throttler.MaxExcess, max(0, 1-targetUtilization*l.capacity*callCost/(correction*d.slotTime)))
+	queued := l.standingQueue((1-m.refused)*correction*d.calls) / queueDrainSeconds
+	capacity := targetUtilization*l.capacity - min(queued, maxQueuePart*l.capacity)
+	return min(throttler.MaxExcess, max(0, 1-capacity*callCost/(correction*d.slotTime)))
 }
 
 // measuredLoad is the demand of a service as its endpoints measure it, in calls a second, and the measured excess.
@@ -114,6 +124,7 @@
 	// The span is bounded so that a single plan after a calm period counts as one.
 	span := min(now.Sub(m.updatedAt), 2*planPeriod)
 	m.updatedAt = now
+	m.refused = r.excess
 	if r.excess > 0 {
 		m.overloadedAt = now
 	}
--- a/internal/conductor/fleet_arrivals.go
+++ b/internal/conductor/fleet_arrivals.go
@@ -57,7 +57,7 @@
 	if !c.sharesArrivals(now) {
 		return
 	}
-	r.Capacity = c.capacityForArrivals()
+	r.Capacity, r.Queue = c.throttler.FullRate(), float64(c.queueFloor.standing())
 	r.Arrivals = map[identifier.Route]map[identifier.Class]float64{}
 	c.recentArrivals.decay(now)
 	for route, rates := range c.recentArrivals.rates() {
@@ -77,26 +77,6 @@
 	}
 }
 
-const (
-	// queueDrainTime is the time within which a standing queue at an endpoint should have run: about the time after which a
-	// change of refusals shows there. With a shorter one the queue would swing between full and empty.
-	queueDrainTime = 500 * clock.Millisecond
-	// minArrivalPart is the part of an endpoint's capacity that remains for new calls however many are queued.
-	minArrivalPart = 0.1
-)
-
-// capacityForArrivals returns the calls a second that the local endpoint can take beside those of its standing queue, 0 if that
-// is not known. Computed from arrivals alone, refusals that are a few parts in a hundred too low would let the queue grow for as
-// long as the overload lasts; its calls then miss their deadlines, and so do the runs that wait for them.
-func (c *Conductor) capacityForArrivals() float64 {
-	full := c.throttler.FullRate()
-	if c.limiter == nil {
-		return full
-	}
-	queued := float64(c.queueFloor.standing()) * float64(clock.Second) / float64(queueDrainTime)
-	return max(minArrivalPart*full, full-queued)
-}
-
 // arrivalTrend holds the arrivals in a node's latest reports, oldest first: the last one and the latest one before it with
 // which it can be compared.
 type arrivalTrend []reportedArrivals
--- a/internal/conductor/service_load.go
+++ b/internal/conductor/service_load.go
@@ -16,6 +16,9 @@
 	// limited: limited endpoints name their capacity, and the measured excess follows it.
 	load, capacity  float64
 	capacityUnknown bool
+	// queue is the number of calls that stood in the queues of the endpoints, queueAge the sum of their ages since then in
+	// seconds.
+	queue, queueAge float64
 	root, nested    meanTime
 	// rootWeight is the slot time of a root request in that of a nested call, if both run times are known.
 	rootWeight float64
@@ -68,6 +71,8 @@
 	l.loads = append(l.loads, report.Load)
 	l.load += report.Load
 	l.capacity += report.Capacity
+	l.queue += report.Queue
+	l.queueAge += report.Queue * float64(report.Age) / float64(clock.Second)
 	if report.Capacity <= 0 || report.Limit == exchanger.Limited || report.ColdLeft > 0 {
 		l.capacityUnknown = true
 	}
@@ -104,6 +109,16 @@
 	return rootCalls*weight + nestedCalls
 }
 
+// standingQueue returns the calls of the endpoints' queues that still stand, given the calls a second that are admitted: what
+// these leave of the capacity has gone into the queue since the reports were made.
+func (l *serviceLoad) standingQueue(admitted float64) float64 {
+	if l.queue <= 0 {
+		return 0
+	}
+	age := l.queueAge / l.queue
+	return max(0, l.queue-age*max(0, l.capacity-admitted))
+}
+
 // planLoads computes the measured excess and the arrival rate of each service.
 func (c *Conductor) planLoads(now clock.Time) map[identifier.Service]*serviceLoad {
 	loads := map[identifier.Service]*serviceLoad{}
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -155,6 +155,7 @@
 	c.plan.arrivalRates[service] = p.loads[service].load * (1 - r.excess)
 	if r.computed {
 		c.plan.computedServices[service] = true
+		c.plan.demands[service], c.plan.capacities[service] = d.calls, p.loads[service].capacity
 		m := c.demandModelOf(service, p.now)
 		m.learn(r.measured, d, r, c.plan.arrivalsComplete, p.now)
 	}
--- a/internal/exchanger/codec.go
+++ b/internal/exchanger/codec.go
@@ -54,6 +54,7 @@
 	Capacity float32                      `cbor:"17,keyasint,omitempty"`
 	// TeamArrivals holds rates by team and route.
 	TeamArrivals map[string]map[string]float32 `cbor:"18,keyasint,omitempty"`
+	Queue        float32                       `cbor:"19,keyasint,omitempty"`
 }
 
 // wireCalls holds the number of calls by the run's route and the call's route.
@@ -172,6 +173,7 @@
 		Capacity: float32(r.Capacity),
 
 		TeamArrivals: toTeamArrivals(r.TeamArrivals),
+		Queue:        float32(r.Queue),
 	}
 	if r.Compact {
 		w.Node = string(r.Member.Node)
--- a/internal/exchanger/rates.go
+++ b/internal/exchanger/rates.go
@@ -52,6 +52,7 @@
 		{"offered", w.Offered, &r.Offered},
 		{"declined", w.Declined, &r.Declined},
 		{"capacity", w.Capacity, &r.Capacity},
+		{"queue", w.Queue, &r.Queue},
 	} {
 		if !validRate(f.from) {
 			return RateError{Node: node, Field: f.name, Value: float64(f.from)}
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -114,8 +114,11 @@
 	// Offered is the rate of calls per second that the node passed to its endpoint, and Declined the rate of those that
 	// the endpoint answered as not run. They are sent only while the endpoint declines calls.
 	Offered, Declined float64
-	// Capacity is the rate of calls per second that the endpoint can take: what it answers with all its slots in use, less what
-	// its standing queue needs; 0 if it has not been measured. It is sent only while some service is or was just overloaded.
+	// Queue is the number of calls that stand in the queue for the endpoint. It is sent only while some service is or was just
+	// overloaded.
+	Queue float64
+	// Capacity is the rate of calls per second that the endpoint answers with all its slots in use, 0 if it has not been
+	// measured. It is sent only while some service is or was just overloaded.
 	Capacity float64
 }
 
