Log demand, capacity and the rate of a full endpoint

Whether a node refuses too little because the demand is taken too low or the capacity too high did not show in the logs; the demands and capacities that a node computes with, and its endpoint's full rate, show which.

--- a/internal/conductor/dump.go
+++ b/internal/conductor/dump.go
@@ -36,6 +36,10 @@
 	ArrivalReporters int
 	ArrivalsComplete bool
 	DemandRatios     map[identifier.Service]float64
+	// Demands and Capacities are the computed demand and the reported capacity of these services, in calls a second.
+	Demands, Capacities map[identifier.Service]float64
+	// FullRate is the rate of calls that the local endpoint answers with all its slots in use, 0 if it is not known.
+	FullRate float64
 	// TeamsDivided is the number of services that divide a kind of requests between teams.
 	TeamsDivided int
 	Members      []exchanger.Member
@@ -108,6 +112,8 @@
 func (c *Conductor) dumpShedding(s *State) {
 	s.ArrivalReporters, s.ArrivalsComplete = c.plan.arrivalReporters, c.plan.arrivalsComplete
 	s.DemandRatios = map[identifier.Service]float64{}
+	s.Demands, s.Capacities = maps.Clone(c.plan.demands), maps.Clone(c.plan.capacities)
+	s.FullRate = c.throttler.FullRate()
 	for service, excess := range c.plan.excess {
 		if c.plan.computedServices[service] {
 			s.RefusedComputed = max(s.RefusedComputed, excess)
@@ -139,7 +145,8 @@
 		"limited": s.Limited, "rateLimit": s.RateLimit, "limitAgeMs": int64(s.LimitAge),
 		"heldBack": s.HeldBack, "otherLimits": s.OtherLimits,
 		"refusedComputed": s.RefusedComputed, "refusedMeasured": s.RefusedMeasured, "arrivalReporters": s.ArrivalReporters,
-		"arrivalsComplete": s.ArrivalsComplete, "demandRatios": s.DemandRatios, "teamsDivided": s.TeamsDivided,
+		"arrivalsComplete": s.ArrivalsComplete, "demandRatios": s.DemandRatios, "demands": s.Demands,
+		"capacities": s.Capacities, "fullRate": s.FullRate, "teamsDivided": s.TeamsDivided,
 		"evacuated": s.Evacuated, "ordersNext": int64(s.OrdersNext),
 		"declining": s.Declining, "rootRetriesGranted": s.RootRetriesGranted, "rootRetriesRefused": s.RootRetriesRefused,
 		"nestedRetriesGranted": s.NestedRetriesGranted, "nestedRetriesRefused": s.NestedRetriesRefused,
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -187,13 +187,14 @@
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { s, counts = c.Dump(now), c.TakeKindCounts() })
 	n.logKindCounts(counts)
 	n.recorder.Event("load", "running", s.Running, "queued", s.Queued, "limit", s.Limit, "queueMs", int64(s.QueueDelay),
-		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open,
+		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "fullRate", int64(s.FullRate), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open,
 		"connections", n.connections.Open(), "coldMs", int64(s.ColdLeft), "coldOthers", s.ColdOthers, "evacuated", s.Evacuated,
 		"limited", s.Limited, "rateLimit", s.RateLimit, "limitAgeMs", int64(s.LimitAge), "heldBack", s.HeldBack,
 		"otherLimits", s.OtherLimits)
 	if s.RefusedComputed > 0 || s.RefusedMeasured > 0 {
 		n.recorder.Event("requests refused for overload", "refusedComputed", s.RefusedComputed, "refusedMeasured", s.RefusedMeasured,
 			"arrivalReporters", s.ArrivalReporters, "arrivalsComplete", s.ArrivalsComplete, "demandRatios", s.DemandRatios,
+			"demands", s.Demands, "capacities", s.Capacities,
 			"teamsDivided", s.TeamsDivided)
 	}
 }
