Refuse entries and heartbeats that no node or endpoint makes

Reported by other operators: an odd entry among the endpoints' ended the nodes that read the list, or made them stop following it. Here: a record with a port out of range, no port, or any number of slots was taken as a member, and counted in the division of rates; a record of another key could speak for a node; an answer with one record that could not be decoded was refused as a whole, so that a node beside another version would have followed nothing; a heartbeat for another address was acknowledged and not followed, and one with a billion slots would have reserved memory for each.

Change: each field has bounds, checked by one function for all readers (store, reports, answers) and in the registrar for heartbeats; a record speaks for the node of its key only; invalid reports are left out one by one, and logged; heartbeats that are not followed get 400. Figures that are not numbers in a report's excess and load make it invalid, like its other rates.

--- a/internal/exchanger/rates.go
+++ b/internal/exchanger/rates.go
@@ -49,6 +49,8 @@
 		from float32
 		to   *float64
 	}{
+		{"excess", w.Excess, &r.Excess},
+		{"load", w.Load, &r.Load},
 		{"offered", w.Offered, &r.Offered},
 		{"declined", w.Declined, &r.Declined},
 		{"capacity", w.Capacity, &r.Capacity},
@@ -59,6 +61,7 @@
 		}
 		*f.to = float64(f.from)
 	}
+	r.Excess = min(1, r.Excess)
 	if len(w.Arrivals) > 0 {
 		r.Arrivals = make(map[identifier.Route]map[identifier.Class]float64, len(w.Arrivals))
 	}
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -71,12 +71,16 @@
 	Report    Report
 	Forwarded []Report
 	Since     Cursor
+	// Refused are the errors of the forwarded reports that were received and could not be decoded.
+	Refused []error
 }
 
 // Answer holds the reports that the asking node has not received yet, and its new cursor.
 type Answer struct {
 	Cursor  Cursor
 	Reports []Report
+	// Refused are the errors of the reports that were received and could not be decoded.
+	Refused []error
 }
 
 // Report holds what a node measured over half a second.
--- a/internal/mesher/mesher.go
+++ b/internal/mesher/mesher.go
@@ -44,7 +44,7 @@
 	EvacuatedDomain func(key string) (identifier.FailureDomain, bool)
 	// Announcements returns the handler of the local endpoint's heartbeats.
 	Announcements func(
-		accept func(registrar.Announcement),
+		accept func(registrar.Announcement) error,
 		remove func(identifier.Endpoint),
 		refused func(error),
 	) http.Handler
--- a/internal/mesher/peers.go
+++ b/internal/mesher/peers.go
@@ -133,6 +133,7 @@
 	if err != nil {
 		return exchanger.Answer{}, nil, err
 	}
+	n.logRefusedReports(member.Node, answer.Refused)
 	proof, ok := relayer.ReadProof(response.Header, requestedAt)
 	if !ok {
 		return answer, nil, nil
@@ -161,6 +162,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	n.logRefusedReports(question.Report.Member.Node, question.Refused)
 	var reply exchanger.Answer
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { reply = c.Answer(question, now) })
 	answer, err := exchanger.EncodeAnswer(reply)
@@ -172,6 +174,13 @@
 	_, _ = w.Write(answer)
 }
 
+// logRefusedReports logs the reports that another node passed on and that could not be decoded.
+func (n *node) logRefusedReports(from identifier.Node, refused []error) {
+	for _, err := range refused {
+		n.recorder.Event("report refused", "from", string(from), "error", err.Error())
+	}
+}
+
 // serveState serves a dump of the node's state for debugging.
 func (n *node) serveState(w http.ResponseWriter, _ *http.Request) {
 	var state conductor.State
@@ -182,13 +191,23 @@
 	}
 }
 
+// endpoint identifies the endpoint beside this node.
+func (n *node) endpoint() registrar.Options {
+	s := n.options.Settings
+	return registrar.Options{Service: s.Service, Address: s.Endpoint.String()}
+}
+
 func (n *node) announcements() http.Handler {
 	return n.options.Platform.Announcements(
-		func(a registrar.Announcement) {
+		func(a registrar.Announcement) error {
+			if err := n.endpoint().Check(a); err != nil {
+				return err
+			}
 			n.relayer.ApplyEvent(conductor.EndpointAnnounced{Announcement: a})
 			if a.Leaving {
 				n.awaitRecord()
 			}
+			return nil
 		},
 		func(id identifier.Endpoint) {
 			n.relayer.ApplyEvent(conductor.EndpointRemoved{Endpoint: id})
--- a/internal/mesher/store.go
+++ b/internal/mesher/store.go
@@ -197,6 +197,9 @@
 			continue
 		}
 		m, err := exchanger.DecodeMember(r.Value)
+		if err == nil && string(m.Node) != r.Key {
+			err = exchanger.MemberError{Node: string(m.Node), Field: "key", Value: r.Key, Want: "the node's name"}
+		}
 		if err != nil {
 			n.recorder.Event("member refused", "key", r.Key, "error", err.Error())
 			continue
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -54,6 +54,25 @@
 	return fmt.Sprintf("announcement of another endpoint: %s is %q, want %q", e.Field, e.Value, e.Want)
 }
 
+// BoundError reports an announcement with a figure that no endpoint has.
+type BoundError struct {
+	Field      string
+	Value, Max int64
+}
+
+// Error names the field, its value and the bound.
+func (e BoundError) Error() string {
+	return fmt.Sprintf("announcement: %s is %d, want 0 to %d", e.Field, e.Value, e.Max)
+}
+
+const (
+	// MaxSlots bounds the slots of an endpoint, for each of which its node reserves memory: 50 times those of the largest
+	// endpoint known.
+	MaxSlots = 20_000
+	// MaxColdLeft bounds the time for which an endpoint is cold after its start, which takes seconds.
+	MaxColdLeft = clock.Hour
+)
+
 // Options identify the endpoint beside this node.
 type Options struct {
 	Service identifier.Service
@@ -102,13 +121,25 @@
 	return r.local
 }
 
+// Check returns an error for an announcement that is not about the endpoint beside this node, or that no endpoint makes.
+func (o Options) Check(a Announcement) error {
+	switch {
+	case a.Service != o.Service:
+		return ForeignError{Field: "service", Value: string(a.Service), Want: string(o.Service)}
+	case a.Address != o.Address:
+		return ForeignError{Field: "address", Value: a.Address, Want: o.Address}
+	case a.Slots < 0 || a.Slots > MaxSlots:
+		return BoundError{Field: "slots", Value: a.Slots, Max: MaxSlots}
+	case a.ColdLeft < 0 || a.ColdLeft > MaxColdLeft:
+		return BoundError{Field: "cold time left in ms", Value: int64(a.ColdLeft), Max: int64(MaxColdLeft)}
+	}
+	return nil
+}
+
 // Announce takes an announcement and returns whether it changed the known state.
 func (r *Registrar) Announce(a Announcement, now clock.Time) (bool, error) {
-	if a.Service != r.options.Service {
-		return false, ForeignError{Field: "service", Value: string(a.Service), Want: string(r.options.Service)}
-	}
-	if a.Address != r.options.Address {
-		return false, ForeignError{Field: "address", Value: a.Address, Want: r.options.Address}
+	if err := r.options.Check(a); err != nil {
+		return false, err
 	}
 	if r.isRemoved(a, now) || r.isStale(a) {
 		return false, nil
