--- a/internal/deliverer/announce.go
+++ b/internal/deliverer/announce.go
@@ -9,7 +9,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/gorilla/mux"
 
@@ -104,14 +106,33 @@
 	return fmt.Sprintf("%s: %v: want %s", e.Field, e.Value, e.Want)
 }
 
+const (
+	// maxNameBytes bounds the names that all nodes keep.
+	maxNameBytes = 255
+	// maxSlots bounds the slots and connections of a backend server: memory is reserved for each slot.
+	maxSlots = 20_000
+	// maxColdStart bounds the cold start, which takes seconds.
+	maxColdStart = clock.Hour
+)
+
 func (a announcement) check() error {
 	switch {
+	case len(a.Endpoint) > maxNameBytes:
+		return AnnouncementError{Field: "endpoint", Value: len(a.Endpoint), Want: "at most 255 bytes"}
+	case len(a.Service) > maxNameBytes:
+		return AnnouncementError{Field: "service", Value: len(a.Service), Want: "at most 255 bytes"}
+	case a.Slots > maxSlots:
+		return AnnouncementError{Field: "slots", Value: a.Slots, Want: "at most 20000"}
+	case a.ConnectionLimit > maxSlots:
+		return AnnouncementError{Field: "connectionLimit", Value: a.ConnectionLimit, Want: "at most 20000"}
+	case a.ColdStartMs > int64(maxColdStart):
+		return AnnouncementError{Field: "coldStartMs", Value: a.ColdStartMs, Want: "at most an hour"}
 	case a.Endpoint == "":
 		return AnnouncementError{Field: "endpoint", Value: `""`, Want: "a name unique among all backend servers"}
 	case a.Service == "":
 		return AnnouncementError{Field: "service", Value: `""`, Want: "the name of a service"}
-	case a.Address == "":
-		return AnnouncementError{Field: "address", Value: `""`, Want: "host:port"}
+	case !isAddress(a.Address):
+		return AnnouncementError{Field: "address", Value: fmt.Sprintf("%.64q", a.Address), Want: "host:port with a port from 1 to 65535"}
 	case a.Slots < 1:
 		return AnnouncementError{Field: "slots", Value: a.Slots, Want: "at least 1"}
 	case a.ConnectionLimit < 1:
@@ -122,6 +143,16 @@
 	return nil
 }
 
+// isAddress reports whether a text is a host and a port that can be called.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" || len(host) > maxNameBytes {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 func (d *Deliverer) heartbeat(w http.ResponseWriter, q *http.Request, states StateReader) {
 	id := identifier.Endpoint(mux.Vars(q)["id"])
 	var h heartbeat
