--- a/internal/deliverer/announce.go
+++ b/internal/deliverer/announce.go
@@ -9,14 +9,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"strconv"
 
 	"github.com/gorilla/mux"
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/reducer"
 )
 
@@ -106,24 +105,18 @@
 	return fmt.Sprintf("%s: %v: want %s", e.Field, e.Value, e.Want)
 }
 
-const (
-	// maxNameBytes bounds the names that all nodes keep.
-	maxNameBytes = 255
-	// maxSlots bounds the slots and connections of a backend server: memory is reserved for each slot.
-	maxSlots = 20_000
-	// maxColdStart bounds the cold start, which takes seconds.
-	maxColdStart = clock.Hour
-)
+// maxColdStart bounds the cold start, which takes seconds.
+const maxColdStart = clock.Hour
 
 func (a announcement) check() error {
 	switch {
-	case len(a.Endpoint) > maxNameBytes:
+	case len(a.Endpoint) > identifier.MaxNameBytes:
 		return AnnouncementError{Field: "endpoint", Value: len(a.Endpoint), Want: "at most 255 bytes"}
-	case len(a.Service) > maxNameBytes:
+	case len(a.Service) > identifier.MaxNameBytes:
 		return AnnouncementError{Field: "service", Value: len(a.Service), Want: "at most 255 bytes"}
-	case a.Slots > maxSlots:
+	case a.Slots > limiter.MaxSlots:
 		return AnnouncementError{Field: "slots", Value: a.Slots, Want: "at most 20000"}
-	case a.ConnectionLimit > maxSlots:
+	case a.ConnectionLimit > limiter.MaxSlots:
 		return AnnouncementError{Field: "connectionLimit", Value: a.ConnectionLimit, Want: "at most 20000"}
 	case a.ColdStartMs > int64(maxColdStart):
 		return AnnouncementError{Field: "coldStartMs", Value: a.ColdStartMs, Want: "at most an hour"}
@@ -131,7 +124,7 @@
 		return AnnouncementError{Field: "endpoint", Value: `""`, Want: "a name unique among all backend servers"}
 	case a.Service == "":
 		return AnnouncementError{Field: "service", Value: `""`, Want: "the name of a service"}
-	case !isAddress(a.Address):
+	case !identifier.IsAddress(a.Address):
 		return AnnouncementError{Field: "address", Value: fmt.Sprintf("%.64q", a.Address), Want: "host:port with a port from 1 to 65535"}
 	case a.Slots < 1:
 		return AnnouncementError{Field: "slots", Value: a.Slots, Want: "at least 1"}
@@ -143,16 +136,6 @@
 	return nil
 }
 
-// isAddress reports whether a text is a host and a port that can be called.
-func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil || host == "" || len(host) > maxNameBytes {
-		return false
-	}
-	number, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && number > 0
-}
-
 func (d *Deliverer) heartbeat(w http.ResponseWriter, q *http.Request, states StateReader) {
 	id := identifier.Endpoint(mux.Vars(q)["id"])
 	var h heartbeat
--- a/internal/exchanger/member.go
+++ b/internal/exchanger/member.go
@@ -8,18 +8,14 @@
 
 import (
 	"fmt"
-	"net"
-	"strconv"
 
+	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/limiter"
 	"github.com/jackdawtide/jackdawtide/internal/registrar"
 )
 
-const (
-	// maxNameBytes bounds names; the key of a record holds no more.
-	maxNameBytes = 255
-	// maxCount bounds incarnations and sequence numbers, so that they can still grow: milliseconds for 280,000 years.
-	maxCount = 1 << 53
-)
+// maxCount bounds incarnations and sequence numbers, so that they can still grow: milliseconds for 280,000 years.
+const maxCount = 1 << 53
 
 // MemberError reports a member's record with an invalid field.
 type MemberError struct {
@@ -44,15 +40,15 @@
 		{"service", w.Service, false},
 		{"endpoint", w.Endpoint, false},
 	} {
-		if len(f.value) > maxNameBytes || f.required && f.value == "" {
-			return MemberError{Node: w.Node, Field: f.name, Value: f.value, Want: fmt.Sprintf("1 to %d bytes", maxNameBytes)}
+		if len(f.value) > identifier.MaxNameBytes || f.required && f.value == "" {
+			return MemberError{Node: w.Node, Field: f.name, Value: f.value, Want: fmt.Sprintf("1 to %d bytes", identifier.MaxNameBytes)}
 		}
 	}
 	for _, f := range []struct{ name, value string }{
 		{"delivery address", w.DeliveryAddress},
 		{"peer address", w.PeerAddress},
 	} {
-		if !isAddress(f.value) {
+		if !identifier.IsAddress(f.value) {
 			return MemberError{Node: w.Node, Field: f.name, Value: f.value, Want: "host:port with a port from 1 to 65535"}
 		}
 	}
@@ -60,7 +56,7 @@
 		name       string
 		value, max int64
 	}{
-		{"slots", int64(w.Slots), registrar.MaxSlots},
+		{"slots", int64(w.Slots), limiter.MaxSlots},
 		{"state", int64(w.State), int64(Stopping)},
 		{"cold time left", w.ColdLeft, int64(registrar.MaxColdLeft)},
 		{"incarnation", w.Incarnation, maxCount},
@@ -73,13 +69,3 @@
 	}
 	return nil
 }
-
-// isAddress reports whether a text is a host and a port that can be called.
-func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	if err != nil || host == "" || len(host) > maxNameBytes {
-		return false
-	}
-	number, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && number > 0
-}
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -93,6 +93,9 @@
 	DueFirst
 )
 
+// MaxSlots bounds the slots of a backend server, for each of which memory is reserved: 50 times those of the largest one known.
+const MaxSlots = 20_000
+
 // Options configure a limiter; zero fields take the defaults.
 type Options struct {
 	// Slots is the number of calls that the backend server announced to run at once; at least 1 is used.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
+	"github.com/jackdawtide/jackdawtide/internal/limiter"
 )
 
 // Announcement is what an endpoint announces about itself.
@@ -65,13 +66,8 @@
 	return fmt.Sprintf("announcement: %s is %d, want 0 to %d", e.Field, e.Value, e.Max)
 }
 
-const (
-	// MaxSlots bounds the slots of an endpoint, for each of which its node reserves memory: 50 times those of the largest
-	// endpoint known.
-	MaxSlots = 20_000
-	// MaxColdLeft bounds the time for which an endpoint is cold after its start, which takes seconds.
-	MaxColdLeft = clock.Hour
-)
+// MaxColdLeft bounds the time for which an endpoint is cold after its start, which takes seconds.
+const MaxColdLeft = clock.Hour
 
 // Options identify the endpoint beside this node.
 type Options struct {
@@ -128,8 +124,8 @@
 		return ForeignError{Field: "service", Value: string(a.Service), Want: string(o.Service)}
 	case a.Address != o.Address:
 		return ForeignError{Field: "address", Value: a.Address, Want: o.Address}
-	case a.Slots < 0 || a.Slots > MaxSlots:
-		return BoundError{Field: "slots", Value: a.Slots, Max: MaxSlots}
+	case a.Slots < 0 || a.Slots > limiter.MaxSlots:
+		return BoundError{Field: "slots", Value: a.Slots, Max: limiter.MaxSlots}
 	case a.ColdLeft < 0 || a.ColdLeft > MaxColdLeft:
 		return BoundError{Field: "cold time left in ms", Value: int64(a.ColdLeft), Max: int64(MaxColdLeft)}
 	}
