--- a/internal/conductor/attempt_end.go
+++ b/internal/conductor/attempt_end.go
@@ -25,7 +25,7 @@
 // refuseCall answers a request that has a route, and counts its end.
 func (c *Conductor) refuseCall(r *call, status int, reason Reason, after clock.Duration) {
 	c.countRefusal(r, reason)
-	if reason == OverRate {
+	if reason == OverRate && r.team != nil {
 		c.forgetArrival(r)
 	}
 	c.refuse(r.id, status, reason, after)
--- a/internal/conductor/delivery.go
+++ b/internal/conductor/delivery.go
@@ -207,6 +207,9 @@
 	c.applyVerdicts(now)
 }
 
+// maxCountedCalls bounds the nested calls that are kept of a run, fifty times those of the longest known one.
+const maxCountedCalls = 1000
+
 // countNestedCall counts a nested call for the run that makes it; its route's calls are known once the run has ended.
 func (c *Conductor) countNestedCall(run identifier.Request, nested identifier.Route) {
 	p, known := c.parents[run]
@@ -214,8 +217,10 @@
 		c.runs.unattributedCallMade(nested)
 		return
 	}
-	p.calls = append(p.calls, nested)
-	c.parents[run] = p
+	if len(p.calls) < maxCountedCalls {
+		p.calls = append(p.calls, nested)
+		c.parents[run] = p
+	}
 }
 
 // dropParent removes a delivery that has ended from the runs that make nested calls.
--- a/internal/conductor/over_rate_test.go
+++ b/internal/conductor/over_rate_test.go
@@ -57,3 +57,16 @@
 		})
 	}
 }
+
+// Guards against a node that ends because another one says of a request without a team that its team is over its rate.
+func TestOverAnswerToRequestWithoutTeam(t *testing.T) {
+	c := newConductor("x")
+	public := route("obs", "portal", matcher.Idempotent)
+	public.Public = true
+	configure(t, c, configuration(3, public), 0)
+	learnMembers(c, peer("p", "portal"))
+	r := arrival(1, "/obs/x")
+	c.Apply(r, 0)
+	effects := c.Apply(AttemptEnded{ID: 1, Outcome: Over}, 10)
+	assert.Equal(t, onlyEffect[Refuse](t, effects).Reason, OverRate)
+}
