--- a/internal/relayer/cut_head_test.go
+++ b/internal/relayer/cut_head_test.go
@@ -14,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawtide/jackdawtide/internal/clock"
+	"github.com/jackdawtide/jackdawtide/internal/conductor"
 	"github.com/jackdawtide/jackdawtide/internal/matcher"
 )
 
@@ -84,6 +86,9 @@
 			}
 			asked := int64(0)
 			for length := range len(strings.Replace(head, "%s", "req-1234567890123456789", 1)) {
+				for _, n := range []*node{beside, entry} {
+					n.ApplyEvent(conductor.ConfigurationProved{Version: 3, AsOf: clock.Boot{}.Now()})
+				}
 				// The whole answer before the cut ones resets the endpoint's failures and leaves a connection, which the first of them uses.
 				good := sendRequest(t, entry, nil)
 				assert.Equal(t, good.StatusCode, http.StatusOK, "%s", good.text)
