--- a/internal/rationer/kinds.go
+++ b/internal/rationer/kinds.go
@@ -21,9 +21,9 @@
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 )
 
-// leastPart is the part of an overloaded service's capacity that is divided in proportion to demand. The most important kinds
-// lose nothing by it while they need less than about half of the capacity, and no kind is refused more than twice as many
-// of its requests as would be served if all kinds were refused alike.
+// leastPart is the part of an overloaded service's capacity that is divided in proportion to demand: each kind keeps half of the
+// part that it would get if all kinds were refused alike. The most important ones lose nothing by it as long as they need no
+// more than about half of the capacity.
 const leastPart = 0.5
 
 // Kind is the demand of one kind of requests at a service.
