One place for a kind's refused part and the decision behind it

plan.refuse and raiseRefusedRatio kept the same table, the second with the rule that the first has without the fleet's arrivals, and both were followed by the same call for the cause: plan.refuse does all of it. A request's kind and the refused part of a kind were looked up in three places each. A refusal holds the division itself, the two tables of counts have one way into the log, and the deliverer's errors name the constants. No change of behaviour.

--- a/internal/conductor/chain.go
+++ b/internal/conductor/chain.go
@@ -72,11 +72,15 @@
 // refusedRatio returns the part of requests of r's origin and class that is refused for the services they lead to.
 func (c *Conductor) refusedRatio(r *call, now clock.Time) float64 {
 	c.refreshPlan(now)
-	ratios, ok := c.plan.refusedRatios[r.origin()]
-	if !ok {
-		return 0
+	return c.plan.divide(r, c.plan.refusedPart(r.kind()))
+}
+
+// refusedPart returns the part of a kind that is refused.
+func (p *plan) refusedPart(k requestKind) float64 {
+	if ratios, ok := p.refusedRatios[k.from]; ok {
+		return ratios[k.class]
 	}
-	return c.plan.divide(r, ratios[r.class])
+	return 0
 }
 
 // admitLeast records the part of a kind that one service admits whatever the kind's importance; the smallest part counts.
@@ -89,22 +93,13 @@
 // rankOf returns the rank of an admitted root request. The part of its kind that is admitted whatever its importance precedes
 // all others at each service of the chain, or the calls of the last kind would wait there until they expire.
 func (c *Conductor) rankOf(r *call) identifier.Rank {
-	k, hash := requestKind{from: r.origin(), class: r.class}, c.random.Uint64()
-	if least := c.plan.leastRatios[k]; least > 0 && c.random.Float64() < least/c.plan.admittedRatio(k) {
+	k, hash := r.kind(), c.random.Uint64()
+	if least := c.plan.leastRatios[k]; least > 0 && c.random.Float64() < least/(1-c.plan.refusedPart(k)) {
 		return r.class.leastRank(hash)
 	}
 	return r.class.rank(c.plan.costLevels[r.origin()], hash)
 }
 
-// admittedRatio returns the part of a kind that is admitted.
-func (p *plan) admittedRatio(k requestKind) float64 {
-	ratios, ok := p.refusedRatios[k.from]
-	if !ok {
-		return 1
-	}
-	return 1 - ratios[k.class]
-}
-
 // overloaded reports whether some service has more load than it can take.
 func (p *plan) overloaded() bool {
 	for _, excess := range p.excess {
@@ -133,6 +128,7 @@
 		limits:     map[origin]float64{},
 
 		leastRatios: map[requestKind]float64{},
+		causes:      map[requestKind]refusalCause{},
 
 		computedServices: map[identifier.Service]bool{},
 		demands:          map[identifier.Service]float64{},
--- a/internal/conductor/chain_completion.go
+++ b/internal/conductor/chain_completion.go
@@ -16,7 +16,6 @@
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/rationer"
-	"github.com/jackdawtide/jackdawtide/internal/throttler"
 )
 
 const (
@@ -119,8 +118,7 @@
 			c.plan.admitLeast(d.kinds[i].requestKind, division.Least[i])
 			ratio *= refusablePart(declined, d.kinds[i].calls)
 			if ratio > 0 {
-				c.raiseRefusedRatio(d.kinds[i].from, d.kinds[i].class, ratio)
-				c.plan.blame(d.kinds[i].requestKind, ratio, decision)
+				c.plan.refuse(d.kinds[i].requestKind, ratio, false, decision)
 			}
 		}
 	}
@@ -193,17 +191,6 @@
 	}
 }
 
-// raiseRefusedRatio refuses at least a part of the root requests of an origin and class. Of two reasons to refuse, the
-// larger part holds, since both refuse the same least important requests; added up, one request would be refused twice.
-func (c *Conductor) raiseRefusedRatio(from origin, class class, ratio float64) {
-	ratios, ok := c.plan.refusedRatios[from]
-	if !ok {
-		ratios = &[throttler.Classes]float64{}
-		c.plan.refusedRatios[from] = ratios
-	}
-	ratios[class] = max(ratios[class], ratio)
-}
-
 // logDeclining reports the services that have started or stopped declining calls since the last tick.
 func (c *Conductor) logDeclining() {
 	for service, ratio := range c.declining {
--- a/internal/conductor/demand_model.go
+++ b/internal/conductor/demand_model.go
@@ -138,8 +138,8 @@
 		}
 		m.ratio += weight * (ratio - m.ratio)
 	}
-	if admitted := d.calls - d.callsOf(r.parts); admitted > 0 {
-		rootPart := min(1, max(0, (d.rootCalls-d.rootCallsOf(r.parts))/admitted))
+	if admitted := d.calls - d.callsOf(r.Refused); admitted > 0 {
+		rootPart := min(1, max(0, (d.rootCalls-d.rootCallsOf(r.Refused))/admitted))
 		if m.rootPart < 0 {
 			m.rootPart = d.rootCalls / d.calls
 		}
--- a/internal/conductor/kind_counts.go
+++ b/internal/conductor/kind_counts.go
@@ -158,7 +158,7 @@
 	}
 	decision := Decision(reason)
 	if reason == Pressure || reason == ServiceLimited {
-		decision = cmp.Or(c.plan.causes[requestKind{from: r.origin(), class: r.class}].decision, decision)
+		decision = cmp.Or(c.plan.causes[r.kind()].decision, decision)
 	}
 	counts.refused(decision, 1)
 }
@@ -169,11 +169,8 @@
 	part     float64
 }
 
-// blame records that a decision refuses a part of a kind.
+// blame records the decision by which a part of a kind is refused.
 func (p *plan) blame(k requestKind, part float64, decision Decision) {
-	if p.causes == nil {
-		p.causes = map[requestKind]refusalCause{}
-	}
 	if part > p.causes[k].part {
 		p.causes[k] = refusalCause{decision: decision, part: part}
 	}
--- a/internal/conductor/over_rate_test.go
+++ b/internal/conductor/over_rate_test.go
@@ -26,7 +26,7 @@
 				r := arrival(id, "/obs/x")
 				r.Key = key
 				c.refreshPlan(now)
-				c.plan.refuse(requestKind{from: origin{route: "obs", service: "portal"}}, refused, false)
+				c.plan.refuse(requestKind{from: origin{route: "obs", service: "portal"}}, refused, false, "pressure/portal")
 				for _, e := range append([]Effect(nil), c.Apply(r, now)...) {
 					switch s, ok := e.(Send); {
 					case !ok:
--- a/internal/conductor/service_demand.go
+++ b/internal/conductor/service_demand.go
@@ -17,6 +17,11 @@
 	class class
 }
 
+// kind returns the kind of a root request.
+func (r *call) kind() requestKind {
+	return requestKind{from: r.origin(), class: r.class}
+}
+
 // serviceDemand is the demand of each kind at one service, with the calls a second that it makes there.
 type serviceDemand struct {
 	kinds     []requestKind
--- a/internal/conductor/shedding.go
+++ b/internal/conductor/shedding.go
@@ -20,8 +20,8 @@
 type refusal struct {
 	demand serviceDemand
 	ratios map[origin]*throttler.Mix
-	// parts are the refused fractions, least those that are admitted whatever the importance of the kind.
-	parts, least []float64
+	// Division has the fractions of the kinds of the demand.
+	rationer.Division
 	// excess is the refused part of the demand's calls, measured what the endpoints measure.
 	excess   float64
 	measured measuredLoad
@@ -111,13 +111,12 @@
 		excess = p.computedExcess(service, r.demand, excess)
 	}
 	r.excess = excess
-	division := rationer.Divide(r.demand.rationed, (1-excess)*r.demand.slotTime)
-	r.parts, r.least = division.Refused, division.Least
+	r.Division = rationer.Divide(r.demand.rationed, (1-excess)*r.demand.slotTime)
 	if p.fleet {
-		r.excess = r.demand.refused(r.parts)
+		r.excess = r.demand.refused(r.Refused)
 	}
 	r.ratios = map[origin]*throttler.Mix{}
-	for i, part := range r.parts {
+	for i, part := range r.Refused {
 		k := r.demand.kinds[i]
 		if part <= 0 {
 			continue
@@ -162,14 +161,13 @@
 	limit, limited := c.serviceLimit(service, p.now)
 	var divided []threshold
 	decision := Decision(pressureDecision + string(service))
-	for i, part := range r.parts {
+	for i, part := range r.Refused {
 		k := d.kinds[i]
-		c.plan.admitLeast(k, r.least[i])
+		c.plan.admitLeast(k, r.Least[i])
 		if part <= 0 {
 			continue
 		}
-		c.plan.refuse(k, part, p.fleet)
-		c.plan.blame(k, part, decision)
+		c.plan.refuse(k, part, p.fleet, decision)
 		if limited {
 			c.plan.limits[k.from] = limit
 		}
@@ -183,8 +181,10 @@
 	c.plan.thresholds = append(c.plan.thresholds, divided...)
 }
 
-// refuse adds a service's refused part of a kind. With the fleet's arrivals, it is a part of what the other services admit.
-func (p *plan) refuse(k requestKind, part float64, fleet bool) {
+// refuse adds a service's refused part of a kind. With the fleet's arrivals, it is a part of what the other services admit;
+// otherwise the larger one of two parts holds, since both refuse the same least important requests.
+func (p *plan) refuse(k requestKind, part float64, fleet bool, by Decision) {
+	p.blame(k, part, by)
 	ratios, ok := p.refusedRatios[k.from]
 	if !ok {
 		ratios = &[throttler.Classes]float64{}
--- a/internal/conductor/team_shares.go
+++ b/internal/conductor/team_shares.go
@@ -56,7 +56,7 @@
 	if len(p.thresholds) == 0 {
 		return refused
 	}
-	k := requestKind{from: r.origin(), class: r.class}
+	k := r.kind()
 	for i := range p.thresholds {
 		if t := &p.thresholds[i]; t.kinds[k] > 0 {
 			refused = 1 - (1-refused)/(1-t.refused)*(1-t.refusedOf(r.team))
--- a/internal/deliverer/announce.go
+++ b/internal/deliverer/announce.go
@@ -111,13 +111,13 @@
 func (a announcement) check() error {
 	switch {
 	case len(a.Endpoint) > identifier.MaxNameBytes:
-		return AnnouncementError{Field: "endpoint", Value: len(a.Endpoint), Want: "at most 255 bytes"}
+		return AnnouncementError{Field: "endpoint", Value: len(a.Endpoint), Want: atMost(identifier.MaxNameBytes, "bytes")}
 	case len(a.Service) > identifier.MaxNameBytes:
-		return AnnouncementError{Field: "service", Value: len(a.Service), Want: "at most 255 bytes"}
+		return AnnouncementError{Field: "service", Value: len(a.Service), Want: atMost(identifier.MaxNameBytes, "bytes")}
 	case a.Slots > limiter.MaxSlots:
-		return AnnouncementError{Field: "slots", Value: a.Slots, Want: "at most 20000"}
+		return AnnouncementError{Field: "slots", Value: a.Slots, Want: atMost(limiter.MaxSlots, "slots")}
 	case a.ConnectionLimit > limiter.MaxSlots:
-		return AnnouncementError{Field: "connectionLimit", Value: a.ConnectionLimit, Want: "at most 20000"}
+		return AnnouncementError{Field: "connectionLimit", Value: a.ConnectionLimit, Want: atMost(limiter.MaxSlots, "connections")}
 	case a.ColdStartMs > int64(maxColdStart):
 		return AnnouncementError{Field: "coldStartMs", Value: a.ColdStartMs, Want: "at most an hour"}
 	case a.Endpoint == "":
@@ -136,6 +136,10 @@
 	return nil
 }
 
+func atMost(n int, unit string) string {
+	return fmt.Sprintf("at most %d %s", n, unit)
+}
+
 func (d *Deliverer) heartbeat(w http.ResponseWriter, q *http.Request, states StateReader) {
 	id := identifier.Endpoint(mux.Vars(q)["id"])
 	var h heartbeat
--- a/internal/mesher/lifecycle.go
+++ b/internal/mesher/lifecycle.go
@@ -15,7 +15,6 @@
 
 	"github.com/jackdawtide/jackdawtide/internal/clock"
 	"github.com/jackdawtide/jackdawtide/internal/conductor"
-	"github.com/jackdawtide/jackdawtide/internal/identifier"
 	"github.com/jackdawtide/jackdawtide/internal/pipeliner"
 	"github.com/jackdawtide/jackdawtide/internal/recorder"
 	"github.com/jackdawtide/jackdawtide/internal/relayer"
@@ -187,15 +186,14 @@
 	n.relayer.View(func(c *conductor.Conductor, now clock.Time) { s, counts = c.Dump(now), c.TakeKindCounts() })
 	n.logKindCounts(counts)
 	n.recorder.Event("load", "running", s.Running, "queued", s.Queued, "limit", s.Limit, "queueMs", int64(s.QueueDelay),
-		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "fullRate", int64(s.FullRate), "excess", s.Excess, "excesses", s.Excesses, "open", s.Open,
-		"connections", n.connections.Open(), "coldMs", int64(s.ColdLeft), "coldOthers", s.ColdOthers, "evacuated", s.Evacuated,
+		"arriving", int64(s.Arriving), "capable", int64(s.Capable), "fullRate", int64(s.FullRate),
+		"excess", s.Excess, "excesses", s.Excesses, "open", s.Open, "connections", n.connections.Open(), "coldMs", int64(s.ColdLeft), "coldOthers", s.ColdOthers, "evacuated", s.Evacuated,
 		"limited", s.Limited, "rateLimit", s.RateLimit, "limitAgeMs", int64(s.LimitAge), "heldBack", s.HeldBack,
 		"otherLimits", s.OtherLimits)
 	if s.RefusedComputed > 0 || s.RefusedMeasured > 0 {
 		n.recorder.Event("requests refused for overload", "refusedComputed", s.RefusedComputed, "refusedMeasured", s.RefusedMeasured,
 			"arrivalReporters", s.ArrivalReporters, "arrivalsComplete", s.ArrivalsComplete, "demandRatios", s.DemandRatios,
-			"demands", s.Demands, "capacities", s.Capacities,
-			"teamsDivided", s.TeamsDivided)
+			"demands", s.Demands, "capacities", s.Capacities, "teamsDivided", s.TeamsDivided)
 	}
 }
 
@@ -203,17 +201,18 @@
 // last second.
 func (n *node) logKindCounts(counts conductor.KindCounts) {
 	if len(counts.Routes) > 0 {
-		routes := make(map[identifier.Route]any, len(counts.Routes))
-		for route, r := range counts.Routes {
-			routes[route] = r.Fields()
-		}
-		n.recorder.Event("requests by route", "routes", routes)
+		n.recorder.Event("requests by route", "routes", fieldsOf(counts.Routes))
 	}
 	if len(counts.Runs) > 0 {
-		levels := make(map[identifier.Level]any, len(counts.Runs))
-		for level, r := range counts.Runs {
-			levels[level] = r.Fields()
-		}
-		n.recorder.Event("runs by level", "levels", levels)
+		n.recorder.Event("runs by level", "levels", fieldsOf(counts.Runs))
+	}
+}
+
+// fieldsOf returns the fields of all values.
+func fieldsOf[K comparable, V interface{ Fields() map[string]any }](all map[K]V) map[K]any {
+	fields := make(map[K]any, len(all))
+	for key, value := range all {
+		fields[key] = value.Fields()
 	}
+	return fields
 }
