--- a/internal/conductor/demand_model_test.go
+++ b/internal/conductor/demand_model_test.go
@@ -45,22 +45,24 @@
 	}
 }
 
+// planWith makes a plan from a report of clock, while the arrivals and calls are those of planned.
+func planWith(c *Conductor, clockReport exchanger.Report, now clock.Time) {
+	clockReport.Member, clockReport.Number = peer("e", "clock"), int64(now)
+	clockReport.Arrivals = map[identifier.Route]map[identifier.Class]float64{"obs": {2: 100}, "fast": {0: 100}}
+	portal := exchanger.Report{
+		Member: peer("p", "portal"), Number: int64(now), Calls: map[identifier.Route]map[identifier.Route]float64{"obs": {"in": 8}},
+		Arrivals: map[identifier.Route]map[identifier.Class]float64{unknownRoute: {0: 0}},
+	}
+	c.Apply(ReportsReceived{Reports: []exchanger.Report{clockReport, portal}}, now)
+	c.makePlan(now)
+}
+
 // Guards against a second overload that is judged by what was learned in one long before, or under another configuration.
 func TestDemandModelExpires(t *testing.T) {
 	c := planned(t, exchanger.Report{Load: 900, Capacity: 450}, exchanger.Report{})
 	learned := func(load, capacity float64, from, until clock.Time) {
 		for now := from; now < until; now += 100 {
-			r := exchanger.Report{
-				Member: peer("e", "clock"), Number: int64(now), Load: load, Capacity: capacity,
-				Arrivals: map[identifier.Route]map[identifier.Class]float64{"obs": {2: 100}, "fast": {0: 100}},
-				RootTime: 100, NestedTime: 40,
-			}
-			portal := exchanger.Report{
-				Member: peer("p", "portal"), Number: int64(now), Calls: map[identifier.Route]map[identifier.Route]float64{"obs": {"in": 8}},
-				Arrivals: map[identifier.Route]map[identifier.Class]float64{unknownRoute: {0: 0}},
-			}
-			c.Apply(ReportsReceived{Reports: []exchanger.Report{r, portal}}, now)
-			c.makePlan(now)
+			planWith(c, exchanger.Report{Load: load, Capacity: capacity, RootTime: 100, NestedTime: 40}, now)
 		}
 	}
 	learned(1200, 450, 100, 6000)
@@ -90,17 +92,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := planned(t, exchanger.Report{Load: 900, Capacity: 650}, exchanger.Report{})
 			for now := clock.Time(100); now < 4000; now += 100 {
-				r := exchanger.Report{
-					Member: peer("e", "clock"), Number: int64(now), Load: 700, Capacity: 650, Excess: test.excess,
-					Arrivals: map[identifier.Route]map[identifier.Class]float64{"obs": {2: 100}, "fast": {0: 100}},
-					RootTime: 40, NestedTime: 40,
-				}
-				portal := exchanger.Report{
-					Member: peer("p", "portal"), Number: int64(now), Calls: map[identifier.Route]map[identifier.Route]float64{"obs": {"in": 8}},
-					Arrivals: map[identifier.Route]map[identifier.Class]float64{unknownRoute: {0: 0}},
-				}
-				c.Apply(ReportsReceived{Reports: []exchanger.Report{r, portal}}, now)
-				c.makePlan(now)
+				planWith(c, exchanger.Report{Load: 700, Capacity: 650, Excess: test.excess, RootTime: 40, NestedTime: 40}, now)
 			}
 			assert.Equal(t, c.demandModels["clock"].ratio < 0.95, test.falls, "%v", c.demandModels["clock"].ratio)
 		})
--- a/internal/conductor/fleet_load_test.go
+++ b/internal/conductor/fleet_load_test.go
@@ -219,6 +219,25 @@
 	}
 }
 
+// failure changes the fleet at two times; both changes may be nil.
+type failure struct {
+	from, until clock.Time
+	begin, end  func(f *loadFleet)
+}
+
+// runThrough runs the fleet through a failure and until a time after it.
+func (f *loadFleet) runThrough(x failure, until clock.Time) {
+	f.run(x.from)
+	if x.begin != nil {
+		x.begin(f)
+	}
+	f.run(x.until)
+	if x.end != nil {
+		x.end(f)
+	}
+	f.run(until)
+}
+
 func (f *loadFleet) apply(n *loadNode, e Event) []Effect {
 	effects := append([]Effect(nil), n.c.Apply(e, f.now)...)
 	for _, e := range effects {
--- a/internal/conductor/fleet_shedding_test.go
+++ b/internal/conductor/fleet_shedding_test.go
@@ -149,15 +149,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newLoadFleet(3, func(clock.Time) float64 { return 1.3 })
 			f.older = test.older
-			f.run(begins)
-			if test.begin != nil {
-				test.begin(f)
-			}
-			f.run(ends)
-			if test.end != nil {
-				test.end(f)
-			}
-			f.run(ends + 8000)
+			f.runThrough(failure{from: begins, until: ends, begin: test.begin, end: test.end}, ends+8000)
 			during, after := f.result(begins, ends), f.result(ends+2000, ends+7000)
 			t.Logf("during: %+v", during)
 			t.Logf("after: %+v", after)
--- a/internal/conductor/least_share_test.go
+++ b/internal/conductor/least_share_test.go
@@ -110,15 +110,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newLoadFleet(3, test.demand)
-			f.run(begins)
-			if test.begin != nil {
-				test.begin(f)
-			}
-			f.run(ends)
-			if test.end != nil {
-				test.end(f)
-			}
-			f.run(loadEnds)
+			f.runThrough(failure{from: begins, until: ends, begin: test.begin, end: test.end}, loadEnds)
 			least, ratios := f.leastShare(loadBegins+2000, loadEnds-1000)
 			t.Logf("served, of the ideal: %.3f", ratios)
 			assert.Assert(t, least >= minLeastShare, "%.3f", ratios)
--- a/internal/deliverer/answer_test.go
+++ b/internal/deliverer/answer_test.go
@@ -34,41 +34,50 @@
 
 func (r *answerRecorder) Close(transporter.AnswerTail) error { return nil }
 
-// startBackend serves connections with an answer to each request, made from its token and its path, and counts them.
-func startBackend(t *testing.T, answer func(token, path string) string, before func(sent []string) string) (d *Deliverer, connections *atomic.Int32) {
+// listen serves each connection to the returned address until its function returns.
+func listen(t *testing.T, serve func(n net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	connections = &atomic.Int32{}
 	go func() {
 		for {
 			n, err := l.Accept()
 			if err != nil {
 				return
 			}
-			connections.Add(1)
 			go func() {
 				defer n.Close()
-				reader := bufio.NewReader(n)
-				var sent []string
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					text := before(sent)
-					sent = append(sent, answer(r.Header.Get(TokenHeader), r.URL.Path))
-					if _, err := io.WriteString(n, text+sent[len(sent)-1]); err != nil {
-						return
-					}
-				}
+				serve(n)
 			}()
 		}
 	}()
+	return l.Addr().String()
+}
+
+// startBackend serves connections with an answer to each request, made from its token and its path, and counts them.
+func startBackend(t *testing.T, answer func(token, path string) string, before func(sent []string) string) (d *Deliverer, connections *atomic.Int32) {
+	t.Helper()
+	connections = &atomic.Int32{}
+	address := listen(t, func(n net.Conn) {
+		connections.Add(1)
+		reader := bufio.NewReader(n)
+		var sent []string
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			text := before(sent)
+			sent = append(sent, answer(r.Header.Get(TokenHeader), r.URL.Path))
+			if _, err := io.WriteString(n, text+sent[len(sent)-1]); err != nil {
+				return
+			}
+		}
+	})
 	d = New(nil)
-	d.putBackend("i", l.Addr().String(), 4)
+	d.putBackend("i", address, 4)
 	return d, connections
 }
 
--- a/internal/deliverer/cut_head_test.go
+++ b/internal/deliverer/cut_head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -25,17 +26,14 @@
 		"bare LF":     "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer l.Close()
-			go serveCut(l, head)
 			d := New(nil)
-			d.putBackend("i", l.Addr().String(), 4)
+			d.putBackend("i", listen(t, func(n net.Conn) { serveCut(n, head) }), 4)
 			for length := range len(head) {
 				w := call(d, "/whole")
 				assert.Assert(t, w.head.Refusal == nil, "%+v", w.head.Refusal)
-				for _, path := range []string{"/cut/%d", "/cut/%d"} {
-					w = call(d, fmt.Sprintf(path, length))
+				// The first call uses the connection of the whole answer, the second one a new connection.
+				for range 2 {
+					w = call(d, fmt.Sprint("/cut/", length))
 					assert.Assert(t, w.head.Refusal != nil, "after %d bytes: %+v", length, w.head)
 					assert.Equal(t, w.head.Refusal.Reason, string(reducer.LostAnswer), "after %d bytes", length)
 					assert.Assert(t, !w.head.Refusal.NotRun)
@@ -45,31 +43,23 @@
 	}
 }
 
-// serveCut answers requests, and those for /cut/N with the first N bytes of a head, after which it closes the connection.
-func serveCut(l net.Listener, head string) {
+// serveCut answers requests, and those for /cut/N with the first N bytes of a head, after which the connection ends.
+func serveCut(n net.Conn, head string) {
+	reader := bufio.NewReader(n)
 	for {
-		n, err := l.Accept()
+		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		go func() {
-			defer n.Close()
-			reader := bufio.NewReader(n)
-			for {
-				r, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				var length int
-				if _, err := fmt.Sscanf(strings.TrimPrefix(r.URL.Path, "/cut/"), "%d", &length); err == nil {
-					_, _ = io.WriteString(n, head[:length])
-					return
-				}
-				if _, err := io.WriteString(n, echoingAnswer(r.Header.Get(TokenHeader), r.URL.Path)); err != nil {
-					return
-				}
-			}
-		}()
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer := echoingAnswer(r.Header.Get(TokenHeader), r.URL.Path)
+		length, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/cut/"))
+		cut := err == nil
+		if cut {
+			answer = head[:length]
+		}
+		if _, err := io.WriteString(n, answer); err != nil || cut {
+			return
+		}
 	}
 }
