Slots test: read the owned deliveries when no request can come any more

The test now closes the server, which waits for the requests that it reads, and reads the map under the lock; it asserts the same.

--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -551,7 +551,11 @@
 		})
 	}
 	callers.Wait()
+	// Requests whose callers have left may still be read.
+	n.outbound.Close()
 	waitUntil(t, "all slots are free", func() bool { return running(n) == 0 })
 	assert.Equal(t, n.Unowned(), 0)
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	assert.Equal(t, len(n.owned), 0)
 }
